--- /dev/null
+++ b/src/bronzepost/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private modules of bronzepost; nothing here is a stable interface."""
--- /dev/null
+++ b/src/bronzepost/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: one module per command."""
--- /dev/null
+++ b/src/bronzepost/_internal/core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decision code: tables, typed events and typed actions."""
--- /dev/null
+++ b/src/bronzepost/_internal/node/__init__.py
@@ -0,0 +1,1 @@
+"""The process around the core: sockets, clients and the event loop."""
--- /dev/null
+++ b/src/bronzepost/_internal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Log events, metrics and trace spans."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bronzepost."""
--- /dev/null
+++ b/tests/functional/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that start processes or open sockets."""
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that need no socket and no second process."""
--- /dev/null
+++ b/tests/unit/test_exceptions.py
@@ -0,0 +1,19 @@
+"""Tests of the errors."""
+
+from testtools import TestCase
+
+from bronzepost._internal import exceptions
+
+
+class BronzepostErrorTest(TestCase):
+    """Guard the place that an error names."""
+
+    def test_text_names_step_and_peer(self) -> None:
+        """Guard against errors that do not say where they arose."""
+        error = exceptions.LogServiceError(
+            'append refused: retry later', step='append', peer='127.0.0.1:9'
+        )
+        self.assertEqual(
+            'append refused: retry later (at append, peer 127.0.0.1:9)',
+            str(error),
+        )
