Add the program ledger as pure decision code

Cause: ownership, order, budget and at-most-once calls have to follow from log order alone, so that nodes which disagree about membership still agree about programs.

Records state absolute values, so a copy that a lost answer leaves behind has no second effect. A claim counts every outstanding allowance as spent.

Ruled out: remembering record ids to drop copies (unbounded), checkpoints tied to an epoch (a checkpoint follows from the log prefix and is true anyway).

--- /dev/null
+++ b/src/bronzepost/_internal/core/ledger/calls.py
@@ -0,0 +1,316 @@
+"""Decide what the owner of a program does with a call.
+
+The functions look at the journal's view, submit the records that a call
+needs, and say what has to be durable before anything is sent.
+"""
+
+import dataclasses
+from http import HTTPStatus
+from typing import Final
+
+from bronzepost._internal.core.ledger import records
+from bronzepost._internal.core.ledger.journal import Journal, submit_record
+from bronzepost._internal.core.ledger.state import ProgramEntry
+
+# A log that has not answered for this long is treated as down.
+LOG_OUTAGE_SECONDS: Final = 1.0
+
+# The allowance covers this many calls like the last one, so that a call
+# seldom waits for an append of its own.
+ALLOWANCE_CALLS: Final = 2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallRequest:
+    """A call as the owner sees it.
+
+    ``sequence`` is zero when the caller leaves the number to the system.
+    ``worst_case`` is the most that the call can spend, in units; ``budget``
+    is that of a program that starts with this call.
+    """
+
+    program: str
+    sequence: int
+    key: str
+    organisation: str
+    service: str
+    worst_case: int
+    budget: int
+    importance: int = 1
+    turn_limit: int = 0
+    path: str = ''
+    non_idempotent: bool = False
+
+    @property
+    def parent(self) -> str:
+        """Return the program that started this sub-agent, if it is one."""
+        return self.program.rpartition('.')[0]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Decision:
+    """What the owner does with a call."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Proceed(Decision):
+    """Send the call once every record of ``wait_for`` is settled as valid."""
+
+    sequence: int
+    wait_for: tuple[str, ...] = ()
+    intent_id: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerStored(Decision):
+    """The call has finished; its answer is the record at ``offset``."""
+
+    sequence: int
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerUnknown(Decision):
+    """The call was announced and nobody knows whether it ran."""
+
+    sequence: int
+    intent_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refuse(Decision):
+    """The call is not run."""
+
+    code: str
+    status: int
+    message: str
+    retry_after_seconds: float | None = None
+
+
+def is_log_down(journal: Journal, at: float) -> bool:
+    """Return whether the log has failed long enough to count as down."""
+    failing_since = journal.requests.failing_since
+    return failing_since is not None and (
+        at - failing_since >= LOG_OUTAGE_SECONDS
+    )
+
+
+def begin_call(journal: Journal, call: CallRequest, at: float) -> Decision:
+    """Decide on a call of a program that this node owns.
+
+    The caller makes sure that no other call of the program is under way.
+    """
+    program = journal.view.programs_by_id.get(call.program)
+    if program is None:
+        return _start_program(journal, call, at)
+    repeated = _find_repeated(journal, call, program)
+    if repeated is not None:
+        return repeated
+    refusal = _check_program(call, program)
+    if refusal is not None:
+        return refusal
+    return _reserve(journal, call, program, at)
+
+
+def _start_program(journal: Journal, call: CallRequest, at: float) -> Decision:
+    if call.sequence > 1:
+        return Refuse(
+            code='unknown_program',
+            status=HTTPStatus.CONFLICT,
+            message=f'program {call.program} has no call before '
+            f'{call.sequence}: start with call 1',
+        )
+    if call.worst_case > call.budget:
+        return _refuse_budget(call.worst_case, call.budget)
+    if is_log_down(journal, at):
+        return _refuse_outage('a program cannot start')
+    record = records.ProgramStarted(
+        record_id=journal.next_record_id(),
+        epoch=journal.view.epoch,
+        node=journal.node,
+        program=call.program,
+        organisation=call.organisation,
+        service=call.service,
+        budget=call.budget,
+        granted=min(call.budget, call.worst_case * ALLOWANCE_CALLS),
+        importance=call.importance,
+        parent=call.parent,
+    )
+    verdict = submit_record(journal, record)
+    if not verdict.valid:
+        return Refuse(
+            code='program_refused',
+            status=HTTPStatus.CONFLICT,
+            message=verdict.reason,
+        )
+    return _announce(journal, call, 1, (record.record_id,))
+
+
+def _find_repeated(
+    journal: Journal, call: CallRequest, program: ProgramEntry
+) -> Decision | None:
+    """Return the answer to a call that was made before, if it was."""
+    sequence = call.sequence
+    if call.key:
+        by_key = journal.view.find_call_by_key(call.program, call.key)
+        sequence = by_key or sequence
+    intent = journal.view.open_intent(call.program)
+    if intent is not None and sequence in {0, intent.sequence}:
+        return AnswerUnknown(
+            sequence=intent.sequence, intent_id=intent.intent_id
+        )
+    if not sequence or sequence > program.sequence:
+        return None
+    return _find_answer(journal, call.program, sequence)
+
+
+def _find_answer(journal: Journal, program: str, sequence: int) -> Decision:
+    outcome = journal.view.outcomes_by_call.get((program, sequence))
+    if outcome is not None:
+        return AnswerStored(sequence=sequence, offset=outcome.offset)
+    for intent in journal.view.intents_by_id.values():
+        is_call = (intent.program, intent.sequence) == (program, sequence)
+        if is_call and intent.abandoned:
+            return AnswerUnknown(sequence=sequence, intent_id=intent.intent_id)
+    entry = journal.state.programs_by_id.get(program)
+    if entry and entry.sequence == sequence and entry.history_offsets:
+        return AnswerStored(sequence=sequence, offset=entry.history_offsets[-1])
+    return Refuse(
+        code='call_finished',
+        status=HTTPStatus.CONFLICT,
+        message=f'call {sequence} has finished; only the answer to the last '
+        'call can be repeated',
+    )
+
+
+def _check_program(call: CallRequest, program: ProgramEntry) -> Refuse | None:
+    if program.ended:
+        return Refuse(
+            code='program_ended',
+            status=HTTPStatus.CONFLICT,
+            message=f'program {call.program} has ended: {program.ended}',
+        )
+    if call.sequence and call.sequence != program.sequence + 1:
+        return Refuse(
+            code='wrong_sequence',
+            status=HTTPStatus.CONFLICT,
+            message=f'call {program.sequence + 1} of program {call.program} '
+            f'is next, not {call.sequence}',
+        )
+    if call.turn_limit and program.sequence >= call.turn_limit:
+        return Refuse(
+            code='turn_limit',
+            status=HTTPStatus.CONFLICT,
+            message=f'program {call.program} has made {program.sequence} '
+            'calls, which is its limit',
+        )
+    return None
+
+
+def _reserve(
+    journal: Journal, call: CallRequest, program: ProgramEntry, at: float
+) -> Decision:
+    left = program.allowance + program.ungranted
+    if call.worst_case > left:
+        return _refuse_budget(call.worst_case, left)
+    sequence = program.sequence + 1
+    if call.worst_case <= program.allowance:
+        durable = journal.state.programs_by_id.get(call.program)
+        # A grant that is submitted and not yet durable may still fail.
+        is_durable = durable is not None and (
+            durable.granted >= program.spent + call.worst_case
+        )
+        if is_durable:
+            return _announce_if_up(journal, call, sequence, at)
+    if is_log_down(journal, at):
+        return _refuse_outage('the allowance of the program is used up')
+    record_id = grant_allowance(journal, program, call.worst_case)
+    wait_for = (record_id,) if record_id else _submitted_ids(journal)
+    return _announce(journal, call, sequence, wait_for)
+
+
+def _submitted_ids(journal: Journal) -> tuple[str, ...]:
+    return (
+        *journal.in_flight_by_id,
+        *(record.record_id for record in journal.pending),
+    )
+
+
+def grant_allowance(
+    journal: Journal, program: ProgramEntry, worst_case: int
+) -> str:
+    """Submit the allowance for further calls; return the record's id.
+
+    Returns an empty string if the program already has the allowance.
+    """
+    wanted = program.spent + worst_case * ALLOWANCE_CALLS
+    granted = min(program.budget - program.carved, wanted)
+    if granted <= program.granted:
+        return ''
+    record = records.AllowanceGranted(
+        record_id=journal.next_record_id(),
+        epoch=journal.view.epoch,
+        node=journal.node,
+        program=program.program,
+        granted=granted,
+    )
+    is_valid = submit_record(journal, record).valid
+    return record.record_id if is_valid else ''
+
+
+def _announce_if_up(
+    journal: Journal, call: CallRequest, sequence: int, at: float
+) -> Decision:
+    if call.non_idempotent and is_log_down(journal, at):
+        return _refuse_outage('a non-idempotent call cannot be announced')
+    return _announce(journal, call, sequence, ())
+
+
+def _announce(
+    journal: Journal,
+    call: CallRequest,
+    sequence: int,
+    wait_for: tuple[str, ...],
+) -> Decision:
+    if not call.non_idempotent:
+        return Proceed(sequence=sequence, wait_for=wait_for)
+    intent = records.Intent(
+        record_id=journal.next_record_id(),
+        epoch=journal.view.epoch,
+        node=journal.node,
+        program=call.program,
+        sequence=sequence,
+        key=call.key,
+        service=call.service,
+        path=call.path,
+    )
+    verdict = submit_record(journal, intent)
+    if not verdict.valid:
+        return Refuse(
+            code='call_refused',
+            status=HTTPStatus.CONFLICT,
+            message=verdict.reason,
+        )
+    return Proceed(
+        sequence=sequence,
+        wait_for=(*wait_for, intent.record_id),
+        intent_id=intent.record_id,
+    )
+
+
+def _refuse_budget(worst_case: int, left: int) -> Refuse:
+    return Refuse(
+        code='budget',
+        status=HTTPStatus.PAYMENT_REQUIRED,
+        message=f'the call can spend {worst_case} units and the budget has '
+        f'{left} left: lower max_tokens or raise the budget',
+    )
+
+
+def _refuse_outage(consequence: str) -> Refuse:
+    return Refuse(
+        code='log_unavailable',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        message=f'the log service does not answer: {consequence}',
+        retry_after_seconds=LOG_OUTAGE_SECONDS,
+    )
--- /dev/null
+++ b/src/bronzepost/_internal/core/ledger/records.py
@@ -0,0 +1,220 @@
+"""Records of a partition's stream on the log, and their JSON form.
+
+A record is an object with a ``kind`` that names its class. Every effect is
+stated as an absolute value (a sequence number, a total), never as an
+increment, so a record that is on the log twice has its effect once.
+"""
+
+import dataclasses
+from types import MappingProxyType
+from typing import Any, Final
+
+import msgspec
+
+from bronzepost._internal.exceptions import ProtocolError
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Record:
+    """What every record carries.
+
+    ``record_id`` is unique over all nodes and boots. ``epoch`` is the epoch
+    of the claim under which the record was written, and ``node`` its writer.
+    """
+
+    record_id: str
+    epoch: int
+    node: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Claim(Record):
+    """Take ownership of the partition; ``epoch`` is the new epoch."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PartitionReleased(Record):
+    """Give ownership up, so that another node may claim at once."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProgramStarted(Record):
+    """Create a program with its budget in units.
+
+    ``granted`` is the first allowance, so that starting a program takes one
+    append. A ``parent`` pays for the whole ``budget`` of its sub-agent.
+    """
+
+    program: str
+    organisation: str
+    service: str
+    budget: int
+    granted: int
+    importance: int = 1
+    parent: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AllowanceGranted(Record):
+    """Raise the total units that the owner may have spent to ``granted``."""
+
+    program: str
+    granted: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AllowanceReleased(Record):
+    """Lower the total that was granted, before a planned handover."""
+
+    program: str
+    granted: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TurnCompleted(Record):
+    """Finish a model call.
+
+    ``messages`` are those of the request that were new since the last turn,
+    ``answer`` is the assistant's message, ``digest`` the digest of the whole
+    history after it, ``message_count`` its length and ``spent`` the program's
+    total spending in units.
+    """
+
+    program: str
+    sequence: int
+    messages: list[dict[str, Any]]
+    answer: dict[str, Any]
+    digest: str
+    message_count: int
+    spent: int
+    key: str = ''
+    intent_id: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Intent(Record):
+    """Announce a non-idempotent call before it is sent."""
+
+    program: str
+    sequence: int
+    key: str
+    service: str
+    path: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class IntentWithdrawn(Record):
+    """State that the announced call was not sent and never will be."""
+
+    program: str
+    sequence: int
+    intent_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallAbandoned(Record):
+    """State that nobody will learn soon whether the announced call ran.
+
+    The program may go on with its next call. An outcome that arrives later
+    is still stored and answered to a caller that repeats the call.
+    """
+
+    program: str
+    sequence: int
+    intent_id: str
+    spent: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Outcome(Record):
+    """State what a service call returned.
+
+    For a non-idempotent call, ``intent_id`` names its intent, and the record
+    is accepted from any epoch: it states a fact about a call that ran.
+    """
+
+    program: str
+    sequence: int
+    intent_id: str
+    status: int
+    body: str
+    spent: int
+    key: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HistorySnapshot(Record):
+    """Repeat a live program's history before its records age out."""
+
+    program: str
+    messages: list[dict[str, Any]]
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProgramEnded(Record):
+    """End a program; ``reason`` is shown to callers and operators."""
+
+    program: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Checkpoint(Record):
+    """State the partition after all records before ``covers_offset``.
+
+    The state follows from the log alone, so a checkpoint is true whichever
+    epoch wrote it.
+    """
+
+    covers_offset: int
+    state: dict[str, Any]
+
+
+RECORD_CLASSES: Final = (
+    Claim,
+    PartitionReleased,
+    ProgramStarted,
+    AllowanceGranted,
+    AllowanceReleased,
+    TurnCompleted,
+    Intent,
+    IntentWithdrawn,
+    CallAbandoned,
+    Outcome,
+    HistorySnapshot,
+    ProgramEnded,
+    Checkpoint,
+)
+
+_CLASSES_BY_KIND: Final = MappingProxyType({
+    record_class.__name__: record_class for record_class in RECORD_CLASSES
+})
+
+
+def encode_record(record: Record) -> dict[str, Any]:
+    """Return the JSON object of a record."""
+    body: dict[str, Any] = msgspec.to_builtins(record)
+    return {'kind': type(record).__name__, **body}
+
+
+def decode_record(body: dict[str, Any]) -> Record:
+    """Return the record of a JSON object.
+
+    Raises:
+        ProtocolError: if the kind is unknown or a field is missing or wrong.
+    """
+    fields = dict(body)
+    kind = fields.pop('kind', None)
+    record_class = _CLASSES_BY_KIND.get(kind) if kind else None
+    if record_class is None:
+        raise ProtocolError(
+            f'unknown record kind {kind!r}: is a newer version running?',
+            step='read log',
+        )
+    try:
+        return msgspec.convert(fields, record_class)
+    except msgspec.ValidationError as error:
+        raise ProtocolError(
+            f'malformed {kind} record: {error}', step='read log'
+        ) from error
--- /dev/null
+++ b/src/bronzepost/_internal/core/ledger/state.py
@@ -0,0 +1,161 @@
+"""Tables of a partition.
+
+The tables follow from the records of the partition's stream in log order and
+from nothing else, so all nodes that have read the same records agree on them.
+"""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from bronzepost._internal.core.ledger.records import Checkpoint
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProgramEntry:
+    """A program as the log describes it.
+
+    All amounts are in units: ``budget`` is the bound, ``carved`` what
+    sub-agents were given, ``granted`` the total that the owner may spend,
+    ``spent`` the total that was spent. ``spent <= granted`` and
+    ``granted + carved <= budget`` hold after every record. ``forfeited`` is
+    the part of ``spent`` that was counted as spent when an owner was lost.
+    """
+
+    program: str
+    organisation: str
+    service: str
+    budget: int
+    granted: int
+    importance: int = 1
+    parent: str = ''
+    sequence: int = 0
+    digest: str = ''
+    message_count: int = 0
+    spent: int = 0
+    carved: int = 0
+    forfeited: int = 0
+    ended: str = ''
+    ended_offset: int = 0
+    last_key: str = ''
+    history_offsets: tuple[int, ...] = ()
+
+    @property
+    def allowance(self) -> int:
+        """Return the units that may be spent without another record."""
+        return self.granted - self.spent
+
+    @property
+    def ungranted(self) -> int:
+        """Return the units of the budget that are not yet given out."""
+        return self.budget - self.granted - self.carved
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class IntentEntry:
+    """A non-idempotent call that was announced on the log.
+
+    ``withdrawn``: it was not sent and never will be. ``abandoned``: nobody
+    knows whether it ran. ``settled``: its outcome is on the log.
+    """
+
+    intent_id: str
+    program: str
+    sequence: int
+    key: str
+    epoch: int
+    withdrawn: bool = False
+    abandoned: bool = False
+    settled: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OutcomeEntry:
+    """Where the stored answer of a finished service call is."""
+
+    program: str
+    sequence: int
+    key: str
+    offset: int
+    status: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PartitionState:
+    """Tables of one partition.
+
+    ``next_offset`` is the first offset that has not been applied.
+    ``open_intents_by_program`` names a program's announced call that is
+    neither withdrawn, abandoned nor settled.
+    """
+
+    epoch: int = 0
+    owner: str = ''
+    claim_id: str = ''
+    next_offset: int = 0
+    programs_by_id: dict[str, ProgramEntry] = dataclasses.field(
+        default_factory=dict
+    )
+    intents_by_id: dict[str, IntentEntry] = dataclasses.field(
+        default_factory=dict
+    )
+    open_intents_by_program: dict[str, str] = dataclasses.field(
+        default_factory=dict
+    )
+    outcomes_by_call: dict[tuple[str, int], OutcomeEntry] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def live_program(self, program: str) -> ProgramEntry | None:
+        """Return the program's entry unless it is unknown or has ended."""
+        entry = self.programs_by_id.get(program)
+        return None if entry is None or entry.ended else entry
+
+    def open_intent(self, program: str) -> IntentEntry | None:
+        """Return the program's announced call without an outcome, if any."""
+        intent_id = self.open_intents_by_program.get(program)
+        return None if intent_id is None else self.intents_by_id[intent_id]
+
+    def find_call_by_key(self, program: str, key: str) -> int | None:
+        """Return the sequence of the call that carried an idempotency key."""
+        entry = self.programs_by_id.get(program)
+        if entry is not None and entry.last_key == key:
+            return entry.sequence
+        for intent in self.intents_by_id.values():
+            if intent.program == program and intent.key == key:
+                return None if intent.withdrawn else intent.sequence
+        return None
+
+
+def dump_state(state: PartitionState) -> dict[str, Any]:
+    """Return the state as JSON values, for a checkpoint."""
+    return {
+        'epoch': state.epoch,
+        'owner': state.owner,
+        'claim_id': state.claim_id,
+        'programs': msgspec.to_builtins(list(state.programs_by_id.values())),
+        'intents': msgspec.to_builtins(list(state.intents_by_id.values())),
+        'open_intents': dict(state.open_intents_by_program),
+        'outcomes': msgspec.to_builtins(list(state.outcomes_by_call.values())),
+    }
+
+
+def load_state(checkpoint: Checkpoint) -> PartitionState:
+    """Return the state that a checkpoint describes."""
+    body = checkpoint.state
+    programs = msgspec.convert(body['programs'], list[ProgramEntry])
+    intents = msgspec.convert(body['intents'], list[IntentEntry])
+    outcomes = msgspec.convert(body['outcomes'], list[OutcomeEntry])
+    return PartitionState(
+        epoch=body['epoch'],
+        owner=body['owner'],
+        claim_id=body['claim_id'],
+        next_offset=checkpoint.covers_offset,
+        programs_by_id={entry.program: entry for entry in programs},
+        intents_by_id={entry.intent_id: entry for entry in intents},
+        open_intents_by_program=dict(body['open_intents']),
+        outcomes_by_call={
+            (entry.program, entry.sequence): entry for entry in outcomes
+        },
+    )
