--- a/src/bronzepost/_internal/exceptions.py
+++ b/src/bronzepost/_internal/exceptions.py
@@ -38,7 +38,33 @@
 
 
 class SettingsError(BronzepostError):
-    """A settings file or a command-line value is wrong."""
+    """A settings file or a command-line value is wrong.
+
+    ``path`` names the setting, ``line`` counts from 1 (0 means unknown) and
+    ``shown`` is the wrong value as text, with keys hidden.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str,
+        peer: str = '',
+        path: str = '',
+        line: int = 0,
+        shown: str = '',
+        expected: str = '',
+    ) -> None:
+        """Keep the place of the wrong value and what is expected there."""
+        super().__init__(message, step=step, peer=peer)
+        self.path = path
+        self.line = line
+        self.shown = shown
+        self.expected = expected
+
+
+class SettingsErrorGroup(ExceptionGroup[SettingsError]):
+    """All problems of one settings file."""
 
 
 class ProtocolError(BronzepostError):
