--- /dev/null
+++ b/src/bronzepost/_internal/core/membership/events.py
@@ -0,0 +1,79 @@
+"""The events that the membership takes and the actions that it returns."""
+
+import dataclasses
+
+from .entities import MemberState
+from .messages import MembershipMessage
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Tick:
+    """Time has passed; ``at`` is in seconds of a monotonic clock."""
+
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MessageReceived:
+    """A message of another member has arrived and is authentic."""
+
+    at: float
+    message: MembershipMessage
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OffsetAdvanced:
+    """The node has applied its configuration up to ``offset``."""
+
+    at: float
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaveRequested:
+    """The node begins a graceful shutdown."""
+
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Send:
+    """Send a message to a peer address; it may be lost."""
+
+    peer_address: str
+    message: MembershipMessage
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReconnectPeer:
+    """Close the connection to a peer, since an open one can be silent."""
+
+    peer_address: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MemberChanged:
+    """A member's entry has changed.
+
+    ``previous`` is ``None`` for a member that was not known, and ``current``
+    is ``None`` for one that is no longer kept. A higher incarnation with an
+    unchanged state is a refutation or a new boot.
+    """
+
+    name: str
+    previous: MemberState | None
+    current: MemberState | None
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PeerOffsetSeen:
+    """A peer has applied more of the configuration than this node."""
+
+    name: str
+    peer_address: str
+    offset: int
+
+
+MembershipEvent = Tick | MessageReceived | OffsetAdvanced | LeaveRequested
+MembershipAction = Send | ReconnectPeer | MemberChanged | PeerOffsetSeen
--- /dev/null
+++ b/src/bronzepost/_internal/core/membership/updates.py
@@ -0,0 +1,176 @@
+"""Which entry about a member holds, and how entries spread.
+
+An entry replaces another if its incarnation is higher, or if it is equal and
+the state ranks higher. Only the member itself raises its incarnation.
+"""
+
+import dataclasses
+import math
+import types
+from collections.abc import Iterable, Mapping
+
+from .entities import (
+    Member,
+    MemberEntry,
+    MembershipTables,
+    MemberState,
+    Suspicion,
+    entry_of,
+    member_from_entry,
+)
+from .events import MemberChanged
+
+# Leaving ranks above suspected, so that a suspicion cannot hide a shutdown.
+_RANK_BY_STATE: Mapping[MemberState, int] = types.MappingProxyType({
+    MemberState.ALIVE: 0,
+    MemberState.SUSPECTED: 1,
+    MemberState.LEAVING: 2,
+    MemberState.DEAD: 3,
+})
+
+
+def merge_entries(
+    tables: MembershipTables, entries: Iterable[MemberEntry], at: float
+) -> tuple[MemberChanged, ...]:
+    """Apply entries that were received; return what changed."""
+    changes = (merge_entry(tables, entry, at) for entry in entries)
+    return tuple(change for change in changes if change is not None)
+
+
+def merge_entry(
+    tables: MembershipTables, entry: MemberEntry, at: float
+) -> MemberChanged | None:
+    """Apply one entry if it replaces what is known."""
+    if entry.name == tables.own_name:
+        return _refute(tables, entry, at)
+    known = tables.members_by_name.get(entry.name)
+    if known is None:
+        # Otherwise nodes would hand a removed member back to each other.
+        is_news = entry.state is not MemberState.DEAD
+    else:
+        is_news = _precedence(entry) > _precedence(known)
+    return _replace(tables, entry, at) if is_news else None
+
+
+def mark_member(
+    tables: MembershipTables, name: str, state: MemberState, at: float
+) -> MemberChanged | None:
+    """Apply the node's own verdict on a member at its known incarnation."""
+    entry = entry_of(tables.members_by_name[name])
+    return merge_entry(tables, _with_state(entry, state), at)
+
+
+def leave_group(tables: MembershipTables, at: float) -> MemberChanged | None:
+    """Mark the node itself as leaving and spread that."""
+    own = tables.own()
+    if own.state is MemberState.LEAVING:
+        return None
+    entry = _with_state(entry_of(own), MemberState.LEAVING)
+    return _replace(tables, entry, at)
+
+
+def shorten_suspicion(tables: MembershipTables, name: str, at: float) -> None:
+    """Set the time of the verdict after a failed probe of the node's own."""
+    dead_at = at + tables.settings.suspicion_seconds
+    known = tables.suspicions_by_name.get(name)
+    tables.suspicions_by_name[name] = Suspicion(
+        dead_at=min(dead_at, known.dead_at) if known else dead_at, ping_at=at
+    )
+
+
+def select_updates(
+    tables: MembershipTables, *, about: str = ''
+) -> tuple[MemberEntry, ...]:
+    """Return the entries for the next message and count them as sent.
+
+    The least-sent come first. The entry of ``about``, the member that the
+    message goes to, is included unless that member is believed alive, so that
+    it can refute.
+    """
+    sends_left = tables.sends_left_by_name
+    names = sorted(sends_left, key=lambda key: (-sends_left[key], key))
+    names = names[: tables.settings.updates_per_message]
+    for name in names:
+        _count_send(tables, name)
+    updates = [entry_of(tables.members_by_name[key]) for key in names]
+    told = tables.members_by_name.get(about)
+    if told and told.state is not MemberState.ALIVE and about not in names:
+        updates.append(entry_of(told))
+    return tuple(updates)
+
+
+def forget_member(tables: MembershipTables, name: str) -> MemberChanged:
+    """Remove a member and everything kept about it."""
+    member = tables.members_by_name.pop(name)
+    tables.sends_left_by_name.pop(name, None)
+    tables.suspicions_by_name.pop(name, None)
+    return MemberChanged(
+        name=name,
+        previous=member.state,
+        current=None,
+        incarnation=member.incarnation,
+    )
+
+
+def _precedence(entry: MemberEntry | Member) -> tuple[int, int]:
+    return entry.incarnation, _RANK_BY_STATE[entry.state]
+
+
+def _with_state(entry: MemberEntry, state: MemberState) -> MemberEntry:
+    return MemberEntry(
+        name=entry.name,
+        peer_address=entry.peer_address,
+        forward_address=entry.forward_address,
+        caller_address=entry.caller_address,
+        availability_zone=entry.availability_zone,
+        region=entry.region,
+        incarnation=entry.incarnation,
+        state=state,
+    )
+
+
+def _refute(
+    tables: MembershipTables, entry: MemberEntry, at: float
+) -> MemberChanged | None:
+    own = tables.own()
+    known = entry_of(own)
+    if entry == known or _precedence(entry) < _precedence(known):
+        return None
+    member = dataclasses.replace(own, incarnation=entry.incarnation + 1)
+    return _replace(tables, entry_of(member), at)
+
+
+def _replace(
+    tables: MembershipTables, entry: MemberEntry, at: float
+) -> MemberChanged:
+    known = tables.members_by_name.get(entry.name)
+    offset = known.configuration_offset if known else 0
+    tables.members_by_name[entry.name] = member_from_entry(
+        entry, at=at, configuration_offset=offset
+    )
+    tables.suspicions_by_name.pop(entry.name, None)
+    if entry.state is MemberState.SUSPECTED:
+        tables.suspicions_by_name[entry.name] = Suspicion(
+            dead_at=at + tables.settings.hearsay_seconds, ping_at=at
+        )
+    _spread(tables, entry.name)
+    return MemberChanged(
+        name=entry.name,
+        previous=known.state if known else None,
+        current=entry.state,
+        incarnation=entry.incarnation,
+    )
+
+
+def _spread(tables: MembershipTables, name: str) -> None:
+    # SWIM: an update reaches all members with high probability after a small
+    # multiple of the logarithm of their number.
+    rounds = math.ceil(math.log2(len(tables.members_by_name) + 1))
+    tables.sends_left_by_name[name] = tables.settings.resend_factor * rounds
+    tables.has_news = True
+
+
+def _count_send(tables: MembershipTables, name: str) -> None:
+    tables.sends_left_by_name[name] -= 1
+    if not tables.sends_left_by_name[name]:
+        tables.sends_left_by_name.pop(name)
