--- /dev/null
+++ b/src/bronzepost/_internal/core/scheduling/call_events.py
@@ -0,0 +1,120 @@
+"""Handlers of events about calls."""
+
+import dataclasses
+
+from .cache_events import believe_prefix
+from .dispatch import Actions, handle_event, move_mean
+from .events import CallFinished, CallSent
+from .program_events import add_program
+from .server_events import change_own_calls
+from .speeds import output_seconds, prefill_seconds
+from .tables import (
+    CallInFlight,
+    ProgramService,
+    SchedulingTables,
+    ServiceRate,
+    find_root,
+)
+
+
+@handle_event.register
+def _(event: CallSent, tables: SchedulingTables) -> Actions:
+    call = event.call
+    prefixes = tables.prefixes_by_session.get(call.program_id, {})
+    prefix = prefixes.get(event.backend_server_id)
+    tables.calls_in_flight_by_id[event.call_id] = CallInFlight(
+        call=call,
+        backend_server_id=event.backend_server_id,
+        sent_at=event.at,
+        believed_cached_tokens=0 if prefix is None else prefix.tokens,
+    )
+    add_program(tables, call, event.at)
+    change_program_calls(tables, call.program_id, 1)
+    change_own_calls(tables, event.backend_server_id, event.at, 1)
+    rate = tables.rates_by_service.get(call.service, ServiceRate())
+    tables.rates_by_service[call.service] = dataclasses.replace(
+        rate,
+        calls_sent=rate.calls_sent + 1,
+    )
+    tables.home_by_session[call.program_id] = event.backend_server_id
+    return ()
+
+
+def change_program_calls(
+    tables: SchedulingTables,
+    program_id: str,
+    change: int,
+) -> None:
+    """Change the number of calls in flight of one program."""
+    program = tables.programs_by_id.get(program_id)
+    if program is not None:
+        tables.programs_by_id[program_id] = dataclasses.replace(
+            program,
+            calls_in_flight=program.calls_in_flight + change,
+        )
+
+
+@handle_event.register
+def _(event: CallFinished, tables: SchedulingTables) -> Actions:
+    sent = tables.calls_in_flight_by_id.pop(event.call_id, None)
+    if sent is None:
+        return ()
+    call = sent.call
+    change_own_calls(tables, sent.backend_server_id, event.at, -1)
+    change_program_calls(tables, call.program_id, -1)
+    rate = tables.rates_by_service[call.service]
+    tables.rates_by_service[call.service] = dataclasses.replace(
+        rate,
+        call_seconds=move_mean(
+            rate.call_seconds, event.at - sent.sent_at, rate.calls_sent
+        ),
+    )
+    if call.program_id in tables.programs_by_id:
+        credit_program(tables, sent, event)
+    return ()
+
+
+def credit_program(
+    tables: SchedulingTables,
+    sent: CallInFlight,
+    event: CallFinished,
+) -> None:
+    """Add what a call has received to its program tree and cache view."""
+    call = sent.call
+    cached = event.cached_tokens
+    if cached is None:
+        cached = sent.believed_cached_tokens
+    history = call.prompt_tokens + event.output_tokens
+    root_id = find_root(call.program_id)
+    root = tables.programs_by_id.get(root_id)
+    if root is not None:
+        tables.programs_by_id[root_id] = add_attained(
+            root, max(call.prompt_tokens - cached, 0), event.output_tokens
+        )
+    program = tables.programs_by_id[call.program_id]
+    tables.programs_by_id[call.program_id] = dataclasses.replace(
+        program,
+        history_tokens=history,
+    )
+    if call.model:
+        believe_prefix(
+            tables,
+            call.program_id,
+            sent.backend_server_id,
+            tokens=history,
+            at=event.at,
+        )
+
+
+def add_attained(
+    root: ProgramService,
+    prefill_tokens: int,
+    output_tokens: int,
+) -> ProgramService:
+    """Return the root's row with the service of one call added."""
+    seconds = prefill_seconds(prefill_tokens) + output_seconds(output_tokens)
+    return dataclasses.replace(
+        root,
+        attained_tokens=root.attained_tokens + prefill_tokens + output_tokens,
+        attained_seconds=root.attained_seconds + seconds,
+    )
--- /dev/null
+++ b/src/bronzepost/_internal/core/scheduling/program_events.py
@@ -0,0 +1,130 @@
+"""Handlers of events about programs."""
+
+import dataclasses
+
+from .actions import ReleaseSession
+from .dispatch import Actions, handle_event, move_mean
+from .events import PauseSeen, ProgramEnded, ProgramRefused
+from .tables import (
+    CallRequest,
+    PausesSeen,
+    ProgramService,
+    Refusal,
+    SchedulingTables,
+    ServiceRate,
+    find_root,
+)
+
+# Programs that never come back after a refusal must not fill the table.
+REFUSALS_LIMIT = 10000
+
+
+def add_program(
+    tables: SchedulingTables,
+    call: CallRequest,
+    at: float,
+) -> None:
+    """Add a row for a program that was not known."""
+    program_id = call.program_id
+    if program_id in tables.programs_by_id:
+        return
+    tables.programs_by_id[program_id] = ProgramService(
+        program_id=program_id,
+        service=call.service,
+        model=call.model,
+        importance=call.importance,
+        started_at=at,
+    )
+    tables.refusals_by_program.pop(program_id, None)
+    root_id = find_root(program_id)
+    if root_id == program_id:
+        live = tables.live_roots_by_service.get(call.service, 0)
+        tables.live_roots_by_service[call.service] = live + 1
+    else:
+        tables.sub_agents_by_root.setdefault(root_id, set()).add(program_id)
+
+
+@handle_event.register
+def _(event: PauseSeen, tables: SchedulingTables) -> Actions:
+    seen = tables.pauses_by_tool.get(event.tool, PausesSeen())
+    mean = move_mean(seen.mean_seconds, event.seconds, seen.count)
+    deviation = abs(event.seconds - mean)
+    tables.pauses_by_tool[event.tool] = PausesSeen(
+        count=seen.count + 1,
+        mean_seconds=mean,
+        mean_deviation_seconds=move_mean(
+            seen.mean_deviation_seconds, deviation, seen.count
+        ),
+    )
+    return ()
+
+
+@handle_event.register
+def _(event: ProgramRefused, tables: SchedulingTables) -> Actions:
+    refusals = tables.refusals_by_program
+    earlier = refusals.get(event.program_id)
+    first = event.at if earlier is None else earlier.first_refused_at
+    if earlier is None and len(refusals) >= REFUSALS_LIMIT:
+        refusals.pop(next(iter(refusals)))
+    refusals[event.program_id] = Refusal(
+        refused_at=event.at,
+        first_refused_at=first,
+        service=event.service,
+    )
+    return ()
+
+
+@handle_event.register
+def _(event: ProgramEnded, tables: SchedulingTables) -> Actions:
+    program_id = event.program_id
+    ended = [program_id]
+    if find_root(program_id) == program_id:
+        sub_agents = tables.sub_agents_by_root.pop(program_id, set())
+        ended = [*sorted(sub_agents), program_id]
+    actions: list[ReleaseSession] = []
+    for identifier in ended:
+        actions.extend(end_program(tables, identifier, event.at))
+    return tuple(actions)
+
+
+def end_program(
+    tables: SchedulingTables,
+    program_id: str,
+    at: float,
+) -> list[ReleaseSession]:
+    """Remove the rows of one program; return releases of its prefixes."""
+    program = tables.programs_by_id.pop(program_id, None)
+    tables.home_by_session.pop(program_id, None)
+    tables.refusals_by_program.pop(program_id, None)
+    siblings = tables.sub_agents_by_root.get(find_root(program_id))
+    if siblings is not None:
+        siblings.discard(program_id)
+    if program is not None and find_root(program_id) == program_id:
+        count_ended(tables, program, at)
+    prefixes = tables.prefixes_by_session.pop(program_id, {})
+    return [
+        ReleaseSession(backend_server_id=identifier, session=program_id)
+        for identifier in prefixes
+    ]
+
+
+def count_ended(
+    tables: SchedulingTables,
+    program: ProgramService,
+    at: float,
+) -> None:
+    """Update the figures of the service that the root program used."""
+    service = program.service
+    tables.live_roots_by_service[service] -= 1
+    rate = tables.rates_by_service.get(service, ServiceRate())
+    count = rate.programs_ended
+    tables.rates_by_service[service] = dataclasses.replace(
+        rate,
+        programs_ended=count + 1,
+        program_seconds=move_mean(
+            rate.program_seconds, at - program.started_at, count
+        ),
+        program_tokens=move_mean(
+            rate.program_tokens, program.history_tokens, count
+        ),
+    )
--- /dev/null
+++ b/src/bronzepost/_internal/core/scheduling/routing.py
@@ -0,0 +1,145 @@
+"""Choice of a backend server by one cost in seconds."""
+
+import functools
+from collections.abc import Iterator
+
+from .actions import Choice
+from .policies import LeastOutstanding, Policy, ProgramAware, StickyFcfs
+from .speeds import prefill_seconds
+from .tables import (
+    BackendServer,
+    CallRequest,
+    SchedulingTables,
+    ServiceRate,
+)
+
+
+def list_candidates(
+    tables: SchedulingTables,
+    call: CallRequest,
+) -> list[BackendServer]:
+    """Return the servers of the call's service and model that are staying."""
+    identifiers = tables.backend_server_ids_by_service.get(call.service, ())
+    servers = map(tables.backend_servers_by_id.__getitem__, identifiers)
+    return [
+        server
+        for server in servers
+        if not server.is_leaving and server.model == call.model
+    ]
+
+
+def count_outstanding(server: BackendServer) -> int:
+    """Return the calls believed to run or wait at the server.
+
+    The lagging report is corrected by our own calls sent and finished since
+    it was measured, and our own calls in flight are a lower bound.
+    """
+    reported = server.running + server.waiting + server.own_since_report
+    return max(reported, server.own_in_flight)
+
+
+@functools.singledispatch
+def choose_backend_server(
+    policy: Policy,
+    tables: SchedulingTables,
+    call: CallRequest,
+    at: float,
+) -> Choice | None:
+    """Return the backend server for a call, or None if none can take it.
+
+    A leaving server is never chosen. Send the call and apply ``CallSent``
+    before the next choice, so that the choice counts as in flight. The
+    default takes the servers in turn.
+    """
+    candidates = list_candidates(tables, call)
+    if not candidates:
+        return None
+    rate = tables.rates_by_service.get(call.service, ServiceRate())
+    server = candidates[rate.calls_sent % len(candidates)]
+    return Choice(backend_server_id=server.backend_server_id, cost_seconds=0)
+
+
+@choose_backend_server.register
+def _(
+    policy: LeastOutstanding,
+    tables: SchedulingTables,
+    call: CallRequest,
+    at: float,
+) -> Choice | None:
+    candidates = list_candidates(tables, call)
+    if not candidates:
+        return None
+    server = min(candidates, key=count_outstanding)
+    return Choice(backend_server_id=server.backend_server_id, cost_seconds=0)
+
+
+@choose_backend_server.register
+def _(
+    policy: StickyFcfs,
+    tables: SchedulingTables,
+    call: CallRequest,
+    at: float,
+) -> Choice | None:
+    home = tables.home_by_session.get(call.program_id)
+    for server in list_candidates(tables, call):
+        if server.backend_server_id == home:
+            return Choice(backend_server_id=home, cost_seconds=0)
+    return choose_backend_server(LeastOutstanding(), tables, call, at)
+
+
+@choose_backend_server.register
+def _(
+    policy: ProgramAware,
+    tables: SchedulingTables,
+    call: CallRequest,
+    at: float,
+) -> Choice | None:
+    costs = estimate_costs(policy, tables, call)
+    best = min(costs, key=lambda pair: pair[0], default=None)
+    if best is None:
+        return None
+    return Choice(
+        backend_server_id=best[1].backend_server_id, cost_seconds=best[0]
+    )
+
+
+def estimate_costs(
+    policy: ProgramAware,
+    tables: SchedulingTables,
+    call: CallRequest,
+) -> Iterator[tuple[float, BackendServer]]:
+    """Yield the cost in seconds and the server for every candidate."""
+    rate = tables.rates_by_service.get(call.service, ServiceRate())
+    prefixes = tables.prefixes_by_session.get(call.program_id, {})
+    for server in list_candidates(tables, call):
+        prefix = prefixes.get(server.backend_server_id)
+        cached = 0 if prefix is None else prefix.tokens
+        missing = max(call.prompt_tokens - cached, 0)
+        cost = estimate_queue_seconds(server, rate)
+        cost += prefill_seconds(missing)
+        cost += find_distance(tables, call, server)
+        yield cost, server
+
+
+def estimate_queue_seconds(server: BackendServer, rate: ServiceRate) -> float:
+    """Return the time until a slot is free, plus the load of the batch.
+
+    Below the number of slots nothing waits, but a fuller batch is slower, so
+    a share of one call's time is counted.
+    """
+    slots = max(server.slots, 1)
+    outstanding = count_outstanding(server)
+    ahead = max(outstanding + 1 - slots, 0)
+    return (ahead + outstanding / slots) * rate.call_seconds / slots
+
+
+def find_distance(
+    tables: SchedulingTables,
+    call: CallRequest,
+    server: BackendServer,
+) -> float:
+    """Return the one-way distance to the server's zone in seconds."""
+    if server.availability_zone == call.availability_zone:
+        return 0
+    pair = (call.availability_zone, server.availability_zone)
+    return tables.zone_seconds_by_pair.get(pair, 0)
--- /dev/null
+++ b/src/bronzepost/_internal/core/scheduling/server_events.py
@@ -0,0 +1,109 @@
+"""Handlers of events about backend servers."""
+
+import collections
+import dataclasses
+
+from .dispatch import Actions, handle_event
+from .events import (
+    BackendServerGone,
+    BackendServerLeaving,
+    BackendServerSeen,
+    LoadReported,
+)
+from .tables import OWN_CHANGES_LIMIT, BackendServer, SchedulingTables
+
+
+@handle_event.register
+def _(event: BackendServerSeen, tables: SchedulingTables) -> Actions:
+    seen = event.backend_server
+    known = tables.backend_servers_by_id.get(seen.backend_server_id)
+    if known is None:
+        add_backend_server(tables, seen)
+    elif seen.is_leaving:
+        # The list lags, so a server known to be leaving stays so whatever a
+        # later answer says.
+        mark_leaving(tables, known)
+    return ()
+
+
+def add_backend_server(
+    tables: SchedulingTables,
+    server: BackendServer,
+) -> None:
+    """Add the row of a server that was not known."""
+    identifier = server.backend_server_id
+    tables.backend_servers_by_id[identifier] = server
+    tables.own_changes_by_backend_server[identifier] = collections.deque(
+        maxlen=OWN_CHANGES_LIMIT,
+    )
+    tables.backend_server_ids_by_service.setdefault(server.service, []).append(
+        identifier,
+    )
+
+
+def mark_leaving(tables: SchedulingTables, server: BackendServer) -> None:
+    """Set the leaving flag, which is never cleared."""
+    tables.backend_servers_by_id[server.backend_server_id] = (
+        dataclasses.replace(server, is_leaving=True)
+    )
+
+
+@handle_event.register
+def _(event: BackendServerLeaving, tables: SchedulingTables) -> Actions:
+    server = tables.backend_servers_by_id.get(event.backend_server_id)
+    if server is not None:
+        mark_leaving(tables, server)
+    return ()
+
+
+@handle_event.register
+def _(event: BackendServerGone, tables: SchedulingTables) -> Actions:
+    identifier = event.backend_server_id
+    server = tables.backend_servers_by_id.pop(identifier, None)
+    if server is None:
+        return ()
+    tables.own_changes_by_backend_server.pop(identifier)
+    tables.backend_server_ids_by_service[server.service].remove(identifier)
+    for prefixes in tables.prefixes_by_session.values():
+        prefixes.pop(identifier, None)
+    return ()
+
+
+@handle_event.register
+def _(event: LoadReported, tables: SchedulingTables) -> Actions:
+    server = tables.backend_servers_by_id.get(event.backend_server_id)
+    if server is None or event.measured_at < server.reported_at:
+        return ()
+    changes = tables.own_changes_by_backend_server[event.backend_server_id]
+    while changes and changes[0][0] <= event.measured_at:
+        changes.popleft()
+    tables.backend_servers_by_id[event.backend_server_id] = dataclasses.replace(
+        server,
+        running=event.running,
+        waiting=event.waiting,
+        slots=event.slots,
+        cache_tokens=event.cache_tokens,
+        cache_capacity=event.cache_capacity,
+        reported_at=event.measured_at,
+        is_leaving=server.is_leaving or event.leaving,
+        own_since_report=sum(change for _, change in changes),
+    )
+    return ()
+
+
+def change_own_calls(
+    tables: SchedulingTables,
+    identifier: str,
+    at: float,
+    change: int,
+) -> None:
+    """Count one own call sent (+1) or finished (-1) at a server."""
+    server = tables.backend_servers_by_id.get(identifier)
+    if server is None:
+        return
+    tables.own_changes_by_backend_server[identifier].append((at, change))
+    tables.backend_servers_by_id[identifier] = dataclasses.replace(
+        server,
+        own_since_report=server.own_since_report + change,
+        own_in_flight=max(server.own_in_flight + change, 0),
+    )
--- /dev/null
+++ b/src/bronzepost/_internal/core/scheduling/tables.py
@@ -0,0 +1,178 @@
+"""Tables of the scheduler and their rows."""
+
+import collections
+import dataclasses
+
+# Reported before any report arrived, so that every report is newer.
+NEVER = float('-inf')
+DEFAULT_CALL_SECONDS = 4.0
+# A server that stops reporting must not make its list of changes grow.
+OWN_CHANGES_LIMIT = 4096
+
+# Times and changes (+1 or -1) of the number of own calls at one server.
+OwnChanges = collections.deque[tuple[float, int]]
+SUB_AGENT_SEPARATOR = '.'
+
+
+def find_root(program_id: str) -> str:
+    """Return the program at the root of the tree: ``a`` for ``a.b.c``."""
+    return program_id.partition(SUB_AGENT_SEPARATOR)[0]
+
+
+def find_parent(program_id: str) -> str:
+    """Return the parent program, or an empty string for a root program."""
+    return program_id.rpartition(SUB_AGENT_SEPARATOR)[0]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BackendServer:
+    """A runner as its last load report and our own sends describe it.
+
+    ``own_since_report`` is the number of own calls sent minus own calls
+    finished since ``reported_at``; it corrects the lagging report.
+    """
+
+    backend_server_id: str
+    service: str
+    model: str
+    availability_zone: str
+    running: int = 0
+    waiting: int = 0
+    slots: int = 1
+    cache_tokens: int = 0
+    cache_capacity: int = 0
+    reported_at: float = NEVER
+    is_leaving: bool = False
+    own_since_report: int = 0
+    own_in_flight: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallRequest:
+    """One model or service call that needs a runner.
+
+    ``importance`` is 1 to 10, higher is served sooner. A plain service has an
+    empty ``model``. ``availability_zone`` is the zone of the sending node.
+    """
+
+    program_id: str
+    service: str
+    availability_zone: str
+    model: str = ''
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    importance: int = 1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallInFlight:
+    """A call of our own that has been sent and has not finished."""
+
+    call: CallRequest
+    backend_server_id: str
+    sent_at: float
+    believed_cached_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CachedPrefix:
+    """The part of a session's history that a runner is believed to hold."""
+
+    tokens: int
+    used_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProgramService:
+    """What one program has received so far.
+
+    Attained figures of a root program cover its whole tree. A sub-agent has a
+    row of its own for its importance and its calls in flight.
+    """
+
+    program_id: str
+    service: str
+    model: str
+    importance: int
+    started_at: float
+    calls_in_flight: int = 0
+    attained_tokens: int = 0
+    attained_seconds: float = 0
+    history_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PausesSeen:
+    """Pauses observed for one tool: count and moving means, in seconds."""
+
+    count: int = 0
+    mean_seconds: float = 0
+    mean_deviation_seconds: float = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """A new program that was refused and is expected to come again."""
+
+    refused_at: float
+    first_refused_at: float
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceRate:
+    """Moving means over the finished calls and programs of one service."""
+
+    call_seconds: float = DEFAULT_CALL_SECONDS
+    calls_sent: int = 0
+    programs_ended: int = 0
+    program_seconds: float = 0
+    program_tokens: float = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SchedulingTables:
+    """All tables of one scheduler instance.
+
+    ``prefixes_by_session`` maps a session (program id) to the prefixes by
+    backend server id. ``zone_seconds_by_pair`` holds one-way distances in
+    seconds, with both orders of each pair of availability zones.
+    """
+
+    backend_servers_by_id: dict[str, BackendServer] = dataclasses.field(
+        default_factory=dict,
+    )
+    backend_server_ids_by_service: dict[str, list[str]] = dataclasses.field(
+        default_factory=dict,
+    )
+    own_changes_by_backend_server: dict[str, OwnChanges] = dataclasses.field(
+        default_factory=dict
+    )
+    prefixes_by_session: dict[str, dict[str, CachedPrefix]] = dataclasses.field(
+        default_factory=dict,
+    )
+    home_by_session: dict[str, str] = dataclasses.field(default_factory=dict)
+    calls_in_flight_by_id: dict[str, CallInFlight] = dataclasses.field(
+        default_factory=dict,
+    )
+    programs_by_id: dict[str, ProgramService] = dataclasses.field(
+        default_factory=dict,
+    )
+    sub_agents_by_root: dict[str, set[str]] = dataclasses.field(
+        default_factory=dict,
+    )
+    live_roots_by_service: dict[str, int] = dataclasses.field(
+        default_factory=dict,
+    )
+    refusals_by_program: dict[str, Refusal] = dataclasses.field(
+        default_factory=dict,
+    )
+    pauses_by_tool: dict[str, PausesSeen] = dataclasses.field(
+        default_factory=dict,
+    )
+    rates_by_service: dict[str, ServiceRate] = dataclasses.field(
+        default_factory=dict,
+    )
+    zone_seconds_by_pair: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict,
+    )
