Add the parts of the node that move calls

Cause: the ledger and the scheduler decide; something has to carry the calls between callers, runners and the log.

A program's calls run one at a time in greenlets of their own, so a caller that leaves does not stop its call. Streams are read as bytes arrive and resumed on a new connection. Ruled out: connection reuse for calls, because a late answer could reach the next request on the connection.

--- a/src/bronzepost/_internal/exceptions.py
+++ b/src/bronzepost/_internal/exceptions.py
@@ -105,3 +105,28 @@
         self.run = run
         self.retry_after_seconds = retry_after_seconds
         self.parameter = parameter
+
+
+class ExchangeError(BronzepostError):
+    """An HTTP exchange did not complete.
+
+    ``was_sent`` is false only if the request cannot have reached the peer.
+    """
+
+    def __init__(
+        self, message: str, *, step: str, peer: str, was_sent: bool
+    ) -> None:
+        """Keep whether the request may have reached the peer."""
+        super().__init__(message, step=step, peer=peer)
+        self.was_sent = was_sent
+
+
+class LogRefusedError(LogServiceError):
+    """The log service did nothing; it may be asked again after a time."""
+
+    def __init__(
+        self, message: str, *, step: str, peer: str, retry_after_seconds: float
+    ) -> None:
+        """Keep the time after which to ask again, in seconds."""
+        super().__init__(message, step=step, peer=peer)
+        self.retry_after_seconds = retry_after_seconds
--- /dev/null
+++ b/src/bronzepost/_internal/node/answer_stream.py
@@ -0,0 +1,75 @@
+"""The chunks of an answer, kept while it is produced and for a while after.
+
+Each chunk has an offset. A caller that comes back, to this node or to the
+owner through another node, continues at the offset after its last chunk.
+"""
+
+from collections.abc import Iterator
+
+from gevent.event import Event
+
+from bronzepost._internal.exceptions import RefusedError
+
+
+class AnswerStream:
+    """Chunks that one greenlet appends and any number read."""
+
+    def __init__(self) -> None:
+        """Start with no chunk."""
+        self.chunks: list[bytes] = []
+        self.error: RefusedError | None = None
+        self.is_finished = False
+        self.is_durable = True
+        self.upstream = ''
+        self.status = 200
+        self._changed = Event()
+        self._finished = Event()
+
+    def append(self, chunk: bytes) -> None:
+        """Add a chunk and wake the readers."""
+        self.chunks.append(chunk)
+        self._wake()
+
+    def finish(self) -> None:
+        """Mark the answer as complete."""
+        self.is_finished = True
+        self._finished.set()
+        self._wake()
+
+    def fail(self, error: RefusedError) -> None:
+        """End the answer with an error, which every reader gets."""
+        self.error = error
+        self.finish()
+
+    def wait_finished(self, timeout_seconds: float | None = None) -> bool:
+        """Wait until the answer has ended; return whether it has."""
+        return bool(self._finished.wait(timeout_seconds))
+
+    def wait_started(self, timeout_seconds: float | None = None) -> bool:
+        """Wait until a chunk or the end is there; return whether it is."""
+        if not self.chunks and not self.is_finished:
+            self._changed.wait(timeout_seconds)
+        return bool(self.chunks) or self.is_finished
+
+    def read_from(self, offset: int = 0) -> Iterator[tuple[int, bytes]]:
+        """Yield the chunks from an offset on, as they are appended.
+
+        Raises:
+            RefusedError: if the answer ended with an error.
+        """
+        while True:
+            while offset < len(self.chunks):
+                yield offset, self.chunks[offset]
+                offset += 1
+            if self.is_finished:
+                break
+            self._changed.wait()
+        if self.error is not None:
+            raise self.error
+
+    def _wake(self) -> None:
+        # Each waiter holds the event that it waits for, so a new one can
+        # take its place at once.
+        changed = self._changed
+        self._changed = Event()
+        changed.set()
--- /dev/null
+++ b/src/bronzepost/_internal/node/answers.py
@@ -0,0 +1,86 @@
+"""Answers that were given, for callers that ask again."""
+
+from collections import OrderedDict
+from typing import Any, Final
+
+import msgspec
+
+from bronzepost._internal.core.ledger import records
+from bronzepost._internal.exceptions import LogServiceError, RunState
+from bronzepost._internal.node.answer_stream import AnswerStream
+from bronzepost._internal.node.log_client import LogClient
+from bronzepost._internal.node.refusals import refuse_not_durable
+
+MAX_KEPT_ANSWERS: Final = 512
+
+
+class AnswerStore:
+    """The last answers in memory; older ones are read from the log."""
+
+    def __init__(self, *, log: LogClient) -> None:
+        """Start with no answer."""
+        self._log = log
+        self._streams_by_call: OrderedDict[tuple[str, int], AnswerStream] = (
+            OrderedDict()
+        )
+
+    def keep(self, program: str, sequence: int, stream: AnswerStream) -> None:
+        """Keep an answer that is being produced."""
+        self._streams_by_call[program, sequence] = stream
+        while len(self._streams_by_call) > MAX_KEPT_ANSWERS:
+            self._streams_by_call.popitem(last=False)
+
+    def drop(self, program: str, sequence: int) -> None:
+        """Forget an answer that ended with an error."""
+        self._streams_by_call.pop((program, sequence), None)
+
+    def recall(self, program: str, sequence: int) -> AnswerStream | None:
+        """Return an answer that is in memory."""
+        return self._streams_by_call.get((program, sequence))
+
+    def find(
+        self, program: str, sequence: int, log_stream: str, offset: int
+    ) -> AnswerStream:
+        """Return the answer of a finished call, from the log if need be.
+
+        Raises:
+            RefusedError: if the log does not answer or no longer has it.
+        """
+        kept = self.recall(program, sequence)
+        if kept is not None:
+            return kept
+        try:
+            page = self._log.read_records(log_stream, offset, limit=1)
+        except LogServiceError as error:
+            raise refuse_not_durable(error.message, RunState.RAN) from error
+        if not page.records or page.records[0][0] != offset:
+            raise refuse_not_durable('it has aged out', RunState.RAN)
+        return _restore_answer(records.decode_record(page.records[0][1]))
+
+
+def _restore_answer(record: records.Record) -> AnswerStream:
+    stream = AnswerStream()
+    match record:
+        case records.TurnCompleted():
+            stream.append(msgspec.json.encode(_build_chunk(record)))
+        case records.Outcome():
+            stream.append(record.body.encode())
+            stream.status = record.status
+    stream.finish()
+    return stream
+
+
+def _build_chunk(record: records.TurnCompleted) -> dict[str, Any]:
+    """Return the answer as one chunk of a completion stream."""
+    choice = {
+        'index': 0,
+        'delta': record.answer,
+        'finish_reason': 'stop',
+    }
+    return {
+        'id': f'{record.program}:{record.sequence}',
+        'object': 'chat.completion.chunk',
+        'created': 0,
+        'model': '',
+        'choices': [choice],
+    }
--- /dev/null
+++ b/src/bronzepost/_internal/node/chat_calls.py
@@ -0,0 +1,288 @@
+"""Chat completions: of owned programs, and of callers without a program."""
+
+import dataclasses
+from typing import Any, Final
+
+import gevent
+
+from bronzepost._internal.core.history import (
+    HistoryPoint,
+    extend_history,
+    find_new_messages,
+)
+from bronzepost._internal.core.ledger import calls, records
+from bronzepost._internal.core.ledger.journal import Journal
+from bronzepost._internal.core.scheduling.actions import Refused
+from bronzepost._internal.core.scheduling.admission import admit
+from bronzepost._internal.core.scheduling.tables import CallRequest
+from bronzepost._internal.exceptions import RefusedError, RunState
+from bronzepost._internal.node.answer_stream import AnswerStream
+from bronzepost._internal.node.backend_directory import BackendDirectory
+from bronzepost._internal.node.call_defaults import CallTerms
+from bronzepost._internal.node.caller_request import CallerFields
+from bronzepost._internal.node.chat_request import (
+    ChatRequest,
+    count_prompt_bound,
+)
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.dispatch import RetryTerms
+from bronzepost._internal.node.model_call import (
+    MAX_ATTEMPTS,
+    ModelAnswer,
+    ModelCall,
+    ModelCallRunner,
+)
+from bronzepost._internal.node.program_calls import OwnedCall, ProgramCalls
+from bronzepost._internal.node.refusals import (
+    refuse_admission,
+    refuse_budget,
+    refuse_deadline,
+    refuse_history,
+)
+
+_PASSED_OVER: Final = frozenset(('metadata', 'stream', 'stream_options'))
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ChatCall:
+    """A chat completion with the terms on which it runs."""
+
+    chat: ChatRequest
+    fields: CallerFields
+    terms: CallTerms
+    arrived_at: float
+    traceparent: str = ''
+
+    @property
+    def deadline_at(self) -> float:
+        """Return the deadline on the node's clock."""
+        return self.arrived_at + self.terms.deadline_seconds
+
+    @property
+    def prompt_bound(self) -> int:
+        """Return the most tokens that the prompt can be."""
+        return count_prompt_bound(
+            self.chat.messages, self.terms.bytes_per_token
+        )
+
+    @property
+    def worst_case(self) -> int:
+        """Return the most units that one run can spend."""
+        return self.prompt_bound + self.chat.max_output_tokens
+
+    def engine_body(self) -> dict[str, Any]:
+        """Return the body for the engine, with the output bounded."""
+        body = {
+            name: value
+            for name, value in self.chat.body.items()
+            if name not in _PASSED_OVER
+        }
+        body['stream'] = True
+        body['stream_options'] = {'include_usage': True}
+        limit = 'max_completion_tokens'
+        if limit not in body:
+            limit = 'max_tokens'
+        body[limit] = self.chat.max_output_tokens
+        return body
+
+
+class ChatCalls:
+    """Run chat completions."""
+
+    def __init__(
+        self,
+        *,
+        programs: ProgramCalls,
+        runner: ModelCallRunner,
+        directory: BackendDirectory,
+        availability_zone: str,
+    ) -> None:
+        """Use the node's programs and runners."""
+        self._programs = programs
+        self._runner = runner
+        self._directory = directory
+        self._availability_zone = availability_zone
+
+    def begin_owned(self, journal: Journal, call: ChatCall) -> AnswerStream:
+        """Start a call of a program that this node owns."""
+        request = self._ledger_request(call)
+        if not self._is_repeated(journal, request):
+            self._admit(call)
+            _check_history(journal, call)
+        return self._programs.begin(
+            journal,
+            request,
+            deadline_at=call.deadline_at,
+            work=lambda owned: self._run_owned(owned, call),
+        )
+
+    def begin_alone(self, call: ChatCall, call_id: str) -> AnswerStream:
+        """Start a call without a program; it leaves no record.
+
+        Nothing can refer to it later, so nothing about it has to last.
+        """
+        self._admit(call)
+        if call.worst_case > call.terms.budget:
+            raise refuse_budget(call.worst_case, call.terms.budget)
+        stream = AnswerStream()
+        gevent.spawn(self._run_alone, call, call_id, stream)
+        return stream
+
+    def _ledger_request(self, call: ChatCall) -> calls.CallRequest:
+        return calls.CallRequest(
+            program=call.fields.program,
+            sequence=call.fields.sequence,
+            key=call.fields.key,
+            organisation=call.terms.organisation,
+            service=call.terms.service,
+            worst_case=call.worst_case,
+            budget=call.terms.budget,
+            importance=call.terms.importance,
+            turn_limit=call.terms.turn_limit,
+            non_idempotent=call.terms.non_idempotent,
+        )
+
+    def _is_repeated(
+        self, journal: Journal, request: calls.CallRequest
+    ) -> bool:
+        program = journal.view.programs_by_id.get(request.program)
+        if program is None:
+            return False
+        if request.sequence and request.sequence <= program.sequence:
+            return True
+        running = self._programs.running_by_program.get(request.program)
+        if running is not None:
+            return True
+        known = journal.view.find_call_by_key(request.program, request.key)
+        return bool(request.key) and known is not None
+
+    def _admit(self, call: ChatCall) -> None:
+        verdict = admit(
+            call.terms.policy,
+            self._directory.tables,
+            self._scheduling_request(call),
+            read_clock(),
+        )
+        if isinstance(verdict, Refused):
+            raise refuse_admission(verdict)
+
+    def _scheduling_request(
+        self, call: ChatCall, session: str = ''
+    ) -> CallRequest:
+        return CallRequest(
+            program_id=session or call.fields.program,
+            service=call.terms.service,
+            availability_zone=self._availability_zone,
+            model=call.chat.model,
+            prompt_tokens=call.prompt_bound,
+            max_output_tokens=call.chat.max_output_tokens,
+            importance=call.terms.importance,
+        )
+
+    def _run_owned(self, owned: OwnedCall, call: ChatCall) -> None:
+        # The messages are compared again: the call may have waited for the
+        # one before it, which changed the history.
+        new_messages = _check_history(owned.journal, call)
+        self._programs.wait_durable(owned)
+        try:
+            answer = self._run_model(owned, call)
+        except RefusedError as refusal:
+            self._give_up(owned, call, refusal)
+            raise
+        record = _build_turn(owned, call, answer, new_messages)
+        self._programs.settle(owned, record)
+        owned.stream.append(answer.final_chunk)
+        owned.stream.finish()
+
+    def _run_model(self, owned: OwnedCall, call: ChatCall) -> ModelAnswer:
+        program = owned.journal.view.programs_by_id[owned.call.program]
+        affordable = program.allowance // max(1, call.worst_case)
+        model_call = ModelCall(
+            call_id=f'{program.program}:{owned.proceed.sequence}'
+            f':{owned.journal.state.epoch}',
+            request=self._scheduling_request(call),
+            policy=call.terms.policy,
+            body=call.engine_body(),
+            retry_terms=_retry_terms(call, affordable),
+            traceparent=call.traceparent,
+        )
+        return self._run_until_deadline(model_call, owned.stream)
+
+    def _run_until_deadline(
+        self, model_call: ModelCall, stream: AnswerStream
+    ) -> ModelAnswer:
+        seconds = max(0, model_call.retry_terms.deadline_at - read_clock())
+        late = refuse_deadline('model call', RunState.RAN)
+        with gevent.Timeout(seconds, late):
+            return self._runner.run(model_call, stream)
+
+    def _give_up(
+        self, owned: OwnedCall, call: ChatCall, refusal: RefusedError
+    ) -> None:
+        if refusal.run is RunState.NOT_RUN:
+            self._programs.withdraw(owned)
+            return
+        self._programs.lose_units(owned, call.worst_case)
+        if owned.proceed.intent_id:
+            self._programs.abandon(owned)
+
+    def _run_alone(
+        self, call: ChatCall, call_id: str, stream: AnswerStream
+    ) -> None:
+        model_call = ModelCall(
+            call_id=call_id,
+            request=self._scheduling_request(call, session=call_id),
+            policy=call.terms.policy,
+            body=call.engine_body(),
+            retry_terms=_retry_terms(call, MAX_ATTEMPTS),
+            traceparent=call.traceparent,
+        )
+        try:
+            answer = self._run_until_deadline(model_call, stream)
+        except RefusedError as refusal:
+            stream.fail(refusal)
+        else:
+            stream.append(answer.final_chunk)
+            stream.finish()
+
+
+def _check_history(journal: Journal, call: ChatCall) -> list[Any]:
+    """Return the messages that are new, or refuse a call that lacks some."""
+    program = journal.view.programs_by_id.get(call.fields.program)
+    if program is None:
+        return list(call.chat.messages)
+    point = HistoryPoint(digest=program.digest, count=program.message_count)
+    new_messages = find_new_messages(point, call.chat.messages)
+    if new_messages is None:
+        raise refuse_history(program)
+    return new_messages
+
+
+def _retry_terms(call: ChatCall, affordable: int) -> RetryTerms:
+    return RetryTerms(
+        may_repeat=not call.terms.non_idempotent,
+        max_attempts=min(MAX_ATTEMPTS, affordable),
+        deadline_at=call.deadline_at,
+    )
+
+
+def _build_turn(
+    owned: OwnedCall, call: ChatCall, answer: ModelAnswer, new: list[Any]
+) -> records.TurnCompleted:
+    program = owned.journal.view.programs_by_id[owned.call.program]
+    message = answer.message()
+    before = HistoryPoint(digest=program.digest, count=program.message_count)
+    after = extend_history(before, [*new, message])
+    usage = answer.usage
+    repeated = (answer.attempts - 1) * call.worst_case
+    spent = usage.prompt_tokens + usage.completion_tokens + repeated
+    return records.TurnCompleted(
+        **owned.record_fields(),  # type: ignore[arg-type]
+        messages=new,
+        answer=message,
+        digest=after.digest,
+        message_count=after.count,
+        spent=program.spent + spent + owned.lost_units,
+        key=owned.call.key,
+        intent_id=owned.proceed.intent_id,
+    )
--- /dev/null
+++ b/src/bronzepost/_internal/node/dispatch.py
@@ -0,0 +1,112 @@
+"""Choose a backend server for a call, and decide whether to choose again."""
+
+import dataclasses
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+
+from bronzepost._internal.core.retry_budget import RetryBudget
+from bronzepost._internal.core.scheduling import events
+from bronzepost._internal.core.scheduling.apply import apply_event
+from bronzepost._internal.core.scheduling.policies import Policy
+from bronzepost._internal.core.scheduling.routing import choose_backend_server
+from bronzepost._internal.core.scheduling.tables import CallRequest
+from bronzepost._internal.exceptions import (
+    BronzepostError,
+    ExchangeError,
+    RunState,
+)
+from bronzepost._internal.node.backend_directory import BackendDirectory
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.refusals import (
+    refuse_broken_call,
+    refuse_no_server,
+)
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Dispatched:
+    """A call in flight; who sends it fills in the tokens that it used."""
+
+    server_id: str
+    output_tokens: int = 0
+    cached_tokens: int | None = None
+
+
+@contextmanager
+def dispatch_call(
+    directory: BackendDirectory,
+    *,
+    policy: Policy,
+    request: CallRequest,
+    call_id: str,
+) -> Iterator[Dispatched]:
+    """Choose a backend server and count the call as in flight in the block.
+
+    Raises:
+        RefusedError: if there is no backend server for the call.
+    """
+    at = read_clock()
+    choice = choose_backend_server(policy, directory.tables, request, at)
+    if choice is None:
+        raise refuse_no_server(request.service, request.model)
+    dispatched = Dispatched(server_id=choice.backend_server_id)
+    sent = events.CallSent(
+        at=at,
+        call_id=call_id,
+        backend_server_id=dispatched.server_id,
+        call=request,
+    )
+    apply_event(directory.tables, sent)
+    with ExitStack() as stack:
+        stack.callback(_finish, directory, call_id, dispatched)
+        yield dispatched
+
+
+def _finish(
+    directory: BackendDirectory, call_id: str, dispatched: Dispatched
+) -> None:
+    finished = events.CallFinished(
+        at=read_clock(),
+        call_id=call_id,
+        output_tokens=dispatched.output_tokens,
+        cached_tokens=dispatched.cached_tokens,
+    )
+    apply_event(directory.tables, finished)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RetryTerms:
+    """Whether and how often a call may be sent again.
+
+    ``may_repeat`` is false for a call that must run at most once.
+    """
+
+    may_repeat: bool
+    max_attempts: int
+    deadline_at: float
+
+
+def check_retry(
+    retries: RetryBudget,
+    terms: RetryTerms,
+    attempts: int,
+    error: BronzepostError,
+) -> None:
+    """Return if a call that failed may be sent again.
+
+    Raises:
+        RefusedError: if not; it tells whether the call may have run.
+    """
+    was_sent = not isinstance(error, ExchangeError) or error.was_sent
+    run = RunState.UNKNOWN if was_sent else RunState.NOT_RUN
+    refusal = refuse_broken_call(error, run)
+    if was_sent and not terms.may_repeat:
+        raise refusal
+    if attempts >= terms.max_attempts or read_clock() >= terms.deadline_at:
+        raise refusal
+    if not retries.take_retry():
+        emit(LogEvent.RETRY_BUDGET_SPENT)
+        raise refusal
+    emit(LogEvent.CALL_RETRIED, error=error, attempts=attempts)
--- /dev/null
+++ b/src/bronzepost/_internal/node/engine_client.py
@@ -0,0 +1,224 @@
+"""Stream a chat completion from a model engine.
+
+A stream that goes silent or breaks is resumed on a new connection at the
+offset after the last chunk, since an open connection can be dead while new
+ones work.
+"""
+
+import dataclasses
+from collections.abc import Iterator, Mapping
+from http import HTTPStatus
+from typing import Any, Final
+
+import msgspec
+
+from bronzepost._internal.exceptions import (
+    BackendServerError,
+    ExchangeError,
+    ProtocolError,
+)
+from bronzepost._internal.node.http_exchange import HttpPeer, HttpStream
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
+
+MAX_RESUMES: Final = 2
+
+_DATA: Final = b'data:'
+_ID: Final = b'id:'
+_DONE: Final = b'[DONE]'
+_STEP: Final = 'model call'
+_SHOWN_BYTES: Final = 200
+
+
+class _Delta(msgspec.Struct, frozen=True):
+    content: str | None = None
+    tool_calls: list[dict[str, Any]] | None = None
+
+
+class _ChunkChoice(msgspec.Struct, frozen=True):
+    delta: _Delta = _Delta()
+    finish_reason: str | None = None
+
+
+class _PromptDetails(msgspec.Struct, frozen=True):
+    cached_tokens: int | None = None
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Tokens that an engine counted for a call."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _PromptDetails | None = None
+
+    @property
+    def cached_tokens(self) -> int | None:
+        """Return the prompt tokens found in the cache, None if not told."""
+        details = self.prompt_tokens_details
+        return None if details is None else details.cached_tokens
+
+
+class _ChunkBody(msgspec.Struct, frozen=True):
+    id: str = ''
+    choices: list[_ChunkChoice] = []
+    usage: Usage | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EngineChunk:
+    """One event of a completion stream; ``raw`` is its JSON text."""
+
+    offset: int
+    raw: bytes
+    content: str
+    tool_calls: list[dict[str, Any]]
+    finish_reason: str | None
+    usage: Usage | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EngineCall:
+    """A completion to run; ``priority`` is lower for sooner."""
+
+    request_id: str
+    session: str
+    priority: int
+    body: Mapping[str, Any]
+    traceparent: str = ''
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers of the request."""
+        return {
+            'X-Request-Id': self.request_id,
+            'X-Session': self.session,
+            'X-Priority': str(self.priority),
+            'traceparent': self.traceparent,
+        }
+
+
+def stream_completion(
+    peer: HttpPeer, call: EngineCall
+) -> Iterator[EngineChunk]:
+    """Run a completion and yield its chunks, each offset once, in order.
+
+    Raises:
+        ExchangeError: if the engine did not answer, or the stream broke and
+            could not be resumed.
+        BackendServerError: if the engine answered with an error.
+        ProtocolError: if a chunk belongs to another request.
+    """
+    stream = peer.open_stream(
+        'POST',
+        '/v1/chat/completions',
+        step=_STEP,
+        body=msgspec.json.encode(call.body),
+        headers=call.headers(),
+    )
+    yield from resume_completion(peer, call.request_id, stream=stream)
+
+
+def resume_completion(
+    peer: HttpPeer,
+    request_id: str,
+    *,
+    offset: int = 0,
+    stream: HttpStream | None = None,
+) -> Iterator[EngineChunk]:
+    """Yield the chunks of a completion that is under way, from an offset."""
+    resumes = 0
+    while True:
+        stream = stream or _open_resumed(peer, request_id, offset)
+        try:
+            for chunk in _read_and_close(stream, peer, request_id, offset):
+                offset = chunk.offset + 1
+                resumes = 0
+                yield chunk
+        except ExchangeError as error:
+            resumes += 1
+            if resumes > MAX_RESUMES:
+                raise
+            emit(LogEvent.STREAM_SILENT, error=error, offset=offset)
+        else:
+            return
+        stream = None
+
+
+def _read_and_close(
+    stream: HttpStream, peer: HttpPeer, request_id: str, offset: int
+) -> Iterator[EngineChunk]:
+    with stream:
+        yield from _read_chunks(stream, peer, request_id, offset)
+
+
+def _open_resumed(peer: HttpPeer, request_id: str, offset: int) -> HttpStream:
+    return peer.open_stream(
+        'GET',
+        f'/v1/streams/{request_id}?offset={offset}',
+        step='resume stream',
+    )
+
+
+def _read_chunks(
+    stream: HttpStream, peer: HttpPeer, request_id: str, offset: int
+) -> Iterator[EngineChunk]:
+    if stream.status != HTTPStatus.OK:
+        body = stream.read_all()[:_SHOWN_BYTES]
+        raise BackendServerError(
+            f'status {stream.status}: {body!r}', step=_STEP, peer=peer.address
+        )
+    expected = offset
+    for event_id, raw in _read_events(stream, offset):
+        if raw == _DONE:
+            return
+        if event_id > expected:
+            raise _break_off(
+                f'chunk {event_id} came instead of {expected}', peer
+            )
+        # A resumed stream may repeat chunks that have been read.
+        if event_id == expected:
+            expected += 1
+            yield _decode_chunk(raw, event_id, request_id, peer.address)
+    raise _break_off('the stream ended before its last chunk', peer)
+
+
+def _read_events(
+    stream: HttpStream, offset: int
+) -> Iterator[tuple[int, bytes]]:
+    """Yield the offset and the data of each server-sent event."""
+    event_id = offset
+    for line in stream.read_lines():
+        if line.startswith(_ID):
+            event_id = int(line.removeprefix(_ID))
+        elif line.startswith(_DATA):
+            yield event_id, line.removeprefix(_DATA).strip()
+
+
+def _break_off(problem: str, peer: HttpPeer) -> ExchangeError:
+    return ExchangeError(problem, step=_STEP, peer=peer.address, was_sent=True)
+
+
+def _decode_chunk(
+    raw: bytes, offset: int, request_id: str, address: str
+) -> EngineChunk:
+    try:
+        body = msgspec.json.decode(raw, type=_ChunkBody)
+    except msgspec.DecodeError as error:
+        raise ProtocolError(
+            f'malformed chunk: {error}', step=_STEP, peer=address
+        ) from error
+    if body.id != request_id:
+        emit(LogEvent.ANSWER_MISMATCHED, peer=address, request_id=request_id)
+        raise ProtocolError(
+            f'a chunk of {body.id!r} came for {request_id!r}',
+            step=_STEP,
+            peer=address,
+        )
+    choice = body.choices[0] if body.choices else _ChunkChoice()
+    return EngineChunk(
+        offset=offset,
+        raw=raw,
+        content=choice.delta.content or '',
+        tool_calls=choice.delta.tool_calls or [],
+        finish_reason=choice.finish_reason,
+        usage=body.usage,
+    )
--- /dev/null
+++ b/src/bronzepost/_internal/node/journal_keeper.py
@@ -0,0 +1,197 @@
+"""Carry out what the journals of the partitions ask for."""
+
+import functools
+from collections.abc import Callable
+from typing import Final
+
+import gevent
+
+from bronzepost._internal.core.ledger import journal_events as events
+from bronzepost._internal.core.ledger.journal import (
+    Journal,
+    build_checkpoint,
+    is_checkpoint_due,
+    submit_record,
+)
+from bronzepost._internal.core.ledger.journal_system import handle_event
+from bronzepost._internal.core.ledger.records import Record
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.log_client import LogClient
+from bronzepost._internal.node.log_requests import (
+    MILLISECONDS,
+    request_append,
+    request_read,
+)
+from bronzepost._internal.node.settlements import Settlement, Settlements
+from bronzepost._internal.telemetry.catalogue import Metric
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
+from bronzepost._internal.telemetry.metrics import Metrics
+
+_POLL_SECONDS: Final = 0.005
+
+
+class JournalKeeper:
+    """The journals of all partitions that this node has touched."""
+
+    def __init__(
+        self, *, node: str, boot: str, log: LogClient, metrics: Metrics
+    ) -> None:
+        """Start with no journal."""
+        self.journals_by_partition: dict[int, Journal] = {}
+        self.settlements = Settlements()
+        self.metrics = metrics
+        self._node = node
+        self._boot = boot
+        self._log = log
+
+    def find_journal(self, partition: int) -> Journal:
+        """Return the journal of a partition, a new one if need be."""
+        journal = self.journals_by_partition.get(partition)
+        if journal is None:
+            journal = Journal(
+                stream=f'programs-{partition:02}',
+                node=self._node,
+                boot=self._boot,
+            )
+            self.journals_by_partition[partition] = journal
+        return journal
+
+    def owned_journals(self) -> list[Journal]:
+        """Return the journals of the partitions that this node owns."""
+        journals = self.journals_by_partition.values()
+        return [journal for journal in journals if journal.is_owner]
+
+    def put(self, journal: Journal, event: events.Event) -> None:
+        """Let an event change a journal and start what it asks for."""
+        for action in handle_event(event, journal):
+            carry_out(action, self, journal)
+
+    def send(self, journal: Journal) -> None:
+        """Give the journal the chance to send what is queued."""
+        self.put(journal, events.Tick(at=read_clock()))
+
+    def refresh(self, journal: Journal) -> None:
+        """Read what other nodes have appended."""
+        self.put(journal, events.RefreshWanted(at=read_clock()))
+
+    def tick(self) -> None:
+        """Do the periodic work of all journals."""
+        for journal in list(self.journals_by_partition.values()):
+            if is_checkpoint_due(journal):
+                submit_record(journal, build_checkpoint(journal))
+            self.send(journal)
+
+    def claim(self, journal: Journal, timeout_seconds: float) -> bool:
+        """Claim a partition and wait; return whether this node owns it."""
+        self._poll(journal, timeout_seconds, lambda: journal.loading.done)
+        if not journal.loading.done:
+            return False
+        self.put(journal, events.OwnershipWanted(at=read_clock()))
+        self._poll(journal, timeout_seconds, lambda: journal.is_settled)
+        return journal.is_owner
+
+    def append(self, journal: Journal, records: tuple[Record, ...]) -> None:
+        """Append records and tell the journal what became of it."""
+        started = read_clock()
+        self._exchange(
+            journal,
+            lambda: request_append(self._log, journal.stream, records),
+        )
+        elapsed = (read_clock() - started) * MILLISECONDS
+        self.metrics.timing(Metric.LOG_APPEND_TIME, elapsed)
+        self.metrics.count(Metric.LOG_APPENDS)
+
+    def read(self, journal: Journal, from_offset: int) -> None:
+        """Read records and give them to the journal."""
+        self._exchange(
+            journal,
+            lambda: request_read(self._log, journal.stream, from_offset),
+        )
+
+    def _exchange(
+        self, journal: Journal, request: Callable[[], events.Event]
+    ) -> None:
+        was_failing = journal.requests.failing_since is not None
+        self.put(journal, request())
+        is_failing = journal.requests.failing_since is not None
+        if is_failing and not was_failing:
+            emit(LogEvent.LOG_OUTAGE_STARTED, stream=journal.stream)
+        elif was_failing and not is_failing:
+            emit(LogEvent.LOG_OUTAGE_ENDED, stream=journal.stream)
+
+    def _poll(
+        self,
+        journal: Journal,
+        timeout_seconds: float,
+        is_done: Callable[[], bool],
+    ) -> None:
+        end = read_clock() + timeout_seconds
+        while not is_done() and read_clock() < end:
+            self.send(journal)
+            gevent.sleep(_POLL_SECONDS)
+
+
+@functools.singledispatch
+def carry_out(
+    action: events.Action, keeper: JournalKeeper, journal: Journal
+) -> None:
+    """Do what a journal asks for; one function a kind of action."""
+    raise NotImplementedError(type(action).__name__)
+
+
+@carry_out.register
+def _(
+    action: events.AppendRecords, keeper: JournalKeeper, journal: Journal
+) -> None:
+    gevent.spawn(keeper.append, journal, action.records)
+
+
+@carry_out.register
+def _(
+    action: events.ReadRecords, keeper: JournalKeeper, journal: Journal
+) -> None:
+    gevent.spawn(keeper.read, journal, action.from_offset)
+
+
+@carry_out.register
+def _(
+    action: events.RecordSettled, keeper: JournalKeeper, journal: Journal
+) -> None:
+    if not action.valid:
+        emit(
+            LogEvent.RECORD_INVALID,
+            record=action.record_id,
+            reason=action.reason,
+        )
+    settlement = Settlement(
+        valid=action.valid, offset=action.offset, reason=action.reason
+    )
+    keeper.settlements.settle(action.record_id, settlement)
+
+
+@carry_out.register
+def _(
+    action: events.OwnershipGained, keeper: JournalKeeper, journal: Journal
+) -> None:
+    emit(LogEvent.PARTITION_CLAIMED, stream=journal.stream, epoch=action.epoch)
+
+
+@carry_out.register
+def _(
+    action: events.OwnershipLost, keeper: JournalKeeper, journal: Journal
+) -> None:
+    keeper.metrics.count(Metric.PARTITIONS_LOST)
+    emit(
+        LogEvent.PARTITION_GIVEN_UP,
+        stream=journal.stream,
+        owner=action.owner,
+        epoch=action.epoch,
+    )
+
+
+@carry_out.register
+def _(
+    action: events.RecordsSkipped, keeper: JournalKeeper, journal: Journal
+) -> None:
+    emit(LogEvent.RETENTION_GAP, stream=journal.stream)
--- /dev/null
+++ b/src/bronzepost/_internal/node/log_client.py
@@ -0,0 +1,131 @@
+"""Client of the log service."""
+
+import dataclasses
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import Any, Final
+
+import msgspec
+
+from bronzepost._internal.core.ledger.journal_events import StoredRecord
+from bronzepost._internal.exceptions import (
+    AmbiguousAppendError,
+    ExchangeError,
+    LogRefusedError,
+    LogServiceError,
+)
+from bronzepost._internal.node.http_exchange import HttpAnswer, HttpPeer
+
+READ_LIMIT: Final = 1000
+RETRY_SECONDS: Final = 0.25
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LogPage:
+    """Records of a stream, with the bounds of what the log keeps."""
+
+    records: tuple[StoredRecord, ...]
+    first_offset: int
+    next_offset: int
+
+
+class _WireRecord(msgspec.Struct, frozen=True):
+    offset: int
+    record: dict[str, Any]
+
+
+class _Page(msgspec.Struct, frozen=True):
+    records: list[_WireRecord]
+    first_offset: int
+    next_offset: int
+
+
+class _Appended(msgspec.Struct, frozen=True):
+    first_offset: int
+    next_offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LogClient:
+    """The log service at one address."""
+
+    peer: HttpPeer
+
+    def append_records(
+        self, stream: str, records: Sequence[dict[str, Any]]
+    ) -> int:
+        """Append the records and return the offset of the first.
+
+        Raises:
+            LogRefusedError: if the log stored nothing.
+            AmbiguousAppendError: if it may have stored the records or may
+                do so later.
+        """
+        step = f'append to {stream}'
+        body = {'records': list(records)}
+        try:
+            answer = self.peer.exchange(
+                'POST', f'/streams/{stream}/records', step=step, body=body
+            )
+        except ExchangeError as error:
+            raise self._append_error(error, step) from error
+        if answer.status == HTTPStatus.TOO_MANY_REQUESTS:
+            raise self._refused(answer, step)
+        if answer.status != HTTPStatus.OK:
+            # A proxy before the log may answer an error after the effect.
+            raise AmbiguousAppendError(
+                f'status {answer.status}: read back',
+                step=step,
+                peer=self.peer.address,
+            )
+        return msgspec.json.decode(answer.body, type=_Appended).first_offset
+
+    def read_records(
+        self, stream: str, from_offset: int, limit: int = READ_LIMIT
+    ) -> LogPage:
+        """Return records from an offset on.
+
+        Raises:
+            LogServiceError: if the log does not answer.
+        """
+        step = f'read {stream}'
+        path = f'/streams/{stream}/records?from={from_offset}&limit={limit}'
+        try:
+            answer = self.peer.exchange('GET', path, step=step)
+        except ExchangeError as error:
+            raise LogServiceError(
+                error.message, step=step, peer=self.peer.address
+            ) from error
+        if answer.status != HTTPStatus.OK:
+            raise self._refused(answer, step)
+        page = msgspec.json.decode(answer.body, type=_Page)
+        return LogPage(
+            records=tuple(
+                (stored.offset, stored.record) for stored in page.records
+            ),
+            first_offset=page.first_offset,
+            next_offset=page.next_offset,
+        )
+
+    def _append_error(self, error: ExchangeError, step: str) -> LogServiceError:
+        peer = self.peer.address
+        if error.was_sent:
+            return AmbiguousAppendError(error.message, step=step, peer=peer)
+        return LogRefusedError(
+            error.message,
+            step=step,
+            peer=peer,
+            retry_after_seconds=RETRY_SECONDS,
+        )
+
+    def _refused(self, answer: HttpAnswer, step: str) -> LogRefusedError:
+        try:
+            retry_after = float(answer.headers.get('retry-after', ''))
+        except ValueError:
+            retry_after = RETRY_SECONDS
+        return LogRefusedError(
+            f'status {answer.status}',
+            step=step,
+            peer=self.peer.address,
+            retry_after_seconds=retry_after,
+        )
--- /dev/null
+++ b/src/bronzepost/_internal/node/model_call.py
@@ -0,0 +1,189 @@
+"""Run a model call on a runner, and again on another if that is allowed."""
+
+import dataclasses
+from collections.abc import Iterator
+from typing import Any, Final
+
+from bronzepost._internal.core.retry_budget import RetryBudget
+from bronzepost._internal.core.scheduling.order import priority
+from bronzepost._internal.core.scheduling.policies import Policy
+from bronzepost._internal.core.scheduling.tables import CallRequest
+from bronzepost._internal.exceptions import (
+    BackendServerError,
+    ExchangeError,
+    RunState,
+)
+from bronzepost._internal.node.answer_stream import AnswerStream
+from bronzepost._internal.node.backend_directory import BackendDirectory
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.dispatch import (
+    RetryTerms,
+    check_retry,
+    dispatch_call,
+)
+from bronzepost._internal.node.engine_client import (
+    EngineCall,
+    EngineChunk,
+    Usage,
+    stream_completion,
+)
+from bronzepost._internal.node.refusals import refuse_broken_call
+from bronzepost._internal.telemetry.catalogue import Metric
+from bronzepost._internal.telemetry.start import Telemetry
+
+# Engines send a keep-alive line each second, so this much silence means that
+# the connection is dead.
+STREAM_IDLE_SECONDS: Final = 5.0
+MILLISECONDS: Final = 1000
+MAX_ATTEMPTS: Final = 2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ModelCall:
+    """A model call whose budget is reserved.
+
+    ``call_id`` is unique to the call. The retry terms allow no more runs than
+    the reserved budget pays for.
+    """
+
+    call_id: str
+    request: CallRequest
+    policy: Policy
+    body: dict[str, Any]
+    retry_terms: RetryTerms
+    traceparent: str = ''
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ModelAnswer:
+    """What a model call has produced so far.
+
+    ``attempts`` counts the runs, each of which may have spent its worst case.
+    """
+
+    text: str = ''
+    tool_calls: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    final_chunk: bytes = b''
+    usage: Usage = Usage()
+    attempts: int = 0
+
+    def message(self) -> dict[str, Any]:
+        """Return the assistant's message for the program's history."""
+        message: dict[str, Any] = {'role': 'assistant', 'content': self.text}
+        if self.tool_calls:
+            message['tool_calls'] = self.tool_calls
+        return message
+
+
+class ModelCallRunner:
+    """Send model calls to runners and move their chunks."""
+
+    def __init__(
+        self,
+        *,
+        directory: BackendDirectory,
+        retries: RetryBudget,
+        telemetry: Telemetry,
+    ) -> None:
+        """Use the directory's view of the runners."""
+        self._directory = directory
+        self._retries = retries
+        self._metrics = telemetry.metrics
+
+    def run(self, call: ModelCall, stream: AnswerStream) -> ModelAnswer:
+        """Run the call; all chunks but the last go into the stream.
+
+        Raises:
+            RefusedError: if no runner answered; it tells whether the call
+                may have run.
+        """
+        self._retries.add_call()
+        answer = ModelAnswer()
+        while True:
+            answer.attempts += 1
+            try:
+                self._attempt(call, answer, stream)
+            except (ExchangeError, BackendServerError) as error:
+                check_retry(
+                    self._retries, call.retry_terms, answer.attempts, error
+                )
+                self._metrics.count(Metric.CALLS_RETRIED)
+            else:
+                return answer
+
+    def _attempt(
+        self, call: ModelCall, answer: ModelAnswer, stream: AnswerStream
+    ) -> None:
+        tables = self._directory.tables
+        rank = priority(call.policy, tables, call.request, read_clock())
+        engine_call = EngineCall(
+            request_id=f'{call.call_id}:{answer.attempts}',
+            session=call.request.program_id,
+            priority=rank,
+            body=call.body,
+            traceparent=call.traceparent,
+        )
+        dispatched_call = dispatch_call(
+            self._directory,
+            policy=call.policy,
+            request=call.request,
+            call_id=engine_call.request_id,
+        )
+        with dispatched_call as dispatched:
+            stream.upstream = f'{dispatched.server_id} {engine_call.request_id}'
+            self._move_chunks(dispatched.server_id, engine_call, answer, stream)
+            dispatched.output_tokens = answer.usage.completion_tokens
+            dispatched.cached_tokens = answer.usage.cached_tokens
+
+    def _move_chunks(
+        self,
+        server_id: str,
+        engine_call: EngineCall,
+        answer: ModelAnswer,
+        stream: AnswerStream,
+    ) -> None:
+        peer = self._directory.peer_of(server_id, STREAM_IDLE_SECONDS)
+        started = read_clock()
+        chunks = stream_completion(peer, engine_call)
+        for chunk in _skip_repeated(chunks, answer, stream):
+            if not stream.chunks:
+                elapsed = (read_clock() - started) * MILLISECONDS
+                self._metrics.timing(Metric.FIRST_TOKEN, elapsed)
+            if chunk.finish_reason or chunk.usage:
+                answer.final_chunk = chunk.raw
+                answer.usage = chunk.usage or answer.usage
+            else:
+                stream.append(chunk.raw)
+
+
+def _skip_repeated(
+    chunks: Iterator[EngineChunk], answer: ModelAnswer, stream: AnswerStream
+) -> Iterator[EngineChunk]:
+    """Yield what a second run adds to what the caller already has.
+
+    A caller must not see a token twice or an answer made of two texts, so the
+    second run has to begin with the text of the first.
+    """
+    delivered = answer.text
+    answer.text = ''
+    answer.tool_calls = []
+    for chunk in chunks:
+        answer.text += chunk.content
+        answer.tool_calls += chunk.tool_calls
+        if len(answer.text) > len(delivered) or chunk.finish_reason:
+            _check_same_start(answer, delivered, stream)
+            yield chunk
+        elif not stream.chunks:
+            yield chunk
+
+
+def _check_same_start(
+    answer: ModelAnswer, delivered: str, stream: AnswerStream
+) -> None:
+    if not answer.text.startswith(delivered):
+        error = BackendServerError(
+            'the repeated call gave another answer than the one that broke off',
+            step='repeat model call',
+            peer=stream.upstream,
+        )
+        raise refuse_broken_call(error, RunState.RAN)
--- /dev/null
+++ b/src/bronzepost/_internal/node/refusals.py
@@ -0,0 +1,132 @@
+"""Refusals that several parts of the node give."""
+
+from http import HTTPStatus
+from typing import Final
+
+from bronzepost._internal.core.ledger.calls import Refuse
+from bronzepost._internal.core.ledger.state import ProgramEntry
+from bronzepost._internal.core.scheduling.actions import Refused
+from bronzepost._internal.exceptions import (
+    BronzepostError,
+    RefusedError,
+    RunState,
+)
+
+NO_SERVER_RETRY_SECONDS: Final = 1.0
+OWNER_RETRY_SECONDS: Final = 0.5
+
+
+def refuse_decision(decision: Refuse) -> RefusedError:
+    """Return the refusal that the ledger decided on."""
+    return RefusedError(
+        decision.message,
+        code=decision.code,
+        status=decision.status,
+        step='begin call',
+        retry_after_seconds=decision.retry_after_seconds,
+    )
+
+
+def refuse_no_server(service: str, model: str) -> RefusedError:
+    """Return the refusal of a call that no runner can take."""
+    return RefusedError(
+        f'no runner of service {service!r} with model {model!r}',
+        code='no_backend_server',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='choose runner',
+        retry_after_seconds=NO_SERVER_RETRY_SECONDS,
+    )
+
+
+def refuse_broken_call(error: BronzepostError, run: RunState) -> RefusedError:
+    """Return the refusal of a call whose runner failed."""
+    retry_after = NO_SERVER_RETRY_SECONDS if run is RunState.NOT_RUN else None
+    return RefusedError(
+        error.message,
+        code='backend_server_failed',
+        status=HTTPStatus.BAD_GATEWAY,
+        step=error.step,
+        peer=error.peer,
+        run=run,
+        retry_after_seconds=retry_after,
+    )
+
+
+def refuse_unknown(program: str, sequence: int) -> RefusedError:
+    """Return the answer to a call of which nobody knows whether it ran."""
+    return RefusedError(
+        f'call {sequence} of program {program} was announced and has no '
+        'outcome: it may have run and is not sent again',
+        code='outcome_unknown',
+        status=HTTPStatus.CONFLICT,
+        step='begin call',
+        run=RunState.UNKNOWN,
+    )
+
+
+def refuse_not_durable(reason: str, run: RunState) -> RefusedError:
+    """Return the refusal of a call whose records are not on the log."""
+    return RefusedError(
+        f'the records of the call are not on the log: {reason}',
+        code='log_unavailable',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='wait for log',
+        run=run,
+        retry_after_seconds=OWNER_RETRY_SECONDS,
+    )
+
+
+def refuse_no_owner(partition: int, reason: str) -> RefusedError:
+    """Return the refusal of a call whose partition has no usable owner."""
+    return RefusedError(
+        f'partition {partition} has no owner that answers: {reason}',
+        code='owner_unavailable',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='find owner',
+        retry_after_seconds=OWNER_RETRY_SECONDS,
+    )
+
+
+def refuse_deadline(step: str, run: RunState) -> RefusedError:
+    """Return the refusal of a call whose deadline has passed."""
+    return RefusedError(
+        'the deadline of the call has passed',
+        code='deadline',
+        status=HTTPStatus.GATEWAY_TIMEOUT,
+        step=step,
+        run=run,
+    )
+
+
+def refuse_admission(verdict: Refused) -> RefusedError:
+    """Return the refusal of a call that is not admitted now."""
+    return RefusedError(
+        'no slot is free for a new program',
+        code=verdict.reason.value,
+        status=HTTPStatus.TOO_MANY_REQUESTS,
+        step='admit call',
+        retry_after_seconds=verdict.retry_after_seconds,
+    )
+
+
+def refuse_budget(worst_case: int, budget: int) -> RefusedError:
+    """Return the refusal of a call that could spend more than its budget."""
+    return RefusedError(
+        f'the call can spend {worst_case} units of a budget of {budget}: '
+        'lower max_tokens or raise the budget',
+        code='budget',
+        status=HTTPStatus.PAYMENT_REQUIRED,
+        step='begin call',
+    )
+
+
+def refuse_history(program: ProgramEntry) -> RefusedError:
+    """Return the refusal of a call whose messages are not the history."""
+    return RefusedError(
+        f'the first {program.message_count} messages are not the history of '
+        f'program {program.program}',
+        code='history_mismatch',
+        status=HTTPStatus.CONFLICT,
+        step='check history',
+        parameter='messages',
+    )
--- /dev/null
+++ b/src/bronzepost/_internal/node/web.py
@@ -0,0 +1,232 @@
+"""HTTP requests, answers and routes on top of gevent's WSGI server."""
+
+import dataclasses
+import re
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from http import HTTPStatus
+from typing import Any, Final
+from urllib.parse import parse_qsl
+
+import gevent
+import msgspec
+
+from bronzepost._internal.exceptions import RefusedError, RunState
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
+
+# A caller that sends its body more slowly than this is cut off.
+BODY_SECONDS: Final = 10.0
+
+JSON_TYPE: Final = 'application/json'
+EVENT_STREAM_TYPE: Final = 'text/event-stream'
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """A whole request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+    path_parts: Mapping[str, str]
+
+    def json(self) -> Any:
+        """Return the decoded body.
+
+        Raises:
+            RefusedError: if the body is not JSON.
+        """
+        try:
+            return msgspec.json.decode(self.body)
+        except msgspec.DecodeError as error:
+            raise refuse_parameter('body', f'not JSON: {error}') from error
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Response:
+    """An answer; a body that is an iterator is sent as it is produced."""
+
+    status: int = HTTPStatus.OK
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | Iterator[bytes] = b''
+    content_type: str = JSON_TYPE
+
+
+Handler = Callable[[Request], Response]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Route:
+    """A handler for a method and a pattern of paths with named groups."""
+
+    method: str
+    pattern: str
+    handler: Handler
+
+
+def answer_json(body: Any, status: int = HTTPStatus.OK) -> Response:
+    """Return an answer with a JSON body."""
+    return Response(status=status, body=msgspec.json.encode(body))
+
+
+def refuse_parameter(parameter: str, problem: str) -> RefusedError:
+    """Return the refusal of a request with a wrong field."""
+    return RefusedError(
+        f'{parameter}: {problem}',
+        code='bad_request',
+        status=HTTPStatus.BAD_REQUEST,
+        step='read request',
+        parameter=parameter,
+    )
+
+
+def encode_refusal(error: RefusedError) -> bytes:
+    """Return the JSON body of a refusal."""
+    body = {
+        'message': str(error),
+        'type': 'refused',
+        'code': error.code,
+        'run': error.run.value,
+        'step': error.step,
+        'peer': error.peer,
+        'param': error.parameter or None,
+    }
+    return msgspec.json.encode({'error': body})
+
+
+def answer_refusal(error: RefusedError) -> Response:
+    """Return the answer to a request that is refused."""
+    headers: list[tuple[str, str]] = []
+    if error.retry_after_seconds is not None:
+        headers.append(('Retry-After', f'{error.retry_after_seconds:g}'))
+    if error.run is not RunState.NOT_RUN:
+        # Client libraries repeat most errors unless they are told not to.
+        headers.append(('x-should-retry', 'false'))
+    return Response(
+        status=error.status,
+        headers=tuple(headers),
+        body=encode_refusal(error),
+    )
+
+
+class WebApplication:
+    """A WSGI application of routes."""
+
+    def __init__(self, *, routes: Sequence[Route], body_bytes: int) -> None:
+        """Compile the routes; ``body_bytes`` bounds a request's body."""
+        self._body_bytes = body_bytes
+        self._routes = [
+            (route.method, re.compile(route.pattern), route.handler)
+            for route in routes
+        ]
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request; no error of a handler leaves this method."""
+        response = self._answer(environ)
+        headers = [('Content-Type', response.content_type), *response.headers]
+        if isinstance(response.body, bytes):
+            headers.append(('Content-Length', str(len(response.body))))
+        status = HTTPStatus(response.status)
+        start_response(f'{status.value} {status.phrase}', headers)
+        if isinstance(response.body, bytes):
+            return [response.body]
+        return response.body
+
+    def _answer(self, environ: dict[str, Any]) -> Response:
+        try:
+            return self._dispatch(environ)
+        except RefusedError as error:
+            emit(LogEvent.CALL_REFUSED, error=error, code=error.code)
+            return answer_refusal(error)
+        except Exception as error:  # noqa: BLE001
+            emit(LogEvent.GREENLET_FAILED, error=error)
+            return answer_refusal(_internal_error())
+
+    def _dispatch(self, environ: dict[str, Any]) -> Response:
+        method = environ['REQUEST_METHOD']
+        path = environ['PATH_INFO']
+        matches = [
+            (route_method, handler, match.groupdict())
+            for route_method, pattern, handler in self._routes
+            if (match := pattern.fullmatch(path))
+        ]
+        for route_method, handler, path_parts in matches:
+            if route_method == method:
+                return handler(self._read_request(environ, path_parts))
+        raise _no_route(method, path, has_path=bool(matches))
+
+    def _read_request(
+        self, environ: dict[str, Any], path_parts: Mapping[str, str]
+    ) -> Request:
+        headers = {
+            name.removeprefix('HTTP_').replace('_', '-').lower(): text
+            for name, text in environ.items()
+            if name.startswith('HTTP_')
+        }
+        return Request(
+            method=environ['REQUEST_METHOD'],
+            path=environ['PATH_INFO'],
+            query=dict(parse_qsl(environ.get('QUERY_STRING', ''))),
+            headers=headers,
+            body=self._read_body(environ),
+            path_parts=path_parts,
+        )
+
+    def _read_body(self, environ: dict[str, Any]) -> bytes:
+        length = environ.get('CONTENT_LENGTH') or '0'
+        if not length.isdecimal():
+            raise refuse_parameter('Content-Length', 'not a number')
+        if int(length) > self._body_bytes:
+            raise self._too_large()
+        with gevent.Timeout(BODY_SECONDS, _body_timeout()):
+            # One byte more than the bound shows a chunked body that is over.
+            body: bytes = environ['wsgi.input'].read(self._body_bytes + 1)
+        if len(body) > self._body_bytes:
+            raise self._too_large()
+        return body
+
+    def _too_large(self) -> RefusedError:
+        return RefusedError(
+            f'the body is larger than {self._body_bytes} bytes',
+            code='body_too_large',
+            status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            step='read request',
+            parameter='body',
+        )
+
+
+def _body_timeout() -> RefusedError:
+    return RefusedError(
+        f'the body did not arrive within {BODY_SECONDS:g} s',
+        code='slow_request',
+        status=HTTPStatus.REQUEST_TIMEOUT,
+        step='read request',
+    )
+
+
+def _internal_error() -> RefusedError:
+    return RefusedError(
+        'an unexpected error; the log of the node has it',
+        code='internal',
+        status=HTTPStatus.INTERNAL_SERVER_ERROR,
+        step='answer request',
+        run=RunState.UNKNOWN,
+    )
+
+
+def _no_route(method: str, path: str, *, has_path: bool) -> RefusedError:
+    status = HTTPStatus.NOT_FOUND
+    if has_path:
+        status = HTTPStatus.METHOD_NOT_ALLOWED
+    return RefusedError(
+        f'no {method} of {path}; see docs/protocol.md',
+        code=status.name.lower(),
+        status=status,
+        step='read request',
+    )
