Add the commands of an operator

Cause: the system is run by one person, mostly at night, who needs to check a settings file, read and change the settings tree and drain a node. Ruled out: fixed tables per command, which would hide fields that a newer node sends; importing the HTTP client at start. Conclusion: one module per command, exit codes 0 to 3 in one module, errors say what failed and what to do.

--- /dev/null
+++ b/src/bronzepost/_internal/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per command: its options and its work."""
--- /dev/null
+++ b/src/bronzepost/_internal/cli/commands/serve.py
@@ -0,0 +1,34 @@
+"""The command ``serve``."""
+
+import dataclasses
+import importlib
+from typing import Annotated
+
+import cappa
+
+SERVER_MODULE = 'bronzepost._internal.node.server'
+
+
+@cappa.command(
+    name='serve',
+    help='Run a node.',
+    description='Example: `bronzepost serve --settings node.toml`',
+)
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServeCommand:
+    """Run a node until it is stopped."""
+
+    settings: Annotated[
+        str, cappa.Arg(long=True, value_name='FILE', help='Settings file.')
+    ]
+
+    def run(self) -> int:
+        """Check the settings, then serve; return the node's exit code."""
+        # Imported late and by name, because it loads every module of a node.
+        from bronzepost._internal.settings import (  # noqa: PLC0415
+            load_settings,
+        )
+
+        settings = load_settings(self.settings)
+        server = importlib.import_module(SERVER_MODULE)
+        return int(server.serve(settings))
--- a/src/bronzepost/_internal/cli/main.py
+++ b/src/bronzepost/_internal/cli/main.py
@@ -1,9 +1,89 @@
 """Dispatch of the command line."""
 
+import dataclasses
+import sys
 from collections.abc import Sequence
 
+import cappa
+
+from bronzepost._internal.cli.commands.check import CheckCommand
+from bronzepost._internal.cli.commands.config import ConfigCommand
+from bronzepost._internal.cli.commands.drain import DrainCommand
+from bronzepost._internal.cli.commands.endpoints import EndpointsCommand
+from bronzepost._internal.cli.commands.programs import ProgramsCommand
+from bronzepost._internal.cli.commands.runners import RunnersCommand
+from bronzepost._internal.cli.commands.serve import ServeCommand
+from bronzepost._internal.cli.commands.status import StatusCommand
+from bronzepost._internal.cli.commands.version import VersionCommand
+from bronzepost._internal.cli.exit_codes import ExitCode
+from bronzepost._internal.exceptions import (
+    BronzepostError,
+    NodeUnreachableError,
+    SettingsError,
+    SettingsErrorGroup,
+)
+
+
+@cappa.command(
+    name='bronzepost',
+    help='Schedule agent programs over model engines and plain services.',
+    description='Example: `bronzepost check node.toml`',
+)
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CommandLine:
+    """The whole command line."""
+
+    command: cappa.Subcommands[
+        ServeCommand
+        | CheckCommand
+        | ConfigCommand
+        | ProgramsCommand
+        | RunnersCommand
+        | EndpointsCommand
+        | DrainCommand
+        | StatusCommand
+        | VersionCommand
+    ]
+
 
 def run_command_line(arguments: Sequence[str]) -> int:
     """Run the command that ``arguments`` name and return its exit code."""
-    print(f'bronzepost: no command {" ".join(arguments)}')
-    return 2
+    try:
+        parsed = cappa.parse(
+            CommandLine, argv=list(arguments), completion=False
+        )
+    except cappa.Exit as stop:
+        return read_code(stop)
+    return run_command(parsed)
+
+
+def read_code(stop: cappa.Exit) -> int:
+    """Return the exit code of the parser: 0 after a help text."""
+    return ExitCode.USAGE if stop.code else ExitCode.OK
+
+
+def run_command(parsed: CommandLine) -> int:
+    """Run a command; print an error with what to do about it."""
+    try:
+        return parsed.command.run()
+    except SettingsErrorGroup as group:
+        for problem in group.exceptions:
+            report(problem)
+        return ExitCode.USAGE
+    except BronzepostError as error:
+        report(error)
+        return choose_code(error)
+
+
+def choose_code(error: BronzepostError) -> int:
+    """Return the exit code that belongs to an error."""
+    if isinstance(error, NodeUnreachableError):
+        return ExitCode.UNREACHABLE
+    if isinstance(error, SettingsError):
+        return ExitCode.USAGE
+    return ExitCode.REFUSED
+
+
+def report(error: Exception) -> None:
+    """Print an error to standard error."""
+    print(f'bronzepost: {error}', file=sys.stderr)
--- a/src/bronzepost/_internal/exceptions.py
+++ b/src/bronzepost/_internal/exceptions.py
@@ -67,6 +67,10 @@
     """All problems of one settings file."""
 
 
+class NodeUnreachableError(BronzepostError):
+    """A node does not answer the command line, or is not a node."""
+
+
 class ProtocolError(BronzepostError):
     """A peer sent a message that its protocol does not allow."""
 
--- /dev/null
+++ b/tests/functional/test_operator_commands.py
@@ -0,0 +1,167 @@
+"""Tests of the operator commands against a small stand-in of a node."""
+
+import io
+import json
+import os
+import tempfile
+from collections.abc import Iterable
+from contextlib import redirect_stderr, redirect_stdout
+from pathlib import Path
+from typing import Any
+from unittest import mock
+from urllib.parse import parse_qs
+
+from gevent.pywsgi import WSGIServer
+from testtools import TestCase
+
+from bronzepost._internal.cli.exit_codes import ExitCode
+from bronzepost._internal.cli.main import run_command_line
+
+KEY = 'operator-key'
+PATH = 'organisations/kostiumy/cache_weight'
+
+
+class OperatorCommandTest(TestCase):
+    """Guard requests, exit codes and what is printed."""
+
+    def setUp(self) -> None:
+        """Start the stand-in and point the commands at it."""
+        super().setUp()
+        self.requests: list[tuple[str, str, Any]] = []
+        self.answers: dict[str, Any] = {}
+        self.server = WSGIServer(('127.0.0.1', 0), self.answer, log=None)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        address = f'127.0.0.1:{self.server.server_port}'
+        variables = mock.patch.dict(
+            os.environ,
+            {
+                'BRONZEPOST_OPERATOR_ADDRESS': address,
+                'BRONZEPOST_CALLER_ADDRESS': address,
+                'BRONZEPOST_OPERATOR_KEY': KEY,
+                'BRONZEPOST_AUTHOR': 'anna',
+            },
+        )
+        variables.start()
+        self.addCleanup(variables.stop)
+
+    def answer(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Answer as a node does: 401 without a key, 404 if unknown."""
+        method, path = environ['REQUEST_METHOD'], environ['PATH_INFO']
+        fields: dict[str, Any] = parse_qs(environ['QUERY_STRING'])
+        if method == 'POST':
+            fields = json.loads(environ['wsgi.input'].read())
+        self.requests.append((method, path, fields))
+        status, body = self.answers.get(f'{method} {path}', ('404 No', {}))
+        is_operator = path != '/v1/endpoints'
+        if is_operator and environ.get('HTTP_AUTHORIZATION') != f'Bearer {KEY}':
+            status = '401 Unauthorized'
+            body = {'error': {'message': 'wrong key', 'code': 'key'}}
+        start_response(status, [('Content-Type', 'application/json')])
+        return [json.dumps(body).encode()]
+
+    def run_command(self, *arguments: str) -> tuple[int, str]:
+        """Run a command; return its exit code and all that it printed."""
+        printed = io.StringIO()
+        with redirect_stdout(printed), redirect_stderr(printed):
+            code = run_command_line(arguments)
+        return code, printed.getvalue()
+
+    def test_lists(self) -> None:
+        """Guard against commands that ask for the wrong resource."""
+        for command, path in (
+            ('programs', '/v1/programs'),
+            ('runners', '/v1/runners'),
+            ('status', '/v1/status'),
+            ('status --members', '/v1/members'),
+            ('endpoints', '/v1/endpoints'),
+            ('config get', '/v1/configuration'),
+            ('config history', '/v1/configuration/history'),
+            ('config explain budget', '/v1/configuration/explain'),
+        ):
+            self.answers[f'GET {path}'] = ('200 OK', {'rows': [{'new': 'yes'}]})
+            code, printed = self.run_command(*command.split())
+            self.assertEqual(ExitCode.OK, code, command)
+            self.assertEqual('rows:\nnew\nyes\n', printed)
+            code, printed = self.run_command(*command.split(), '--json')
+            self.assertEqual({'rows': [{'new': 'yes'}]}, json.loads(printed))
+
+    def test_explain_sends_its_place(self) -> None:
+        """Guard against an explanation for another organisation."""
+        self.run_command('config', 'explain', 'budget', '--organisation', 'k')
+        self.assertEqual(
+            {'name': ['budget'], 'organisation': ['k']}, self.requests[0][2]
+        )
+
+    def test_set_is_based_on_latest_revision(self) -> None:
+        """Guard against a change that overwrites one it has not seen."""
+        entry = {'path': PATH, 'value': 0.5, 'revision': 41}
+        self.answers['GET /v1/configuration'] = ('200 OK', {'entries': [entry]})
+        self.answers['POST /v1/configuration'] = ('200 OK', {'revision': 42})
+        code, printed = self.run_command('config', 'set', PATH, '0.8')
+        self.assertEqual((ExitCode.OK, 'revision  42\n'), (code, printed))
+        self.assertEqual(
+            {
+                'path': PATH,
+                'value': 0.8,
+                'base_revision': 41,
+                'author': 'anna',
+            },
+            self.requests[-1][2],
+        )
+
+    def test_set_of_a_new_path(self) -> None:
+        """Guard against a first change that fails on a missing path."""
+        self.answers['POST /v1/configuration'] = ('200 OK', {'revision': 1})
+        code, _printed = self.run_command('config', 'set', PATH, 'text')
+        self.assertEqual(ExitCode.OK, code)
+        self.assertEqual(0, self.requests[-1][2]['base_revision'])
+
+    def test_set_refused(self) -> None:
+        """Guard against a refused change that does not say who won."""
+        error = {
+            'message': 'changed since revision 3',
+            'code': 'conflict',
+            'accepted': {'author': 'jan', 'revision': 9},
+        }
+        self.answers['POST /v1/configuration'] = ('409 No', {'error': error})
+        code, printed = self.run_command(
+            'config', 'set', PATH, '1', '--base-revision', '3'
+        )
+        self.assertEqual(ExitCode.REFUSED, code)
+        self.assertIn('changed since revision 3', printed)
+        self.assertIn('jan', printed)
+        self.assertEqual(1, len(self.requests))
+
+    def test_diff_with_saved_tree(self) -> None:
+        """Guard against a change of the night that is not found."""
+        entry = {'path': PATH, 'value': 0.5, 'revision': 41}
+        self.answers['GET /v1/configuration'] = ('200 OK', {'entries': [entry]})
+        with tempfile.TemporaryDirectory() as directory:
+            saved = Path(directory) / 'saved.json'
+            saved.write_text(json.dumps({'entries': []}), encoding='utf-8')
+            code, printed = self.run_command('config', 'diff', str(saved))
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn(f'{PATH}  -      0.5', printed)
+
+    def test_drain(self) -> None:
+        """Guard against a drain that is only read and not ordered."""
+        self.answers['POST /v1/drain'] = ('202 Accepted', {'draining': True})
+        code, printed = self.run_command('drain')
+        self.assertEqual((ExitCode.OK, 'draining  true\n'), (code, printed))
+
+    def test_wrong_key(self) -> None:
+        """Guard against a wrong key that looks like an empty answer."""
+        code, printed = self.run_command('programs', '--key', 'other-key')
+        self.assertEqual(ExitCode.REFUSED, code)
+        self.assertIn('refused with 401 key: wrong key', printed)
+        self.assertNotIn('other-key', printed)
+
+    def test_unreachable(self) -> None:
+        """Guard against a dead node that looks like a refusal."""
+        self.server.stop()
+        code, printed = self.run_command('status')
+        self.assertEqual(ExitCode.UNREACHABLE, code)
+        self.assertIn('no node answers', printed)
