--- a/src/bronzepost/_internal/core/ledger/calls.py
+++ b/src/bronzepost/_internal/core/ledger/calls.py
@@ -314,3 +314,19 @@
         message=f'the log service does not answer: {consequence}',
         retry_after_seconds=LOG_OUTAGE_SECONDS,
     )
+
+
+def find_call(journal: Journal, program: str, sequence: int) -> Decision:
+    """Return what is known of a call without starting anything."""
+    entry = journal.view.programs_by_id.get(program)
+    intent = journal.view.open_intent(program)
+    if intent is not None and intent.sequence == sequence:
+        return AnswerUnknown(sequence=sequence, intent_id=intent.intent_id)
+    if entry is None or sequence > entry.sequence:
+        return Refuse(
+            code='call_not_found',
+            status=HTTPStatus.NOT_FOUND,
+            message=f'call {sequence} of program {program} has no answer '
+            'here: repeat the call with the same sequence',
+        )
+    return _find_answer(journal, program, sequence)
--- /dev/null
+++ b/src/bronzepost/_internal/core/session_sweep.py
@@ -0,0 +1,49 @@
+"""Decide which sessions at engines belong to nobody any more."""
+
+import dataclasses
+from collections.abc import Collection
+from typing import Final
+
+from bronzepost._internal.core.ledger.state import ProgramEntry
+
+# Sessions of calls without a program are named "call~BOOT~NUMBER". A tilde is
+# not allowed in the names of programs.
+CALL_PREFIX: Final = 'call~'
+SEPARATOR: Final = '~'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SweepView:
+    """What a node knows about a session.
+
+    ``program`` is the entry of the session's program if the node owns its
+    partition. ``live_calls`` are this node's calls without a program.
+    """
+
+    boot: str
+    live_boots: frozenset[str]
+    live_calls: Collection[str]
+    is_owner: bool
+    program: ProgramEntry | None
+
+
+def name_call_session(boot: str, number: int) -> str:
+    """Return the session of a call without a program."""
+    return f'{CALL_PREFIX}{boot}{SEPARATOR}{number}'
+
+
+def should_release_session(session: str, view: SweepView) -> bool:
+    """Return whether the node should release a session.
+
+    Only the owner of a partition knows whether a program lives, so other
+    nodes leave its sessions alone; a program that has just moved is released
+    by nobody until its new owner has read the partition.
+    """
+    if session.startswith(CALL_PREFIX):
+        boot = session.split(SEPARATOR)[1]
+        if boot == view.boot:
+            return session not in view.live_calls
+        return view.is_owner and boot not in view.live_boots
+    if not view.is_owner:
+        return False
+    return view.program is None or bool(view.program.ended)
--- a/src/bronzepost/_internal/node/answer_stream.py
+++ b/src/bronzepost/_internal/node/answer_stream.py
@@ -22,6 +22,7 @@
         self.is_durable = True
         self.upstream = ''
         self.status = 200
+        self.sequence = 0
         self._changed = Event()
         self._finished = Event()
 
@@ -51,9 +52,13 @@
             self._changed.wait(timeout_seconds)
         return bool(self.chunks) or self.is_finished
 
-    def read_from(self, offset: int = 0) -> Iterator[tuple[int, bytes]]:
+    def read_from(
+        self, offset: int = 0, idle_seconds: float | None = None
+    ) -> Iterator[tuple[int, bytes | None]]:
         """Yield the chunks from an offset on, as they are appended.
 
+        After ``idle_seconds`` without a chunk, None is yielded instead.
+
         Raises:
             RefusedError: if the answer ended with an error.
         """
@@ -63,7 +68,8 @@
                 offset += 1
             if self.is_finished:
                 break
-            self._changed.wait()
+            if not self._changed.wait(idle_seconds):
+                yield offset, None
         if self.error is not None:
             raise self.error
 
--- a/src/bronzepost/_internal/node/answers.py
+++ b/src/bronzepost/_internal/node/answers.py
@@ -55,7 +55,9 @@
             raise refuse_not_durable(error.message, RunState.RAN) from error
         if not page.records or page.records[0][0] != offset:
             raise refuse_not_durable('it has aged out', RunState.RAN)
-        return _restore_answer(records.decode_record(page.records[0][1]))
+        stream = _restore_answer(records.decode_record(page.records[0][1]))
+        stream.sequence = sequence
+        return stream
 
 
 def _restore_answer(record: records.Record) -> AnswerStream:
--- /dev/null
+++ b/src/bronzepost/_internal/node/caller_api.py
@@ -0,0 +1,133 @@
+"""Calls of callers, or of the nodes that forward them."""
+
+import dataclasses
+import itertools
+
+import xxhash
+
+from bronzepost._internal.core.ownership import ForwardTo
+from bronzepost._internal.core.session_sweep import name_call_session
+from bronzepost._internal.node.answer_stream import AnswerStream
+from bronzepost._internal.node.call_defaults import CallTerms, find_terms
+from bronzepost._internal.node.caller_request import (
+    CallerFields,
+    read_caller_fields,
+)
+from bronzepost._internal.node.chat_calls import ChatCall
+from bronzepost._internal.node.chat_request import read_chat_request
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.parts import CallParts
+from bronzepost._internal.node.responses import (
+    answer_completion,
+    answer_events,
+    answer_service,
+    call_headers,
+)
+from bronzepost._internal.node.service_calls import ServiceCall
+from bronzepost._internal.node.web import Request, Response, Route
+
+
+class CallerApi:
+    """Answer the calls of callers."""
+
+    def __init__(self, *, parts: CallParts) -> None:
+        """Use the parts of the node that calls go through."""
+        self._parts = parts
+        self._call_numbers = itertools.count(1)
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the routes of calls."""
+        return (
+            Route(
+                method='POST',
+                pattern='/v1/chat/completions',
+                handler=self.chat,
+            ),
+            Route(
+                method='POST',
+                pattern='/v1/services/(?P<service>[^/]+)/(?P<path>.+)',
+                handler=self.call_service,
+            ),
+        )
+
+    def chat(self, request: Request) -> Response:
+        """Answer a chat completion, streaming or not."""
+        call = self._read_chat(request)
+        program = call.fields.program
+        if not program:
+            stream = self._parts.chats.begin_alone(call, self._name_call())
+            return _answer_chat(call, stream)
+        journal, route = self._parts.partitions.find_route(program)
+        if isinstance(route, ForwardTo):
+            return self._forward(route, request, call.terms)
+        stream = self._parts.chats.begin_owned(journal, call)
+        return _answer_chat(call, stream)
+
+    def call_service(self, request: Request) -> Response:
+        """Answer a call to a plain service or a tool."""
+        fields = read_caller_fields(request)
+        terms = self._find_terms(fields, request.path_parts['service'])
+        if not fields.program and fields.key:
+            # Repeats of a keyed call have to meet at one owner.
+            program = _name_keyed_program(terms.organisation, fields.key)
+            fields = dataclasses.replace(fields, program=program)
+        call = ServiceCall(
+            path=request.path_parts['path'],
+            body=request.body,
+            fields=fields,
+            terms=terms,
+            arrived_at=read_clock(),
+            traceparent=fields.traceparent,
+        )
+        if not fields.program:
+            stream = self._parts.services.begin_alone(call, self._name_call())
+            return answer_service(stream)
+        journal, route = self._parts.partitions.find_route(fields.program)
+        if isinstance(route, ForwardTo):
+            return self._forward(route, request, terms)
+        stream = self._parts.services.begin_owned(journal, call)
+        headers = call_headers(fields.program, stream)
+        return answer_service(stream, headers=headers)
+
+    def _read_chat(self, request: Request) -> ChatCall:
+        chat = read_chat_request(request)
+        fields = read_caller_fields(request, chat.metadata)
+        service = fields.service or self._parts.find_service(chat.model)
+        return ChatCall(
+            chat=chat,
+            fields=fields,
+            terms=self._find_terms(fields, service),
+            arrived_at=read_clock(),
+            traceparent=fields.traceparent,
+        )
+
+    def _find_terms(self, fields: CallerFields, service: str) -> CallTerms:
+        return find_terms(
+            fields,
+            self._parts.lookup,
+            organisation=self._parts.organisation,
+            service=service,
+        )
+
+    def _forward(
+        self, route: ForwardTo, request: Request, terms: CallTerms
+    ) -> Response:
+        # An answer that is not streamed says nothing until it is complete.
+        return self._parts.forwarder.forward(
+            route.member, request, idle_seconds=terms.deadline_seconds
+        )
+
+    def _name_call(self) -> str:
+        return name_call_session(self._parts.boot, next(self._call_numbers))
+
+
+def _name_keyed_program(organisation: str, key: str) -> str:
+    digest = xxhash.xxh3_128_hexdigest(f'{organisation}\n{key}'.encode())
+    return f'key-{digest}'
+
+
+def _answer_chat(call: ChatCall, stream: AnswerStream) -> Response:
+    headers = call_headers(call.fields.program, stream)
+    if call.chat.is_streaming:
+        return answer_events(stream, headers=headers)
+    return answer_completion(stream, headers=headers)
--- /dev/null
+++ b/src/bronzepost/_internal/node/parts.py
@@ -0,0 +1,43 @@
+"""The parts of a node that calls go through."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from bronzepost._internal.node.call_defaults import SettingLookup
+from bronzepost._internal.node.chat_calls import ChatCalls
+from bronzepost._internal.node.forwarding import Forwarder
+from bronzepost._internal.node.partitions import Partitions
+from bronzepost._internal.node.program_calls import ProgramCalls
+from bronzepost._internal.node.program_ends import ProgramEnds
+from bronzepost._internal.node.service_calls import ServiceCalls
+
+ModelAndService = tuple[str, str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallParts:
+    """What the caller's routes need of the node.
+
+    ``list_endpoints`` takes a program, which may be empty. ``list_models``
+    returns pairs of model and service.
+    """
+
+    organisation: str
+    boot: str
+    lookup: SettingLookup
+    partitions: Partitions
+    programs: ProgramCalls
+    chats: ChatCalls
+    services: ServiceCalls
+    ends: ProgramEnds
+    forwarder: Forwarder
+    list_endpoints: Callable[[str], dict[str, Any]]
+    list_models: Callable[[], list[ModelAndService]]
+
+    def find_service(self, model: str) -> str:
+        """Return the service whose runners have a model, empty if none."""
+        for known_model, service in self.list_models():
+            if known_model == model:
+                return service
+        return ''
--- a/src/bronzepost/_internal/node/program_calls.py
+++ b/src/bronzepost/_internal/node/program_calls.py
@@ -115,6 +115,7 @@
             deadline_at=deadline_at,
             lost_units=lost_units,
         )
+        owned.stream.sequence = decision.sequence
         self.running_by_program[call.program] = owned
         self.answers.keep(call.program, decision.sequence, owned.stream)
         self.keeper.settlements.expect(decision.wait_for)
--- /dev/null
+++ b/src/bronzepost/_internal/node/program_ends.py
@@ -0,0 +1,78 @@
+"""End programs and release what engines hold for them."""
+
+import dataclasses
+from typing import Final
+
+from bronzepost._internal.core.ledger import records
+from bronzepost._internal.core.ledger.journal import Journal, submit_record
+from bronzepost._internal.node.engine_memory import EngineMemory
+from bronzepost._internal.node.journal_keeper import JournalKeeper
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
+
+END_SECONDS: Final = 2.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndedProgram:
+    """A program that has ended; ``spent`` is in units."""
+
+    program: str
+    reason: str
+    spent: int
+    calls: int
+    durable: bool
+
+
+class ProgramEnds:
+    """End programs that this node owns."""
+
+    def __init__(self, *, keeper: JournalKeeper, memory: EngineMemory) -> None:
+        """Use the node's journals and its view of the engines."""
+        self._keeper = keeper
+        self._memory = memory
+
+    def end(
+        self, journal: Journal, program: str, reason: str
+    ) -> EndedProgram | None:
+        """End a program and its sub-agents; None if it is not known.
+
+        Ending a program again returns how it ended first.
+        """
+        entry = journal.view.programs_by_id.get(program)
+        if entry is None:
+            return None
+        spent = entry.spent
+        durable = True
+        if not entry.ended:
+            durable = self._append_end(journal, program, reason)
+        entry = journal.view.programs_by_id[program]
+        return EndedProgram(
+            program=program,
+            reason=entry.ended,
+            spent=spent,
+            calls=entry.sequence,
+            durable=durable,
+        )
+
+    def _append_end(self, journal: Journal, program: str, reason: str) -> bool:
+        tree = [
+            name
+            for name, entry in journal.view.programs_by_id.items()
+            if not entry.ended and f'{name}.'.startswith(f'{program}.')
+        ]
+        record = records.ProgramEnded(
+            record_id=journal.next_record_id(),
+            epoch=journal.view.epoch,
+            node=journal.node,
+            program=program,
+            reason=reason,
+        )
+        submit_record(journal, record)
+        self._keeper.settlements.expect([record.record_id])
+        self._keeper.send(journal)
+        settled = self._keeper.settlements.wait([record.record_id], END_SECONDS)
+        emit(LogEvent.PROGRAM_ENDED, program=program, reason=reason)
+        for session in tree:
+            self._memory.release(session)
+        return bool(settled) and settled[0].valid
--- a/src/bronzepost/_internal/node/refusals.py
+++ b/src/bronzepost/_internal/node/refusals.py
@@ -130,3 +130,15 @@
         step='check history',
         parameter='messages',
     )
+
+
+def refuse_no_member(member: str) -> RefusedError:
+    """Return the refusal of a call whose owner is no longer a member."""
+    return RefusedError(
+        f'node {member} is not a member any more',
+        code='owner_unavailable',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='find owner',
+        peer=member,
+        retry_after_seconds=OWNER_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/src/bronzepost/_internal/node/responses.py
@@ -0,0 +1,132 @@
+"""Answers of calls as HTTP responses."""
+
+import time
+from collections.abc import Iterator
+from typing import Any, Final
+
+import msgspec
+
+from bronzepost._internal.exceptions import RefusedError
+from bronzepost._internal.node.answer_stream import AnswerStream
+from bronzepost._internal.node.web import (
+    EVENT_STREAM_TYPE,
+    Response,
+    encode_refusal,
+)
+
+# The status of a stream is sent after this time even if no chunk is there, so
+# that keep-alive lines can show that the connection works.
+START_SECONDS: Final = 1.0
+
+KEEP_ALIVE: Final = b': keep-alive\n\n'
+END_OF_STREAM: Final = b'data: [DONE]\n\n'
+
+Headers = tuple[tuple[str, str], ...]
+
+
+def answer_events(
+    stream: AnswerStream, *, offset: int = 0, headers: Headers = ()
+) -> Response:
+    """Return an answer as server-sent events, from an offset on.
+
+    Raises:
+        RefusedError: if the call failed before its first chunk.
+    """
+    if stream.wait_started(START_SECONDS) and not stream.chunks:
+        if stream.error is not None:
+            raise stream.error
+    no_buffering = ('Cache-Control', 'no-cache')
+    return Response(
+        headers=(no_buffering, *headers),
+        body=_write_events(stream, offset),
+        content_type=EVENT_STREAM_TYPE,
+    )
+
+
+def answer_completion(
+    stream: AnswerStream, *, headers: Headers = ()
+) -> Response:
+    """Return an answer as one chat completion.
+
+    Raises:
+        RefusedError: if the call failed.
+    """
+    chunks = [
+        msgspec.json.decode(chunk)
+        for _, chunk in stream.read_from()
+        if chunk is not None
+    ]
+    return Response(
+        headers=headers,
+        body=msgspec.json.encode(_build_completion(chunks)),
+    )
+
+
+def answer_service(stream: AnswerStream, *, headers: Headers = ()) -> Response:
+    """Return the answer of a plain service as it came.
+
+    Raises:
+        RefusedError: if the call failed.
+    """
+    chunks = [chunk for _, chunk in stream.read_from() if chunk is not None]
+    return Response(
+        status=stream.status, headers=headers, body=b''.join(chunks)
+    )
+
+
+def call_headers(program: str, stream: AnswerStream) -> Headers:
+    """Return the headers that name a call; none without a program."""
+    if not program:
+        return ()
+    return (
+        ('Bronzepost-Program', program),
+        ('Bronzepost-Sequence', str(stream.sequence)),
+    )
+
+
+def write_event(offset: int, chunk: bytes) -> bytes:
+    """Return one server-sent event."""
+    return b'id: %d\ndata: %b\n\n' % (offset, chunk)
+
+
+def write_error_event(error: RefusedError) -> bytes:
+    """Return the event that ends a stream with an error."""
+    return b'event: error\ndata: %b\n\n' % encode_refusal(error)
+
+
+def _write_events(stream: AnswerStream, offset: int) -> Iterator[bytes]:
+    try:
+        for event_offset, chunk in stream.read_from(offset, START_SECONDS):
+            if chunk is None:
+                yield KEEP_ALIVE
+            else:
+                yield write_event(event_offset, chunk)
+    except RefusedError as error:
+        yield write_error_event(error)
+        return
+    yield END_OF_STREAM
+
+
+def _build_completion(chunks: list[dict[str, Any]]) -> dict[str, Any]:
+    last = chunks[-1]
+    deltas = [chunk['choices'][0] for chunk in chunks if chunk['choices']]
+    text = ''.join(choice['delta'].get('content') or '' for choice in deltas)
+    message: dict[str, Any] = {'role': 'assistant', 'content': text}
+    tool_calls = [
+        tool_call
+        for choice in deltas
+        for tool_call in choice['delta'].get('tool_calls') or ()
+    ]
+    if tool_calls:
+        message['tool_calls'] = tool_calls
+    finish_reason = deltas[-1].get('finish_reason') or 'stop'
+    return {
+        'id': last['id'],
+        'object': 'chat.completion',
+        'created': int(time.time()),
+        'model': last['model'],
+        'choices': [
+            {'index': 0, 'message': message, 'finish_reason': finish_reason}
+        ],
+        'usage': last.get('usage'),
+    }
