Add a launcher of whole deployments

Functional tests and the demo start stand-ins and nodes as processes and end them by id. Output goes to files, because a pipe that nobody reads stops a process that logs much.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -5,7 +5,6 @@
 from argparse import ArgumentParser
 from importlib import import_module
 
-import gevent
 from gevent.hub import signal as gevent_signal
 
 from standins.web import serve_application
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,6 +2,8 @@
 
 import time
 from argparse import ArgumentParser, Namespace
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import gevent
 import msgspec
@@ -16,7 +18,7 @@
 )
 from standins.engine_orders import OrderTable
 from standins.faults import Switches
-from standins.pacing import LaggedValue
+from standins.pacing import LaggedValue, repeat_forever
 from standins.service import Effects
 from standins.web import (
     Application,
@@ -30,6 +32,15 @@
 )
 
 SAMPLE_SECONDS = 0.05
+DEFAULTS: Mapping[str, float] = MappingProxyType({
+    '--slots': 8,
+    '--step-seconds': 0.04,
+    '--prefill-tokens-per-second': 8000.0,
+    '--cache-tokens': 100000,
+    '--transfer-tokens-per-second': 200000.0,
+    '--lag-seconds': 0.2,
+    '--stream-retention-seconds': 60.0,
+})
 SESSION = '/v1/sessions/(?P<session>[^/]+)'
 STREAM = '/v1/streams/(?P<request_id>[^/]+)'
 
@@ -163,11 +174,9 @@
         return json_reply({'tokens': added})
 
     def sample(self) -> None:
-        """Record the load for ever, for reports with a lag."""
-        while True:
-            self.effects.watch_leaving()
-            self._lagged_load.record(self.current_load())
-            gevent.sleep(SAMPLE_SECONDS)
+        """Record the load for reports with a lag."""
+        self.effects.watch_leaving()
+        self._lagged_load.record(self.current_load())
 
     def _stream(self, run: Run, offset: int) -> Reply:
         return Reply(
@@ -197,15 +206,8 @@
 
 def add_options(parser: ArgumentParser) -> None:
     """Declare the options of this stand-in."""
-    parser.add_argument('--slots', type=int, default=8)
-    parser.add_argument('--step-seconds', type=float, default=0.04)
-    parser.add_argument('--prefill-tokens-per-second', type=float, default=8000)
-    parser.add_argument('--cache-tokens', type=int, default=100000)
-    parser.add_argument(
-        '--transfer-tokens-per-second', type=float, default=200000
-    )
-    parser.add_argument('--lag-seconds', type=float, default=0.2)
-    parser.add_argument('--stream-retention-seconds', type=float, default=60)
+    for name, default in DEFAULTS.items():
+        parser.add_argument(name, type=type(default), default=default)
     parser.add_argument('--model', action='append', default=[])
     parser.add_argument('--role', default='general')
     parser.add_argument('--weight-store', default='')
@@ -241,13 +243,13 @@
     """Return the engine that the options describe."""
     switches = Switches(lag_seconds=options.lag_seconds)
     engine = build_engine(options, switches)
-    gevent.spawn(engine.sample)
+    gevent.spawn(repeat_forever, engine.sample, pause=SAMPLE_SECONDS)
     return Application(switches=switches, routes=build_routes(engine))
 
 
-def build_routes(engine: Engine) -> tuple[Route, ...]:
+def build_routes(engine: Engine) -> list[Route]:
     """Return the routes of the protocol, and those for tests."""
-    return (
+    return [
         post('/v1/chat/completions', engine.complete_chat),
         get(STREAM, engine.resume_stream),
         post(f'{STREAM}/cancel', engine.cancel_stream),
@@ -262,4 +264,4 @@
         get('/v1/cache/totals', engine.report_cache_totals, is_exempt=True),
         get('/orders', engine.orders.report_orders, is_exempt=True),
         get('/effects', engine.effects.report, is_exempt=True),
-    )
+    ]
--- a/standins/engine_batch.py
+++ b/standins/engine_batch.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from itertools import repeat
 
 import gevent
 from gevent.event import Event
@@ -58,7 +59,8 @@
 
     def notify(self) -> None:
         """Wake everyone who waits for progress."""
-        woken, self.changed = self.changed, Event()
+        woken = self.changed
+        self.changed = Event()
         woken.set()
 
 
@@ -118,11 +120,12 @@
     def run_steps(self) -> None:
         """Run steps for ever, and pause while there is nothing to do."""
         deadline = time.monotonic()
-        while True:
+        for _ in repeat(None):
             if not self.running and not self._waiting:
                 self._has_work.clear()
                 self._has_work.wait()
             self._admit()
+            # A step that ends late does not shorten the next one.
             deadline = max(deadline, time.monotonic()) + self.pace.step_seconds
             gevent.sleep(max(deadline - time.monotonic(), 0))
             if not self._switches.hang:
--- a/standins/engine_cache.py
+++ b/standins/engine_cache.py
@@ -109,11 +109,11 @@
     def use(self, session: str, prefixes: Sequence[Prefix]) -> int:
         """Return the tokens of the longest cached prefix and mark it used."""
         matched = self._match(session, prefixes)
-        for prefix in matched:
-            key = (session, prefix.digest)
+        for hit in matched:
+            key = (session, hit.digest)
             if key in self._unused_keys:
                 self._unused_keys.discard(key)
-                self.totals.used_tokens += prefix.tokens
+                self.totals.used_tokens += hit.tokens
         self._touch(session, matched)
         tokens = sum(prefix.tokens for prefix in matched)
         self.totals.hit_tokens += tokens
--- a/standins/engine_orders.py
+++ b/standins/engine_orders.py
@@ -1,5 +1,6 @@
 """Orders to an engine: models, adapters and roles, with fencing numbers."""
 
+from contextlib import closing, suppress
 from typing import Any, Literal
 
 import gevent
@@ -145,12 +146,7 @@
     def _try_fetch(self, name: str) -> bool:
         host, port = split_address(self._weight_store_address)
         client: Any = HTTPClient(host, port)
-        try:
-            reply = client.post(
-                '/fetch', body=msgspec.json.encode({'name': name})
-            )
-            return bool(reply.status_code == 200)
-        except OSError:
-            return False
-        finally:
-            client.close()
+        body = msgspec.json.encode({'name': name})
+        with closing(client), suppress(OSError):
+            return bool(client.post('/fetch', body=body).status_code == 200)
+        return False
--- /dev/null
+++ b/standins/http_client.py
@@ -0,0 +1,32 @@
+"""Small HTTP client for the launcher and tests; it blocks its thread."""
+
+from typing import Any
+from urllib.request import ProxyHandler, Request, build_opener
+
+import msgspec
+
+TIMEOUT_SECONDS = 10
+
+
+def request_json(
+    method: str,
+    location: str,
+    body: object = None,
+    *,
+    headers: dict[str, str] | None = None,
+) -> Any:
+    """Return the JSON answer of ``HOST:PORT/PATH``.
+
+    Raise ``OSError`` (``urllib.error.URLError``) if nothing answers or the
+    status is an error.
+    """
+    request = Request(
+        f'http://{location}',
+        method=method,
+        data=None if body is None else msgspec.json.encode(body),
+        headers={'Content-Type': 'application/json', **(headers or {})},
+    )
+    # A proxy of the environment must not see traffic to loopback addresses.
+    opener = build_opener(ProxyHandler({}))
+    with opener.open(request, timeout=TIMEOUT_SECONDS) as response:
+        return msgspec.json.decode(response.read())
--- a/standins/pacing.py
+++ b/standins/pacing.py
@@ -2,8 +2,12 @@
 
 import time
 from collections import deque
+from collections.abc import Callable
+from itertools import repeat
 from typing import Generic, TypeVar
 
+import gevent
+
 from standins.web import RequestError
 
 ValueT = TypeVar('ValueT')
@@ -11,6 +15,13 @@
 SAMPLE_LIMIT = 2400
 
 
+def repeat_forever(function: Callable[[], None], *, pause: float) -> None:
+    """Call a function for ever, with a pause in seconds after each call."""
+    for _ in repeat(None):
+        function()
+        gevent.sleep(pause)
+
+
 class RateLimit:
     """Allow a number of operations a second, at most one second's at once."""
 
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,95 @@
+"""Child processes of a deployment, each ended by its own id."""
+
+import os
+import signal
+import subprocess  # noqa: S404 - the launcher's purpose
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+
+READY_SECONDS = 20
+STOP_SECONDS = 5
+POLL_SECONDS = 0.02
+LAST_OUTPUT_BYTES = 4096
+READY_PREFIX = 'ready '
+ROOT = Path(__file__).resolve().parent.parent
+
+
+class LaunchError(Exception):
+    """A process did not become ready."""
+
+
+class ManagedProcess:
+    """One child process, with its output kept in a file."""
+
+    def __init__(
+        self, *, name: str, arguments: Sequence[str], output: Path
+    ) -> None:
+        """Start the process; its output goes to a file, not a pipe.
+
+        A pipe that nobody reads would stop a process that logs much.
+        ."""
+        self.name = name
+        self.output = output
+        with output.open('ab') as output_file:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', *arguments],
+                stdout=output_file,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+                cwd=ROOT,
+                env=child_environment(os.environ),
+            )
+
+    @property
+    def process_id(self) -> int:
+        """Return the id of the process."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._process.poll() is None
+
+    def wait_ready(self) -> str:
+        """Return what the line ``ready TEXT`` of a stand-in says."""
+        deadline = time.monotonic() + READY_SECONDS
+        while time.monotonic() < deadline and self.is_running:
+            for line in self.output.read_text(errors='replace').splitlines():
+                if line.startswith(READY_PREFIX):
+                    return line.removeprefix(READY_PREFIX)
+            time.sleep(POLL_SECONDS)
+        raise LaunchError(f'{self.name} is not ready: {self.last_output()}')
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process is still running."""
+        if self.is_running:
+            self._process.send_signal(number)
+
+    def request_stop(self) -> None:
+        """Ask the process to end; a paused one continues to do so."""
+        self.send_signal(signal.SIGTERM)
+        self.send_signal(signal.SIGCONT)
+
+    def wait_ended(self, timeout_seconds: float = STOP_SECONDS) -> int:
+        """Return the exit status, after SIGKILL if it takes too long."""
+        try:
+            return self._process.wait(timeout_seconds)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+        return self._process.wait()
+
+    def last_output(self) -> str:
+        """Return the end of what the process wrote lately."""
+        written = self.output.read_bytes()[-LAST_OUTPUT_BYTES:]
+        return written.decode(errors='replace')
+
+
+def child_environment(environment: Mapping[str, str]) -> dict[str, str]:
+    """Return an environment in which children import from the worktree."""
+    return {
+        **environment,
+        'PYTHONPATH': os.pathsep.join((str(ROOT / 'src'), str(ROOT))),
+        'PYTHONDONTWRITEBYTECODE': '1',
+    }
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,7 +9,7 @@
 from gevent.lock import BoundedSemaphore
 
 from standins.faults import Switches
-from standins.pacing import LaggedValue
+from standins.pacing import LaggedValue, repeat_forever
 from standins.web import Application, Reply, Request, get, json_reply, post
 
 SAMPLE_SECONDS = 0.05
@@ -23,7 +23,7 @@
         self._switches = switches
         self._by_request_id: Counter[str] = Counter()
         self._by_business_key: Counter[str] = Counter()
-        self._last_received_at = 0.0
+        self._last_received_at: float | None = None
         self._leaving_since: float | None = None
         self._received_after_leaving = 0
 
@@ -81,14 +81,12 @@
         body = request.json_object()
         request_id = request.headers.get('x-request-id', uuid4().hex)
         self._requests_in_progress += 1
-        try:
-            with self._free_slots:
-                run = self.effects.count_run(
-                    request_id, str(body.get('business_key', ''))
-                )
-                gevent.sleep(self._call_seconds)
-        finally:
-            self._requests_in_progress -= 1
+        with self._free_slots:
+            run = self.effects.count_run(
+                request_id, str(body.get('business_key', ''))
+            )
+            gevent.sleep(self._call_seconds)
+        self._requests_in_progress -= 1
         return json_reply({
             'name': request.captured['name'],
             'request_id': request_id,
@@ -115,11 +113,9 @@
         )
 
     def sample_load(self) -> None:
-        """Record the load for ever, for reports with a lag."""
-        while True:
-            self.effects.watch_leaving()
-            self._lagged_load.record(self.current_load())
-            gevent.sleep(SAMPLE_SECONDS)
+        """Record the load for reports with a lag."""
+        self.effects.watch_leaving()
+        self._lagged_load.record(self.current_load())
 
 
 def add_options(parser: ArgumentParser) -> None:
@@ -137,7 +133,7 @@
         slots=options.slots,
         call_seconds=options.call_seconds,
     )
-    gevent.spawn(service.sample_load)
+    gevent.spawn(repeat_forever, service.sample_load, pause=SAMPLE_SECONDS)
     return Application(
         switches=switches,
         routes=(
--- a/standins/web.py
+++ b/standins/web.py
@@ -6,9 +6,8 @@
 from typing import Any
 from urllib.parse import parse_qsl, unquote
 
-import gevent
 import msgspec
-from gevent import socket
+from gevent import sleep, socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from standins.faults import Switches, update_switches
@@ -167,12 +166,12 @@
         if route.is_exempt:
             return route.handler(captured)
         if self.switches.slow_seconds > 0:
-            gevent.sleep(self.switches.slow_seconds)
+            sleep(self.switches.slow_seconds)
         if self.switches.outage:
             raise RequestError(503, 'outage', retry_after_seconds=1)
         reply = route.handler(captured)
         while self.switches.hang:
-            gevent.sleep(HANG_POLL_SECONDS)
+            sleep(HANG_POLL_SECONDS)
         return reply
 
     def _find_route(self, request: Request) -> tuple[Route, Request]:
@@ -227,7 +226,8 @@
 class SocketHandler(WSGIHandler):  # type: ignore[misc] # noqa: WPS110
     """Pass the connection to the application, which may have to close it."""
 
-    def get_environ(self) -> dict[str, Any]:
+    # The name is that of the base class.
+    def get_environ(self) -> dict[str, Any]:  # noqa: WPS615
         """Return the environment of a request with its connection."""
         environ: dict[str, Any] = super().get_environ()
         environ[SOCKET_KEY] = self.socket
