--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -10,6 +10,7 @@
 from standins.web import serve_application
 
 MODULES_BY_KIND = {  # noqa: WPS407 - read only
+    'relay': 'standins.relay',
     'log': 'standins.log',
     'engine': 'standins.engine',
     'service': 'standins.service',
@@ -38,7 +39,10 @@
     module.add_options(parser)
     options = parser.parse_args(arguments[1:])
     gevent_signal(signal.SIGTERM, sys.exit, 0)
-    serve_application(module.build_application(options), options.address)
+    if kind == 'relay':
+        module.serve_relay(options)
+    else:
+        serve_application(module.build_application(options), options.address)
     return 0
 
 
--- a/standins/engine_cache.py
+++ b/standins/engine_cache.py
@@ -133,9 +133,12 @@
         self.pin(session, prefixes)
         added = 0
         for prefix in prefixes[len(present) :]:
+            key = (session, prefix.digest)
+            if key in self._tokens_by_key:
+                continue
             if not self._make_room(prefix.tokens):
                 break
-            self._insert((session, prefix.digest), prefix.tokens)
+            self._insert(key, prefix.tokens)
             added += prefix.tokens
         self.unpin(session, prefixes)
         self._touch(session, self._match(session, prefixes))
--- a/standins/web.py
+++ b/standins/web.py
@@ -260,12 +260,18 @@
     return f'{host}:{port}'
 
 
-def serve_application(application: Application, address: str) -> None:
-    """Serve until the process ends, after printing the ready line."""
+def serve_application(
+    application: Application, address: str, *, relayed_address: str = ''
+) -> None:
+    """Serve until the process ends, after printing the ready line.
+
+    An address that is relayed comes first on that line.
+    """
     listener = open_listener(address)
     server = WSGIServer(
         listener, application, log=None, handler_class=SocketHandler
     )
     server.start()
-    print(f'ready {listening_address(listener)}', flush=True)
+    addresses = f'{relayed_address} {listening_address(listener)}'
+    print(f'ready {addresses.strip()}', flush=True)
     server.serve_forever()
