--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -204,10 +204,10 @@
     def _launch_standin(
         self, kind: str, name: str, more: Sequence[str] = ()
     ) -> ManagedProcess:
-        arguments = ('standins', kind, *more, *self._options.get(kind, ()))
+        more = (*more, *self._options.get(kind, ()))
         return ManagedProcess(
             name=name,
-            arguments=arguments,
+            arguments=('standins', kind, '--stop-with-parent', *more),
             output=self.directory / f'{name}.output',
         )
 
--- a/standins/engine_cache.py
+++ b/standins/engine_cache.py
@@ -5,12 +5,14 @@
 from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from itertools import islice
 
 import msgspec
 
 from standins.faults import Switches
 
 EVENTS_KEPT = 20000
+EVENTS_AT_ONCE = 2000
 EVENT_SEED = 20
 
 # An entry is one message of a session, named by the digest of the prefix
@@ -76,12 +78,13 @@
             self._events.append((time.monotonic(), event))
 
     def read(self, start: int, visible_until: float) -> list[CacheEvent]:
-        """Return the events from a number on that are old enough."""
-        return [
+        """Return the events from a number on that are old enough, at most 2,000."""
+        visible = (
             event
             for added_at, event in self._events
             if event.number >= start and added_at <= visible_until
-        ]
+        )
+        return list(islice(visible, EVENTS_AT_ONCE))
 
 
 class PrefixCache:
--- a/tests/functional/standin_processes.py
+++ b/tests/functional/standin_processes.py
@@ -14,7 +14,7 @@
     with TemporaryDirectory() as directory:
         process = ManagedProcess(
             name=arguments[0],
-            arguments=('standins', *arguments),
+            arguments=('standins', *arguments, '--stop-with-parent'),
             output=Path(directory) / 'output',
         )
         try:
