--- /dev/null
+++ b/tests/functional/test_binary.py
@@ -0,0 +1,143 @@
+"""Tests of the one-file binary; it is built once for all of them."""
+
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import ClassVar
+
+from testtools import TestCase
+
+ROOT = Path(__file__).resolve().parents[2]
+BUILD_SECONDS = 120
+RUN_SECONDS = 30
+LIBRARIES = (
+    'cappa, gevent, geventhttpclient, hdrh, msgspec, pynng, statsd, structlog,'
+    ' xxhash, opentelemetry.sdk.trace,'
+    ' opentelemetry.exporter.otlp.proto.common.trace_encoder'
+)
+
+
+def list_parents() -> Iterator[tuple[int, int]]:
+    """Yield the identifiers of each process and of its parent."""
+    for path in Path('/proc').glob('[0-9]*/stat'):
+        try:
+            stat = path.read_text(encoding='utf-8', errors='replace')
+        # A process may end between the listing and the reading.
+        except OSError:
+            continue
+        # The name stands in parentheses and may hold spaces.
+        _state, parent = stat.rpartition(')')[2].split()[:2]
+        yield int(path.parent.name), int(parent)
+
+
+def list_children(process_id: int) -> list[int]:
+    """Return the identifiers of the processes that a process started."""
+    return [child for child, parent in list_parents() if parent == process_id]
+
+
+class BinaryTest(TestCase):
+    """Guard the binary that is shipped."""
+
+    directory: ClassVar[tempfile.TemporaryDirectory[str]]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Build the binary in a temporary directory."""
+        super().setUpClass()
+        cls.directory = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(cls.directory.cleanup)
+        subprocess.run(
+            [
+                sys.executable,
+                'scripts/build_binary.py',
+                f'{cls.directory.name}/bronzepost',
+            ],
+            check=True,
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+            timeout=BUILD_SECONDS,
+        )
+
+    def build_environment(self) -> dict[str, str]:
+        """Return variables that hide the libraries of the test's Python."""
+        interpreter = Path(sys.base_prefix) / 'bin'
+        return {
+            'PATH': f'{interpreter}:{os.environ["PATH"]}',
+            'SHIV_ROOT': f'{self.directory.name}/root',
+        }
+
+    def start(self, *arguments: str) -> subprocess.Popen[str]:
+        """Start the binary itself, not Python with the binary as script."""
+        process = subprocess.Popen(
+            [f'{self.directory.name}/bronzepost', *arguments],
+            env=self.build_environment(),
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+        self.addCleanup(process.communicate)
+        self.addCleanup(process.kill)
+        return process
+
+    def test_one_process_that_starts_no_other(self) -> None:
+        """Guard against a launcher process that would get the signals."""
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        listener.settimeout(RUN_SECONDS)
+        address = f'127.0.0.1:{listener.getsockname()[1]}'
+        started = self.start('endpoints', '--address', address)
+        seen: list[int] = []
+        deadline = time.monotonic() + RUN_SECONDS
+        listener.setblocking(False)
+        connection = None
+        while connection is None and time.monotonic() < deadline:
+            seen.extend(list_children(started.pid))
+            try:
+                connection, _peer = listener.accept()
+            except BlockingIOError:
+                time.sleep(0.005)
+        assert connection is not None, 'the binary did not connect'
+        self.addCleanup(connection.close)
+        # The binary waits for an answer now, with all of it running.
+        self.assertEqual([], seen + list_children(started.pid))
+        command = Path(f'/proc/{started.pid}/cmdline').read_bytes()
+        self.assertIn(b'endpoints', command)
+
+    def test_version(self) -> None:
+        """Guard against a binary that lacks a module of its own."""
+        process = self.start('version')
+        output, _errors = process.communicate(timeout=RUN_SECONDS)
+        self.assertEqual(0, process.returncode, output)
+        self.assertIn('bronzepost', output)
+
+    def test_check_of_an_example(self) -> None:
+        """Guard against a binary that cannot read settings."""
+        process = self.start('check', 'examples/pl-central.toml')
+        output, _errors = process.communicate(timeout=RUN_SECONDS)
+        self.assertEqual(0, process.returncode, output)
+
+    def test_libraries_are_inside(self) -> None:
+        """Guard against a library that only this machine has."""
+        interpreter = Path(sys.base_prefix) / 'bin' / 'python3.11'
+        binary = f'{self.directory.name}/bronzepost'
+        environment = self.build_environment()
+        environment['SHIV_INTERPRETER'] = '1'
+        script = Path(self.directory.name) / 'libraries.py'
+        script.write_text(f'import {LIBRARIES}\n', encoding='utf-8')
+        # Without -S the libraries of the base interpreter would be found.
+        done = subprocess.run(
+            [str(interpreter), '-S', binary, str(script)],
+            env=environment,
+            capture_output=True,
+            check=False,
+            text=True,
+            timeout=RUN_SECONDS,
+        )
+        self.assertEqual('', done.stderr)
+        self.assertEqual(0, done.returncode)
