--- a/src/bronzepost/_internal/settings/validation.py
+++ b/src/bronzepost/_internal/settings/validation.py
@@ -4,7 +4,7 @@
 import difflib
 import json
 from collections.abc import Iterator, Mapping, Sequence
-from typing import Annotated, Any, get_args, get_origin, get_type_hints
+from typing import Annotated, Any, TypeVar, get_args, get_origin, get_type_hints
 
 import msgspec
 
@@ -16,6 +16,8 @@
 _LIST_EXPECTED = 'a list'
 _ABSENT = object()
 
+_Note = TypeVar('_Note')
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Problem:
@@ -47,14 +49,28 @@
     return get_type_hints(owner, include_extras=True)
 
 
-def find_rule(hint: Any) -> Rule | None:
-    """Return the rule of an annotated type."""
+def find_note(hint: Any, kind: type[_Note]) -> _Note | None:
+    """Return the note of a kind that an annotated type carries."""
     for note in getattr(hint, '__metadata__', ()):
-        if isinstance(note, Rule):
+        if isinstance(note, kind):
             return note
     return None
 
 
+def find_rule(hint: Any) -> Rule | None:
+    """Return the rule of an annotated type."""
+    return find_note(hint, Rule)
+
+
+def list_expectation(hint: Any) -> str:
+    """Return what is expected of a value, or of each part of a list."""
+    rule = find_rule(hint)
+    if rule:
+        return rule.expected
+    element = list_element_type(strip_notes(hint))
+    return f'a list, each {list_expectation(element)}' if element else ''
+
+
 def strip_notes(hint: Any) -> Any:
     """Return the plain type of an annotated one."""
     if get_origin(hint) is Annotated:
@@ -142,11 +158,10 @@
 
 
 def _name_wrong_value(hint: Any, value: object, path: Path) -> Problem:
-    rule = find_rule(hint)
     return Problem(
         path=path,
         shown=HIDDEN if _is_secret(hint) else write_value(value),
-        expected=rule.expected if rule else _LIST_EXPECTED,
+        expected=list_expectation(hint) or _LIST_EXPECTED,
     )
 
 
@@ -167,9 +182,8 @@
 
 
 def _name_missing_key(hint: Any, path: Path) -> Problem:
-    rule = find_rule(hint)
     return Problem(
         path=path,
         shown='missing',
-        expected=rule.expected if rule else _LIST_EXPECTED,
+        expected=list_expectation(hint) or _LIST_EXPECTED,
     )
