--- a/src/bronzepost/_internal/core/membership/entities.py
+++ b/src/bronzepost/_internal/core/membership/entities.py
@@ -69,6 +69,12 @@
     rejoin_seconds: float = 5.0
     push_seconds: float = 0.1
     push_fan_out: int = 3
+    # Six copies reach all but a few of 410 members; probes reach the rest.
+    push_sends: int = 6
+    sync_seconds: float = 10.0
+    # Tables differ for a moment with every change, so a full exchange waits
+    # until this many messages in a row have shown a difference.
+    sync_mismatches: int = 4
     helpers: int = 3
     updates_per_message: int = 8
     resend_factor: int = 3
@@ -101,7 +107,7 @@
     settings: MembershipSettings
     seeds: tuple[str, ...]
     random: random.Random
-    sends_left_by_name: dict[str, int] = dataclasses.field(default_factory=dict)
+    sends_by_name: dict[str, int] = dataclasses.field(default_factory=dict)
     suspicions_by_name: dict[str, Suspicion] = dataclasses.field(
         default_factory=dict
     )
@@ -109,10 +115,12 @@
     probe: Probe | None = None
     sequence: int = 0
     has_joined: bool = False
-    has_news: bool = False
+    digest: int | None = None
+    mismatches: int = 0
     next_probe_at: float = 0
     next_join_at: float = 0
     next_push_at: float = 0
+    next_sync_at: float = 0
     last_tick_at: float | None = None
 
     def own(self) -> Member:
--- a/src/bronzepost/_internal/core/membership/messages.py
+++ b/src/bronzepost/_internal/core/membership/messages.py
@@ -21,11 +21,16 @@
 
 
 class MembershipMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """What all messages of the failure detector carry."""
+    """What all messages of the failure detector carry.
+
+    ``digest`` is over the sender's live members, so that a lost update is
+    noticed; 0 says nothing.
+    """
 
     sender: MemberEntry
     sequence: int
     configuration_offset: int
+    digest: int = 0
     updates: tuple[MemberEntry, ...] = ()
 
 
--- a/src/bronzepost/_internal/core/membership/sending.py
+++ b/src/bronzepost/_internal/core/membership/sending.py
@@ -3,7 +3,7 @@
 from .entities import MemberEntry, MembershipTables, MemberState, entry_of
 from .events import Send
 from .messages import Ack, Origin, Ping, PingRequest
-from .updates import select_updates
+from .updates import digest_members, select_updates
 
 
 def next_sequence(tables: MembershipTables) -> int:
@@ -26,6 +26,7 @@
         sender=entry_of(tables.own()),
         sequence=sequence,
         configuration_offset=tables.own().configuration_offset,
+        digest=digest_members(tables),
         updates=select_updates(tables, about=name),
         is_repeated=is_repeated,
         origin=origin,
@@ -39,6 +40,7 @@
         sender=entry_of(tables.own()),
         sequence=next_sequence(tables),
         configuration_offset=tables.own().configuration_offset,
+        digest=digest_members(tables),
         updates=select_updates(tables),
         is_joining=True,
     )
@@ -55,6 +57,7 @@
         sender=entry_of(tables.own()),
         sequence=ping.sequence,
         configuration_offset=tables.own().configuration_offset,
+        digest=digest_members(tables),
         updates=updates,
         is_full=ping.is_joining,
         origin=ping.origin,
@@ -68,6 +71,7 @@
         sender=entry_of(tables.own()),
         sequence=0,
         configuration_offset=tables.own().configuration_offset,
+        digest=digest_members(tables),
         updates=select_updates(tables, about=name),
     )
     address = tables.members_by_name[name].peer_address
@@ -82,6 +86,7 @@
         sender=entry_of(tables.own()),
         sequence=sequence,
         configuration_offset=tables.own().configuration_offset,
+        digest=digest_members(tables),
         updates=select_updates(tables, about=helper),
         target_address=tables.members_by_name[target].peer_address,
     )
--- a/src/bronzepost/_internal/core/membership/system.py
+++ b/src/bronzepost/_internal/core/membership/system.py
@@ -17,9 +17,9 @@
     Tick,
 )
 from .messages import Ack, MembershipMessage, Origin, Ping, PingRequest
-from .sending import send_ack, send_ping
+from .sending import send_ack, send_joining_ping, send_ping
 from .ticking import pass_time
-from .updates import leave_group, merge_entries
+from .updates import digest_members, has_news, leave_group, merge_entries
 
 _Actions = tuple[MembershipAction, ...]
 
@@ -71,6 +71,7 @@
     return (
         *changes,
         *_compare_offset(tables, message),
+        *_compare_members(tables, message, event.at),
         *_receive(message, tables),
     )
 
@@ -133,6 +134,19 @@
     return tables.own().peer_address
 
 
+def _compare_members(
+    tables: MembershipTables, message: MembershipMessage, at: float
+) -> Iterator[Send]:
+    is_equal = message.digest in {0, digest_members(tables)}
+    tables.mismatches = 0 if is_equal else tables.mismatches + 1
+    if tables.mismatches < tables.settings.sync_mismatches:
+        return
+    if at >= tables.next_sync_at and not has_news(tables):
+        tables.mismatches = 0
+        tables.next_sync_at = at + tables.settings.sync_seconds
+        yield send_joining_ping(tables, message.sender.peer_address)
+
+
 def _note_offset(tables: MembershipTables, name: str, offset: int) -> None:
     member = tables.members_by_name.get(name)
     if member and offset != member.configuration_offset:
--- a/src/bronzepost/_internal/core/membership/ticking.py
+++ b/src/bronzepost/_internal/core/membership/ticking.py
@@ -13,7 +13,7 @@
     send_ping_request,
     send_updates,
 )
-from .updates import forget_member, mark_member, shorten_suspicion
+from .updates import forget_member, has_news, mark_member, shorten_suspicion
 
 
 def pass_time(
@@ -214,9 +214,10 @@
 ) -> Iterator[MembershipAction]:
     # Probes alone take seconds to spread a change to 410 members, which is
     # too slow for the takeover of programs within 3 s.
-    if not tables.has_news or at < tables.next_push_at:
+    if at < tables.next_push_at:
+        return
+    if not has_news(tables):
         return
-    tables.has_news = False
     tables.next_push_at = at + tables.settings.push_seconds
     for name in choose_others(tables, tables.settings.push_fan_out):
         yield send_updates(tables, name)
--- a/src/bronzepost/_internal/core/membership/updates.py
+++ b/src/bronzepost/_internal/core/membership/updates.py
@@ -9,6 +9,8 @@
 import types
 from collections.abc import Iterable, Mapping
 
+import xxhash
+
 from .entities import (
     Member,
     MemberEntry,
@@ -87,8 +89,8 @@
     message goes to, is included unless that member is believed alive, so that
     it can refute.
     """
-    sends_left = tables.sends_left_by_name
-    names = sorted(sends_left, key=lambda key: (-sends_left[key], key))
+    sends = tables.sends_by_name
+    names = sorted(sends, key=lambda key: (sends[key], key))
     names = names[: tables.settings.updates_per_message]
     for name in names:
         _count_send(tables, name)
@@ -99,10 +101,31 @@
     return tuple(updates)
 
 
+def has_news(tables: MembershipTables) -> bool:
+    """Return whether an update has not been sent to enough members yet."""
+    push_sends = tables.settings.push_sends
+    return any(sends < push_sends for sends in tables.sends_by_name.values())
+
+
+def digest_members(tables: MembershipTables) -> int:
+    """Return a digest over the members that are not dead, never 0.
+
+    Dead members are left out, since nodes remove them at different times.
+    """
+    if tables.digest is None:
+        digest = 1
+        for member in tables.members_by_name.values():
+            if member.state is not MemberState.DEAD:
+                digest ^= _hash_member(member)
+        tables.digest = digest or 1
+    return tables.digest
+
+
 def forget_member(tables: MembershipTables, name: str) -> MemberChanged:
     """Remove a member and everything kept about it."""
     member = tables.members_by_name.pop(name)
-    tables.sends_left_by_name.pop(name, None)
+    tables.sends_by_name.pop(name, None)
+    tables.digest = None
     tables.suspicions_by_name.pop(name, None)
     return MemberChanged(
         name=name,
@@ -112,6 +135,11 @@
     )
 
 
+def _hash_member(member: Member) -> int:
+    text = f'{member.name} {member.incarnation} {member.state}'
+    return xxhash.xxh64_intdigest(text.encode())
+
+
 def _precedence(entry: MemberEntry | Member) -> tuple[int, int]:
     return entry.incarnation, _RANK_BY_STATE[entry.state]
 
@@ -153,7 +181,8 @@
         tables.suspicions_by_name[entry.name] = Suspicion(
             dead_at=at + tables.settings.hearsay_seconds, ping_at=at
         )
-    _spread(tables, entry.name)
+    tables.sends_by_name[entry.name] = 0
+    tables.digest = None
     return MemberChanged(
         name=entry.name,
         previous=known.state if known else None,
@@ -162,15 +191,10 @@
     )
 
 
-def _spread(tables: MembershipTables, name: str) -> None:
+def _count_send(tables: MembershipTables, name: str) -> None:
     # SWIM: an update reaches all members with high probability after a small
     # multiple of the logarithm of their number.
     rounds = math.ceil(math.log2(len(tables.members_by_name) + 1))
-    tables.sends_left_by_name[name] = tables.settings.resend_factor * rounds
-    tables.has_news = True
-
-
-def _count_send(tables: MembershipTables, name: str) -> None:
-    tables.sends_left_by_name[name] -= 1
-    if not tables.sends_left_by_name[name]:
-        tables.sends_left_by_name.pop(name)
+    tables.sends_by_name[name] += 1
+    if tables.sends_by_name[name] >= tables.settings.resend_factor * rounds:
+        tables.sends_by_name.pop(name)
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -197,7 +197,7 @@
         """Guard against updates that circulate for ever."""
         network = build_group(4)
         network.run(seconds=30)
-        left = [it.sends_left_by_name for it in network.tables_by_name.values()]
+        left = [it.sends_by_name for it in network.tables_by_name.values()]
         self.assertEqual([{}, {}, {}, {}], left)
 
     def test_offset_ahead_is_reported(self) -> None:
