Accept and disseminate the settings tree

Cause: all nodes must have the same settings within seconds of a change, with exactly one winner among racing operators, through log outages and retention.

--- /dev/null
+++ b/src/bronzepost/_internal/core/configuration/__init__.py
@@ -0,0 +1,113 @@
+"""The settings tree: accept, inherit, explain, disseminate, keep durable."""
+
+from .acceptance import apply_record, find_result, list_entries, load_tree
+from .dissemination import (
+    answer_request,
+    list_children,
+    list_readers,
+    select_readers,
+)
+from .entities import (
+    ChangeAccepted,
+    ChangeRejected,
+    ChangeResult,
+    ConfigurationEntry,
+    ConfigurationSettings,
+    ConfigurationTables,
+    create_tables,
+)
+from .events import (
+    AppendRecords,
+    ChangeProposed,
+    ConfigurationAction,
+    ConfigurationEvent,
+    LogRead,
+    MembersChanged,
+    MessageReceived,
+    OffsetReached,
+    PeerAhead,
+    ReadLog,
+    RecordAppended,
+    Send,
+    Tick,
+)
+from .history import Difference, diff, history
+from .inheritance import Explanation, LevelValue, explain, inherit
+from .messages import (
+    ConfigurationRecords,
+    ConfigurationRequest,
+    RecordAtOffset,
+    TreeAtOffset,
+)
+from .paths import Level, SettingPath, format_path, parse_path
+from .records import (
+    AnyRecord,
+    ConfigurationChange,
+    ConfigurationRecord,
+    ConfigurationSnapshot,
+    SnapshotEntry,
+    UnreadableRecord,
+    record_from_builtins,
+    record_to_builtins,
+)
+from .schema import SETTINGS_BY_NAME, Setting, SettingValue, check_value
+from .system import apply_event
+
+__all__ = [
+    'SETTINGS_BY_NAME',
+    'AnyRecord',
+    'AppendRecords',
+    'ChangeAccepted',
+    'ChangeProposed',
+    'ChangeRejected',
+    'ChangeResult',
+    'ConfigurationAction',
+    'ConfigurationChange',
+    'ConfigurationEntry',
+    'ConfigurationEvent',
+    'ConfigurationRecord',
+    'ConfigurationRecords',
+    'ConfigurationRequest',
+    'ConfigurationSettings',
+    'ConfigurationSnapshot',
+    'ConfigurationTables',
+    'Difference',
+    'Explanation',
+    'Level',
+    'LevelValue',
+    'LogRead',
+    'MembersChanged',
+    'MessageReceived',
+    'OffsetReached',
+    'PeerAhead',
+    'ReadLog',
+    'RecordAppended',
+    'RecordAtOffset',
+    'Send',
+    'Setting',
+    'SettingPath',
+    'SettingValue',
+    'SnapshotEntry',
+    'Tick',
+    'TreeAtOffset',
+    'UnreadableRecord',
+    'answer_request',
+    'apply_event',
+    'apply_record',
+    'check_value',
+    'create_tables',
+    'diff',
+    'explain',
+    'find_result',
+    'format_path',
+    'history',
+    'inherit',
+    'list_children',
+    'list_entries',
+    'list_readers',
+    'load_tree',
+    'parse_path',
+    'record_from_builtins',
+    'record_to_builtins',
+    'select_readers',
+]
--- /dev/null
+++ b/src/bronzepost/_internal/core/configuration/schema.py
@@ -0,0 +1,208 @@
+"""The settings that the tree knows, and the check of their values."""
+
+import dataclasses
+import difflib
+import functools
+import types
+from collections.abc import Mapping
+from http import HTTPStatus
+
+from bronzepost._internal.exceptions import RefusedError
+
+SettingValue = bool | int | float | str | None
+
+_STEP = 'check setting'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class IntegerSetting:
+    """A whole number within bounds."""
+
+    default: int
+    minimum: int
+    maximum: int
+    description: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NumberSetting:
+    """A number within bounds, whole or not."""
+
+    default: float
+    minimum: float
+    maximum: float
+    description: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SwitchSetting:
+    """True or false."""
+
+    default: bool
+    description: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ChoiceSetting:
+    """One of several words."""
+
+    default: str
+    choices: tuple[str, ...]
+    description: str
+
+
+Setting = IntegerSetting | NumberSetting | SwitchSetting | ChoiceSetting
+
+_MAXIMUM_UNITS = 1_000_000_000_000
+_DAY_SECONDS = 86_400.0
+_DEFAULT_BUDGET = 1_000_000
+_DEFAULT_DEADLINE_SECONDS = 3600.0
+# The longest programs of the design scale have 400 turns.
+_DEFAULT_TURN_LIMIT = 400
+_MAXIMUM_TURN_LIMIT = 100_000
+_DEFAULT_IMPORTANCE = 5
+_MAXIMUM_IMPORTANCE = 10
+_DEFAULT_SLOTS = 64
+_MAXIMUM_SLOTS = 100_000
+_DEFAULT_CACHE_WEIGHT = 0.5
+
+SETTINGS_BY_NAME: Mapping[str, Setting] = types.MappingProxyType({
+    'budget': IntegerSetting(
+        default=_DEFAULT_BUDGET,
+        minimum=0,
+        maximum=_MAXIMUM_UNITS,
+        description='units that a program may spend; one unit is one token',
+    ),
+    'importance': IntegerSetting(
+        default=_DEFAULT_IMPORTANCE,
+        minimum=1,
+        maximum=_MAXIMUM_IMPORTANCE,
+        description='divides the attained service in the order of calls',
+    ),
+    'turn_limit': IntegerSetting(
+        default=_DEFAULT_TURN_LIMIT,
+        minimum=1,
+        maximum=_MAXIMUM_TURN_LIMIT,
+        description='turns after which a program is ended',
+    ),
+    'deadline_seconds': NumberSetting(
+        default=_DEFAULT_DEADLINE_SECONDS,
+        minimum=0,
+        maximum=_DAY_SECONDS,
+        description='seconds from a call until it is given up',
+    ),
+    'slots': IntegerSetting(
+        default=_DEFAULT_SLOTS,
+        minimum=0,
+        maximum=_MAXIMUM_SLOTS,
+        description='programs in progress that are admitted at a time',
+    ),
+    'cache_weight': NumberSetting(
+        default=_DEFAULT_CACHE_WEIGHT,
+        minimum=0,
+        maximum=1,
+        description='weight of wasted cache against latency, 0 to 1',
+    ),
+    'policy': ChoiceSetting(
+        default='least_attained_service',
+        choices=(
+            'least_attained_service',
+            'round_robin',
+            'least_outstanding',
+            'sticky_fcfs',
+        ),
+        description='order of calls and choice of runners',
+    ),
+    'call_price': IntegerSetting(
+        default=0,
+        minimum=0,
+        maximum=_MAXIMUM_UNITS,
+        description='units that one call of a plain service costs',
+    ),
+    'non_idempotent': SwitchSetting(
+        default=False,
+        description='calls run at most once and are never retried',
+    ),
+})
+
+
+def check_name(name: str) -> Setting:
+    """Return the setting of that name; refuse an unknown one.
+
+    Raises ``RefusedError`` that names the nearest known setting.
+    """
+    setting = SETTINGS_BY_NAME.get(name)
+    if setting is None:
+        nearest = difflib.get_close_matches(
+            name, SETTINGS_BY_NAME, n=1, cutoff=0
+        )
+        raise RefusedError(
+            f'no setting {name!r}: the nearest is {nearest[0]!r}',
+            code='unknown_setting',
+            status=HTTPStatus.BAD_REQUEST,
+            step=_STEP,
+            parameter='path',
+        )
+    return setting
+
+
+def check_value(name: str, value: SettingValue) -> None:
+    """Refuse a value that the setting does not allow.
+
+    ``None`` removes the setting at its level and is always allowed.
+    """
+    setting = check_name(name)
+    problem = '' if value is None else find_problem(setting, value)
+    if problem:
+        raise RefusedError(
+            f'{name} {problem}, not {value!r}',
+            code='invalid_value',
+            status=HTTPStatus.BAD_REQUEST,
+            step=_STEP,
+            parameter='value',
+        )
+
+
+@functools.singledispatch
+def find_problem(setting: object, value: object) -> str:
+    """Return what is wrong with a value, or nothing."""
+    raise TypeError(f'no check for {type(setting).__name__}')
+
+
+@find_problem.register
+def _(setting: IntegerSetting, value: object) -> str:
+    # A boolean is an integer in Python, but never meant as one here.
+    is_whole = isinstance(value, int) and not isinstance(value, bool)
+    return _find_out_of_bounds(setting, value, 'a whole number', is_whole)
+
+
+@find_problem.register
+def _(setting: NumberSetting, value: object) -> str:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return _find_out_of_bounds(setting, value, 'a number', is_number)
+
+
+@find_problem.register
+def _(setting: SwitchSetting, value: object) -> str:
+    return '' if isinstance(value, bool) else 'must be true or false'
+
+
+@find_problem.register
+def _(setting: ChoiceSetting, value: object) -> str:
+    if value in setting.choices:
+        return ''
+    return f'must be one of {", ".join(setting.choices)}'
+
+
+def _find_out_of_bounds(
+    setting: IntegerSetting | NumberSetting,
+    value: object,
+    kind: str,
+    is_kind: bool,
+) -> str:
+    within = isinstance(value, int | float) and (
+        setting.minimum <= value <= setting.maximum
+    )
+    if is_kind and within:
+        return ''
+    return f'must be {kind} from {setting.minimum} to {setting.maximum}'
