Search membership and configuration for faults

Cause: loss, duplication, delay, pauses, restarts, partitions and retention meet in more orders than cases written by hand cover.

Ruled out: retention that drops records which no node has read; those are lost for good, and a model that allows it found only that.

Conclusion: a change whose first copy may lie before a loaded tree gets no result rather than a wrong one.

--- a/src/bronzepost/_internal/core/configuration/acceptance.py
+++ b/src/bronzepost/_internal/core/configuration/acceptance.py
@@ -61,6 +61,8 @@
     )
     tables.scan_offset = None
     tables.recent_by_offset.clear()
+    for record_id in tables.is_uncertain_by_record_id:
+        tables.is_uncertain_by_record_id[record_id] = True
     return True
 
 
@@ -81,8 +83,26 @@
 def find_result(
     tables: ConfigurationTables, record_id: str
 ) -> ChangeResult | None:
-    """Return the result of a change, or ``None`` if it is not known."""
-    return tables.results_by_record_id.get(record_id)
+    """Return the result of a change, or ``None`` if it is not known.
+
+    It stays unknown if the record was among those that a loaded tree stands
+    for and another change is in force at its path by now.
+    """
+    result = tables.results_by_record_id.get(record_id)
+    if result is not None:
+        return result
+    entries = tables.entries_by_path.values()
+    found = (entry for entry in entries if entry.record_id == record_id)
+    entry = next(found, None)
+    return _accepted(entry) if entry else None
+
+
+def note_proposal(tables: ConfigurationTables, record_id: str) -> None:
+    """Remember a change of this node until its result is known."""
+    pending = tables.is_uncertain_by_record_id
+    pending[record_id] = False
+    if len(pending) > tables.settings.results:
+        pending.pop(next(iter(pending)))
 
 
 @functools.singledispatch
@@ -122,6 +142,9 @@
     revision = known.revision if known else 0
     # Revision 0 means that nothing was accepted, so offset 0 cannot be one.
     if record.base_revision != revision or not offset:
+        if tables.is_uncertain_by_record_id.get(record.record_id):
+            # A first copy may have been accepted and replaced.
+            return ()
         return _remember_result(tables, _rejected(record, known))
     entry = ConfigurationEntry(
         path=record.path,
@@ -203,6 +226,7 @@
     if result.record_id in known:
         return ()
     known[result.record_id] = result
+    tables.is_uncertain_by_record_id.pop(result.record_id, None)
     if len(known) > tables.settings.results:
         known.pop(next(iter(known)))
     return (result,)
--- a/src/bronzepost/_internal/core/configuration/entities.py
+++ b/src/bronzepost/_internal/core/configuration/entities.py
@@ -99,6 +99,11 @@
     results_by_record_id: dict[str, ChangeResult] = dataclasses.field(
         default_factory=dict
     )
+    # Changes of this node whose result is not known yet; true for those that
+    # may have been among the records that a loaded tree stands for.
+    is_uncertain_by_record_id: dict[str, bool] = dataclasses.field(
+        default_factory=dict
+    )
     recent_by_offset: dict[int, AnyRecord] = dataclasses.field(
         default_factory=dict
     )
--- a/src/bronzepost/_internal/core/configuration/system.py
+++ b/src/bronzepost/_internal/core/configuration/system.py
@@ -6,7 +6,7 @@
 
 from bronzepost._internal.exceptions import RefusedError
 
-from .acceptance import apply_record, load_tree
+from .acceptance import apply_record, load_tree, note_proposal
 from .dissemination import (
     answer_request,
     list_readers,
@@ -133,6 +133,7 @@
         base_revision=event.base_revision,
         author=event.author,
     )
+    note_proposal(tables, change.record_id)
     records: tuple[ConfigurationRecord, ...] = (change,)
     if not tables.next_offset:
         # Offset 0 is no revision, so the stream starts with an empty tree.
--- a/tests/builders_configuration.py
+++ b/tests/builders_configuration.py
@@ -113,6 +113,9 @@
         dataclasses.field(default_factory=list)
     )
     boots: int = 0
+    proposals: list[tuple[str, int, str]] = dataclasses.field(
+        default_factory=list
+    )
 
     def start(self, name: str) -> None:
         """Boot a node without any state; the others learn of it."""
@@ -178,6 +181,8 @@
     def _append(self, name: str, action: configuration.AppendRecords) -> None:
         if not self.log.is_down:
             self.log.append(*action.records)
+            boot = self.tables_by_name[name].boot
+            self.proposals.append((name, boot, action.record_id))
             event = configuration.RecordAppended(at=self.at)
             self.pending.append((name, event))
 
--- a/tests/builders_membership.py
+++ b/tests/builders_membership.py
@@ -53,9 +53,13 @@
         dataclasses.field(default_factory=list)
     )
     messages: int = 0
+    held_by_name: dict[str, list[membership.MembershipMessage]] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     def start(self, name: str, *, seeds: Iterable[str] = ('a',)) -> None:
         """Boot a member; a second boot of a name forgets the first."""
+        self.stop(name)
         self.boots += 1
         self.tables_by_name[name] = membership.create_tables(
             build_entry(name, incarnation=1000 * self.boots),
@@ -68,6 +72,7 @@
     def stop(self, name: str) -> None:
         """Kill a member."""
         self.tables_by_name.pop(name, None)
+        self.held_by_name.pop(name, None)
 
     def run(self, seconds: float) -> None:
         """Let the time pass for all members that are not paused."""
@@ -115,8 +120,20 @@
     def _deliver(self) -> None:
         while self.in_flight and self.in_flight[0][0] <= self.at:
             _, _, target, message = heapq.heappop(self.in_flight)
-            event = membership.MessageReceived(at=self.at, message=message)
-            self._apply(target, event)
+            if target in self.paused:
+                # The socket of a paused process goes on to fill.
+                self.held_by_name.setdefault(target, []).append(message)
+            else:
+                self._receive(target, message)
+        for name in sorted(set(self.held_by_name) - self.paused):
+            for message in self.held_by_name.pop(name):
+                self._receive(name, message)
+
+    def _receive(
+        self, name: str, message: membership.MembershipMessage
+    ) -> None:
+        event = membership.MessageReceived(at=self.at, message=message)
+        self._apply(name, event)
 
 
 def build_group(size: int) -> Network:
