--- /dev/null
+++ b/tests/builders_ledger.py
@@ -0,0 +1,356 @@
+"""Builders of records, a log in memory, and a driver of several journals."""
+
+import dataclasses
+import enum
+from typing import Any
+
+import msgspec
+
+from bronzepost._internal.core.ledger import journal_events as events
+from bronzepost._internal.core.ledger import records
+from bronzepost._internal.core.ledger.apply import apply_record
+from bronzepost._internal.core.ledger.calls import CallRequest
+from bronzepost._internal.core.ledger.journal import Journal, submit_record
+from bronzepost._internal.core.ledger.journal_system import handle_event
+from bronzepost._internal.core.ledger.rule_base import Verdict
+from bronzepost._internal.core.ledger.state import PartitionState
+
+STREAM = 'programs-07'
+
+StoredBody = dict[str, Any]
+
+
+class Delivery(enum.Enum):
+    """What happens to a request to the log."""
+
+    OK = 'ok'
+    LOST_ANSWER = 'lost_answer'
+    LOST_REQUEST = 'lost_request'
+    DELAYED = 'delayed'
+    REFUSED = 'refused'
+
+
+class Writer:
+    """Build the records of one boot under one epoch."""
+
+    def __init__(self, node: str, *, boot: str = '', epoch: int = 1) -> None:
+        """Number the records from one."""
+        self.node = node
+        self.boot = boot or f'{node}-boot'
+        self.epoch = epoch
+        self.count = 0
+
+    def build(
+        self, kind: type[records.Record], **fields: Any
+    ) -> records.Record:
+        """Return a record with the next identifier."""
+        self.count += 1
+        return kind(
+            record_id=f'{self.boot}-{STREAM}-{self.count:x}',
+            epoch=self.epoch,
+            node=self.node,
+            **fields,
+        )
+
+    def claim(self) -> records.Record:
+        """Return the claim of this writer's epoch."""
+        return self.build(records.Claim)
+
+    def started(
+        self, program: str = 'p', *, budget: int = 100, granted: int = 40
+    ) -> records.Record:
+        """Return the start of a program or of a sub-agent."""
+        return self.build(
+            records.ProgramStarted,
+            program=program,
+            organisation='kostiumy',
+            service='pass-assistant',
+            budget=budget,
+            granted=granted,
+            parent=program.rpartition('.')[0],
+        )
+
+    def turn(
+        self, program: str = 'p', *, sequence: int = 1, **fields: Any
+    ) -> records.Record:
+        """Return a finished model call."""
+        body = {
+            'messages': [{'role': 'user', 'content': f'{program}?{sequence}'}],
+            'answer': {'role': 'assistant', 'content': f'{program}!{sequence}'},
+            'digest': f'{program}/{sequence}',
+            'message_count': 2 * sequence,
+            'spent': 0,
+        }
+        return self.build(
+            records.TurnCompleted,
+            program=program,
+            sequence=sequence,
+            **(body | fields),
+        )
+
+    def intent(
+        self, program: str = 'p', *, sequence: int = 1, key: str = 'k'
+    ) -> records.Record:
+        """Return the announcement of a non-idempotent call."""
+        return self.build(
+            records.Intent,
+            program=program,
+            sequence=sequence,
+            key=key,
+            service='pass-registry',
+            path='issue',
+        )
+
+    def about(
+        self,
+        kind: type[records.Record],
+        intent: records.Record,
+        **fields: Any,
+    ) -> records.Record:
+        """Return a record that names an intent."""
+        assert isinstance(intent, records.Intent)
+        body: dict[str, Any] = {
+            'program': intent.program,
+            'sequence': intent.sequence,
+            'intent_id': intent.record_id,
+        }
+        if kind is records.Outcome:
+            body |= {'status': 200, 'body': '{}', 'spent': 0}
+            body['key'] = intent.key
+        if kind is records.CallAbandoned:
+            body['spent'] = 0
+        return self.build(kind, **(body | fields))
+
+
+def apply_all(state: PartitionState, *stream: records.Record) -> list[Verdict]:
+    """Apply records in log order and return their verdicts."""
+    return [apply_record(state, state.next_offset, record) for record in stream]
+
+
+def build_call(program: str = 'p', **fields: Any) -> CallRequest:
+    """Return a call with small amounts."""
+    body: dict[str, Any] = {
+        'sequence': 0,
+        'key': '',
+        'organisation': 'kostiumy',
+        'service': 'pass-assistant',
+        'worst_case': 10,
+        'budget': 100,
+    }
+    return CallRequest(program=program, **(body | fields))
+
+
+def find_broken_budget(state: PartitionState) -> list[str]:
+    """Return the programs that break the bounds of the budget."""
+    return [
+        entry.program
+        for entry in state.programs_by_id.values()
+        if not 0 <= entry.spent <= entry.granted
+        or entry.carved < 0
+        or entry.granted + entry.carved > entry.budget
+    ]
+
+
+class FakeLog:
+    """One stream with offsets, retention and appends that come later."""
+
+    def __init__(self, *, read_limit: int = 100) -> None:
+        """Start with an empty stream."""
+        self.bodies: list[StoredBody] = []
+        self.first_offset = 0
+        self.read_limit = read_limit
+        self.delayed: list[list[StoredBody]] = []
+        self.is_down = False
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset of the next record."""
+        return len(self.bodies)
+
+    def append(self, bodies: list[StoredBody]) -> int:
+        """Store records and return the offset of the first."""
+        first = self.next_offset
+        self.bodies.extend(bodies)
+        return first
+
+    def store_delayed(self, position: int = 0) -> None:
+        """Store an append whose effect was delayed."""
+        self.append(self.delayed.pop(position))
+
+    def retain(self, count: int) -> None:
+        """Keep the last records only."""
+        self.first_offset = max(self.first_offset, self.next_offset - count)
+
+    def read(self, from_offset: int, at: float) -> events.RecordsRead:
+        """Return a page of the stream as the event of a read."""
+        start = max(from_offset, self.first_offset)
+        end = min(self.next_offset, start + self.read_limit)
+        page = tuple(
+            (offset, dict(self.bodies[offset])) for offset in range(start, end)
+        )
+        return events.RecordsRead(
+            at=at,
+            from_offset=from_offset,
+            records=page,
+            first_offset=self.first_offset,
+            next_offset=self.next_offset,
+        )
+
+    def replay(self) -> PartitionState:
+        """Return the state after every record since the beginning."""
+        state = PartitionState()
+        for offset, body in enumerate(self.bodies):
+            apply_record(state, offset, records.decode_record(body))
+        return state
+
+
+def to_wire(record: records.Record) -> dict[str, Any]:
+    """Return the record as it comes back from the log's JSON."""
+    body: dict[str, Any] = msgspec.json.decode(
+        msgspec.json.encode(records.encode_record(record))
+    )
+    return body
+
+
+@dataclasses.dataclass(kw_only=True)
+class Member:
+    """One boot of a node with its journal of the stream."""
+
+    log: FakeLog
+    journal: Journal
+    now: float = 0
+    request: events.AppendRecords | events.ReadRecords | None = None
+    settled_by_id: dict[str, events.RecordSettled] = dataclasses.field(
+        default_factory=dict
+    )
+    notices: list[events.Action] = dataclasses.field(default_factory=list)
+
+    def feed(self, event: events.Event) -> None:
+        """Hand an event to the journal and keep what it asks for."""
+        for action in handle_event(event, self.journal):
+            self._take(action)
+
+    def tick(self, seconds: float = 1) -> None:
+        """Let time pass."""
+        self.now += seconds
+        self.feed(events.Tick(at=self.now))
+
+    def submit(self, record: records.Record) -> Verdict:
+        """Submit a record to the journal."""
+        return submit_record(self.journal, record)
+
+    def deliver(self, delivery: Delivery = Delivery.OK) -> None:
+        """Carry out the request that is under way."""
+        request = self.request
+        self.request = None
+        if isinstance(request, events.ReadRecords):
+            self._deliver_read(request, delivery)
+        elif request is not None:
+            self._deliver_append(request, delivery)
+
+    def run(self) -> None:
+        """Tick and deliver without faults until nothing is left to do."""
+        for _ in range(200):
+            self.tick()
+            if self.request is None:
+                return
+            self.deliver()
+        raise AssertionError('the journal does not come to rest')
+
+    def refresh(self) -> None:
+        """Read what others have appended."""
+        self.feed(events.RefreshWanted(at=self.now))
+        self.run()
+
+    def claim(self) -> None:
+        """Claim the partition and bring the claim to the log."""
+        self.refresh()
+        self.feed(events.OwnershipWanted(at=self.now))
+        self.run()
+
+    def is_settled_valid(self, record_id: str) -> bool:
+        """Return whether a submitted record was settled as valid."""
+        settled = self.settled_by_id.get(record_id)
+        return settled is not None and settled.valid
+
+    def _take(self, action: events.Action) -> None:
+        if isinstance(action, events.AppendRecords | events.ReadRecords):
+            assert self.request is None, 'two requests are under way'
+            self.request = action
+        elif isinstance(action, events.RecordSettled):
+            assert action.record_id not in self.settled_by_id, 'settled twice'
+            self.settled_by_id[action.record_id] = action
+        else:
+            self.notices.append(action)
+
+    def _deliver_read(
+        self, request: events.ReadRecords, delivery: Delivery
+    ) -> None:
+        if self.log.is_down or delivery is not Delivery.OK:
+            self.feed(events.ReadFailed(at=self.now, retry_after_seconds=0.1))
+            return
+        self.feed(self.log.read(request.from_offset, self.now))
+
+    def _deliver_append(
+        self, request: events.AppendRecords, delivery: Delivery
+    ) -> None:
+        bodies = [to_wire(record) for record in request.records]
+        if self.log.is_down or delivery is Delivery.REFUSED:
+            self.feed(
+                events.AppendRefused(at=self.now, retry_after_seconds=0.1)
+            )
+            return
+        if delivery is Delivery.DELAYED:
+            self.log.delayed.append(bodies)
+        elif delivery is not Delivery.LOST_REQUEST:
+            first = self.log.append(bodies)
+            if delivery is Delivery.OK:
+                self.feed(
+                    events.AppendSucceeded(at=self.now, first_offset=first)
+                )
+                return
+        self.feed(events.AppendAmbiguous(at=self.now))
+
+
+def build_member(log: FakeLog, node: str, *, boot: str = '') -> Member:
+    """Return a node that has not read anything yet."""
+    journal = Journal(stream=STREAM, node=node, boot=boot or f'{node}-1')
+    return Member(log=log, journal=journal)
+
+
+def build_owner(log: FakeLog, node: str = 'hall-a-1') -> Member:
+    """Return a node that owns the partition."""
+    member = build_member(log, node)
+    member.claim()
+    assert member.journal.is_owner
+    return member
+
+
+def build_record(
+    member: Member, kind: type[records.Record], **fields: Any
+) -> Any:
+    """Return a record with the journal's next identifier and epoch."""
+    journal = member.journal
+    return kind(
+        record_id=journal.next_record_id(),
+        epoch=journal.view.epoch,
+        node=journal.node,
+        **fields,
+    )
+
+
+def build_turn(member: Member, program: str, *, spent: int) -> Any:
+    """Return the record of the program's next finished model call."""
+    entry = member.journal.view.programs_by_id[program]
+    sequence = entry.sequence + 1
+    return build_record(
+        member,
+        records.TurnCompleted,
+        program=program,
+        sequence=sequence,
+        messages=[{'role': 'user', 'content': f'{program}?{sequence}'}],
+        answer={'role': 'assistant', 'content': f'{program}!{sequence}'},
+        digest=f'{entry.digest}/{program}{sequence}',
+        message_count=entry.message_count + 2,
+        spent=spent,
+    )
--- /dev/null
+++ b/tests/unit/test_ledger_calls.py
@@ -0,0 +1,158 @@
+"""Tests of what the owner of a program decides on a call."""
+
+from typing import Any
+
+from testtools import TestCase
+
+from bronzepost._internal.core.ledger import calls, records
+from bronzepost._internal.core.ledger import journal_events as events
+from tests import builders_ledger as builders
+from tests.builders_ledger import Delivery, build_call
+
+
+class CallTestCase(TestCase):
+    """Start with a node that owns the partition."""
+
+    def setUp(self) -> None:
+        """Bring a claim to the log."""
+        super().setUp()
+        self.log = builders.FakeLog()
+        self.owner = builders.build_owner(self.log)
+
+    def begin(self, program: str = 'p', **fields: Any) -> calls.Decision:
+        """Decide on a call."""
+        call = build_call(program, **fields)
+        return calls.begin_call(self.owner.journal, call, self.owner.now)
+
+    def proceed(self, program: str = 'p', **fields: Any) -> calls.Proceed:
+        """Begin a call that is expected to be run."""
+        decision = self.begin(program, **fields)
+        assert isinstance(decision, calls.Proceed), decision
+        return decision
+
+    def finish(self, program: str = 'p', *, spent: int) -> None:
+        """Bring the record of a finished model call to the log."""
+        entry = self.owner.journal.view.programs_by_id[program]
+        turn = builders.build_turn(
+            self.owner, program, spent=entry.spent + spent
+        )
+        self.owner.submit(turn)
+        self.owner.run()
+
+    def outcome(self, begun: calls.Proceed, key: str, **fields: Any) -> Any:
+        """Return the outcome of a service call."""
+        body = {
+            'program': 'p',
+            'sequence': begun.sequence,
+            'intent_id': begun.intent_id,
+            'status': 200,
+            'body': '{}',
+            'spent': 0,
+            'key': key,
+        }
+        return builders.build_record(
+            self.owner, records.Outcome, **(body | fields)
+        )
+
+    def fail_log(self) -> None:
+        """Let the log fail for longer than a short disturbance."""
+        self.log.is_down = True
+        self.owner.feed(events.RefreshWanted(at=self.owner.now))
+        self.owner.deliver()
+        self.owner.now += 2
+
+    def assert_refused(self, code: str, decision: calls.Decision) -> None:
+        """Expect a refusal with a code."""
+        assert isinstance(decision, calls.Refuse), decision
+        self.assertEqual(code, decision.code)
+
+
+class OrderTest(CallTestCase):
+    """Guard the order of calls and repeated calls."""
+
+    def test_order_first_call_waits_for_the_start(self) -> None:
+        """Guard against a call of a program that may not exist."""
+        begun = self.proceed()
+        self.assertEqual((1, 1), (begun.sequence, len(begun.wait_for)))
+        self.owner.run()
+        self.assertTrue(self.owner.is_settled_valid(begun.wait_for[0]))
+
+    def test_order_wrong_sequence_is_refused(self) -> None:
+        """Guard against a call that skips one."""
+        self.assert_refused('unknown_program', self.begin(sequence=2))
+        self.proceed()
+        self.finish(spent=4)
+        self.assert_refused('wrong_sequence', self.begin(sequence=3))
+
+    def test_order_turn_limit_ends_a_runaway_program(self) -> None:
+        """Guard against a program that loops without end."""
+        self.proceed()
+        self.finish(spent=0)
+        self.assert_refused('turn_limit', self.begin(turn_limit=1))
+
+
+class IntentTest(CallTestCase):
+    """Guard non-idempotent calls."""
+
+    def announce(self, **fields: Any) -> calls.Proceed:
+        """Begin a non-idempotent call."""
+        return self.proceed(non_idempotent=True, key='k', **fields)
+
+    def test_lost_append_answer_of_an_intent_is_unknown(self) -> None:
+        """Guard against a second send while the intent is pending."""
+        begun = self.announce()
+        self.owner.tick()
+        self.owner.deliver(Delivery.DELAYED)
+        self.assertEqual(
+            calls.AnswerUnknown(sequence=1, intent_id=begun.intent_id),
+            self.begin(non_idempotent=True, key='k'),
+        )
+
+    def test_frozen_owner_successor_answers_unknown(self) -> None:
+        """Guard against a successor that repeats a call."""
+        begun = self.announce()
+        self.owner.run()
+        successor = builders.build_owner(self.log, 'hall-b-1')
+        repeated = build_call(key='k', non_idempotent=True)
+        self.assertEqual(
+            calls.AnswerUnknown(sequence=1, intent_id=begun.intent_id),
+            calls.begin_call(successor.journal, repeated, successor.now),
+        )
+
+    def test_log_outage_refuses_a_non_idempotent_call(self) -> None:
+        """Guard against a call that cannot be announced."""
+        self.proceed()
+        self.finish(spent=0)
+        self.fail_log()
+        self.assert_refused(
+            'log_unavailable', self.begin(non_idempotent=True, key='k')
+        )
+
+
+class BudgetTest(CallTestCase):
+    """Guard what a call may spend."""
+
+    def test_budget_worst_case_is_reserved(self) -> None:
+        """Guard against a call that could exceed the budget."""
+        self.assert_refused('budget', self.begin(worst_case=101))
+        self.proceed(worst_case=60)
+        self.finish(spent=50)
+        self.assert_refused('budget', self.begin(worst_case=51))
+        self.proceed(worst_case=50)
+
+    def test_budget_call_waits_for_a_grant_that_is_not_durable(self) -> None:
+        """Guard against spending from a grant that may still be lost."""
+        self.proceed()
+        self.finish(spent=10)
+        program = self.owner.journal.view.programs_by_id['p']
+        record_id = calls.grant_allowance(self.owner.journal, program, 30)
+        self.assertIn(record_id, self.proceed(worst_case=30).wait_for)
+
+    def test_log_outage_goes_on_within_the_allowance(self) -> None:
+        """Guard against a stop of known programs in an outage."""
+        self.proceed()
+        self.finish(spent=5)
+        self.fail_log()
+        self.assertEqual((), self.proceed(worst_case=15).wait_for)
+        self.assert_refused('log_unavailable', self.begin(worst_case=16))
+        self.assert_refused('log_unavailable', self.begin('q'))
