Accept records of an epoch only from the writer of its claim

Cause: two nodes that claim at once number their claims alike, and the rule compared epochs only. Records that the losing node had queued behind its claim took effect under the winner's claim, so it could send a call and spend units of a partition that it did not own. A comparison of node names was ruled out: a frozen process and its replacement share the name.

--- a/src/bronzepost/_internal/core/ledger/apply.py
+++ b/src/bronzepost/_internal/core/ledger/apply.py
@@ -44,4 +44,8 @@
         return False
     if isinstance(record, records.Outcome) and record.intent_id:
         return False
-    return record.epoch != state.epoch or not state.owner
+    if record.epoch != state.epoch or not state.owner:
+        return True
+    # Nodes that claim at once number their claims alike, so the epoch does
+    # not tell the owner's records from those of a node whose claim lost.
+    return record.writer != records.writer_of(state.claim_id)
--- a/src/bronzepost/_internal/core/ledger/journal_system.py
+++ b/src/bronzepost/_internal/core/ledger/journal_system.py
@@ -174,8 +174,11 @@
         lost = events.OwnershipLost(
             owner=journal.state.owner, epoch=journal.state.epoch
         )
-        actions = (*_drop_submitted(journal), lost)
+        actions = (lost,)
     journal.was_owner = is_owner
+    if not _claim_is_under_way(journal):
+        # This includes records that were written ahead of a claim that lost.
+        actions = (*_drop_submitted(journal), *actions)
     if journal.is_settled:
         journal.view = journal.state
     elif actions:
--- a/src/bronzepost/_internal/core/ledger/records.py
+++ b/src/bronzepost/_internal/core/ledger/records.py
@@ -26,6 +26,11 @@
     epoch: int
     node: str
 
+    @property
+    def writer(self) -> str:
+        """Return the boot and the stream that the identifier names."""
+        return writer_of(self.record_id)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Claim(Record):
@@ -192,6 +197,11 @@
 })
 
 
+def writer_of(record_id: str) -> str:
+    """Return the part of a record's identifier that names its writer."""
+    return record_id.rpartition('-')[0]
+
+
 def encode_record(record: Record) -> dict[str, Any]:
     """Return the JSON object of a record."""
     body: dict[str, Any] = msgspec.to_builtins(record)
--- a/tests/unit/test_ledger_journal.py
+++ b/tests/unit/test_ledger_journal.py
@@ -136,6 +136,17 @@
         self.assertTrue(self.second.journal.is_owner)
         self.assertFalse(self.first.journal.is_owner)
 
+    def test_order_records_behind_a_lost_claim_are_dropped(self) -> None:
+        """Guard against records that a node wrote under another's epoch."""
+        self.first.feed(events.OwnershipWanted(at=0))
+        record = start_program(self.first)
+        self.second.claim()
+        self.first.deliver(Delivery.LOST_REQUEST)
+        self.first.run()
+        self.assertFalse(self.first.settled_by_id[record.record_id].valid)
+        self.assertTrue(self.first.journal.is_settled)
+        self.assertEqual({}, self.log.replay().programs_by_id)
+
     def test_frozen_owner_learns_that_it_was_replaced(self) -> None:
         """Guard against a turn of a paused owner after a takeover."""
         self.first.claim()
--- a/tests/unit/test_ledger_rules.py
+++ b/tests/unit/test_ledger_rules.py
@@ -58,6 +58,22 @@
         valid = self.apply(released, self.first.turn(), released)
         self.assertEqual([True, False, False], valid)
 
+    def test_order_loser_of_claims_cannot_write_in_the_epoch(self) -> None:
+        """Guard against records of a node whose claim of the epoch lost.
+
+        Both nodes numbered their claims alike, so the epoch alone does not
+        tell the owner's records from those of the other node.
+        """
+        rival = builders.Writer('hall-c-1', epoch=2)
+        stream = (self.second.claim(), rival.claim(), rival.intent())
+        self.assertEqual([True, False, False], self.apply(*stream))
+
+    def test_order_other_boot_of_owner_cannot_write(self) -> None:
+        """Guard against a frozen process whose node name was used again."""
+        other = builders.Writer('hall-b-1', boot='other', epoch=2)
+        stream = (self.second.claim(), other.claim(), other.intent())
+        self.assertEqual([True, False, False], self.apply(*stream))
+
 
 class CallRuleTest(RuleTestCase):
     """Guard the order of calls and what an intent means."""
