Find the right call for a repeated idempotency key

Cause: the search for a key stopped at the first intent that carried it, even if that was withdrawn, so a repeated call whose key was used again after a withdrawal ran twice. An abandoned call left the key of the call before it as the program's last key, so a repeated call got the answer of another call.

--- a/src/bronzepost/_internal/core/ledger/call_rules.py
+++ b/src/bronzepost/_internal/core/ledger/call_rules.py
@@ -105,7 +105,13 @@
     if refusal is not None:
         return refusal
     _close_intent(state, record.intent_id, abandoned=True)
-    update_program(state, program, sequence=record.sequence, spent=record.spent)
+    update_program(
+        state,
+        program,
+        sequence=record.sequence,
+        spent=record.spent,
+        last_key=intent.key,
+    )
     return VALID
 
 
--- a/src/bronzepost/_internal/core/ledger/state.py
+++ b/src/bronzepost/_internal/core/ledger/state.py
@@ -123,8 +123,10 @@
         if entry is not None and entry.last_key == key:
             return entry.sequence
         for intent in self.intents_by_id.values():
-            if intent.program == program and intent.key == key:
-                return None if intent.withdrawn else intent.sequence
+            # A key may be used again after its intent was withdrawn.
+            is_call = (intent.program, intent.key) == (program, key)
+            if is_call and not intent.withdrawn:
+                return intent.sequence
         return None
 
 
--- a/tests/unit/test_ledger_calls.py
+++ b/tests/unit/test_ledger_calls.py
@@ -119,6 +119,25 @@
             calls.begin_call(successor.journal, repeated, successor.now),
         )
 
+    def test_order_key_of_a_finished_call_runs_once(self) -> None:
+        """Guard against a second run under a key that was withdrawn once."""
+        withdrawn = self.announce()
+        self.owner.run()
+        self.owner.submit(
+            builders.build_record(
+                self.owner,
+                records.IntentWithdrawn,
+                program='p',
+                sequence=1,
+                intent_id=withdrawn.intent_id,
+            )
+        )
+        begun = self.announce()
+        self.owner.submit(self.outcome(begun, 'k'))
+        self.finish(spent=0)
+        decision = self.begin(non_idempotent=True, key='k')
+        self.assertIsInstance(decision, calls.AnswerStored)
+
     def test_log_outage_refuses_a_non_idempotent_call(self) -> None:
         """Guard against a call that cannot be announced."""
         self.proceed()
--- a/tests/unit/test_ledger_rules.py
+++ b/tests/unit/test_ledger_rules.py
@@ -131,6 +131,30 @@
         valid = self.apply(intent, self.second.claim(), withdrawn)
         self.assertEqual([True, True, False], valid)
 
+    def test_order_key_is_found_after_a_withdrawn_use(self) -> None:
+        """Guard against a second run of a call whose key was used twice."""
+        first = self.first.intent()
+        again = self.first.intent()
+        self.apply(
+            first,
+            self.first.about(records.IntentWithdrawn, first),
+            again,
+            self.first.about(records.Outcome, again),
+            self.first.turn(sequence=2),
+        )
+        self.assertEqual(1, self.state.find_call_by_key('p', 'k'))
+
+    def test_order_key_before_an_abandoned_call(self) -> None:
+        """Guard against the answer of another call for a repeated key."""
+        intent = self.first.intent(sequence=2, key='second')
+        self.apply(
+            self.first.turn(key='first'),
+            intent,
+            self.first.about(records.CallAbandoned, intent),
+        )
+        self.assertIsNone(self.state.find_call_by_key('p', 'first'))
+        self.assertEqual(2, self.state.find_call_by_key('p', 'second'))
+
 
 class BudgetRuleTest(RuleTestCase):
     """Guard the budget of a whole program tree."""
