Check that a record names the call of its intent

Cause: an outcome, a withdrawal or an abandonment was accepted with the intent of another program or sequence, which stored the answer for the wrong call. A turn was accepted for an intent that had been withdrawn.

--- a/src/bronzepost/_internal/core/ledger/call_rules.py
+++ b/src/bronzepost/_internal/core/ledger/call_rules.py
@@ -81,7 +81,8 @@
 ) -> Verdict:
     intent = state.intents_by_id.get(record.intent_id)
     # Only the epoch that announced the call knows that it was not sent.
-    if not _is_open(intent) or intent.epoch != record.epoch:
+    is_open = _is_open(intent) and _names_call(intent, record)
+    if not is_open or intent is None or intent.epoch != record.epoch:
         return invalid(_NO_INTENT)
     _close_intent(state, record.intent_id, withdrawn=True)
     return VALID
@@ -95,6 +96,8 @@
     program = state.live_program(record.program)
     if not _is_open(intent) or program is None:
         return invalid(_NO_INTENT)
+    if not _names_call(intent, record):
+        return invalid(_NO_INTENT)
     refusal = check_progress(
         state,
         program,
@@ -139,6 +142,8 @@
     if record.intent_id:
         if intent is None or intent.settled or intent.withdrawn:
             return invalid(_NO_INTENT)
+        if not _names_call(intent, record):
+            return invalid(_NO_INTENT)
     elif program.ended:
         return invalid(NOT_LIVE)
     return None
@@ -168,6 +173,16 @@
     )
 
 
+def _names_call(
+    intent: IntentEntry,
+    record: records.IntentWithdrawn | records.CallAbandoned | records.Outcome,
+) -> bool:
+    return (intent.program, intent.sequence) == (
+        record.program,
+        record.sequence,
+    )
+
+
 def _close_intent(
     state: PartitionState,
     intent_id: str,
--- a/src/bronzepost/_internal/core/ledger/rule_base.py
+++ b/src/bronzepost/_internal/core/ledger/rule_base.py
@@ -56,7 +56,9 @@
         return invalid(f'call {program.sequence + 1} is next')
     if not program.spent <= spent <= program.granted:
         return invalid('the spending exceeds the allowance')
-    open_intent = state.open_intents_by_program.get(program.program)
-    if open_intent is not None and open_intent != intent_id:
+    # A call without an intent can't pass one that was announced, and no call
+    # can finish whose intent was withdrawn.
+    open_intent = state.open_intents_by_program.get(program.program, '')
+    if open_intent != intent_id:
         return invalid('another call was announced and has no outcome')
     return None
--- a/tests/unit/test_ledger_rules.py
+++ b/tests/unit/test_ledger_rules.py
@@ -131,6 +131,14 @@
         valid = self.apply(intent, self.second.claim(), withdrawn)
         self.assertEqual([True, True, False], valid)
 
+    def test_order_outcome_names_the_call_of_its_intent(self) -> None:
+        """Guard against an answer that is stored for another program."""
+        intent = self.first.intent()
+        other = self.first.about(records.Outcome, intent, program='q')
+        later = self.first.about(records.Outcome, intent, sequence=2)
+        self.apply(self.first.started('q', budget=9, granted=1), intent)
+        self.assertEqual([False, False], self.apply(other, later))
+
     def test_order_key_is_found_after_a_withdrawn_use(self) -> None:
         """Guard against a second run of a call whose key was used twice."""
         first = self.first.intent()
