Give a copy of an allowance release no effect

Cause: after a release and a new grant in one epoch, a delayed copy of the release lowered the grant again. The units that a call had reserved could then be given to a sub-agent, so the tree could spend beyond its budget.

--- a/src/bronzepost/_internal/core/ledger/program_rules.py
+++ b/src/bronzepost/_internal/core/ledger/program_rules.py
@@ -22,10 +22,13 @@
     # The last owner may have spent its whole allowance without a record, and
     # may still be doing so, so the successor counts all of it as spent.
     for program in list(state.programs_by_id.values()):
-        if program.allowance:
-            forfeited = program.forfeited + program.allowance
+        if program.allowance or program.release_ids:
             update_program(
-                state, program, spent=program.granted, forfeited=forfeited
+                state,
+                program,
+                spent=program.granted,
+                forfeited=program.forfeited + program.allowance,
+                release_ids=(),
             )
     return VALID
 
@@ -87,7 +90,16 @@
         return invalid(NOT_LIVE)
     if not program.spent <= record.granted < program.granted:
         return invalid('the release is below what was spent or not new')
-    update_program(state, program, granted=record.granted)
+    # After a new grant, a copy of an older release would free units that the
+    # owner has reserved for a call.
+    if record.record_id in program.release_ids:
+        return invalid('the release had its effect before')
+    update_program(
+        state,
+        program,
+        granted=record.granted,
+        release_ids=(*program.release_ids, record.record_id),
+    )
     return VALID
 
 
--- a/src/bronzepost/_internal/core/ledger/state.py
+++ b/src/bronzepost/_internal/core/ledger/state.py
@@ -21,6 +21,7 @@
     ``spent`` the total that was spent. ``spent <= granted`` and
     ``granted + carved <= budget`` hold after every record. ``forfeited`` is
     the part of ``spent`` that was counted as spent when an owner was lost.
+    ``release_ids`` are the releases of the epoch in force that had an effect.
     """
 
     program: str
@@ -39,6 +40,7 @@
     ended: str = ''
     ended_offset: int = 0
     last_key: str = ''
+    release_ids: tuple[str, ...] = ()
     history_offsets: tuple[int, ...] = ()
 
     @property
--- a/tests/unit/test_ledger_rules.py
+++ b/tests/unit/test_ledger_rules.py
@@ -221,6 +221,17 @@
             (25, 65, 0), (entry.spent, entry.granted, entry.carved)
         )
 
+    def test_budget_copy_of_a_release_has_no_effect(self) -> None:
+        """Guard against a delayed release that frees units in use."""
+        release = self.first.build(
+            records.AllowanceReleased, program='p', granted=10
+        )
+        grant = self.first.build(
+            records.AllowanceGranted, program='p', granted=90
+        )
+        valid = self.apply(release, grant, release)
+        self.assertEqual([True, True, False], valid)
+
     def test_budget_second_copies_change_nothing(self) -> None:
         """Guard against records that count twice when they are stored twice."""
         stream = (
