Keep submitted records and the epoch when a partition is loaded

Causes: a reload after skipped records left submitted records out of the view, so their spending was forgotten; it did not settle submitted records that the log held, so turns on the log were reported as invalid; records that aged out between two reads left a gap that was not noticed; without a checkpoint the epoch came from the oldest record, which may be that of an owner replaced long before, so a node could claim an epoch that had been in force; a quiet partition never had a checkpoint before its records aged out.

--- a/src/bronzepost/_internal/core/ledger/journal.py
+++ b/src/bronzepost/_internal/core/ledger/journal.py
@@ -56,6 +56,8 @@
     ``state`` holds what the log says. ``view`` adds the records that were
     submitted and are not yet read back, so that a program's next call can be
     checked before the last one is durable. ``boot`` is unique to a process.
+    ``covered_offset`` is where a node has to start that reads the last
+    checkpoint.
     """
 
     stream: str
@@ -70,6 +72,7 @@
     was_owner: bool = False
     record_count: int = 0
     records_since_checkpoint: int = 0
+    covered_offset: int = 0
     pending: deque[records.Record] = dataclasses.field(default_factory=deque)
     in_flight_by_id: dict[str, records.Record] = dataclasses.field(
         default_factory=dict
@@ -149,10 +152,30 @@
     """Return whether enough records came since the last checkpoint.
 
     The number grows with the programs, so that checkpoints stay a bounded
-    share of what is appended.
+    share of what is appended. A checkpoint is also due when the last one is
+    in the older half of what the log still keeps, or has aged out.
     """
     due = max(CHECKPOINT_RECORDS, 2 * len(journal.state.programs_by_id))
-    return journal.is_owner and journal.records_since_checkpoint >= due
+    is_due = journal.records_since_checkpoint >= due or _is_aging(journal)
+    return journal.is_owner and is_due
+
+
+def _is_aging(journal: Journal) -> bool:
+    first_kept = journal.first_kept_offset
+    middle = (first_kept + journal.state.next_offset) / 2
+    return first_kept > 0 and journal.covered_offset < middle
+
+
+def note_applied(journal: Journal, record: records.Record) -> bool:
+    """Count a record that the log holds; return whether it was submitted."""
+    journal.records_since_checkpoint += 1
+    if isinstance(record, records.Checkpoint):
+        journal.records_since_checkpoint = 0
+        journal.covered_offset = max(
+            journal.covered_offset, record.covers_offset
+        )
+    journal.requests.maybe_stored_ids.discard(record.record_id)
+    return journal.in_flight_by_id.pop(record.record_id, None) is not None
 
 
 def build_checkpoint(journal: Journal) -> records.Checkpoint:
--- a/src/bronzepost/_internal/core/ledger/journal_system.py
+++ b/src/bronzepost/_internal/core/ledger/journal_system.py
@@ -17,6 +17,7 @@
     Journal,
     Loading,
     is_fact,
+    note_applied,
     reset_view,
     submit_record,
 )
@@ -111,11 +112,11 @@
     skipped: Actions = ()
     if journal.loading.done and event.first_offset > journal.state.next_offset:
         skipped = _load_again(journal, event.first_offset)
+    applied: Actions
     if journal.loading.done:
         applied = _apply_read(journal, event)
     else:
-        load_records(journal, event)
-        applied = ()
+        applied = load_records(journal, event)
     after = _after_apply(journal)
     return skipped + applied + after + _next_request(journal, event.at)
 
@@ -138,10 +139,14 @@
 
 def _apply_read(journal: Journal, event: events.RecordsRead) -> Actions:
     actions: list[events.Action] = []
-    for offset, body in event.records:
-        if offset >= journal.state.next_offset:
-            record = records.decode_record(body)
-            actions.extend(_apply(journal, offset, record))
+    # A malformed record must not cut off the report on those before it.
+    decoded = [
+        (offset, records.decode_record(body))
+        for offset, body in event.records
+        if offset >= journal.state.next_offset
+    ]
+    for offset, record in decoded:
+        actions.extend(_apply(journal, offset, record))
     has_more = journal.state.next_offset < event.next_offset
     journal.requests.refresh_wanted = has_more
     return tuple(actions)
@@ -149,12 +154,8 @@
 
 def _apply(journal: Journal, offset: int, record: records.Record) -> Actions:
     verdict = apply_record(journal.state, offset, record)
-    journal.records_since_checkpoint += 1
-    if isinstance(record, records.Checkpoint):
-        journal.records_since_checkpoint = 0
-    if journal.in_flight_by_id.pop(record.record_id, None) is None:
+    if not note_applied(journal, record):
         return ()
-    journal.requests.maybe_stored_ids.discard(record.record_id)
     settled = events.RecordSettled(
         record_id=record.record_id,
         valid=verdict.valid,
--- a/tests/unit/test_ledger_loading.py
+++ b/tests/unit/test_ledger_loading.py
@@ -1,13 +1,17 @@
 """Tests of loading a partition from a log with limited retention."""
 
+import dataclasses
+
 from testtools import TestCase
 
 from bronzepost._internal.core.ledger import journal_events as events
 from bronzepost._internal.core.ledger import records
 from bronzepost._internal.core.ledger.journal import (
     build_checkpoint,
+    is_checkpoint_due,
 )
 from tests import builders_ledger as builders
+from tests.builders_ledger import Delivery
 
 
 def fill(owner: builders.Member, programs: int) -> None:
@@ -81,6 +85,26 @@
         self.owner.run()
         self.assertEqual(self.log.replay(), self.load().journal.state)
 
+    def test_retention_moves_while_loading(self) -> None:
+        """Guard against a state that omits records between two reads.
+
+        The checkpoint was read before the records that follow it aged out,
+        so the state of the program can't be known any more.
+        """
+        self.add_checkpoint()
+        for _ in range(20):
+            self.owner.submit(builders.build_turn(self.owner, 'p1', spent=1))
+        self.owner.run()
+        member = builders.build_member(self.log, 'hall-b-1')
+        member.journal.loading.window = 30
+        member.tick()
+        for _ in range(3):
+            member.deliver()
+        self.log.retain(3)
+        member.run()
+        self.assertNotIn('p1', member.journal.state.programs_by_id)
+        self.assertEqual(1, member.journal.state.epoch)
+
     def test_retention_skipped_records_are_reported(self) -> None:
         """Guard against a node that goes on with a gap in what it read."""
         other = self.load()
@@ -92,3 +116,85 @@
         other.refresh()
         self.assertIsInstance(other.notices[-1], events.RecordsSkipped)
         self.assertEqual(self.log.replay(), other.journal.state)
+
+    def test_retention_submitted_records_survive_a_reload(self) -> None:
+        """Guard against spending that is forgotten when the log skips."""
+        turn = builders.build_turn(self.owner, 'p1', spent=9)
+        self.owner.submit(turn)
+        self.owner.tick()
+        self.owner.deliver(Delivery.LOST_REQUEST)
+        checkpoint = build_checkpoint(self.owner.journal)
+        skipping = checkpoint.covers_offset + 1
+        self.log.append([
+            builders.to_wire(checkpoint),
+            builders.to_wire(
+                dataclasses.replace(checkpoint, covers_offset=skipping)
+            ),
+        ])
+        self.log.retain(1)
+        self.owner.deliver()
+        self.assertFalse(self.owner.journal.loading.done)
+        for _ in range(5):
+            if not self.owner.journal.loading.done:
+                self.owner.deliver()
+        view = self.owner.journal.view
+        self.assertEqual(9, view.programs_by_id['p1'].spent)
+
+    def test_retention_reload_settles_what_the_log_holds(self) -> None:
+        """Guard against a turn that is on the log and reported as invalid."""
+        self.add_checkpoint()
+        turn = builders.build_turn(self.owner, 'p1', spent=9)
+        self.owner.submit(turn)
+        self.owner.tick()
+        checkpoint = build_checkpoint(self.owner.journal)
+        skipping = checkpoint.covers_offset + 1
+        self.log.append([
+            builders.to_wire(checkpoint),
+            builders.to_wire(
+                dataclasses.replace(checkpoint, covers_offset=skipping)
+            ),
+        ])
+        self.owner.deliver(Delivery.LOST_ANSWER)
+        self.log.retain(2)
+        self.owner.run()
+        self.assertTrue(self.owner.is_settled_valid(turn.record_id))
+
+    def test_retention_stale_record_does_not_set_the_epoch(self) -> None:
+        """Guard against a claim of an epoch that was in force before.
+
+        The oldest record that is kept may come from an owner that was
+        replaced long ago.
+        """
+        late = builders.build_turn(self.owner, 'p1', spent=9)
+        second = self.load()
+        second.claim()
+        second.journal.loading.done = True
+        self.log.append([builders.to_wire(late)])
+        second.refresh()
+        fill(second, 1)
+        start = builders.build_record(
+            second,
+            records.ProgramStarted,
+            program='q',
+            organisation='kostiumy',
+            service='pass-assistant',
+            budget=100,
+            granted=40,
+        )
+        second.submit(start)
+        second.run()
+        self.log.retain(self.log.next_offset - 26)
+        third = self.load('hall-c-1')
+        self.assertEqual(2, third.journal.state.epoch)
+
+    def test_retention_checkpoint_is_due_before_records_age_out(self) -> None:
+        """Guard against a quiet partition whose checkpoint ages out."""
+        self.assertFalse(is_checkpoint_due(self.owner.journal))
+        self.log.retain(self.log.next_offset - 2)
+        self.owner.refresh()
+        self.assertTrue(is_checkpoint_due(self.owner.journal))
+        self.add_checkpoint()
+        self.assertFalse(is_checkpoint_due(self.owner.journal))
+        self.log.retain(1)
+        self.owner.refresh()
+        self.assertTrue(is_checkpoint_due(self.owner.journal))
