Refuse calls that the owner cannot vouch for

Causes: a node that had lost the partition began calls within the new owner's allowance; a call went on without an allowance if its grant was refused; an answer that was not durable was looked up at an offset that was only expected, which may hold another program's record; a repeated call that had finished was refused as not run. Refusals now say whether the call ran.

--- a/src/bronzepost/_internal/core/ledger/calls.py
+++ b/src/bronzepost/_internal/core/ledger/calls.py
@@ -11,6 +11,7 @@
 from bronzepost._internal.core.ledger import records
 from bronzepost._internal.core.ledger.journal import Journal, submit_record
 from bronzepost._internal.core.ledger.state import ProgramEntry
+from bronzepost._internal.exceptions import RunState
 
 # A log that has not answered for this long is treated as down.
 LOG_OUTAGE_SECONDS: Final = 1.0
@@ -79,12 +80,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Refuse(Decision):
-    """The call is not run."""
+    """The call is not run now; ``run`` says whether it ran before."""
 
     code: str
     status: int
     message: str
     retry_after_seconds: float | None = None
+    run: RunState = RunState.NOT_RUN
 
 
 def is_log_down(journal: Journal, at: float) -> bool:
@@ -100,6 +102,15 @@
 
     The caller makes sure that no other call of the program is under way.
     """
+    if not journal.is_owner:
+        # The tables may show an allowance that belongs to another node.
+        return Refuse(
+            code='not_owner',
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
+            message=f'{journal.state.owner or "nobody"} owns the partition '
+            f'of program {call.program}: ask for its endpoints again',
+            retry_after_seconds=LOG_OUTAGE_SECONDS,
+        )
     program = journal.view.programs_by_id.get(call.program)
     if program is None:
         return _start_program(journal, call, at)
@@ -165,7 +176,8 @@
 
 
 def _find_answer(journal: Journal, program: str, sequence: int) -> Decision:
-    outcome = journal.view.outcomes_by_call.get((program, sequence))
+    # The view only expects offsets, so an answer is looked up in the state.
+    outcome = journal.state.outcomes_by_call.get((program, sequence))
     if outcome is not None:
         return AnswerStored(sequence=sequence, offset=outcome.offset)
     for intent in journal.view.intents_by_id.values():
@@ -173,11 +185,21 @@
         if is_call and intent.abandoned:
             return AnswerUnknown(sequence=sequence, intent_id=intent.intent_id)
     entry = journal.state.programs_by_id.get(program)
-    if entry and entry.sequence == sequence and entry.history_offsets:
+    if entry is None or entry.sequence < sequence:
+        return Refuse(
+            code='answer_not_durable',
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
+            message=f'call {sequence} has finished and its answer is being '
+            'written to the log',
+            retry_after_seconds=LOG_OUTAGE_SECONDS,
+            run=RunState.RAN,
+        )
+    if entry.sequence == sequence and entry.history_offsets:
         return AnswerStored(sequence=sequence, offset=entry.history_offsets[-1])
     return Refuse(
         code='call_finished',
         status=HTTPStatus.CONFLICT,
+        run=RunState.RAN,
         message=f'call {sequence} has finished; only the answer to the last '
         'call can be repeated',
     )
@@ -225,6 +247,14 @@
     if is_log_down(journal, at):
         return _refuse_outage('the allowance of the program is used up')
     record_id = grant_allowance(journal, program, call.worst_case)
+    if not record_id and call.worst_case > program.allowance:
+        return Refuse(
+            code='grant_refused',
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
+            message='the allowance of the program cannot be raised: too many '
+            'records wait for the log',
+            retry_after_seconds=LOG_OUTAGE_SECONDS,
+        )
     wait_for = (record_id,) if record_id else _submitted_ids(journal)
     return _announce(journal, call, sequence, wait_for)
 
--- a/tests/unit/test_ledger_calls.py
+++ b/tests/unit/test_ledger_calls.py
@@ -1,10 +1,11 @@
 """Tests of what the owner of a program decides on a call."""
 
 from typing import Any
+from unittest import mock
 
 from testtools import TestCase
 
-from bronzepost._internal.core.ledger import calls, records
+from bronzepost._internal.core.ledger import calls, journal, records
 from bronzepost._internal.core.ledger import journal_events as events
 from tests import builders_ledger as builders
 from tests.builders_ledger import Delivery, build_call
@@ -84,6 +85,44 @@
         self.finish(spent=4)
         self.assert_refused('wrong_sequence', self.begin(sequence=3))
 
+    def test_order_only_the_owner_begins_calls(self) -> None:
+        """Guard against the use of another owner's allowance."""
+        self.proceed()
+        self.finish(spent=0)
+        successor = builders.build_owner(self.log, 'hall-b-1')
+        self.owner.refresh()
+        granted = calls.begin_call(successor.journal, build_call(), 0)
+        self.assertIsInstance(granted, calls.Proceed)
+        successor.run()
+        self.owner.refresh()
+        self.assert_refused('not_owner', self.begin())
+
+    def test_order_repeated_call_gets_its_own_answer(self) -> None:
+        """Guard against the answer of another call for a repeated one."""
+        self.proceed()
+        self.finish(spent=4)
+        decision = self.begin(sequence=1)
+        self.assertEqual(calls.AnswerStored(sequence=1, offset=2), decision)
+        self.proceed()
+        self.finish(spent=4)
+        refused = self.begin(sequence=1)
+        self.assert_refused('call_finished', refused)
+        self.assertEqual('ran', getattr(refused, 'run', ''))
+
+    def test_order_answer_is_not_read_before_it_is_durable(self) -> None:
+        """Guard against an answer at an offset that is only expected."""
+        self.proceed()
+        self.owner.run()
+        begun = calls.Proceed(sequence=1)
+        self.owner.submit(self.outcome(begun, 'k'))
+        refused = self.begin(key='k')
+        self.assert_refused('answer_not_durable', refused)
+        self.assertEqual('ran', getattr(refused, 'run', ''))
+        self.owner.run()
+        self.assertEqual(
+            calls.AnswerStored(sequence=1, offset=2), self.begin(key='k')
+        )
+
     def test_order_turn_limit_ends_a_runaway_program(self) -> None:
         """Guard against a program that loops without end."""
         self.proceed()
@@ -167,6 +206,13 @@
         record_id = calls.grant_allowance(self.owner.journal, program, 30)
         self.assertIn(record_id, self.proceed(worst_case=30).wait_for)
 
+    def test_budget_full_queue_gives_no_allowance(self) -> None:
+        """Guard against a call that is sent though its grant was refused."""
+        self.proceed()
+        self.finish(spent=10)
+        with mock.patch.object(journal, 'MAX_PENDING_RECORDS', 0):
+            self.assert_refused('grant_refused', self.begin(worst_case=60))
+
     def test_log_outage_goes_on_within_the_allowance(self) -> None:
         """Guard against a stop of known programs in an outage."""
         self.proceed()
