--- a/src/bronzepost/_internal/core/ledger/state.py
+++ b/src/bronzepost/_internal/core/ledger/state.py
@@ -21,6 +21,7 @@
     ``spent`` the total that was spent. ``spent <= granted`` and
     ``granted + carved <= budget`` hold after every record. ``forfeited`` is
     the part of ``spent`` that was counted as spent when an owner was lost.
+    ``release_ids`` are the releases of the epoch in force that had an effect.
     """
 
     program: str
@@ -39,6 +40,7 @@
     ended: str = ''
     ended_offset: int = 0
     last_key: str = ''
+    release_ids: tuple[str, ...] = ()
     history_offsets: tuple[int, ...] = ()
 
     @property
@@ -123,8 +125,10 @@
         if entry is not None and entry.last_key == key:
             return entry.sequence
         for intent in self.intents_by_id.values():
-            if intent.program == program and intent.key == key:
-                return None if intent.withdrawn else intent.sequence
+            # A key may be used again after its intent was withdrawn.
+            is_call = (intent.program, intent.key) == (program, key)
+            if is_call and not intent.withdrawn:
+                return intent.sequence
         return None
 
 
