Add the benchmark of the scheduling decisions

Cause: targets for program latency and wasted cache need a measurement that calls the same decisions as a node.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of the scheduling decisions in virtual time."""
--- /dev/null
+++ b/benchmarks/clock.py
@@ -0,0 +1,33 @@
+"""Virtual time."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+Callback = Callable[[], None]
+
+
+class VirtualClock:
+    """Run callbacks in the order of their times, then of their scheduling."""
+
+    def __init__(self) -> None:
+        """Start at zero seconds."""
+        self.now: float = 0
+        self._numbers = itertools.count()
+        self._heap: list[tuple[float, int, Callback]] = []
+
+    def call_at(self, at: float, callback: Callback) -> None:
+        """Run the callback at ``at``, or now if that has passed."""
+        entry = (max(at, self.now), next(self._numbers), callback)
+        heapq.heappush(self._heap, entry)
+
+    def call_later(self, seconds: float, callback: Callback) -> None:
+        """Run the callback after a delay."""
+        self.call_at(self.now + seconds, callback)
+
+    def run(self, until: float) -> None:
+        """Run all callbacks that are due by ``until``."""
+        while self._heap and self._heap[0][0] <= until:
+            at, _, callback = heapq.heappop(self._heap)
+            self.now = at
+            callback()
--- /dev/null
+++ b/benchmarks/cluster.py
@@ -0,0 +1,189 @@
+"""Backend servers of one deployment, in virtual time."""
+
+import functools
+from collections.abc import Callable
+from typing import Protocol
+
+import numpy as np
+
+from bronzepost._internal.core.scheduling.events import (
+    CacheEventKind,
+    CacheEventSeen,
+    LoadReported,
+    SchedulingEvent,
+)
+from bronzepost._internal.core.scheduling.tables import BackendServer
+
+from .clock import VirtualClock
+from .engine import Engine
+from .plain_server import PlainServer
+from .prefix_cache import CacheFigures, PrefixCache
+from .settings import Deployment, Shapes
+
+MODEL = 'model-a'
+
+EventListener = Callable[[SchedulingEvent], None]
+
+
+class LoadedServer(Protocol):
+    """What an engine and a plain server have in common."""
+
+    has_failed: bool
+
+    @property
+    def running(self) -> int:
+        """Return the calls that run."""
+
+    @property
+    def waiting(self) -> int:
+        """Return the calls that wait."""
+
+    def fail(self) -> None:
+        """Stop for good without answering."""
+
+
+class Cluster:
+    """Build the servers and publish their lagging reports and cache events."""
+
+    def __init__(
+        self,
+        *,
+        clock: VirtualClock,
+        shapes: Shapes,
+        deployment: Deployment,
+        cache_tokens: int,
+        generator: np.random.Generator,
+    ) -> None:
+        """Build all servers of the deployment, idle."""
+        self.engines_by_id: dict[str, Engine] = {}
+        self.plain_servers_by_id: dict[str, PlainServer] = {}
+        self.rows_by_id: dict[str, BackendServer] = {}
+        self.listeners: list[EventListener] = []
+        self._clock = clock
+        self._shapes = shapes
+        self._deployment = deployment
+        self._cache_tokens = cache_tokens
+        self._generator = generator
+        self._event_number = 0
+        for number, zone in enumerate(deployment.engine_zones):
+            self._add_engine(f'engine-{number}', deployment.zones[zone])
+        for number, zone in enumerate(deployment.plain_zones):
+            self._add_plain_server(f'plain-{number}', deployment.zones[zone])
+
+    def report_loads(self) -> None:
+        """Publish the load of every server that lives, after the lag."""
+        lag = self._shapes.engine.report_lag_seconds
+        for identifier, row in self.rows_by_id.items():
+            server = self._find_server(identifier)
+            if not server.has_failed:
+                # A node does not know the lag of the report, so it takes the
+                # time at which it asked for the time of the measurement.
+                report = LoadReported(
+                    at=self._clock.now + lag,
+                    measured_at=self._clock.now + lag,
+                    backend_server_id=identifier,
+                    running=server.running,
+                    waiting=server.waiting,
+                    slots=row.slots,
+                    cache_tokens=self._count_cached(identifier),
+                    cache_capacity=row.cache_capacity,
+                )
+                self._publish_later(lag, report)
+
+    def fail_zone(self, zone: str) -> tuple[str, ...]:
+        """Stop all servers of a zone; return their identifiers."""
+        failed = tuple(
+            identifier
+            for identifier, row in self.rows_by_id.items()
+            if row.availability_zone == zone
+        )
+        for identifier in failed:
+            self._find_server(identifier).fail()
+        return failed
+
+    def end_session(self, session: str) -> None:
+        """Release an ended session everywhere, as the node's sweep does."""
+        for engine in self.engines_by_id.values():
+            engine.cache.release(session, is_live=False)
+
+    def sum_figures(self) -> CacheFigures:
+        """Return the cache figures of all engines together."""
+        figures = [
+            engine.cache.figures for engine in self.engines_by_id.values()
+        ]
+        return CacheFigures(
+            filled=sum(each.filled for each in figures),
+            hit=sum(each.hit for each in figures),
+            wasted=sum(each.wasted for each in figures),
+        )
+
+    def _add_engine(self, identifier: str, zone: str) -> None:
+        cache = PrefixCache(
+            capacity=self._cache_tokens,
+            block_tokens=self._shapes.engine.block_tokens,
+            listener=functools.partial(self._publish_cache_event, identifier),
+        )
+        self.engines_by_id[identifier] = Engine(
+            clock=self._clock, shape=self._shapes.engine, cache=cache
+        )
+        self.rows_by_id[identifier] = BackendServer(
+            backend_server_id=identifier,
+            service=self._deployment.engine_service,
+            model=MODEL,
+            availability_zone=zone,
+            slots=self._shapes.engine.slots,
+            cache_capacity=self._cache_tokens,
+        )
+
+    def _add_plain_server(self, identifier: str, zone: str) -> None:
+        slots = self._shapes.plain.slots
+        self.plain_servers_by_id[identifier] = PlainServer(
+            clock=self._clock, slots=slots
+        )
+        self.rows_by_id[identifier] = BackendServer(
+            backend_server_id=identifier,
+            service=self._deployment.plain_service,
+            model='',
+            availability_zone=zone,
+            slots=slots,
+        )
+
+    def _find_server(self, identifier: str) -> LoadedServer:
+        servers: dict[str, LoadedServer] = {
+            **self.engines_by_id,
+            **self.plain_servers_by_id,
+        }
+        return servers[identifier]
+
+    def _count_cached(self, identifier: str) -> int:
+        engine = self.engines_by_id.get(identifier)
+        return engine.cache.held_tokens if engine else 0
+
+    def _publish_cache_event(
+        self,
+        identifier: str,
+        kind: CacheEventKind,
+        session: str,
+        tokens: int,
+    ) -> None:
+        self._event_number += 1
+        gap = self._shapes.engine.cache_event_gap_fraction
+        if self._generator.random() < gap:
+            return
+        lag = self._shapes.engine.cache_event_lag_seconds
+        event = CacheEventSeen(
+            at=self._clock.now + lag,
+            backend_server_id=identifier,
+            number=self._event_number,
+            kind=kind,
+            session=session,
+            tokens=tokens,
+        )
+        self._publish_later(lag, event)
+
+    def _publish_later(self, lag: float, event: SchedulingEvent) -> None:
+        self._clock.call_later(lag, functools.partial(self._publish, event))
+
+    def _publish(self, event: SchedulingEvent) -> None:
+        for listener in self.listeners:
+            listener(event)
--- /dev/null
+++ b/benchmarks/working_set.py
@@ -0,0 +1,62 @@
+"""Working set of a trace: history tokens of live programs."""
+
+from .settings import Deployment, EngineShape, Shapes
+from .traces import Program, Trace, TraceSource, Turn
+
+PEAK_TRACE = 'peak_crowd'
+
+
+class WorkingSet:
+    """Sum the history held by live programs, as if nothing ever waited."""
+
+    def __init__(self, *, engine: EngineShape, start: float, end: float):
+        """Measure between ``start`` and ``end``, in seconds."""
+        self._engine = engine
+        self._start = start
+        self._end = end
+        self.token_seconds: float = 0
+
+    def add_program(self, program: Program, at: float) -> float:
+        """Add a program that starts at ``at``; return when it ends."""
+        held = 0
+        now = at
+        for turn in program.turns:
+            held += turn.added_tokens + turn.output_tokens
+            ends_at = self._find_end(turn, now)
+            overlap = min(ends_at, self._end) - max(now, self._start)
+            self.token_seconds += held * max(overlap, 0)
+            now = ends_at
+        return now
+
+    def mean_tokens(self) -> float:
+        """Return the mean history tokens held over the interval."""
+        return self.token_seconds / (self._end - self._start)
+
+    def _find_end(self, turn: Turn, at: float) -> float:
+        """Return when the turn and what follows it end on an idle engine."""
+        engine = self._engine
+        step = engine.step_base_seconds + engine.step_seconds_per_sequence
+        ready = at + turn.added_tokens / engine.prefill_tokens_per_second
+        ready += turn.output_tokens * step
+        ends = [self.add_program(child, ready) for child in turn.sub_agents]
+        return max([ready + turn.tool_seconds, *ends])
+
+
+def find_cache_tokens(
+    shapes: Shapes,
+    deployment: Deployment,
+    seed: int,
+) -> int:
+    """Return the cache tokens of one engine of the deployment."""
+    shape = next(shape for shape in shapes.traces if shape.name == PEAK_TRACE)
+    trace: Trace = TraceSource(
+        shapes=shapes, deployment=deployment, trace=shape, seed=seed
+    ).draw()
+    working_set = WorkingSet(
+        engine=shapes.engine, start=shape.crowd_from, end=shape.crowd_until
+    )
+    for program in trace.programs:
+        working_set.add_program(program, program.arrives_at)
+    share = shapes.cache.working_set_share
+    total = working_set.mean_tokens() * share
+    return int(total / len(deployment.engine_zones))
--- a/src/bronzepost/_internal/core/scheduling/cache.py
+++ b/src/bronzepost/_internal/core/scheduling/cache.py
@@ -4,19 +4,20 @@
 
 from .actions import Retention
 from .policies import Policy
-from .tables import SchedulingTables
+from .tables import ProgramPause, SchedulingTables
 
 
 @functools.singledispatch
 def retention(
     policy: Policy,
     tables: SchedulingTables,
-    session: str,
-    tool: str,
+    pause: ProgramPause,
     at: float,
 ) -> Retention:
-    """Return whether a program that pauses for ``tool`` keeps its prefix.
+    """Return whether a paused program keeps its cached prefix.
 
-    The baselines leave the cache to the engine.
+    Ask when the pause begins and every few seconds after that, since a pause
+    that goes on says more about its end. The baselines leave the cache to the
+    engine.
     """
     return Retention.KEEP
--- a/src/bronzepost/_internal/core/scheduling/call_events.py
+++ b/src/bronzepost/_internal/core/scheduling/call_events.py
@@ -36,7 +36,10 @@
         rate,
         calls_sent=rate.calls_sent + 1,
     )
-    tables.home_by_session[call.program_id] = event.backend_server_id
+    if call.model:
+        # Only model engines hold a prefix that makes a call worth sending to
+        # the same server again.
+        tables.home_by_session[call.program_id] = event.backend_server_id
     return ()
 
 
@@ -62,6 +65,8 @@
     call = sent.call
     change_own_calls(tables, sent.backend_server_id, event.at, -1)
     change_program_calls(tables, call.program_id, -1)
+    if event.is_failed:
+        return ()
     rate = tables.rates_by_service[call.service]
     tables.rates_by_service[call.service] = dataclasses.replace(
         rate,
--- a/src/bronzepost/_internal/core/scheduling/events.py
+++ b/src/bronzepost/_internal/core/scheduling/events.py
@@ -73,13 +73,15 @@
 class CallFinished:
     """A call of our own has ended, with an answer or without.
 
-    ``cached_tokens`` is the usage figure of the engine, None if unknown.
+    ``cached_tokens`` is the usage figure of the engine, None if unknown. A
+    failed call adds nothing to what its program has received.
     """
 
     at: float
     call_id: str
     output_tokens: int = 0
     cached_tokens: int | None = None
+    is_failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/bronzepost/_internal/core/scheduling/tables.py
+++ b/src/bronzepost/_internal/core/scheduling/tables.py
@@ -110,6 +110,15 @@
     mean_deviation_seconds: float = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProgramPause:
+    """A program that waits for a tool since ``paused_at``."""
+
+    program_id: str
+    tool: str
+    paused_at: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Refusal:
     """A new program that was refused and is expected to come again."""
