Hold back new programs when the engines' memory is full

Cause: at three times the ordinary load all policies thrash the prefix cache: 87% of the filled tokens are evicted unused, and the refills take the engines' time.

--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -148,6 +148,7 @@
                 at=self._clock.now,
                 program_id=work.call.program_id,
                 service=work.call.service,
+                retry_after_seconds=seconds,
             )
         )
         jitter = 1 + RETRY_JITTER_SHARE * self._generator.random()
--- a/src/bronzepost/_internal/core/scheduling/admission.py
+++ b/src/bronzepost/_internal/core/scheduling/admission.py
@@ -8,6 +8,14 @@
 from .tables import CallRequest, SchedulingTables, find_root
 
 NO_SERVER_RETRY_SECONDS = 2.0
+DEFAULT_RETRY_SECONDS = 5.0
+RETURN_GRACE_SECONDS = 5.0
+# A program's history grows; its first prompt is about a third of it.
+NEW_PROGRAM_GROWTH = 3
+# Most live programs are paused at any time, so their histories together may
+# be longer than the memory. Beyond 2 the engines evict prefixes that are
+# needed again and the p95 latency at peak rises again.
+MEMORY_OVERCOMMIT = 2.0
 
 
 @functools.singledispatch
@@ -41,4 +49,60 @@
     call: CallRequest,
     at: float,
 ) -> Admitted | Refused:
-    return admit(Policy(), tables, call, at)
+    decision = admit(Policy(), tables, call, at)
+    if isinstance(decision, Refused) or is_in_progress(tables, call):
+        return decision
+    if not call.model:
+        return decision
+    free = count_free_programs(policy, tables, call)
+    ahead = count_ahead(tables, call, at, free)
+    if ahead < free:
+        return decision
+    return Refused(
+        reason=RefusalReason.NO_SLOT,
+        retry_after_seconds=estimate_retry_seconds(tables, call),
+    )
+
+
+def count_free_programs(
+    policy: ProgramAware,
+    tables: SchedulingTables,
+    call: CallRequest,
+) -> int:
+    """Return how many new programs the engines' memory has room for."""
+    capacity = sum(
+        server.cache_capacity for server in list_candidates(tables, call)
+    )
+    room = capacity * policy.memory_share * MEMORY_OVERCOMMIT
+    room -= tables.held_tokens_by_service.get(call.service, 0)
+    size = NEW_PROGRAM_GROWTH * call.prompt_tokens
+    return int(room // max(size, 1))
+
+
+def count_ahead(
+    tables: SchedulingTables,
+    call: CallRequest,
+    at: float,
+    limit: int,
+) -> int:
+    """Return how many programs were refused before this one, up to a limit.
+
+    Programs that did not come again in time are not counted.
+    """
+    ahead = 0
+    for program_id, refusal in tables.refusals_by_program.items():
+        if program_id == call.program_id or ahead >= limit:
+            break
+        if refusal.service != call.service:
+            continue
+        if refusal.expected_at + RETURN_GRACE_SECONDS >= at:
+            ahead += 1
+    return ahead
+
+
+def estimate_retry_seconds(
+    tables: SchedulingTables,
+    call: CallRequest,
+) -> float:
+    """Return when a refused program should come again."""
+    return DEFAULT_RETRY_SECONDS
--- a/src/bronzepost/_internal/core/scheduling/call_events.py
+++ b/src/bronzepost/_internal/core/scheduling/call_events.py
@@ -5,7 +5,7 @@
 from .cache_events import believe_prefix
 from .dispatch import Actions, handle_event, move_mean
 from .events import CallFinished, CallSent
-from .program_events import add_program
+from .program_events import add_program, hold_tokens
 from .server_events import change_own_calls
 from .speeds import output_seconds, prefill_seconds
 from .tables import (
@@ -37,6 +37,7 @@
         calls_sent=rate.calls_sent + 1,
     )
     if call.model:
+        hold_tokens(tables, call.program_id, call.prompt_tokens)
         # Only model engines hold a prefix that makes a call worth sending to
         # the same server again.
         tables.home_by_session[call.program_id] = event.backend_server_id
@@ -96,12 +97,8 @@
         tables.programs_by_id[root_id] = add_attained(
             root, max(call.prompt_tokens - cached, 0), event.output_tokens
         )
-    program = tables.programs_by_id[call.program_id]
-    tables.programs_by_id[call.program_id] = dataclasses.replace(
-        program,
-        history_tokens=history,
-    )
     if call.model:
+        hold_tokens(tables, call.program_id, history)
         believe_prefix(
             tables,
             call.program_id,
--- a/src/bronzepost/_internal/core/scheduling/events.py
+++ b/src/bronzepost/_internal/core/scheduling/events.py
@@ -112,6 +112,7 @@
     at: float
     program_id: str
     service: str
+    retry_after_seconds: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/bronzepost/_internal/core/scheduling/policies.py
+++ b/src/bronzepost/_internal/core/scheduling/policies.py
@@ -28,9 +28,12 @@
     """Order, place and admit calls by what their whole program has received.
 
     ``cache_weight`` (0 to 1) weighs wasted cache against latency.
+    ``memory_share`` (0 to 1) is the share of the engines' memory that this
+    scheduler's programs may use: 1 over the number of nodes that own programs.
     """
 
     cache_weight: float = 0.5
+    memory_share: float = 1.0
 
 
 def make_policy(name: str, *, cache_weight: float) -> Policy:
--- a/src/bronzepost/_internal/core/scheduling/program_events.py
+++ b/src/bronzepost/_internal/core/scheduling/program_events.py
@@ -66,14 +66,35 @@
     first = event.at if earlier is None else earlier.first_refused_at
     if earlier is None and len(refusals) >= REFUSALS_LIMIT:
         refusals.pop(next(iter(refusals)))
+    # A row keeps its place in the table, so the table stays in the order of
+    # the first refusals.
     refusals[event.program_id] = Refusal(
-        refused_at=event.at,
-        first_refused_at=first,
         service=event.service,
+        first_refused_at=first,
+        expected_at=event.at + event.retry_after_seconds,
     )
     return ()
 
 
+def hold_tokens(
+    tables: SchedulingTables,
+    program_id: str,
+    tokens: int,
+) -> None:
+    """Record the length of a program's history in tokens."""
+    program = tables.programs_by_id.get(program_id)
+    if program is None:
+        return
+    held = tables.held_tokens_by_service.get(program.service, 0)
+    tables.held_tokens_by_service[program.service] = (
+        held + tokens - program.history_tokens
+    )
+    tables.programs_by_id[program_id] = dataclasses.replace(
+        program,
+        history_tokens=tokens,
+    )
+
+
 @handle_event.register
 def _(event: ProgramEnded, tables: SchedulingTables) -> Actions:
     program_id = event.program_id
@@ -93,6 +114,7 @@
     at: float,
 ) -> list[ReleaseSession]:
     """Remove the rows of one program; return releases of its prefixes."""
+    hold_tokens(tables, program_id, 0)
     program = tables.programs_by_id.pop(program_id, None)
     tables.home_by_session.pop(program_id, None)
     tables.refusals_by_program.pop(program_id, None)
--- a/src/bronzepost/_internal/core/scheduling/tables.py
+++ b/src/bronzepost/_internal/core/scheduling/tables.py
@@ -123,9 +123,9 @@
 class Refusal:
     """A new program that was refused and is expected to come again."""
 
-    refused_at: float
-    first_refused_at: float
     service: str
+    first_refused_at: float
+    expected_at: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -170,6 +170,9 @@
     sub_agents_by_root: dict[str, set[str]] = dataclasses.field(
         default_factory=dict,
     )
+    held_tokens_by_service: dict[str, int] = dataclasses.field(
+        default_factory=dict,
+    )
     live_roots_by_service: dict[str, int] = dataclasses.field(
         default_factory=dict,
     )
