--- a/src/bronzepost/_internal/core/scheduling/call_events.py
+++ b/src/bronzepost/_internal/core/scheduling/call_events.py
@@ -5,7 +5,7 @@
 from .cache_events import believe_prefix
 from .dispatch import Actions, handle_event, move_mean
 from .events import CallFinished, CallSent
-from .program_events import add_program
+from .program_events import add_program, hold_tokens
 from .server_events import change_own_calls
 from .speeds import output_seconds, prefill_seconds
 from .tables import (
@@ -36,7 +36,11 @@
         rate,
         calls_sent=rate.calls_sent + 1,
     )
-    tables.home_by_session[call.program_id] = event.backend_server_id
+    if call.model:
+        hold_tokens(tables, call.program_id, call.prompt_tokens)
+        # Only model engines hold a prefix that makes a call worth sending to
+        # the same server again.
+        tables.home_by_session[call.program_id] = event.backend_server_id
     return ()
 
 
@@ -62,6 +66,8 @@
     call = sent.call
     change_own_calls(tables, sent.backend_server_id, event.at, -1)
     change_program_calls(tables, call.program_id, -1)
+    if event.is_failed:
+        return ()
     rate = tables.rates_by_service[call.service]
     tables.rates_by_service[call.service] = dataclasses.replace(
         rate,
@@ -91,12 +97,8 @@
         tables.programs_by_id[root_id] = add_attained(
             root, max(call.prompt_tokens - cached, 0), event.output_tokens
         )
-    program = tables.programs_by_id[call.program_id]
-    tables.programs_by_id[call.program_id] = dataclasses.replace(
-        program,
-        history_tokens=history,
-    )
     if call.model:
+        hold_tokens(tables, call.program_id, history)
         believe_prefix(
             tables,
             call.program_id,
