Join nodes to a system with membership and configuration

Cause: a single node can neither forward calls to an owner nor share settings.

Membership, configuration and the peer transport are bound to the node's tick. Operators get their port. A drain leaves, hands partitions over, waits for the time to live of endpoint answers and for open streams. Sessions of calls without a program carry the node's name, so that a refuted suspicion, which raises the incarnation, does not make others release them.

--- a/src/bronzepost/_internal/core/configuration/schema.py
+++ b/src/bronzepost/_internal/core/configuration/schema.py
@@ -56,7 +56,8 @@
 _MAXIMUM_UNITS = 1_000_000_000_000
 _DAY_SECONDS = 86_400.0
 _DEFAULT_BUDGET = 1_000_000
-_DEFAULT_DEADLINE_SECONDS = 3600.0
+_DEFAULT_DEADLINE_SECONDS = 300.0
+_MAXIMUM_BYTES_PER_TOKEN = 8
 # The longest programs of the design scale have 400 turns.
 _DEFAULT_TURN_LIMIT = 400
 _MAXIMUM_TURN_LIMIT = 100_000
@@ -104,15 +105,21 @@
         description='weight of wasted cache against latency, 0 to 1',
     ),
     'policy': ChoiceSetting(
-        default='least_attained_service',
+        default='program_aware',
         choices=(
-            'least_attained_service',
+            'program_aware',
             'round_robin',
             'least_outstanding',
             'sticky_fcfs',
         ),
         description='order of calls and choice of runners',
     ),
+    'bytes_per_token': NumberSetting(
+        default=1,
+        minimum=1,
+        maximum=_MAXIMUM_BYTES_PER_TOKEN,
+        description='fewest bytes of a prompt that the model counts as a token',
+    ),
     'call_price': IntegerSetting(
         default=0,
         minimum=0,
--- a/src/bronzepost/_internal/core/membership/events.py
+++ b/src/bronzepost/_internal/core/membership/events.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from .entities import MemberState
-from .messages import MembershipMessage
+from .messages import Ack, MembershipMessage, Ping, PingRequest
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -41,7 +41,7 @@
     """Send a message to a peer address; it may be lost."""
 
     peer_address: str
-    message: MembershipMessage
+    message: Ping | Ack | PingRequest
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/bronzepost/_internal/core/session_sweep.py
+++ b/src/bronzepost/_internal/core/session_sweep.py
@@ -6,9 +6,9 @@
 
 from bronzepost._internal.core.ledger.state import ProgramEntry
 
-# Sessions of calls without a program are named "call~BOOT~NUMBER". A tilde is
-# not allowed in the names of programs.
-CALL_PREFIX: Final = 'call~'
+# Sessions of calls without a program are named "call~NODE~BOOT~NUMBER". A
+# tilde is not allowed in the names of programs.
+CALL_PREFIX: Final = 'call'
 SEPARATOR: Final = '~'
 
 
@@ -20,16 +20,16 @@
     partition. ``live_calls`` are this node's calls without a program.
     """
 
-    boot: str
-    live_boots: frozenset[str]
+    node: str
+    live_nodes: frozenset[str]
     live_calls: Collection[str]
     is_owner: bool
     program: ProgramEntry | None
 
 
-def name_call_session(boot: str, number: int) -> str:
+def name_call_session(node: str, boot: str, number: int) -> str:
     """Return the session of a call without a program."""
-    return f'{CALL_PREFIX}{boot}{SEPARATOR}{number}'
+    return SEPARATOR.join((CALL_PREFIX, node, boot, str(number)))
 
 
 def should_release_session(session: str, view: SweepView) -> bool:
@@ -39,11 +39,12 @@
     nodes leave its sessions alone; a program that has just moved is released
     by nobody until its new owner has read the partition.
     """
-    if session.startswith(CALL_PREFIX):
-        boot = session.split(SEPARATOR)[1]
-        if boot == view.boot:
+    prefix, _, rest = session.partition(SEPARATOR)
+    if prefix == CALL_PREFIX and rest:
+        node = rest.partition(SEPARATOR)[0]
+        if node == view.node:
             return session not in view.live_calls
-        return view.is_owner and boot not in view.live_boots
+        return view.is_owner and node not in view.live_nodes
     if not view.is_owner:
         return False
     return view.program is None or bool(view.program.ended)
--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -1,9 +1,9 @@
-"""Build the parts of a node from its settings."""  # noqa: WPS201
+"""Build the parts of a node from its settings."""
 
 import dataclasses
 import secrets
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 from bronzepost._internal.core.ledger.journal import Journal
 from bronzepost._internal.core.rendezvous import partition_of
@@ -85,7 +85,7 @@
 
 
 def build_runners(
-    settings: Settings, telemetry: Telemetry, storage: Storage, boot: str
+    settings: Settings, telemetry: Telemetry, storage: Storage
 ) -> Runners:
     """Return the parts that watch the backend servers."""
     tables = SchedulingTables(zone_seconds_by_pair=_read_distances(settings))
@@ -99,7 +99,7 @@
     memory = EngineMemory(
         directory=directory,
         keeper=storage.keeper,
-        boot=boot,
+        node=settings.node.name,
         metrics=telemetry.metrics,
     )
     return Runners(directory=directory, memory=memory)
@@ -122,6 +122,7 @@
         programs=storage.programs,
         runner=runner,
         directory=runners.directory,
+        memory=runners.memory,
         availability_zone=zone,
     )
     services = ServiceCalls(
@@ -174,8 +175,3 @@
         seconds_by_pair[first, second] = seconds
         seconds_by_pair[second, first] = seconds
     return seconds_by_pair
-
-
-def endpoint_answer(addresses: list[Any], seconds: float) -> dict[str, Any]:
-    """Return the body of an answer about endpoints."""
-    return {'endpoints': addresses, 'time_to_live_seconds': seconds}
--- a/src/bronzepost/_internal/node/caller_api.py
+++ b/src/bronzepost/_internal/node/caller_api.py
@@ -118,7 +118,8 @@
         )
 
     def _name_call(self) -> str:
-        return name_call_session(self._parts.boot, next(self._call_numbers))
+        number = next(self._call_numbers)
+        return name_call_session(self._parts.node, self._parts.boot, number)
 
 
 def _name_keyed_program(organisation: str, key: str) -> str:
--- a/src/bronzepost/_internal/node/chat_calls.py
+++ b/src/bronzepost/_internal/node/chat_calls.py
@@ -26,6 +26,7 @@
 )
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.dispatch import RetryTerms
+from bronzepost._internal.node.engine_memory import EngineMemory
 from bronzepost._internal.node.model_call import (
     MAX_ATTEMPTS,
     ModelAnswer,
@@ -95,12 +96,14 @@
         programs: ProgramCalls,
         runner: ModelCallRunner,
         directory: BackendDirectory,
+        memory: EngineMemory,
         availability_zone: str,
     ) -> None:
         """Use the node's programs and runners."""
         self._programs = programs
         self._runner = runner
         self._directory = directory
+        self._memory = memory
         self._availability_zone = availability_zone
 
     def begin_owned(self, journal: Journal, call: ChatCall) -> AnswerStream:
@@ -237,6 +240,7 @@
             retry_terms=_retry_terms(call, MAX_ATTEMPTS),
             traceparent=call.traceparent,
         )
+        self._memory.live_calls.add(call_id)
         try:
             answer = self._run_until_deadline(model_call, stream)
         except RefusedError as refusal:
@@ -244,6 +248,8 @@
         else:
             stream.append(answer.final_chunk)
             stream.finish()
+        self._memory.live_calls.discard(call_id)
+        self._memory.release(call_id)
 
 
 def _check_history(journal: Journal, call: ChatCall) -> list[Any]:
--- a/src/bronzepost/_internal/node/cluster.py
+++ b/src/bronzepost/_internal/node/cluster.py
@@ -1,20 +1,94 @@
 """The nodes of the system as this node sees them."""
 
-from bronzepost._internal.exceptions import RefusedError
+import functools
+import random
+import time
+from types import MappingProxyType
+from typing import Any, Final
+
+from bronzepost._internal.core import configuration, membership
+from bronzepost._internal.core.endpoints import (
+    EndpointAnswer,
+    choose_endpoints,
+)
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.configuration_keeper import ConfigurationKeeper
+from bronzepost._internal.node.log_client import LogClient
+from bronzepost._internal.node.messages import MessageCodec
+from bronzepost._internal.node.peers import PeerTransport
 from bronzepost._internal.node.refusals import refuse_no_member
 from bronzepost._internal.settings import Settings
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
+
+_MILLISECONDS: Final = 1000
+_SEED_BITS: Final = 32
 
 
 class Cluster:
-    """The members that serve, and where they are."""
+    """Membership and configuration, and the transport that both use."""
+
+    def __init__(self, *, settings: Settings, log: LogClient) -> None:
+        """Prepare the tables; nothing is sent before the start."""
+        incarnation = int(time.time() * _MILLISECONDS)
+        own = _own_entry(settings, incarnation)
+        self.members = membership.create_tables(
+            own,
+            at=read_clock(),
+            seeds=settings.peers.seeds,
+            random_seed=random.SystemRandom().getrandbits(_SEED_BITS),
+        )
+        self.transport = PeerTransport(
+            codec=MessageCodec(
+                name=own.name,
+                peer_address=own.peer_address,
+                boot=incarnation,
+                keys=list(settings.peers.keys),
+            ),
+            receive=self._receive,
+            report=_report_error,
+        )
+        self.configuration = ConfigurationKeeper(
+            tables=configuration.create_tables(
+                own.name, own_peer_address=own.peer_address, boot=incarnation
+            ),
+            log=log,
+            send=self.transport.send,
+            report_offset=self._report_offset,
+        )
+        self._announce_members()
+
+    def start(self) -> None:
+        """Listen for peers.
+
+        Raises:
+            SettingsError: if the peer address cannot be listened on.
+        """
+        self.transport.start()
+
+    def close(self) -> None:
+        """Close the connections to peers."""
+        self.transport.close()
+
+    def tick(self) -> None:
+        """Do the periodic work of membership and configuration."""
+        self._put(membership.Tick(at=read_clock()))
+        self.configuration.tick()
 
-    def __init__(self, *, settings: Settings) -> None:
-        """Start with this node alone."""
-        self._settings = settings
+    def leave(self) -> None:
+        """Tell the other nodes that this one is leaving."""
+        for action in membership.leave(self.members, read_clock()):
+            carry_out(action, self)
 
     def list_serving(self) -> tuple[str, ...]:
         """Return the names of the members that may be given work."""
-        return (self._settings.node.name,)
+        serving = membership.serving_members(self.members)
+        return tuple(member.name for member in serving)
+
+    def list_live(self) -> frozenset[str]:
+        """Return the names of all members that are not dead."""
+        live = membership.live_members(self.members)
+        return frozenset(member.name for member in live)
 
     def find_forward_address(self, member: str) -> str:
         """Return where a member takes forwarded calls.
@@ -22,5 +96,112 @@
         Raises:
             RefusedError: if the member is not known.
         """
-        error: RefusedError = refuse_no_member(member)
-        raise error
+        known = self.members.members_by_name.get(member)
+        if known is None:
+            raise refuse_no_member(member)
+        return known.forward_address
+
+    def list_endpoints(self, program: str, owner: str) -> EndpointAnswer:
+        """Return the addresses that a caller should use."""
+        own = self.members.own()
+        return choose_endpoints(
+            membership.live_members(self.members),
+            key=program or own.name,
+            owner=owner,
+            region=own.region,
+            availability_zone=own.availability_zone,
+        )
+
+    def handle_change(self, action: membership.MemberChanged) -> None:
+        """Log a change of a member and tell the configuration."""
+        event = _EVENTS_BY_STATE.get(str(action.current or ''))
+        if event is not None and action.name != self.members.own_name:
+            emit(event, member=action.name)
+        self._announce_members()
+
+    def handle_peer_offset(self, action: membership.PeerOffsetSeen) -> None:
+        """Tell the configuration that a peer has more of it."""
+        ahead = configuration.PeerAhead(
+            at=read_clock(),
+            peer_address=action.peer_address,
+            offset=action.offset,
+        )
+        self.configuration.put(ahead)
+
+    def _put(self, event: membership.MembershipEvent) -> None:
+        for action in membership.apply_event(self.members, event):
+            carry_out(action, self)
+
+    def _receive(self, _sender: str, message: Any) -> None:
+        at = read_clock()
+        if isinstance(message, membership.MembershipMessage):
+            self._put(membership.MessageReceived(at=at, message=message))
+        elif isinstance(message, _CONFIGURATION_MESSAGES):
+            received = configuration.MessageReceived(at=at, message=message)
+            self.configuration.put(received)
+
+    def _report_offset(self, offset: int) -> None:
+        self._put(membership.OffsetAdvanced(at=read_clock(), offset=offset))
+
+    def _announce_members(self) -> None:
+        changed = configuration.MembersChanged(
+            at=read_clock(),
+            members=membership.serving_members(self.members),
+        )
+        self.configuration.put(changed)
+
+
+_CONFIGURATION_MESSAGES: Final = (
+    configuration.ConfigurationRecords,
+    configuration.ConfigurationRequest,
+)
+
+_EVENTS_BY_STATE: Final = MappingProxyType({
+    'alive': LogEvent.MEMBER_JOINED,
+    'suspected': LogEvent.MEMBER_SUSPECTED,
+    'dead': LogEvent.MEMBER_DEAD,
+    'leaving': LogEvent.MEMBER_LEAVING,
+})
+
+
+@functools.singledispatch
+def carry_out(action: membership.MembershipAction, cluster: Cluster) -> None:
+    """Do what the membership asks for; one function a kind of action."""
+    raise NotImplementedError(type(action).__name__)
+
+
+@carry_out.register
+def _(action: membership.Send, cluster: Cluster) -> None:
+    cluster.transport.send(action.peer_address, action.message)
+
+
+@carry_out.register
+def _(action: membership.ReconnectPeer, cluster: Cluster) -> None:
+    cluster.transport.reconnect(action.peer_address)
+
+
+@carry_out.register
+def _(action: membership.MemberChanged, cluster: Cluster) -> None:
+    cluster.handle_change(action)
+
+
+@carry_out.register
+def _(action: membership.PeerOffsetSeen, cluster: Cluster) -> None:
+    cluster.handle_peer_offset(action)
+
+
+def _own_entry(settings: Settings, incarnation: int) -> membership.MemberEntry:
+    node = settings.node
+    return membership.MemberEntry(
+        name=node.name,
+        peer_address=node.peer_address,
+        forward_address=node.forward_address,
+        caller_address=node.caller_address,
+        availability_zone=node.availability_zone,
+        region=node.region,
+        incarnation=incarnation,
+    )
+
+
+def _report_error(error: Exception) -> None:
+    emit(LogEvent.PEER_MESSAGE_DROPPED, error=error)
--- a/src/bronzepost/_internal/node/engine_memory.py
+++ b/src/bronzepost/_internal/node/engine_memory.py
@@ -50,14 +50,14 @@
         *,
         directory: BackendDirectory,
         keeper: JournalKeeper,
-        boot: str,
+        node: str,
         metrics: Metrics,
     ) -> None:
         """Use the node's runners and journals."""
         self.live_calls: set[str] = set()
         self._directory = directory
         self._keeper = keeper
-        self._boot = boot
+        self._node = node
         self._metrics = metrics
 
     def release(self, session: str) -> None:
@@ -68,16 +68,16 @@
         ended = events.ProgramEnded(at=read_clock(), program_id=session)
         apply_event(tables, ended)
 
-    def sweep(self, live_boots: Collection[str]) -> None:
+    def sweep(self, live_nodes: Collection[str]) -> None:
         """Release what runners hold for programs that have ended.
 
-        ``live_boots`` names the processes whose calls without a program may
+        ``live_nodes`` names the nodes whose calls without a program may
         still be under way.
         """
         servers = self._directory.tables.backend_servers_by_id.values()
         greenlets = [
             gevent.spawn(
-                self._sweep_server, server.backend_server_id, live_boots
+                self._sweep_server, server.backend_server_id, live_nodes
             )
             for server in list(servers)
             if server.model
@@ -85,7 +85,7 @@
         gevent.joinall(greenlets)
 
     def _sweep_server(
-        self, server_id: str, live_boots: Collection[str]
+        self, server_id: str, live_nodes: Collection[str]
     ) -> None:
         peer = self._find_peer(server_id)
         if peer is None:
@@ -97,17 +97,17 @@
         if answer.status != HTTPStatus.OK:
             return
         for held in msgspec.json.decode(answer.body, type=_Sessions).sessions:
-            if self._should_release(held.session, live_boots):
+            if self._should_release(held.session, live_nodes):
                 self._metrics.count(Metric.SESSIONS_SWEPT)
                 self._release_at(server_id, held.session)
 
     def _should_release(
-        self, session: str, live_boots: Collection[str]
+        self, session: str, live_nodes: Collection[str]
     ) -> bool:
         journal = self._keeper.find_journal(partition_of(session))
         view = SweepView(
-            boot=self._boot,
-            live_boots=frozenset(live_boots),
+            node=self._node,
+            live_nodes=frozenset(live_nodes),
             live_calls=self.live_calls,
             is_owner=journal.is_owner,
             program=journal.view.programs_by_id.get(session),
--- a/src/bronzepost/_internal/node/node.py
+++ b/src/bronzepost/_internal/node/node.py
@@ -1,4 +1,4 @@
-"""A running node: its listeners and its periodic work."""
+"""A running node: its listeners, its periodic work and its drain."""
 
 from collections.abc import Callable
 from typing import Any, Final
@@ -13,20 +13,27 @@
     LOAD_SECONDS,
 )
 from bronzepost._internal.node.caller_api import CallerApi
+from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.cluster import Cluster
-from bronzepost._internal.node.defaults import look_up_default
 from bronzepost._internal.node.engine_memory import SWEEP_SECONDS
 from bronzepost._internal.node.listeners import KeyedApplication, listen
+from bronzepost._internal.node.operator_api import OperatorApi
 from bronzepost._internal.node.parts import CallParts
 from bronzepost._internal.node.program_api import ProgramApi
+from bronzepost._internal.node.refusals import refuse_not_ready
 from bronzepost._internal.node.web import WebApplication
 from bronzepost._internal.settings import Settings
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
+from bronzepost._internal.telemetry.metrics import FLUSH_SECONDS
 from bronzepost._internal.telemetry.start import Telemetry
 
 TICK_SECONDS: Final = 0.05
-ENDPOINT_SECONDS: Final = 5.0
+PARTITION_SECONDS: Final = 0.25
+# Callers keep an endpoint answer for 5 s and may connect at its end.
+DRAIN_SECONDS: Final = 6.0
+# A drain that hangs on a call without end is cut here.
+MAX_DRAIN_SECONDS: Final = 600.0
 
 
 class Node:
@@ -37,54 +44,113 @@
         self._settings = settings
         self._telemetry = telemetry
         self._boot = assembly.make_boot()
-        self._cluster = Cluster(settings=settings)
         self._storage = assembly.build_storage(settings, telemetry, self._boot)
+        self._cluster = Cluster(settings=settings, log=self._storage.log)
         self._runners = assembly.build_runners(
-            settings, telemetry, self._storage, self._boot
+            settings, telemetry, self._storage
         )
         self._paths = assembly.build_call_paths(
             settings, telemetry, self._storage, self._runners, self._cluster
         )
         self._servers: list[WSGIServer] = []
         self._loops: list[gevent.Greenlet] = []
-        self.stop_wanted = Event()
+        self._drain_wanted = Event()
 
     def start(self) -> None:
         """Listen and begin the periodic work.
 
         Raises:
             OSError: if an address cannot be bound.
+            SettingsError: if the peer address cannot be listened on.
         """
         node = self._settings.node
-        caller_application = self._build_caller_application()
-        forward_application = KeyedApplication(
-            application=caller_application,
-            keys=lambda: self._settings.peers.keys,
+        callers = self._build_caller_application()
+        forwards = KeyedApplication(
+            application=callers, keys=lambda: self._settings.peers.keys
         )
-        self._repeat(LIST_SECONDS, self._runners.directory.poll_list)
-        self._repeat(LOAD_SECONDS, self._runners.directory.poll_loads)
-        self._repeat(TICK_SECONDS, self._storage.keeper.tick)
-        self._repeat(1, self._paths.partitions.tick)
-        self._repeat(SWEEP_SECONDS, self._sweep)
+        operators = KeyedApplication(
+            application=self._build_operator_application(),
+            keys=lambda: self._settings.operators.keys,
+        )
+        self._cluster.start()
+        self._start_loops()
         self._servers = [
-            listen(node.forward_address, forward_application),
-            listen(node.caller_address, caller_application),
+            listen(node.operator_address, operators),
+            listen(node.forward_address, forwards),
+            listen(node.caller_address, callers),
         ]
         emit(LogEvent.NODE_STARTED, caller_address=node.caller_address)
 
+    def drain(self) -> None:
+        """Ask the node to hand over its work and stop."""
+        self._drain_wanted.set()
+
     def run(self) -> None:
-        """Serve until somebody wants the node to stop."""
-        self.stop_wanted.wait()
+        """Serve until somebody wants the node to stop, then drain."""
+        self._drain_wanted.wait()
+        self._drain()
         for server in self._servers:
             server.stop()
         gevent.killall(self._loops)
+        self._cluster.close()
         emit(LogEvent.NODE_STOPPED)
 
+    def describe(self) -> dict[str, Any]:
+        """Return the state of the node for operators."""
+        keeper = self._storage.keeper
+        return {
+            'name': self._settings.node.name,
+            'state': 'draining' if self._drain_wanted.is_set() else 'serving',
+            'configuration_offset': (
+                self._cluster.configuration.tables.next_offset
+            ),
+            'partitions': len(keeper.owned_journals()),
+            'calls_running': len(self._storage.programs.running_by_program),
+            'members': len(self._cluster.list_live()),
+            'log_failing': any(
+                journal.requests.failing_since is not None
+                for journal in keeper.journals_by_partition.values()
+            ),
+        }
+
+    def _start_loops(self) -> None:
+        directory = self._runners.directory
+        self._repeat(LIST_SECONDS, directory.poll_list)
+        self._repeat(LOAD_SECONDS, directory.poll_loads)
+        self._repeat(TICK_SECONDS, self._tick)
+        self._repeat(PARTITION_SECONDS, self._paths.partitions.tick)
+        self._repeat(SWEEP_SECONDS, self._sweep)
+        self._repeat(FLUSH_SECONDS, self._telemetry.metrics.flush)
+
+    def _tick(self) -> None:
+        self._cluster.tick()
+        self._storage.keeper.tick()
+
+    def _drain(self) -> None:
+        """Leave, hand over, and wait for callers and streams."""
+        emit(LogEvent.DRAIN_STARTED)
+        self._cluster.leave()
+        self._paths.partitions.is_draining = True
+        started = read_clock()
+        while read_clock() < started + MAX_DRAIN_SECONDS:
+            is_released = self._paths.partitions.release_all()
+            is_idle = not self._storage.programs.running_by_program
+            is_idle = is_idle and not self._runners.memory.live_calls
+            is_due = read_clock() >= started + DRAIN_SECONDS
+            if is_released and is_idle and is_due and self._no_streams():
+                break
+            gevent.sleep(TICK_SECONDS)
+        emit(LogEvent.DRAIN_FINISHED)
+
+    def _no_streams(self) -> bool:
+        return all(application.is_idle for application in self._applications)
+
     def _build_caller_application(self) -> WebApplication:
         parts = CallParts(
             organisation=self._settings.node.organisation,
+            node=self._settings.node.name,
             boot=self._boot,
-            lookup=look_up_default,
+            lookup=self._look_up,
             partitions=self._paths.partitions,
             programs=self._storage.programs,
             chats=self._paths.chats,
@@ -98,20 +164,41 @@
             *CallerApi(parts=parts).routes(),
             *ProgramApi(parts=parts).routes(),
         )
-        return WebApplication(
+        application = WebApplication(
             routes=routes, body_bytes=self._settings.limits.body_bytes
         )
+        self._applications = (application,)
+        return application
+
+    def _build_operator_application(self) -> WebApplication:
+        api = OperatorApi(
+            cluster=self._cluster,
+            keeper=self._storage.keeper,
+            directory=self._runners.directory,
+            describe=self.describe,
+            drain=self.drain,
+        )
+        return WebApplication(
+            routes=api.routes(), body_bytes=self._settings.limits.body_bytes
+        )
 
-    def _list_endpoints(self, program: str) -> dict[str, Any]:
-        node = self._settings.node
-        endpoint = {
-            'address': node.caller_address,
-            'availability_zone': node.availability_zone,
-        }
-        return assembly.endpoint_answer([endpoint], ENDPOINT_SECONDS)
+    def _look_up(
+        self, organisation: str, service: str, program: str, name: str
+    ) -> Any:
+        if not self._cluster.configuration.tables.is_ready:
+            raise refuse_not_ready()
+        return self._cluster.configuration.lookup(
+            organisation, service, program, name
+        )
+
+    def _list_endpoints(self, program: str) -> Any:
+        owner = ''
+        if program:
+            owner = self._paths.partitions.find_owner(program)
+        return self._cluster.list_endpoints(program, owner)
 
     def _sweep(self) -> None:
-        self._runners.memory.sweep({self._boot})
+        self._runners.memory.sweep(self._cluster.list_live())
 
     def _repeat(self, seconds: float, work: Callable[[], None]) -> None:
         self._loops.append(gevent.spawn(_run_repeatedly, seconds, work))
--- a/src/bronzepost/_internal/node/parts.py
+++ b/src/bronzepost/_internal/node/parts.py
@@ -24,6 +24,7 @@
     """
 
     organisation: str
+    node: str
     boot: str
     lookup: SettingLookup
     partitions: Partitions
@@ -32,7 +33,7 @@
     services: ServiceCalls
     ends: ProgramEnds
     forwarder: Forwarder
-    list_endpoints: Callable[[str], dict[str, Any]]
+    list_endpoints: Callable[[str], Any]
     list_models: Callable[[], list[ModelAndService]]
 
     def find_service(self, model: str) -> str:
--- a/src/bronzepost/_internal/node/refusals.py
+++ b/src/bronzepost/_internal/node/refusals.py
@@ -142,3 +142,28 @@
         peer=member,
         retry_after_seconds=OWNER_RETRY_SECONDS,
     )
+
+
+def refuse_change() -> RefusedError:
+    """Return the answer to a change that the log has not shown in time."""
+    return RefusedError(
+        'the change is not on the log yet and may still be accepted: read '
+        'the path again before you repeat it',
+        code='change_unknown',
+        status=HTTPStatus.GATEWAY_TIMEOUT,
+        step='read change back',
+        run=RunState.UNKNOWN,
+        retry_after_seconds=NO_SERVER_RETRY_SECONDS,
+    )
+
+
+def refuse_not_ready() -> RefusedError:
+    """Return the refusal of a node that has no configuration yet."""
+    return RefusedError(
+        'the node has no configuration yet: neither the log nor a peer has '
+        'answered',
+        code='not_ready',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='read configuration',
+        retry_after_seconds=NO_SERVER_RETRY_SECONDS,
+    )
--- a/src/bronzepost/_internal/node/server.py
+++ b/src/bronzepost/_internal/node/server.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from bronzepost._internal.exceptions import SettingsError
 from bronzepost._internal.node.node import Node
 from bronzepost._internal.settings import Settings
 from bronzepost._internal.telemetry.events import LogEvent
@@ -22,7 +23,7 @@
         gevent.signal_handler(number, _stop, node, number)
     try:
         node.start()
-    except OSError as error:
+    except (OSError, SettingsError) as error:
         emit(LogEvent.LISTEN_FAILED, error=error)
         return 1
     node.run()
@@ -32,4 +33,4 @@
 
 def _stop(node: Node, number: int) -> None:
     emit(LogEvent.SIGNAL_RECEIVED, signal=signal.Signals(number).name)
-    node.stop_wanted.set()
+    node.drain()
--- a/src/bronzepost/_internal/node/web.py
+++ b/src/bronzepost/_internal/node/web.py
@@ -3,6 +3,7 @@
 import dataclasses
 import re
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from contextlib import ExitStack, contextmanager
 from http import HTTPStatus
 from typing import Any, Final
 from urllib.parse import parse_qsl
@@ -119,6 +120,7 @@
     def __init__(self, *, routes: Sequence[Route], body_bytes: int) -> None:
         """Compile the routes; ``body_bytes`` bounds a request's body."""
         self._body_bytes = body_bytes
+        self._open_answers = 0
         self._routes = [
             (route.method, re.compile(route.pattern), route.handler)
             for route in routes
@@ -136,11 +138,32 @@
         start_response(f'{status.value} {status.phrase}', headers)
         if isinstance(response.body, bytes):
             return [response.body]
-        return response.body
+        return self._count_open(response.body)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no answer is being produced or sent."""
+        return not self._open_answers
+
+    def _count_open(self, blocks: Iterator[bytes]) -> Iterator[bytes]:
+        # The generator is closed when the caller's connection breaks.
+        with self._open_answer():
+            yield from blocks
+
+    @contextmanager
+    def _open_answer(self) -> Iterator[None]:
+        self._open_answers += 1
+        with ExitStack() as stack:
+            stack.callback(self._close_answer)
+            yield
+
+    def _close_answer(self) -> None:
+        self._open_answers -= 1
 
     def _answer(self, environ: dict[str, Any]) -> Response:
         try:
-            return self._dispatch(environ)
+            with self._open_answer():
+                return self._dispatch(environ)
         except RefusedError as error:
             emit(LogEvent.CALL_REFUSED, error=error, code=error.code)
             return answer_refusal(error)
