Claim partitions only after joining, and tell boots of a node apart

Cause: a node that had just started knew no other member and claimed all 48 partitions, so three nodes raced for each; and an owner that lost a race learned it only from its next append, which refused a call. A restarted node would have been taken for the owner of what its last process had claimed.

A node claims after it has joined, or after 3 s without an answer from its seeds. A claimant reads the partition first. Owners read theirs every 2 s. Members carry a boot token, which the claim's record id names too.

Ruled out: reading all partitions at each start to see one's own old claims (about 96 MB at the design scale).

--- a/src/bronzepost/_internal/core/membership/entities.py
+++ b/src/bronzepost/_internal/core/membership/entities.py
@@ -20,7 +20,8 @@
     """What nodes tell each other about a member.
 
     It is encoded as an array without field names, since up to eight of them
-    travel in each probe.
+    travel in each probe. ``boot`` tells two processes of one name apart: a
+    new process does not own what the last one claimed.
     """
 
     name: str
@@ -31,6 +32,7 @@
     region: str
     incarnation: int
     state: MemberState = MemberState.ALIVE
+    boot: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,6 +53,7 @@
     state: MemberState
     configuration_offset: int
     changed_at: float
+    boot: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -173,6 +176,7 @@
         region=member.region,
         incarnation=member.incarnation,
         state=member.state,
+        boot=member.boot,
     )
 
 
--- a/src/bronzepost/_internal/core/membership/updates.py
+++ b/src/bronzepost/_internal/core/membership/updates.py
@@ -9,6 +9,7 @@
 import types
 from collections.abc import Iterable, Mapping
 
+import msgspec
 import xxhash
 
 from .entities import (
@@ -145,16 +146,7 @@
 
 
 def _with_state(entry: MemberEntry, state: MemberState) -> MemberEntry:
-    return MemberEntry(
-        name=entry.name,
-        peer_address=entry.peer_address,
-        forward_address=entry.forward_address,
-        caller_address=entry.caller_address,
-        availability_zone=entry.availability_zone,
-        region=entry.region,
-        incarnation=entry.incarnation,
-        state=state,
-    )
+    return msgspec.structs.replace(entry, state=state)
 
 
 def _refute(
--- a/src/bronzepost/_internal/core/ownership.py
+++ b/src/bronzepost/_internal/core/ownership.py
@@ -6,10 +6,13 @@
 """
 
 import dataclasses
-from collections.abc import Collection
+from collections.abc import Mapping
 
 from bronzepost._internal.core.rendezvous import first_members
 
+# The boots of the members that may be given work, by member name.
+Serving = Mapping[str, str]
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Route:
@@ -38,22 +41,24 @@
     """A partition as one node sees it.
 
     ``owner`` is who owns it by the records that the node has read, empty if
-    nobody does or nothing was read.
+    nobody does or nothing was read. ``owner_boot`` names the owner's process:
+    a new process of the same name does not own what the last one claimed.
     """
 
     stream: str
     node: str
     owner: str
+    owner_boot: str
     is_owner: bool
 
 
-def first_choice(stream: str, serving: Collection[str]) -> str:
+def first_choice(stream: str, serving: Serving) -> str:
     """Return the member that should own a partition, empty if none can."""
     ranked = first_members(serving, stream, 1)
     return ranked[0] if ranked else ''
 
 
-def route_call(view: PartitionView, serving: Collection[str]) -> Route:
+def route_call(view: PartitionView, serving: Serving) -> Route:
     """Return where a call of the partition is served.
 
     The first choice forwards to the owner on the log while that member
@@ -64,19 +69,20 @@
     first = first_choice(view.stream, serving)
     if first not in {view.node, ''}:
         return ForwardTo(member=first)
-    if view.owner in serving and view.owner != view.node:
+    is_serving = view.owner_boot == serving.get(view.owner)
+    if view.owner and is_serving and view.owner != view.node:
         return ForwardTo(member=view.owner)
     return ClaimHere()
 
 
-def should_claim(view: PartitionView, serving: Collection[str]) -> bool:
+def should_claim(view: PartitionView, serving: Serving) -> bool:
     """Return whether this node should claim the partition now."""
     return not view.is_owner and isinstance(
         route_call(view, serving), ClaimHere
     )
 
 
-def should_release(view: PartitionView, serving: Collection[str]) -> bool:
+def should_release(view: PartitionView, serving: Serving) -> bool:
     """Return whether this node should hand the partition to another."""
     first = first_choice(view.stream, serving)
     return view.is_owner and first not in {view.node, ''}
--- a/src/bronzepost/_internal/node/cluster.py
+++ b/src/bronzepost/_internal/node/cluster.py
@@ -21,6 +21,8 @@
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
+# A node whose seeds do not answer for this long starts on its own.
+JOIN_SECONDS: Final = 3.0
 _MILLISECONDS: Final = 1000
 _SEED_BITS: Final = 32
 
@@ -28,10 +30,13 @@
 class Cluster:
     """Membership and configuration, and the transport that both use."""
 
-    def __init__(self, *, settings: Settings, log: LogClient) -> None:
+    def __init__(
+        self, *, settings: Settings, log: LogClient, boot: str
+    ) -> None:
         """Prepare the tables; nothing is sent before the start."""
         incarnation = int(time.time() * _MILLISECONDS)
-        own = _own_entry(settings, incarnation)
+        own = _own_entry(settings, incarnation, boot)
+        self._started_at = read_clock()
         self.members = membership.create_tables(
             own,
             at=read_clock(),
@@ -80,10 +85,22 @@
         for action in membership.leave(self.members, read_clock()):
             carry_out(action, self)
 
-    def list_serving(self) -> tuple[str, ...]:
-        """Return the names of the members that may be given work."""
+    def may_claim(self) -> bool:
+        """Return whether this node knows enough to claim partitions.
+
+        A node that has just started knows no other member, and would claim
+        what others own.
+        """
+        if not self.configuration.tables.is_ready:
+            return False
+        is_alone = not self.members.seeds
+        waited = read_clock() - self._started_at >= JOIN_SECONDS
+        return self.members.has_joined or is_alone or waited
+
+    def list_serving(self) -> dict[str, str]:
+        """Return the boots of the members that may be given work, by name."""
         serving = membership.serving_members(self.members)
-        return tuple(member.name for member in serving)
+        return {member.name: member.boot for member in serving}
 
     def list_live(self) -> frozenset[str]:
         """Return the names of all members that are not dead."""
@@ -190,7 +207,9 @@
     cluster.handle_peer_offset(action)
 
 
-def _own_entry(settings: Settings, incarnation: int) -> membership.MemberEntry:
+def _own_entry(
+    settings: Settings, incarnation: int, boot: str
+) -> membership.MemberEntry:
     node = settings.node
     return membership.MemberEntry(
         name=node.name,
@@ -200,6 +219,7 @@
         availability_zone=node.availability_zone,
         region=node.region,
         incarnation=incarnation,
+        boot=boot,
     )
 
 
--- a/src/bronzepost/_internal/node/journal_keeper.py
+++ b/src/bronzepost/_internal/node/journal_keeper.py
@@ -82,11 +82,18 @@
                 submit_record(journal, build_checkpoint(journal))
             self.send(journal)
 
+    def catch_up(self, journal: Journal, timeout_seconds: float) -> bool:
+        """Read a partition up to its end; return whether that succeeded."""
+        self.refresh(journal)
+
+        def is_done() -> bool:  # noqa: WPS430
+            return journal.loading.done and not journal.requests.refresh_wanted
+
+        self._poll(journal, timeout_seconds, is_done)
+        return is_done()
+
     def claim(self, journal: Journal, timeout_seconds: float) -> bool:
         """Claim a partition and wait; return whether this node owns it."""
-        self._poll(journal, timeout_seconds, lambda: journal.loading.done)
-        if not journal.loading.done:
-            return False
         self.put(journal, events.OwnershipWanted(at=read_clock()))
         self._poll(journal, timeout_seconds, lambda: journal.is_settled)
         return journal.is_owner
--- a/src/bronzepost/_internal/node/node.py
+++ b/src/bronzepost/_internal/node/node.py
@@ -45,7 +45,9 @@
         self._telemetry = telemetry
         self._boot = assembly.make_boot()
         self._storage = assembly.build_storage(settings, telemetry, self._boot)
-        self._cluster = Cluster(settings=settings, log=self._storage.log)
+        self._cluster = Cluster(
+            settings=settings, log=self._storage.log, boot=self._boot
+        )
         self._runners = assembly.build_runners(
             settings, telemetry, self._storage
         )
--- a/src/bronzepost/_internal/node/partitions.py
+++ b/src/bronzepost/_internal/node/partitions.py
@@ -1,6 +1,6 @@
 """Claim the partitions that this node should own, and hand others over."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from typing import Final
 
 import gevent
@@ -13,10 +13,9 @@
 )
 from bronzepost._internal.core.ownership import (
     ClaimHere,
-    ForwardTo,
     PartitionView,
     Route,
-    ServeHere,
+    Serving,
     first_choice,
     route_call,
     should_claim,
@@ -30,7 +29,7 @@
 from bronzepost._internal.telemetry.logs import emit
 
 CLAIM_SECONDS: Final = 2.0
-RELEASE_SECONDS: Final = 1.0
+REFRESH_SECONDS: Final = 2.0
 # A node that has just joined may leave again soon; handing partitions over to
 # it costs each program an append.
 STABLE_SECONDS: Final = 5.0
@@ -44,17 +43,20 @@
         *,
         node: str,
         keeper: JournalKeeper,
-        list_serving: Callable[[], Collection[str]],
+        list_serving: Callable[[], Serving],
+        may_claim: Callable[[], bool],
         has_running_call: Callable[[Journal], bool],
     ) -> None:
         """Start owning nothing."""
         self._node = node
         self._keeper = keeper
         self._list_serving = list_serving
+        self._may_claim = may_claim
         self._has_running_call = has_running_call
-        self._serving: frozenset[str] = frozenset()
+        self._serving: Serving = {}
         self._serving_since = read_clock()
         self._claiming: set[int] = set()
+        self._refresh_at = read_clock()
         self.is_draining = False
 
     def find_owner(self, program: str) -> str:
@@ -78,22 +80,24 @@
         route = self._route(journal)
         if not isinstance(route, ClaimHere):
             return journal, route
-        if self._keeper.claim(journal, CLAIM_SECONDS):
-            return journal, ServeHere()
-        route = self._route(journal)
-        if not isinstance(route, ForwardTo):
-            reason = 'the claim is not on the log'
-            raise refuse_no_owner(partition, reason)
+        if not self._may_claim():
+            raise refuse_no_owner(partition, 'this node has just started')
+        route = self._claim(journal)
+        if isinstance(route, ClaimHere):
+            raise refuse_no_owner(partition, 'the claim is not on the log')
         return journal, route
 
     def tick(self) -> None:
         """Claim and release what is due."""
-        serving = frozenset(self._list_serving())
+        if not self._may_claim():
+            return
+        serving = self._list_serving()
         if serving != self._serving:
             self._serving = serving
             self._serving_since = read_clock()
         is_stable = read_clock() - self._serving_since >= STABLE_SECONDS
         may_release = is_stable or self.is_draining
+        self._refresh_owned()
         for partition in range(PARTITION_COUNT):
             journal = self._keeper.find_journal(partition)
             view = self._view(journal)
@@ -116,6 +120,7 @@
             stream=journal.stream,
             node=self._node,
             owner=journal.state.owner,
+            owner_boot=journal.state.claim_id.partition('-')[0],
             is_owner=journal.is_owner,
         )
 
@@ -123,12 +128,31 @@
         if partition in self._claiming or self.is_draining:
             return
         self._claiming.add(partition)
-        gevent.spawn(self._claim, partition, journal)
+        gevent.spawn(self._claim_in_background, partition, journal)
 
-    def _claim(self, partition: int, journal: Journal) -> None:
-        self._keeper.claim(journal, CLAIM_SECONDS)
+    def _claim_in_background(self, partition: int, journal: Journal) -> None:
+        self._claim(journal)
         self._claiming.discard(partition)
 
+    def _claim(self, journal: Journal) -> Route:
+        """Read the partition, then claim it if nobody serves it."""
+        if not self._keeper.catch_up(journal, CLAIM_SECONDS):
+            return ClaimHere()
+        route = self._route(journal)
+        if isinstance(route, ClaimHere):
+            self._keeper.claim(journal, CLAIM_SECONDS)
+            route = self._route(journal)
+        return route
+
+    def _refresh_owned(self) -> None:
+        # An owner that was paused or cut off learns from the log alone that
+        # another node has claimed its partition.
+        if read_clock() < self._refresh_at:
+            return
+        self._refresh_at = read_clock() + REFRESH_SECONDS
+        for journal in self._keeper.owned_journals():
+            self._keeper.refresh(journal)
+
     def _release(self, journal: Journal) -> None:
         """Return unused allowances and give the partition up.
 
