Trace each hop and tell an operator whose change won

Cause: the caller's traceparent ended at the node, and a rejected change was answered with status 200, so 'config set' returned 0.

Spans: chat completion or service call, forward call, backend call for each attempt, append to log; the context goes on to the owner and to the backend server. A change on an old revision is a 409 that names the value, revision and author in force; 'config set' returns 1.

--- a/src/bronzepost/_internal/cli/commands/config/set.py
+++ b/src/bronzepost/_internal/cli/commands/config/set.py
@@ -32,7 +32,7 @@
     description=(
         'The change is refused if another operator has changed the path'
         ' since the revision that it is based on.\n\n'
-        'Example: `bronzepost config set organisations/kostiumy/cache_weight'
+        'Example: `bronzepost config set kostiumy:cache_weight'
         ' 0.8`'
     ),
 )
--- a/src/bronzepost/_internal/node/answer_stream.py
+++ b/src/bronzepost/_internal/node/answer_stream.py
@@ -4,7 +4,7 @@
 owner through another node, continues at the offset after its last chunk.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from gevent.event import Event
 
@@ -42,6 +42,10 @@
         self.error = error
         self.finish()
 
+    def when_finished(self, notify: Callable[[], object]) -> None:
+        """Call a function once the answer has ended."""
+        self._finished.rawlink(lambda _event: notify())
+
     def wait_finished(self, timeout_seconds: float | None = None) -> bool:
         """Wait until the answer has ended; return whether it has."""
         return bool(self._finished.wait(timeout_seconds))
--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -78,7 +78,7 @@
         node=settings.node.name,
         boot=boot,
         log=log,
-        metrics=telemetry.metrics,
+        telemetry=telemetry,
     )
     programs = ProgramCalls(keeper=keeper, answers=AnswerStore(log=log))
     return Storage(log=log, keeper=keeper, programs=programs)
@@ -129,6 +129,7 @@
         programs=storage.programs,
         directory=runners.directory,
         retries=retries,
+        tracer=telemetry.tracer,
         availability_zone=zone,
     )
     return CallPaths(
@@ -145,6 +146,7 @@
         forwarder=Forwarder(
             find_address=cluster.find_forward_address,
             find_peer_key=lambda: next(iter(settings.peers.keys), ''),
+            tracer=telemetry.tracer,
         ),
     )
 
--- a/src/bronzepost/_internal/node/caller_api.py
+++ b/src/bronzepost/_internal/node/caller_api.py
@@ -25,6 +25,7 @@
 )
 from bronzepost._internal.node.service_calls import ServiceCall
 from bronzepost._internal.node.web import Request, Response, Route
+from bronzepost._internal.telemetry.spans import Span, parse_traceparent
 
 
 class CallerApi:
@@ -77,7 +78,7 @@
             fields=fields,
             terms=terms,
             arrived_at=read_clock(),
-            traceparent=fields.traceparent,
+            span=self._start_span('service call', fields),
         )
         if not fields.program:
             stream = self._parts.services.begin_alone(call, self._name_call())
@@ -98,9 +99,15 @@
             fields=fields,
             terms=self._find_terms(fields, service),
             arrived_at=read_clock(),
-            traceparent=fields.traceparent,
+            span=self._start_span('chat completion', fields),
         )
 
+    def _start_span(self, name: str, fields: CallerFields) -> Span:
+        parent = parse_traceparent(fields.traceparent)
+        span = self._parts.tracer.start_span(name, parent)
+        span.attributes['program'] = fields.program
+        return span
+
     def _find_terms(self, fields: CallerFields, service: str) -> CallTerms:
         return find_terms(
             fields,
--- a/src/bronzepost/_internal/node/chat_calls.py
+++ b/src/bronzepost/_internal/node/chat_calls.py
@@ -40,6 +40,7 @@
     refuse_deadline,
     refuse_history,
 )
+from bronzepost._internal.telemetry.spans import Span
 
 _PASSED_OVER: Final = frozenset(('metadata', 'stream', 'stream_options'))
 
@@ -52,7 +53,7 @@
     fields: CallerFields
     terms: CallTerms
     arrived_at: float
-    traceparent: str = ''
+    span: Span
 
     @property
     def deadline_at(self) -> float:
@@ -112,12 +113,14 @@
         if not self._is_repeated(journal, request):
             self._admit(call)
             _check_history(journal, call)
-        return self._programs.begin(
+        stream = self._programs.begin(
             journal,
             request,
             deadline_at=call.deadline_at,
             work=lambda owned: self._run_owned(owned, call),
         )
+        stream.when_finished(call.span.end)
+        return stream
 
     def begin_alone(self, call: ChatCall, call_id: str) -> AnswerStream:
         """Start a call without a program; it leaves no record.
@@ -128,6 +131,7 @@
         if call.worst_case > call.terms.budget:
             raise refuse_budget(call.worst_case, call.terms.budget)
         stream = AnswerStream()
+        stream.when_finished(call.span.end)
         gevent.spawn(self._run_alone, call, call_id, stream)
         return stream
 
@@ -207,7 +211,7 @@
             policy=call.terms.policy,
             body=call.engine_body(),
             retry_terms=_retry_terms(call, affordable),
-            traceparent=call.traceparent,
+            traceparent=call.span.traceparent,
         )
         return self._run_until_deadline(model_call, owned.stream)
 
@@ -238,7 +242,7 @@
             policy=call.terms.policy,
             body=call.engine_body(),
             retry_terms=_retry_terms(call, MAX_ATTEMPTS),
-            traceparent=call.traceparent,
+            traceparent=call.span.traceparent,
         )
         self._memory.live_calls.add(call_id)
         try:
--- a/src/bronzepost/_internal/node/dispatch.py
+++ b/src/bronzepost/_internal/node/dispatch.py
@@ -23,6 +23,7 @@
 )
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
+from bronzepost._internal.telemetry.spans import Tracer, parse_traceparent
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -30,6 +31,7 @@
     """A call in flight; who sends it fills in the tokens that it used."""
 
     server_id: str
+    traceparent: str
     output_tokens: int = 0
     cached_tokens: int | None = None
 
@@ -41,9 +43,13 @@
     policy: Policy,
     request: CallRequest,
     call_id: str,
+    tracer: Tracer,
+    traceparent: str,
 ) -> Iterator[Dispatched]:
     """Choose a backend server and count the call as in flight in the block.
 
+    The block is a span of its own, whose context goes to the backend server.
+
     Raises:
         RefusedError: if there is no backend server for the call.
     """
@@ -51,7 +57,11 @@
     choice = choose_backend_server(policy, directory.tables, request, at)
     if choice is None:
         raise refuse_no_server(request.service, request.model)
-    dispatched = Dispatched(server_id=choice.backend_server_id)
+    span = tracer.start_span('backend call', parse_traceparent(traceparent))
+    span.attributes['backend_server'] = choice.backend_server_id
+    dispatched = Dispatched(
+        server_id=choice.backend_server_id, traceparent=span.traceparent
+    )
     sent = events.CallSent(
         at=at,
         call_id=call_id,
@@ -60,6 +70,7 @@
     )
     apply_event(directory.tables, sent)
     with ExitStack() as stack:
+        stack.callback(span.end)
         stack.callback(_finish, directory, call_id, dispatched)
         yield dispatched
 
--- a/src/bronzepost/_internal/node/forwarding.py
+++ b/src/bronzepost/_internal/node/forwarding.py
@@ -1,5 +1,6 @@
 """Forward calls to the node that owns their program."""
 
+import dataclasses
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import Final
@@ -12,7 +13,7 @@
 from bronzepost._internal.node.caller_request import HOPS_HEADER, MAX_HOPS
 from bronzepost._internal.node.http_exchange import HttpPeer, HttpStream
 from bronzepost._internal.node.refusals import OWNER_RETRY_SECONDS
-from bronzepost._internal.node.responses import write_error_event
+from bronzepost._internal.node.responses import Headers, write_error_event
 from bronzepost._internal.node.web import (
     EVENT_STREAM_TYPE,
     JSON_TYPE,
@@ -21,6 +22,7 @@
 )
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
+from bronzepost._internal.telemetry.spans import Tracer, parse_traceparent
 
 # An owner sends keep-alive lines each second while a call waits.
 FORWARD_IDLE_SECONDS: Final = 5.0
@@ -33,7 +35,8 @@
 
 # Headers of a caller that go on to the owner; the rest ends at this node.
 _FORWARDED_PREFIX: Final = 'bronzepost-'
-_FORWARDED: Final = frozenset(('idempotency-key', 'traceparent'))
+_TRACE_HEADER: Final = 'traceparent'
+_FORWARDED: Final = frozenset(('idempotency-key', _TRACE_HEADER))
 _RETURNED: Final = ('retry-after', 'x-should-retry')
 
 FindAddress = Callable[[str], str]
@@ -46,11 +49,16 @@
     """
 
     def __init__(
-        self, *, find_address: FindAddress, find_peer_key: Callable[[], str]
+        self,
+        *,
+        find_address: FindAddress,
+        find_peer_key: Callable[[], str],
+        tracer: Tracer,
     ) -> None:
         """Use the current addresses and the current peer key."""
         self._find_address = find_address
         self._find_peer_key = find_peer_key
+        self._tracer = tracer
 
     def forward(
         self, member: str, request: Request, *, idle_seconds: float
@@ -62,12 +70,14 @@
                 the call may have run.
         """
         emit(LogEvent.CALL_FORWARDED, member=member, path=request.path)
-        stream = self._open(member, request, idle_seconds)
-        headers = tuple(
-            (name.title(), text)
-            for name, text in stream.headers.items()
-            if name in _RETURNED or name.startswith(_FORWARDED_PREFIX)
-        )
+        header = request.headers.get(_TRACE_HEADER, '')
+        # The span ends when the owner has begun to answer; the owner's own
+        # span covers the rest.
+        with self._tracer.record_span(_STEP, parse_traceparent(header)) as span:
+            span.attributes['member'] = member
+            traced = _with_traceparent(request, span.traceparent)
+            stream = self._open(member, traced, idle_seconds)
+        headers = _returned_headers(stream)
         content_type = stream.headers.get('content-type', JSON_TYPE)
         if not content_type.startswith(EVENT_STREAM_TYPE):
             return _relay_whole(stream, headers, content_type)
@@ -158,6 +168,19 @@
         return stream
 
 
+def _returned_headers(stream: HttpStream) -> Headers:
+    return tuple(
+        (name.title(), text)
+        for name, text in stream.headers.items()
+        if name in _RETURNED or name.startswith(_FORWARDED_PREFIX)
+    )
+
+
+def _with_traceparent(request: Request, traceparent: str) -> Request:
+    headers = {**request.headers, _TRACE_HEADER: traceparent}
+    return dataclasses.replace(request, headers=headers)
+
+
 class _Progress:
     """How much of a stream was relayed."""
 
@@ -186,7 +209,7 @@
 
 def _relay_whole(
     stream: HttpStream,
-    headers: tuple[tuple[str, str], ...],
+    headers: Headers,
     content_type: str,
 ) -> Response:
     try:
--- a/src/bronzepost/_internal/node/journal_keeper.py
+++ b/src/bronzepost/_internal/node/journal_keeper.py
@@ -26,7 +26,7 @@
 from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
-from bronzepost._internal.telemetry.metrics import Metrics
+from bronzepost._internal.telemetry.start import Telemetry
 
 _POLL_SECONDS: Final = 0.005
 
@@ -35,12 +35,13 @@
     """The journals of all partitions that this node has touched."""
 
     def __init__(
-        self, *, node: str, boot: str, log: LogClient, metrics: Metrics
+        self, *, node: str, boot: str, log: LogClient, telemetry: Telemetry
     ) -> None:
         """Start with no journal."""
         self.journals_by_partition: dict[int, Journal] = {}
         self.settlements = Settlements()
-        self.metrics = metrics
+        self.metrics = telemetry.metrics
+        self._tracer = telemetry.tracer
         self._node = node
         self._boot = boot
         self._log = log
@@ -101,10 +102,11 @@
     def append(self, journal: Journal, records: tuple[Record, ...]) -> None:
         """Append records and tell the journal what became of it."""
         started = read_clock()
-        self._exchange(
-            journal,
-            lambda: request_append(self._log, journal.stream, records),
-        )
+        with self._tracer.record_span('append to log'):
+            self._exchange(
+                journal,
+                lambda: request_append(self._log, journal.stream, records),
+            )
         elapsed = (read_clock() - started) * MILLISECONDS
         self.metrics.timing(Metric.LOG_APPEND_TIME, elapsed)
         self.metrics.count(Metric.LOG_APPENDS)
--- a/src/bronzepost/_internal/node/model_call.py
+++ b/src/bronzepost/_internal/node/model_call.py
@@ -89,6 +89,7 @@
         self._directory = directory
         self._retries = retries
         self._metrics = telemetry.metrics
+        self._tracer = telemetry.tracer
 
     def run(self, call: ModelCall, stream: AnswerStream) -> ModelAnswer:
         """Run the call; all chunks but the last go into the stream.
@@ -116,21 +117,24 @@
     ) -> None:
         tables = self._directory.tables
         rank = priority(call.policy, tables, call.request, read_clock())
-        engine_call = EngineCall(
-            request_id=f'{call.call_id}:{answer.attempts}',
-            session=call.request.program_id,
-            priority=rank,
-            body=call.body,
-            traceparent=call.traceparent,
-        )
+        request_id = f'{call.call_id}:{answer.attempts}'
         dispatched_call = dispatch_call(
             self._directory,
             policy=call.policy,
             request=call.request,
-            call_id=engine_call.request_id,
+            call_id=request_id,
+            tracer=self._tracer,
+            traceparent=call.traceparent,
         )
         with dispatched_call as dispatched:
-            stream.upstream = f'{dispatched.server_id} {engine_call.request_id}'
+            engine_call = EngineCall(
+                request_id=request_id,
+                session=call.request.program_id,
+                priority=rank,
+                body=call.body,
+                traceparent=dispatched.traceparent,
+            )
+            stream.upstream = f'{dispatched.server_id} {request_id}'
             self._move_chunks(dispatched.server_id, engine_call, answer, stream)
             dispatched.output_tokens = answer.usage.completion_tokens
             dispatched.cached_tokens = answer.usage.cached_tokens
--- a/src/bronzepost/_internal/node/node.py
+++ b/src/bronzepost/_internal/node/node.py
@@ -153,6 +153,7 @@
             node=self._settings.node.name,
             boot=self._boot,
             lookup=self._look_up,
+            tracer=self._telemetry.tracer,
             partitions=self._paths.partitions,
             programs=self._storage.programs,
             chats=self._paths.chats,
--- a/src/bronzepost/_internal/node/operator_api.py
+++ b/src/bronzepost/_internal/node/operator_api.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import msgspec
@@ -10,11 +11,13 @@
 from bronzepost._internal.node.backend_directory import BackendDirectory
 from bronzepost._internal.node.cluster import Cluster
 from bronzepost._internal.node.journal_keeper import JournalKeeper
+from bronzepost._internal.node.refusals import refuse_old_revision
 from bronzepost._internal.node.web import (
     Request,
     Response,
     Route,
     answer_json,
+    encode_refusal,
     refuse_parameter,
 )
 
@@ -92,11 +95,15 @@
             base_revision=change.base_revision,
             author=change.author,
         )
-        is_accepted = isinstance(outcome, configuration.ChangeAccepted)
-        return answer_json({
-            'accepted': is_accepted,
+        body = {
+            'accepted': isinstance(outcome, configuration.ChangeAccepted),
             **dataclasses.asdict(outcome),
-        })
+        }
+        if isinstance(outcome, configuration.ChangeAccepted):
+            return answer_json(body)
+        refusal = refuse_old_revision(outcome)
+        refused = msgspec.json.decode(encode_refusal(refusal))
+        return answer_json({**refused, **body}, HTTPStatus.CONFLICT)
 
     def read_history(self, request: Request) -> Response:
         """Answer with the accepted changes of a path."""
--- a/src/bronzepost/_internal/node/parts.py
+++ b/src/bronzepost/_internal/node/parts.py
@@ -11,6 +11,7 @@
 from bronzepost._internal.node.program_calls import ProgramCalls
 from bronzepost._internal.node.program_ends import ProgramEnds
 from bronzepost._internal.node.service_calls import ServiceCalls
+from bronzepost._internal.telemetry.spans import Tracer
 
 ModelAndService = tuple[str, str]
 
@@ -27,6 +28,7 @@
     node: str
     boot: str
     lookup: SettingLookup
+    tracer: Tracer
     partitions: Partitions
     programs: ProgramCalls
     chats: ChatCalls
--- a/src/bronzepost/_internal/node/refusals.py
+++ b/src/bronzepost/_internal/node/refusals.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 from typing import Final
 
+from bronzepost._internal.core.configuration import ChangeRejected
 from bronzepost._internal.core.ledger.calls import Refuse
 from bronzepost._internal.core.ledger.state import ProgramEntry
 from bronzepost._internal.core.scheduling.actions import Refused
@@ -167,3 +168,16 @@
         step='read configuration',
         retry_after_seconds=NO_SERVER_RETRY_SECONDS,
     )
+
+
+def refuse_old_revision(rejected: ChangeRejected) -> RefusedError:
+    """Return the refusal of a change that another one came before."""
+    return RefusedError(
+        f'{rejected.path} is {rejected.value!r} since revision '
+        f'{rejected.revision}, set by {rejected.author or "nobody"}: base '
+        'the change on that revision',
+        code='old_revision',
+        status=HTTPStatus.CONFLICT,
+        step='propose change',
+        parameter='base_revision',
+    )
--- a/src/bronzepost/_internal/node/service_calls.py
+++ b/src/bronzepost/_internal/node/service_calls.py
@@ -31,6 +31,7 @@
     ServiceAnswer,
     call_service,
 )
+from bronzepost._internal.telemetry.spans import Span, Tracer
 
 MAX_ATTEMPTS: Final = 2
 MIN_SECONDS: Final = 0.001
@@ -45,7 +46,7 @@
     fields: CallerFields
     terms: CallTerms
     arrived_at: float
-    traceparent: str = ''
+    span: Span
 
     @property
     def deadline_at(self) -> float:
@@ -62,9 +63,11 @@
         programs: ProgramCalls,
         directory: BackendDirectory,
         retries: RetryBudget,
+        tracer: Tracer,
         availability_zone: str,
     ) -> None:
         """Use the node's programs and backend servers."""
+        self._tracer = tracer
         self._programs = programs
         self._directory = directory
         self._retries = retries
@@ -85,16 +88,19 @@
             path=call.path,
             non_idempotent=call.terms.non_idempotent,
         )
-        return self._programs.begin(
+        stream = self._programs.begin(
             journal,
             request,
             deadline_at=call.deadline_at,
             work=lambda owned: self._run_owned(owned, call),
         )
+        stream.when_finished(call.span.end)
+        return stream
 
     def begin_alone(self, call: ServiceCall, call_id: str) -> AnswerStream:
         """Start a call without a program; it is sent once if it must be."""
         stream = AnswerStream()
+        stream.when_finished(call.span.end)
         gevent.spawn(self._run_alone, call, call_id, stream)
         return stream
 
@@ -171,6 +177,8 @@
             policy=call.terms.policy,
             request=request,
             call_id=request_id,
+            tracer=self._tracer,
+            traceparent=call.span.traceparent,
         )
         # A tool may take long and says nothing meanwhile, so only the
         # deadline bounds the silence.
@@ -182,5 +190,5 @@
                 call.path,
                 body=call.body,
                 request_id=request_id,
-                headers={'traceparent': call.traceparent},
+                headers={'traceparent': dispatched.traceparent},
             )
