Offer the coordination parts as a library

Cause: programs that embed the parts need one public module with examples.

Ruled out: flat names; membership and configuration both have Tick, Send and MessageReceived, so they are offered as two modules.

--- /dev/null
+++ b/src/bronzepost/coordination.py
@@ -0,0 +1,100 @@
+"""Coordination of nodes without a coordination service.
+
+The parts are pure: each keeps its state in tables, takes typed events with
+``at`` (seconds of a monotonic clock) and returns typed actions for the
+embedding program to carry out. Nothing here reads a clock, a socket or an
+unseeded random source, so a recording of the events gives the same actions
+again.
+
+``membership`` tells which nodes run (SWIM), ``configuration`` holds a tree of
+settings that all nodes accept in the order of a log, ``rank_members`` and
+``partition_of`` say which node comes first for a key, and
+``choose_endpoints`` which addresses a caller should use.
+
+Two members find each other; a message is carried by hand here, and by the
+embedding program's transport otherwise::
+
+    >>> from bronzepost.coordination import membership
+    >>> def build_entry(name, port):
+    ...     return membership.MemberEntry(
+    ...         name=name,
+    ...         peer_address=f'127.0.0.1:{port}',
+    ...         forward_address=f'127.0.0.1:{port + 100}',
+    ...         caller_address=f'127.0.0.1:{port + 1000}',
+    ...         availability_zone='hall-a',
+    ...         region='pl-central',
+    ...         incarnation=1_700_000_000_000,
+    ...     )
+    >>> first = membership.create_tables(build_entry('hall-a-1', 7001), at=0)
+    >>> second = membership.create_tables(
+    ...     build_entry('hall-a-2', 7002), at=0, seeds=('127.0.0.1:7001',)
+    ... )
+    >>> actions = membership.apply_event(second, membership.Tick(at=0))
+    >>> [type(action).__name__ for action in actions]
+    ['ReconnectPeer', 'Send']
+    >>> received = membership.MessageReceived(at=0, message=actions[1].message)
+    >>> actions = membership.apply_event(first, received)
+    >>> [member.name for member in membership.live_members(first)]
+    ['hall-a-1', 'hall-a-2']
+
+Any of them ranks the members for a partition in the same way::
+
+    >>> from bronzepost.coordination import partition_of, rank_members
+    >>> names = [it.name for it in membership.serving_members(first)]
+    >>> ranking = rank_members(names, f'programs-{partition_of("p-1"):02}')
+    >>> ranking == rank_members(reversed(names), 'programs-02')
+    True
+
+A setting is inherited from the nearest level that sets it::
+
+    >>> from bronzepost.coordination import configuration
+    >>> tables = configuration.create_tables(
+    ...     'hall-a-1', own_peer_address='127.0.0.1:7001', boot=1
+    ... )
+    >>> empty = configuration.ConfigurationSnapshot(
+    ...     record_id='0000000010000001', next_offset=0, entries=()
+    ... )
+    >>> configuration.apply_record(tables, 0, empty)
+    ()
+    >>> change = configuration.ConfigurationChange(
+    ...     record_id='0000000010000002',
+    ...     path='kostiumy:cache_weight',
+    ...     value=0.8,
+    ...     base_revision=0,
+    ...     author='operator',
+    ... )
+    >>> result = configuration.apply_record(tables, 1, change)
+    >>> type(result[0]).__name__, result[0].revision
+    ('ChangeAccepted', 1)
+    >>> configuration.inherit(
+    ...     tables, 'kostiumy', 'pass-assistant', 'p-1', 'cache_weight'
+    ... )
+    0.8
+"""
+
+from bronzepost._internal.core import configuration, membership
+from bronzepost._internal.core.endpoints import (
+    Endpoint,
+    EndpointAnswer,
+    choose_endpoints,
+)
+from bronzepost._internal.core.record_ids import format_record_id
+from bronzepost._internal.core.rendezvous import (
+    PARTITION_COUNT,
+    first_members,
+    partition_of,
+    rank_members,
+)
+
+__all__ = [
+    'PARTITION_COUNT',
+    'Endpoint',
+    'EndpointAnswer',
+    'choose_endpoints',
+    'configuration',
+    'first_members',
+    'format_record_id',
+    'membership',
+    'partition_of',
+    'rank_members',
+]
