--- a/src/bronzepost/_internal/core/scheduling/cache_events.py
+++ b/src/bronzepost/_internal/core/scheduling/cache_events.py
@@ -1,5 +1,7 @@
 """Handlers of events about cached prefixes."""
 
+import dataclasses
+
 from .dispatch import Actions, handle_event
 from .events import CacheEventKind, CacheEventSeen, SessionReleased
 from .tables import CachedPrefix, SchedulingTables
@@ -17,9 +19,25 @@
     if backend_server_id not in tables.backend_servers_by_id:
         return
     prefixes = tables.prefixes_by_session.setdefault(session, {})
+    earlier = prefixes.get(backend_server_id)
+    earlier_tokens = 0 if earlier is None else earlier.tokens
+    change_believed(tables, backend_server_id, tokens - earlier_tokens)
     prefixes[backend_server_id] = CachedPrefix(tokens=tokens, used_at=at)
 
 
+def change_believed(
+    tables: SchedulingTables,
+    backend_server_id: str,
+    change: int,
+) -> None:
+    """Change the sum of the prefixes that a server is believed to hold."""
+    server = tables.backend_servers_by_id.get(backend_server_id)
+    if server is not None:
+        tables.backend_servers_by_id[backend_server_id] = dataclasses.replace(
+            server, believed_tokens=server.believed_tokens + change
+        )
+
+
 def forget_prefix(
     tables: SchedulingTables,
     session: str,
@@ -29,7 +47,9 @@
     prefixes = tables.prefixes_by_session.get(session)
     if prefixes is None:
         return
-    prefixes.pop(backend_server_id, None)
+    prefix = prefixes.pop(backend_server_id, None)
+    if prefix is not None:
+        change_believed(tables, backend_server_id, -prefix.tokens)
     if not prefixes:
         tables.prefixes_by_session.pop(session)
 
@@ -47,9 +67,12 @@
     if left <= 0:
         forget_prefix(tables, event.session, event.backend_server_id)
     else:
-        prefixes[event.backend_server_id] = CachedPrefix(
+        believe_prefix(
+            tables,
+            event.session,
+            event.backend_server_id,
             tokens=left,
-            used_at=prefix.used_at,
+            at=prefix.used_at,
         )
     return ()
 
--- a/src/bronzepost/_internal/core/scheduling/call_events.py
+++ b/src/bronzepost/_internal/core/scheduling/call_events.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from .cache_events import believe_prefix
+from .cache_events import believe_prefix, forget_prefix
 from .dispatch import Actions, handle_event, move_mean
 from .events import CallFinished, CallSent
 from .program_events import add_program, hold_tokens
@@ -30,7 +30,13 @@
     )
     add_program(tables, call, event.at)
     change_program_calls(tables, call.program_id, 1)
-    change_own_calls(tables, event.backend_server_id, event.at, 1)
+    change_own_calls(
+        tables,
+        event.backend_server_id,
+        event.at,
+        change=1,
+        tokens=call.prompt_tokens,
+    )
     rate = tables.rates_by_service.get(call.service, ServiceRate())
     tables.rates_by_service[call.service] = dataclasses.replace(
         rate,
@@ -38,6 +44,13 @@
     )
     if call.model:
         hold_tokens(tables, call.program_id, call.prompt_tokens)
+        believe_prefix(
+            tables,
+            call.program_id,
+            event.backend_server_id,
+            tokens=call.prompt_tokens,
+            at=event.at,
+        )
         # Only model engines hold a prefix that makes a call worth sending to
         # the same server again.
         tables.home_by_session[call.program_id] = event.backend_server_id
@@ -64,15 +77,26 @@
     if sent is None:
         return ()
     call = sent.call
-    change_own_calls(tables, sent.backend_server_id, event.at, -1)
+    change_own_calls(
+        tables,
+        sent.backend_server_id,
+        event.at,
+        change=-1,
+        tokens=call.prompt_tokens,
+    )
     change_program_calls(tables, call.program_id, -1)
     if event.is_failed:
+        forget_prefix(tables, call.program_id, sent.backend_server_id)
         return ()
     rate = tables.rates_by_service[call.service]
     tables.rates_by_service[call.service] = dataclasses.replace(
         rate,
+        calls_finished=rate.calls_finished + 1,
         call_seconds=move_mean(
-            rate.call_seconds, event.at - sent.sent_at, rate.calls_sent
+            rate.call_seconds, event.at - sent.sent_at, rate.calls_finished
+        ),
+        output_tokens=move_mean(
+            rate.output_tokens, event.output_tokens, rate.calls_finished
         ),
     )
     if call.program_id in tables.programs_by_id:
--- a/src/bronzepost/_internal/core/scheduling/program_events.py
+++ b/src/bronzepost/_internal/core/scheduling/program_events.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from .actions import ReleaseSession
+from .cache_events import forget_prefix
 from .dispatch import Actions, handle_event, move_mean
 from .events import PauseSeen, ProgramEnded, ProgramRefused
 from .tables import (
@@ -11,7 +12,6 @@
     ProgramService,
     Refusal,
     SchedulingTables,
-    ServiceRate,
     find_root,
 )
 
@@ -103,15 +103,14 @@
         sub_agents = tables.sub_agents_by_root.pop(program_id, set())
         ended = [*sorted(sub_agents), program_id]
     actions: list[ReleaseSession] = []
-    for identifier in ended:
-        actions.extend(end_program(tables, identifier, event.at))
+    for ended_id in ended:
+        actions.extend(end_program(tables, ended_id))
     return tuple(actions)
 
 
 def end_program(
     tables: SchedulingTables,
     program_id: str,
-    at: float,
 ) -> list[ReleaseSession]:
     """Remove the rows of one program; return releases of its prefixes."""
     hold_tokens(tables, program_id, 0)
@@ -122,31 +121,11 @@
     if siblings is not None:
         siblings.discard(program_id)
     if program is not None and find_root(program_id) == program_id:
-        count_ended(tables, program, at)
-    prefixes = tables.prefixes_by_session.pop(program_id, {})
+        tables.live_roots_by_service[program.service] -= 1
+    holders = tuple(tables.prefixes_by_session.get(program_id, ()))
+    for holder in holders:
+        forget_prefix(tables, program_id, holder)
     return [
         ReleaseSession(backend_server_id=identifier, session=program_id)
-        for identifier in prefixes
+        for identifier in holders
     ]
-
-
-def count_ended(
-    tables: SchedulingTables,
-    program: ProgramService,
-    at: float,
-) -> None:
-    """Update the figures of the service that the root program used."""
-    service = program.service
-    tables.live_roots_by_service[service] -= 1
-    rate = tables.rates_by_service.get(service, ServiceRate())
-    count = rate.programs_ended
-    tables.rates_by_service[service] = dataclasses.replace(
-        rate,
-        programs_ended=count + 1,
-        program_seconds=move_mean(
-            rate.program_seconds, at - program.started_at, count
-        ),
-        program_tokens=move_mean(
-            rate.program_tokens, program.history_tokens, count
-        ),
-    )
--- a/src/bronzepost/_internal/core/scheduling/routing.py
+++ b/src/bronzepost/_internal/core/scheduling/routing.py
@@ -116,6 +116,7 @@
         cached = 0 if prefix is None else prefix.tokens
         missing = max(call.prompt_tokens - cached, 0)
         cost = estimate_queue_seconds(server, rate)
+        cost += estimate_memory_seconds(server, rate, call.prompt_tokens)
         cost += prefill_seconds(missing)
         cost += find_distance(tables, call, server)
         yield cost, server
@@ -133,6 +134,23 @@
     return (ahead + outstanding / slots) * rate.call_seconds / slots
 
 
+def estimate_memory_seconds(
+    server: BackendServer,
+    rate: ServiceRate,
+    prompt_tokens: int,
+) -> float:
+    """Return the time until calls in flight have freed enough memory.
+
+    A batch can be limited by the engine's memory before its slots are used.
+    Calls in flight free the whole memory once in a call's time.
+    """
+    capacity = server.cache_capacity
+    if not capacity:
+        return 0
+    excess = server.own_tokens_in_flight + prompt_tokens - capacity
+    return max(excess, 0) / capacity * rate.call_seconds
+
+
 def find_distance(
     tables: SchedulingTables,
     call: CallRequest,
--- a/src/bronzepost/_internal/core/scheduling/server_events.py
+++ b/src/bronzepost/_internal/core/scheduling/server_events.py
@@ -95,9 +95,14 @@
     tables: SchedulingTables,
     identifier: str,
     at: float,
+    *,
     change: int,
+    tokens: int,
 ) -> None:
-    """Count one own call sent (+1) or finished (-1) at a server."""
+    """Count one own call sent (+1) or finished (-1) at a server.
+
+    ``tokens`` are the prompt tokens of the call.
+    """
     server = tables.backend_servers_by_id.get(identifier)
     if server is None:
         return
@@ -106,4 +111,7 @@
         server,
         own_since_report=server.own_since_report + change,
         own_in_flight=max(server.own_in_flight + change, 0),
+        own_tokens_in_flight=max(
+            server.own_tokens_in_flight + change * tokens, 0
+        ),
     )
--- a/src/bronzepost/_internal/core/scheduling/tables.py
+++ b/src/bronzepost/_internal/core/scheduling/tables.py
@@ -30,6 +30,9 @@
 
     ``own_since_report`` is the number of own calls sent minus own calls
     finished since ``reported_at``; it corrects the lagging report.
+    ``own_tokens_in_flight`` are the prompt tokens of own calls in flight, and
+    ``believed_tokens`` all prefixes of own programs that it is believed to
+    hold, those of calls in flight included.
     """
 
     backend_server_id: str
@@ -45,6 +48,8 @@
     is_leaving: bool = False
     own_since_report: int = 0
     own_in_flight: int = 0
+    own_tokens_in_flight: int = 0
+    believed_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -130,13 +135,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceRate:
-    """Moving means over the finished calls and programs of one service."""
+    """Calls sent, and moving means over the finished calls of a service."""
 
     call_seconds: float = DEFAULT_CALL_SECONDS
     calls_sent: int = 0
-    programs_ended: int = 0
-    program_seconds: float = 0
-    program_tokens: float = 0
+    calls_finished: int = 0
+    output_tokens: float = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
