--- a/src/bronzepost/_internal/core/scheduling/routing.py
+++ b/src/bronzepost/_internal/core/scheduling/routing.py
@@ -13,6 +13,10 @@
     ServiceRate,
 )
 
+# Not every displaced prefix is used again before it would have been evicted
+# anyway.
+DISPLACED_WEIGHT = 0.3
+
 
 def list_candidates(
     tables: SchedulingTables,
@@ -117,6 +121,9 @@
         missing = max(call.prompt_tokens - cached, 0)
         cost = estimate_queue_seconds(server, rate)
         cost += estimate_memory_seconds(server, rate, call.prompt_tokens)
+        cost += DISPLACED_WEIGHT * prefill_seconds(
+            count_displaced(server, missing)
+        )
         cost += prefill_seconds(missing)
         cost += find_distance(tables, call, server)
         yield cost, server
@@ -151,6 +158,15 @@
     return max(excess, 0) / capacity * rate.call_seconds
 
 
+def count_displaced(server: BackendServer, missing: int) -> int:
+    """Return the tokens of idle prefixes that a call would evict."""
+    if not server.cache_capacity:
+        return 0
+    excess = server.believed_tokens + missing - server.cache_capacity
+    idle = server.believed_tokens - server.own_tokens_in_flight
+    return max(min(excess, idle, missing), 0)
+
+
 def find_distance(
     tables: SchedulingTables,
     call: CallRequest,
