--- a/src/bronzepost/_internal/core/scheduling/routing.py
+++ b/src/bronzepost/_internal/core/scheduling/routing.py
@@ -13,6 +13,10 @@
     ServiceRate,
 )
 
+# Not every displaced prefix is used again before it would have been evicted
+# anyway.
+DISPLACED_WEIGHT = 0.3
+
 
 def list_candidates(
     tables: SchedulingTables,
@@ -116,6 +120,10 @@
         cached = 0 if prefix is None else prefix.tokens
         missing = max(call.prompt_tokens - cached, 0)
         cost = estimate_queue_seconds(server, rate)
+        cost += estimate_memory_seconds(server, rate, call.prompt_tokens)
+        cost += DISPLACED_WEIGHT * prefill_seconds(
+            count_displaced(server, missing)
+        )
         cost += prefill_seconds(missing)
         cost += find_distance(tables, call, server)
         yield cost, server
@@ -133,6 +141,32 @@
     return (ahead + outstanding / slots) * rate.call_seconds / slots
 
 
+def estimate_memory_seconds(
+    server: BackendServer,
+    rate: ServiceRate,
+    prompt_tokens: int,
+) -> float:
+    """Return the time until calls in flight have freed enough memory.
+
+    A batch can be limited by the engine's memory before its slots are used.
+    Calls in flight free the whole memory once in a call's time.
+    """
+    capacity = server.cache_capacity
+    if not capacity:
+        return 0
+    excess = server.own_tokens_in_flight + prompt_tokens - capacity
+    return max(excess, 0) / capacity * rate.call_seconds
+
+
+def count_displaced(server: BackendServer, missing: int) -> int:
+    """Return the tokens of idle prefixes that a call would evict."""
+    if not server.cache_capacity:
+        return 0
+    excess = server.believed_tokens + missing - server.cache_capacity
+    idle = server.believed_tokens - server.own_tokens_in_flight
+    return max(min(excess, idle, missing), 0)
+
+
 def find_distance(
     tables: SchedulingTables,
     call: CallRequest,
