--- a/tests/builders_ledger.py
+++ b/tests/builders_ledger.py
@@ -220,6 +220,7 @@
     journal: Journal
     now: float = 0
     request: events.AppendRecords | events.ReadRecords | None = None
+    answer: events.Event | None = None
     settled_by_id: dict[str, events.RecordSettled] = dataclasses.field(
         default_factory=dict
     )
@@ -240,13 +241,27 @@
         return submit_record(self.journal, record)
 
     def deliver(self, delivery: Delivery = Delivery.OK) -> None:
-        """Carry out the request that is under way."""
+        """Carry out the request that is under way and hand over its answer."""
+        self.carry_out(delivery)
+        self.receive()
+
+    def carry_out(self, delivery: Delivery = Delivery.OK) -> None:
+        """Let the log take the request; the answer stays on its way."""
         request = self.request
-        self.request = None
+        if request is None or self.answer is not None:
+            return
         if isinstance(request, events.ReadRecords):
-            self._deliver_read(request, delivery)
-        elif request is not None:
-            self._deliver_append(request, delivery)
+            self.answer = self._read(request, delivery)
+        else:
+            self.answer = self._append(request, delivery)
+
+    def receive(self) -> None:
+        """Hand over the answer that is on its way, if there is one."""
+        answer = self.answer
+        if answer is not None:
+            self.answer = None
+            self.request = None
+            self.feed(dataclasses.replace(answer, at=self.now))
 
     def run(self) -> None:
         """Tick and deliver without faults until nothing is left to do."""
@@ -283,33 +298,26 @@
         else:
             self.notices.append(action)
 
-    def _deliver_read(
+    def _read(
         self, request: events.ReadRecords, delivery: Delivery
-    ) -> None:
+    ) -> events.Event:
         if self.log.is_down or delivery is not Delivery.OK:
-            self.feed(events.ReadFailed(at=self.now, retry_after_seconds=0.1))
-            return
-        self.feed(self.log.read(request.from_offset, self.now))
+            return events.ReadFailed(at=self.now, retry_after_seconds=0.1)
+        return self.log.read(request.from_offset, self.now)
 
-    def _deliver_append(
+    def _append(
         self, request: events.AppendRecords, delivery: Delivery
-    ) -> None:
+    ) -> events.Event:
         bodies = [to_wire(record) for record in request.records]
         if self.log.is_down or delivery is Delivery.REFUSED:
-            self.feed(
-                events.AppendRefused(at=self.now, retry_after_seconds=0.1)
-            )
-            return
+            return events.AppendRefused(at=self.now, retry_after_seconds=0.1)
         if delivery is Delivery.DELAYED:
             self.log.delayed.append(bodies)
         elif delivery is not Delivery.LOST_REQUEST:
             first = self.log.append(bodies)
             if delivery is Delivery.OK:
-                self.feed(
-                    events.AppendSucceeded(at=self.now, first_offset=first)
-                )
-                return
-        self.feed(events.AppendAmbiguous(at=self.now))
+                return events.AppendSucceeded(at=self.now, first_offset=first)
+        return events.AppendAmbiguous(at=self.now)
 
 
 def build_member(log: FakeLog, node: str, *, boot: str = '') -> Member:
@@ -331,12 +339,8 @@
 ) -> Any:
     """Return a record with the journal's next identifier and epoch."""
     journal = member.journal
-    return kind(
-        record_id=journal.next_record_id(),
-        epoch=journal.view.epoch,
-        node=journal.node,
-        **fields,
-    )
+    body = {'epoch': journal.view.epoch} | fields
+    return kind(record_id=journal.next_record_id(), node=journal.node, **body)
 
 
 def build_turn(member: Member, program: str, *, spent: int) -> Any:
