--- a/tests/fault_world.py
+++ b/tests/fault_world.py
@@ -16,6 +16,7 @@
 from bronzepost._internal.core.ledger.state import PartitionState
 from tests import builders_faults as faults
 from tests import builders_ledger as builders
+from tests import builders_records
 from tests.builders_ledger import Delivery
 
 NODES: Final = ('hall-a-1', 'hall-b-1', 'hall-c-1')
@@ -49,7 +50,7 @@
             return
         name = self._name(program)
         non_idempotent = bool(kind & 1)
-        call = builders.build_call(
+        call = builders_records.build_call(
             name,
             worst_case=1 + amount % 12,
             budget=self.budget_by_program.setdefault(name, BUDGETS[program]),
@@ -258,7 +259,7 @@
             for call, record_id in seen.acknowledged.items()
             if self.finished.get(call) != record_id
         ]
-        broken = builders.find_broken_budget(self.truth)
+        broken = builders_records.find_broken_budget(self.truth)
         problems += [f'budget of {program} is broken' for program in broken]
         return problems + self._check_spending()
 
--- a/tests/unit/test_ledger_calls.py
+++ b/tests/unit/test_ledger_calls.py
@@ -8,7 +8,8 @@
 from bronzepost._internal.core.ledger import calls, journal, records
 from bronzepost._internal.core.ledger import journal_events as events
 from tests import builders_ledger as builders
-from tests.builders_ledger import Delivery, build_call
+from tests.builders_ledger import Delivery
+from tests.builders_records import build_call
 
 
 class CallTestCase(TestCase):
--- a/tests/unit/test_ledger_rules.py
+++ b/tests/unit/test_ledger_rules.py
@@ -6,7 +6,7 @@
 
 from bronzepost._internal.core.ledger import records
 from bronzepost._internal.core.ledger.state import PartitionState
-from tests import builders_ledger as builders
+from tests import builders_records
 
 
 class RuleTestCase(TestCase):
@@ -16,14 +16,14 @@
         """Apply the first writer's claim and the program's start."""
         super().setUp()
         self.state = PartitionState()
-        self.first = builders.Writer('hall-a-1')
-        self.second = builders.Writer('hall-b-1', epoch=2)
+        self.first = builders_records.Writer('hall-a-1')
+        self.second = builders_records.Writer('hall-b-1', epoch=2)
         self.apply(self.first.claim(), self.first.started())
 
     def apply(self, *stream: records.Record) -> list[bool]:
         """Apply records; return which had an effect, and check budgets."""
-        verdicts = builders.apply_all(self.state, *stream)
-        self.assertEqual([], builders.find_broken_budget(self.state))
+        verdicts = builders_records.apply_all(self.state, *stream)
+        self.assertEqual([], builders_records.find_broken_budget(self.state))
         return [verdict.valid for verdict in verdicts]
 
     def entry(self, program: str = 'p') -> Any:
@@ -36,14 +36,14 @@
 
     def test_order_first_of_competing_claims_wins(self) -> None:
         """Guard against two owners after two claims of one epoch."""
-        rival = builders.Writer('hall-c-1', epoch=2)
+        rival = builders_records.Writer('hall-c-1', epoch=2)
         valid = self.apply(self.second.claim(), rival.claim())
         self.assertEqual([True, False], valid)
         self.assertEqual('hall-b-1', self.state.owner)
 
     def test_order_claim_cannot_skip_an_epoch(self) -> None:
         """Guard against a claim that was based on another history."""
-        skipping = builders.Writer('hall-c-1', epoch=3)
+        skipping = builders_records.Writer('hall-c-1', epoch=3)
         self.assertEqual([False], self.apply(skipping.claim()))
 
     def test_order_stale_epoch_has_no_effect(self) -> None:
@@ -64,13 +64,13 @@
         Both nodes numbered their claims alike, so the epoch alone does not
         tell the owner's records from those of the other node.
         """
-        rival = builders.Writer('hall-c-1', epoch=2)
+        rival = builders_records.Writer('hall-c-1', epoch=2)
         stream = (self.second.claim(), rival.claim(), rival.intent())
         self.assertEqual([True, False, False], self.apply(*stream))
 
     def test_order_other_boot_of_owner_cannot_write(self) -> None:
         """Guard against a frozen process whose node name was used again."""
-        other = builders.Writer('hall-b-1', boot='other', epoch=2)
+        other = builders_records.Writer('hall-b-1', boot='other', epoch=2)
         stream = (self.second.claim(), other.claim(), other.intent())
         self.assertEqual([True, False, False], self.apply(*stream))
 
