--- a/tests/builders_ledger.py
+++ b/tests/builders_ledger.py
@@ -1,4 +1,4 @@
-"""Builders of records, a log in memory, and a driver of several journals."""
+"""A log in memory, and a driver of one node's journal against it."""
 
 import dataclasses
 import enum
@@ -9,13 +9,11 @@
 from bronzepost._internal.core.ledger import journal_events as events
 from bronzepost._internal.core.ledger import records
 from bronzepost._internal.core.ledger.apply import apply_record
-from bronzepost._internal.core.ledger.calls import CallRequest
 from bronzepost._internal.core.ledger.journal import Journal, submit_record
 from bronzepost._internal.core.ledger.journal_system import handle_event
 from bronzepost._internal.core.ledger.rule_base import Verdict
 from bronzepost._internal.core.ledger.state import PartitionState
-
-STREAM = 'programs-07'
+from tests.builders_records import STREAM
 
 StoredBody = dict[str, Any]
 
@@ -30,127 +28,6 @@
     REFUSED = 'refused'
 
 
-class Writer:
-    """Build the records of one boot under one epoch."""
-
-    def __init__(self, node: str, *, boot: str = '', epoch: int = 1) -> None:
-        """Number the records from one."""
-        self.node = node
-        self.boot = boot or f'{node}-boot'
-        self.epoch = epoch
-        self.count = 0
-
-    def build(
-        self, kind: type[records.Record], **fields: Any
-    ) -> records.Record:
-        """Return a record with the next identifier."""
-        self.count += 1
-        return kind(
-            record_id=f'{self.boot}-{STREAM}-{self.count:x}',
-            epoch=self.epoch,
-            node=self.node,
-            **fields,
-        )
-
-    def claim(self) -> records.Record:
-        """Return the claim of this writer's epoch."""
-        return self.build(records.Claim)
-
-    def started(
-        self, program: str = 'p', *, budget: int = 100, granted: int = 40
-    ) -> records.Record:
-        """Return the start of a program or of a sub-agent."""
-        return self.build(
-            records.ProgramStarted,
-            program=program,
-            organisation='kostiumy',
-            service='pass-assistant',
-            budget=budget,
-            granted=granted,
-            parent=program.rpartition('.')[0],
-        )
-
-    def turn(
-        self, program: str = 'p', *, sequence: int = 1, **fields: Any
-    ) -> records.Record:
-        """Return a finished model call."""
-        body = {
-            'messages': [{'role': 'user', 'content': f'{program}?{sequence}'}],
-            'answer': {'role': 'assistant', 'content': f'{program}!{sequence}'},
-            'digest': f'{program}/{sequence}',
-            'message_count': 2 * sequence,
-            'spent': 0,
-        }
-        return self.build(
-            records.TurnCompleted,
-            program=program,
-            sequence=sequence,
-            **(body | fields),
-        )
-
-    def intent(
-        self, program: str = 'p', *, sequence: int = 1, key: str = 'k'
-    ) -> records.Record:
-        """Return the announcement of a non-idempotent call."""
-        return self.build(
-            records.Intent,
-            program=program,
-            sequence=sequence,
-            key=key,
-            service='pass-registry',
-            path='issue',
-        )
-
-    def about(
-        self,
-        kind: type[records.Record],
-        intent: records.Record,
-        **fields: Any,
-    ) -> records.Record:
-        """Return a record that names an intent."""
-        assert isinstance(intent, records.Intent)
-        body: dict[str, Any] = {
-            'program': intent.program,
-            'sequence': intent.sequence,
-            'intent_id': intent.record_id,
-        }
-        if kind is records.Outcome:
-            body |= {'status': 200, 'body': '{}', 'spent': 0}
-            body['key'] = intent.key
-        if kind is records.CallAbandoned:
-            body['spent'] = 0
-        return self.build(kind, **(body | fields))
-
-
-def apply_all(state: PartitionState, *stream: records.Record) -> list[Verdict]:
-    """Apply records in log order and return their verdicts."""
-    return [apply_record(state, state.next_offset, record) for record in stream]
-
-
-def build_call(program: str = 'p', **fields: Any) -> CallRequest:
-    """Return a call with small amounts."""
-    body: dict[str, Any] = {
-        'sequence': 0,
-        'key': '',
-        'organisation': 'kostiumy',
-        'service': 'pass-assistant',
-        'worst_case': 10,
-        'budget': 100,
-    }
-    return CallRequest(program=program, **(body | fields))
-
-
-def find_broken_budget(state: PartitionState) -> list[str]:
-    """Return the programs that break the bounds of the budget."""
-    return [
-        entry.program
-        for entry in state.programs_by_id.values()
-        if not 0 <= entry.spent <= entry.granted
-        or entry.carved < 0
-        or entry.granted + entry.carved > entry.budget
-    ]
-
-
 class FakeLog:
     """One stream with offsets, retention and appends that come later."""
 
@@ -220,6 +97,7 @@
     journal: Journal
     now: float = 0
     request: events.AppendRecords | events.ReadRecords | None = None
+    answer: events.Event | None = None
     settled_by_id: dict[str, events.RecordSettled] = dataclasses.field(
         default_factory=dict
     )
@@ -240,13 +118,27 @@
         return submit_record(self.journal, record)
 
     def deliver(self, delivery: Delivery = Delivery.OK) -> None:
-        """Carry out the request that is under way."""
+        """Carry out the request that is under way and hand over its answer."""
+        self.carry_out(delivery)
+        self.receive()
+
+    def carry_out(self, delivery: Delivery = Delivery.OK) -> None:
+        """Let the log take the request; the answer stays on its way."""
         request = self.request
-        self.request = None
+        if request is None or self.answer is not None:
+            return
         if isinstance(request, events.ReadRecords):
-            self._deliver_read(request, delivery)
-        elif request is not None:
-            self._deliver_append(request, delivery)
+            self.answer = self._read(request, delivery)
+        else:
+            self.answer = self._append(request, delivery)
+
+    def receive(self) -> None:
+        """Hand over the answer that is on its way, if there is one."""
+        answer = self.answer
+        if answer is not None:
+            self.answer = None
+            self.request = None
+            self.feed(dataclasses.replace(answer, at=self.now))
 
     def run(self) -> None:
         """Tick and deliver without faults until nothing is left to do."""
@@ -283,33 +175,26 @@
         else:
             self.notices.append(action)
 
-    def _deliver_read(
+    def _read(
         self, request: events.ReadRecords, delivery: Delivery
-    ) -> None:
+    ) -> events.Event:
         if self.log.is_down or delivery is not Delivery.OK:
-            self.feed(events.ReadFailed(at=self.now, retry_after_seconds=0.1))
-            return
-        self.feed(self.log.read(request.from_offset, self.now))
+            return events.ReadFailed(at=self.now, retry_after_seconds=0.1)
+        return self.log.read(request.from_offset, self.now)
 
-    def _deliver_append(
+    def _append(
         self, request: events.AppendRecords, delivery: Delivery
-    ) -> None:
+    ) -> events.Event:
         bodies = [to_wire(record) for record in request.records]
         if self.log.is_down or delivery is Delivery.REFUSED:
-            self.feed(
-                events.AppendRefused(at=self.now, retry_after_seconds=0.1)
-            )
-            return
+            return events.AppendRefused(at=self.now, retry_after_seconds=0.1)
         if delivery is Delivery.DELAYED:
             self.log.delayed.append(bodies)
         elif delivery is not Delivery.LOST_REQUEST:
             first = self.log.append(bodies)
             if delivery is Delivery.OK:
-                self.feed(
-                    events.AppendSucceeded(at=self.now, first_offset=first)
-                )
-                return
-        self.feed(events.AppendAmbiguous(at=self.now))
+                return events.AppendSucceeded(at=self.now, first_offset=first)
+        return events.AppendAmbiguous(at=self.now)
 
 
 def build_member(log: FakeLog, node: str, *, boot: str = '') -> Member:
@@ -331,12 +216,8 @@
 ) -> Any:
     """Return a record with the journal's next identifier and epoch."""
     journal = member.journal
-    return kind(
-        record_id=journal.next_record_id(),
-        epoch=journal.view.epoch,
-        node=journal.node,
-        **fields,
-    )
+    body = {'epoch': journal.view.epoch} | fields
+    return kind(record_id=journal.next_record_id(), node=journal.node, **body)
 
 
 def build_turn(member: Member, program: str, *, spent: int) -> Any:
