Mirror what waits for the log, so that outages stop no program

Cause: during an outage of the log no program could start, and records of finished turns waited in the memory of one node, so a second fault lost them.

The owner sends what waits to the node that would claim the partition next, whose ack stands in for the log's. A successor writes the records again under its own epoch before it serves, and counts their allowance as spent. Intents are never mirrored: a non-idempotent call still needs the log.

Ruled out: running without records (the successor would grant the budget a second time); two mirrors (needs a measurement).

A claim still needs the log: partitions without an owner at the start of an outage are refused as not run.

--- a/src/bronzepost/_internal/core/ledger/calls.py
+++ b/src/bronzepost/_internal/core/ledger/calls.py
@@ -27,7 +27,8 @@
 
     ``sequence`` is zero when the caller leaves the number to the system.
     ``worst_case`` is the most that the call can spend, in units; ``budget``
-    is that of a program that starts with this call.
+    is that of a program that starts with this call. ``has_mirror`` tells that
+    another node can hold records while the log is down.
     """
 
     program: str
@@ -41,6 +42,7 @@
     turn_limit: int = 0
     path: str = ''
     non_idempotent: bool = False
+    has_mirror: bool = False
 
     @property
     def parent(self) -> str:
@@ -133,7 +135,7 @@
         )
     if call.worst_case > call.budget:
         return _refuse_budget(call.worst_case, call.budget)
-    if is_log_down(journal, at):
+    if _must_have_log(call) and is_log_down(journal, at):
         return _refuse_outage('a program cannot start')
     record = records.ProgramStarted(
         record_id=journal.next_record_id(),
@@ -244,7 +246,7 @@
         )
         if is_durable:
             return _announce_if_up(journal, call, sequence, at)
-    if is_log_down(journal, at):
+    if _must_have_log(call) and is_log_down(journal, at):
         return _refuse_outage('the allowance of the program is used up')
     record_id = grant_allowance(journal, program, call.worst_case)
     if not record_id and call.worst_case > program.allowance:
@@ -259,6 +261,11 @@
     return _announce(journal, call, sequence, wait_for)
 
 
+def _must_have_log(call: CallRequest) -> bool:
+    """Return whether only the log will do for the call's records."""
+    return call.non_idempotent or not call.has_mirror
+
+
 def _submitted_ids(journal: Journal) -> tuple[str, ...]:
     return (
         *journal.in_flight_by_id,
--- a/src/bronzepost/_internal/core/ledger/program_rules.py
+++ b/src/bronzepost/_internal/core/ledger/program_rules.py
@@ -22,14 +22,7 @@
     # The last owner may have spent its whole allowance without a record, and
     # may still be doing so, so the successor counts all of it as spent.
     for program in list(state.programs_by_id.values()):
-        if program.allowance or program.release_ids:
-            update_program(
-                state,
-                program,
-                spent=program.granted,
-                forfeited=program.forfeited + program.allowance,
-                release_ids=(),
-            )
+        _forfeit(state, program)
     return VALID
 
 
@@ -171,3 +164,25 @@
         granted=parent.granted + used,
         spent=parent.spent + used,
     )
+
+
+@apply_kind.register
+def _(
+    record: records.AllowanceForfeited, state: PartitionState, offset: int
+) -> Verdict:
+    program = state.live_program(record.program)
+    if program is None:
+        return invalid(NOT_LIVE)
+    _forfeit(state, program)
+    return VALID
+
+
+def _forfeit(state: PartitionState, program: ProgramEntry) -> None:
+    if program.allowance or program.release_ids:
+        update_program(
+            state,
+            program,
+            spent=program.granted,
+            forfeited=program.forfeited + program.allowance,
+            release_ids=(),
+        )
--- a/src/bronzepost/_internal/core/ledger/records.py
+++ b/src/bronzepost/_internal/core/ledger/records.py
@@ -75,6 +75,17 @@
     granted: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AllowanceForfeited(Record):
+    """Count what is left of an allowance as spent.
+
+    A successor that adopts the records of the last owner writes this, since
+    that owner may have spent the allowance, or may still do so.
+    """
+
+    program: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TurnCompleted(Record):
     """Finish a model call.
@@ -182,6 +193,7 @@
     ProgramStarted,
     AllowanceGranted,
     AllowanceReleased,
+    AllowanceForfeited,
     TurnCompleted,
     Intent,
     IntentWithdrawn,
--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -18,11 +18,13 @@
 from bronzepost._internal.node.http_exchange import HttpPeer
 from bronzepost._internal.node.journal_keeper import JournalKeeper
 from bronzepost._internal.node.log_client import LogClient
+from bronzepost._internal.node.mirroring import Mirroring
 from bronzepost._internal.node.model_call import ModelCallRunner
 from bronzepost._internal.node.partitions import Partitions
 from bronzepost._internal.node.program_calls import ProgramCalls
 from bronzepost._internal.node.program_ends import ProgramEnds
 from bronzepost._internal.node.service_calls import ServiceCalls
+from bronzepost._internal.node.settlements import Settlements
 from bronzepost._internal.settings import Settings
 from bronzepost._internal.telemetry.start import Telemetry
 
@@ -38,6 +40,7 @@
     log: LogClient
     keeper: JournalKeeper
     programs: ProgramCalls
+    mirroring: Mirroring
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,14 +77,27 @@
             idle_seconds=PLATFORM_IDLE_SECONDS,
         )
     )
+    settlements = Settlements()
+    mirroring = Mirroring(
+        node=settings.node.name,
+        peer_address=settings.node.peer_address,
+        settlements=settlements,
+        limit_bytes=settings.limits.pending_bytes,
+    )
     keeper = JournalKeeper(
         node=settings.node.name,
         boot=boot,
         log=log,
         telemetry=telemetry,
+        settlements=settlements,
+        mirroring=mirroring,
+    )
+    programs = ProgramCalls(
+        keeper=keeper, answers=AnswerStore(log=log), mirroring=mirroring
+    )
+    return Storage(
+        log=log, keeper=keeper, programs=programs, mirroring=mirroring
     )
-    programs = ProgramCalls(keeper=keeper, answers=AnswerStore(log=log))
-    return Storage(log=log, keeper=keeper, programs=programs)
 
 
 def build_runners(
--- a/src/bronzepost/_internal/node/cluster.py
+++ b/src/bronzepost/_internal/node/cluster.py
@@ -14,7 +14,12 @@
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.configuration_keeper import ConfigurationKeeper
 from bronzepost._internal.node.log_client import LogClient
-from bronzepost._internal.node.messages import MessageCodec
+from bronzepost._internal.node.messages import (
+    MessageCodec,
+    MirrorAck,
+    MirrorRecords,
+)
+from bronzepost._internal.node.mirroring import Mirroring
 from bronzepost._internal.node.peers import PeerTransport
 from bronzepost._internal.node.refusals import refuse_no_member
 from bronzepost._internal.settings import Settings
@@ -31,7 +36,12 @@
     """Membership and configuration, and the transport that both use."""
 
     def __init__(
-        self, *, settings: Settings, log: LogClient, boot: str
+        self,
+        *,
+        settings: Settings,
+        log: LogClient,
+        boot: str,
+        mirroring: Mirroring,
     ) -> None:
         """Prepare the tables; nothing is sent before the start."""
         incarnation = int(time.time() * _MILLISECONDS)
@@ -61,6 +71,8 @@
             send=self.transport.send,
             report_offset=self._report_offset,
         )
+        self._mirroring = mirroring
+        mirroring.connect(self.transport.send, self._list_peers)
         self._announce_members()
 
     def start(self) -> None:
@@ -136,14 +148,9 @@
             emit(event, member=action.name)
         self._announce_members()
 
-    def handle_peer_offset(self, action: membership.PeerOffsetSeen) -> None:
-        """Tell the configuration that a peer has more of it."""
-        ahead = configuration.PeerAhead(
-            at=read_clock(),
-            peer_address=action.peer_address,
-            offset=action.offset,
-        )
-        self.configuration.put(ahead)
+    def _list_peers(self) -> dict[str, str]:
+        serving = membership.serving_members(self.members)
+        return {member.name: member.peer_address for member in serving}
 
     def _put(self, event: membership.MembershipEvent) -> None:
         for action in membership.apply_event(self.members, event):
@@ -156,6 +163,10 @@
         elif isinstance(message, _CONFIGURATION_MESSAGES):
             received = configuration.MessageReceived(at=at, message=message)
             self.configuration.put(received)
+        elif isinstance(message, MirrorRecords):
+            self._mirroring.hold(message)
+        elif isinstance(message, MirrorAck):
+            self._mirroring.take_ack(message)
 
     def _report_offset(self, offset: int) -> None:
         self._put(membership.OffsetAdvanced(at=read_clock(), offset=offset))
@@ -204,7 +215,12 @@
 
 @carry_out.register
 def _(action: membership.PeerOffsetSeen, cluster: Cluster) -> None:
-    cluster.handle_peer_offset(action)
+    ahead = configuration.PeerAhead(
+        at=read_clock(),
+        peer_address=action.peer_address,
+        offset=action.offset,
+    )
+    cluster.configuration.put(ahead)
 
 
 def _own_entry(
--- a/src/bronzepost/_internal/node/journal_keeper.py
+++ b/src/bronzepost/_internal/node/journal_keeper.py
@@ -22,6 +22,7 @@
     request_append,
     request_read,
 )
+from bronzepost._internal.node.mirroring import Mirroring
 from bronzepost._internal.node.settlements import Settlement, Settlements
 from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
@@ -35,11 +36,19 @@
     """The journals of all partitions that this node has touched."""
 
     def __init__(
-        self, *, node: str, boot: str, log: LogClient, telemetry: Telemetry
+        self,
+        *,
+        node: str,
+        boot: str,
+        log: LogClient,
+        telemetry: Telemetry,
+        settlements: Settlements,
+        mirroring: Mirroring,
     ) -> None:
         """Start with no journal."""
         self.journals_by_partition: dict[int, Journal] = {}
-        self.settlements = Settlements()
+        self.settlements = settlements
+        self.mirroring = mirroring
         self.metrics = telemetry.metrics
         self._tracer = telemetry.tracer
         self._node = node
@@ -71,6 +80,7 @@
     def send(self, journal: Journal) -> None:
         """Give the journal the chance to send what is queued."""
         self.put(journal, events.Tick(at=read_clock()))
+        self.mirroring.push(journal)
 
     def refresh(self, journal: Journal) -> None:
         """Read what other nodes have appended."""
@@ -184,6 +194,7 @@
     action: events.OwnershipGained, keeper: JournalKeeper, journal: Journal
 ) -> None:
     emit(LogEvent.PARTITION_CLAIMED, stream=journal.stream, epoch=action.epoch)
+    keeper.mirroring.adopt(journal)
 
 
 @carry_out.register
--- a/src/bronzepost/_internal/node/node.py
+++ b/src/bronzepost/_internal/node/node.py
@@ -46,7 +46,10 @@
         self._boot = assembly.make_boot()
         self._storage = assembly.build_storage(settings, telemetry, self._boot)
         self._cluster = Cluster(
-            settings=settings, log=self._storage.log, boot=self._boot
+            settings=settings,
+            log=self._storage.log,
+            boot=self._boot,
+            mirroring=self._storage.mirroring,
         )
         self._runners = assembly.build_runners(
             settings, telemetry, self._storage
--- a/src/bronzepost/_internal/node/program_calls.py
+++ b/src/bronzepost/_internal/node/program_calls.py
@@ -22,6 +22,7 @@
 from bronzepost._internal.node.answers import AnswerStore
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.journal_keeper import JournalKeeper
+from bronzepost._internal.node.mirroring import Mirroring
 from bronzepost._internal.node.refusals import (
     refuse_broken_call,
     refuse_deadline,
@@ -73,8 +74,15 @@
 class ProgramCalls:
     """Begin, order and settle the calls of owned programs."""
 
-    def __init__(self, *, keeper: JournalKeeper, answers: AnswerStore) -> None:
+    def __init__(
+        self,
+        *,
+        keeper: JournalKeeper,
+        answers: AnswerStore,
+        mirroring: Mirroring,
+    ) -> None:
         """Start with no call under way."""
+        self._mirroring = mirroring
         self.running_by_program: dict[str, OwnedCall] = {}
         self.keeper = keeper
         self.answers = answers
@@ -102,7 +110,9 @@
             return running.stream
         lost_units = self._lost_units_by_program.get(call.program, 0)
         reserved = dataclasses.replace(
-            call, worst_case=call.worst_case + lost_units
+            call,
+            worst_case=call.worst_case + lost_units,
+            has_mirror=self._mirroring.has_mirror(journal),
         )
         decision = calls.begin_call(journal, reserved, read_clock())
         if not isinstance(decision, calls.Proceed):
@@ -119,6 +129,7 @@
         self.running_by_program[call.program] = owned
         self.answers.keep(call.program, decision.sequence, owned.stream)
         self.keeper.settlements.expect(decision.wait_for)
+        self._mirroring.settle_held(journal, decision.wait_for)
         gevent.spawn(self._run, owned, work)
         self.keeper.send(journal)
         return owned.stream
@@ -197,7 +208,8 @@
         self.keeper.settlements.expect([record.record_id])
         self.keeper.send(journal)
         seconds = DURABLE_SECONDS
-        if calls.is_log_down(journal, read_clock()):
+        is_down = calls.is_log_down(journal, read_clock())
+        if is_down and not self._mirroring.has_mirror(journal):
             seconds = 0
         settled = self.keeper.settlements.wait([record.record_id], seconds)
         if not settled:
