Add a specification of the core protocols for z3

Calls with claims, intents, outcomes and withdrawals, configuration changes by base revision, and placement leases with fencing are proved by induction for any number of steps; calls and changes for three attempts at once. An engine that ignores fencing is safe only if an order arrives within half of the lease, which the specification states as an assumption. Without any one of the guards the solver finds a counterexample within 13 steps.

--- /dev/null
+++ b/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols for an SMT solver."""
--- /dev/null
+++ b/tests/unit/test_model.py
@@ -0,0 +1,206 @@
+"""Tests of the specification, and of the ledger against it."""
+
+import contextlib
+import dataclasses
+import itertools
+from collections.abc import Iterator
+from typing import Any
+from unittest import mock
+
+from testtools import TestCase
+
+from bronzepost._internal.core.ledger import (
+    apply,
+    calls,
+    journal_system,
+    records,
+)
+from bronzepost._internal.core.ledger.rule_base import VALID, Verdict
+from bronzepost._internal.core.ledger.state import PartitionState
+from tests import builders_faults, builders_records
+from tests.model import configuration, leases, play, specification, systems
+
+DEPTH = 13
+MAX_TRACES = 60
+MIN_BROKEN = 5
+
+
+def announce_nothing(
+    journal: Any, call: Any, sequence: int, wait_for: tuple[str, ...]
+) -> calls.Proceed:
+    """Let a call be sent without an intent."""
+    return calls.Proceed(sequence=sequence, wait_for=wait_for)
+
+
+def call_everything_valid(
+    state: PartitionState, offset: int, record: records.Record
+) -> Verdict:
+    """Apply a record and take it for valid because it is on the log."""
+    apply.apply_record(state, offset, record)
+    return VALID
+
+
+def withdraw_and_keep(node: builders_faults.FaultNode, program: str) -> None:
+    """Withdraw a call that can still be sent afterwards."""
+    flight = node.flights_by_program.get(program)
+    WITHDRAW(node, program)
+    if flight is not None and not flight.sent:
+        node.flights_by_program[program] = flight
+
+
+def is_intent_of_loser_valid() -> bool:
+    """Return whether a node may write whose claim of the epoch lost."""
+    winner = builders_records.Writer('hall-a-1')
+    loser = builders_records.Writer('hall-b-1')
+    verdicts = builders_records.apply_all(
+        PartitionState(),
+        winner.claim(),
+        winner.started(),
+        loser.claim(),
+        loser.intent(),
+    )
+    return verdicts[-1].valid
+
+
+WITHDRAW = builders_faults.FaultNode.withdraw
+
+
+@contextlib.contextmanager
+def remove_guard(guard: str) -> Iterator[None]:
+    """Take a guard out of the ledger, or out of the node for the finality."""
+    nothing = mock.Mock(return_value=None)
+    patches: dict[str, list[Any]] = {
+        specification.INTENT_FIRST: [
+            mock.patch.object(calls, '_announce', announce_nothing)
+        ],
+        specification.EPOCH: [
+            mock.patch.object(apply, '_is_stale', mock.Mock(return_value=False))
+        ],
+        specification.FINALITY: [
+            mock.patch.object(
+                builders_faults.FaultNode, 'withdraw', withdraw_and_keep
+            )
+        ],
+        specification.READ_BACK: [
+            mock.patch.object(
+                journal_system, 'apply_record', call_everything_valid
+            )
+        ],
+        specification.TAKEOVER: [
+            mock.patch.object(PartitionState, 'open_intent', nothing),
+            mock.patch.object(PartitionState, 'find_call_by_key', nothing),
+        ],
+    }
+    with contextlib.ExitStack() as stack:
+        for patch in patches[guard]:
+            stack.enter_context(patch)
+        yield
+
+
+class CallModelTest(TestCase):
+    """Guard the protocol of non-idempotent calls."""
+
+    def test_frozen_owner_calls_are_safe_for_any_number_of_steps(
+        self,
+    ) -> None:
+        """Guard against a protocol that sends twice or lies on `not_run`."""
+        system = specification.build_calls()
+        self.assertEqual([], systems.find_unproved(system))
+
+    def test_frozen_owner_calls_can_be_run(self) -> None:
+        """Guard against a specification in which nothing is ever sent."""
+        system = dataclasses.replace(
+            specification.build_calls(playable=True),
+            safety=lambda now: {'nothing is sent': now['log0'] < 3},
+        )
+        trace = systems.find_counterexample(system, DEPTH)
+        self.assertEqual('close 0', trace[-1].name)
+
+    def check_guard(self, guard: str) -> None:
+        """Expect that protocol and ledger are unsafe without a guard.
+
+        Some of the ways that break the protocol without it are refused by
+        other rules of the ledger, so several are played.
+        """
+        system = specification.build_calls(without=guard, playable=True)
+        traces = systems.find_counterexamples(system, DEPTH)
+        broken = 0
+        for trace in itertools.islice(traces, MAX_TRACES):
+            self.assertEqual([], play.Play(trace).run(), str(trace))
+            with remove_guard(guard):
+                broken += bool(play.Play(trace).run())
+            if broken >= MIN_BROKEN:
+                return
+        self.fail(f'{broken} traces break the ledger without {guard}')
+
+    def test_lost_append_answer_needs_the_intent_first(self) -> None:
+        """Guard against a call that is sent without an intent."""
+        self.check_guard(specification.INTENT_FIRST)
+
+    def test_frozen_owner_needs_the_epoch_of_records(self) -> None:
+        """Guard against intents of an owner that was replaced."""
+        self.check_guard(specification.EPOCH)
+
+    def test_lost_append_answer_needs_the_read_back(self) -> None:
+        """Guard against taking a stored intent for a valid one."""
+        self.check_guard(specification.READ_BACK)
+
+    def test_order_needs_the_finality_of_withdrawals(self) -> None:
+        """Guard against a withdrawn call that is sent."""
+        self.check_guard(specification.FINALITY)
+
+    def test_frozen_owner_needs_successors_that_heed_intents(self) -> None:
+        """Guard against a successor that repeats an announced call."""
+        self.check_guard(specification.TAKEOVER)
+
+    def test_order_needs_the_writer_of_records(self) -> None:
+        """Guard against a node whose claim lost to one of equal epoch.
+
+        The journal begins no call ahead of its claim, so the ledger is shown
+        the records that such a node would have written.
+        """
+        system = specification.build_calls(without=specification.WRITER)
+        trace = systems.find_counterexample(system, DEPTH)
+        self.assertNotEqual([], trace)
+        self.assertFalse(is_intent_of_loser_valid())
+        with mock.patch.object(records, 'writer_of', return_value=''):
+            self.assertTrue(is_intent_of_loser_valid())
+
+
+class ConfigurationModelTest(TestCase):
+    """Guard the acceptance of configuration changes."""
+
+    def test_racing_operators_one_change_a_revision(self) -> None:
+        """Guard against two accepted changes and against wrong answers."""
+        system = configuration.build_configuration()
+        self.assertEqual([], systems.find_unproved(system))
+
+    def test_racing_operators_need_every_guard(self) -> None:
+        """Guard against a specification that holds without its guards."""
+        for guard in configuration.GUARDS:
+            system = configuration.build_configuration(without=guard)
+            trace = systems.find_counterexample(system, DEPTH)
+            self.assertNotEqual([], trace, guard)
+
+
+class LeaseModelTest(TestCase):
+    """Guard the orders of placement holders."""
+
+    def test_placement_engines_that_check_or_ignore_fencing(self) -> None:
+        """Guard against an order of an earlier holder that takes effect."""
+        for checks in (True, False):
+            system = leases.build_leases(checks_fencing=checks)
+            self.assertEqual([], systems.find_unproved(system))
+
+    def test_placement_needs_every_guard(self) -> None:
+        """Guard against a specification that holds without its guards."""
+        for guard in (
+            leases.FENCING_CHECK,
+            leases.HALF_LEASE,
+            leases.BOUNDED_DELAY,
+        ):
+            system = leases.build_leases(
+                checks_fencing=guard == leases.FENCING_CHECK, without=guard
+            )
+            trace = systems.find_counterexample(system, DEPTH)
+            self.assertNotEqual([], trace, guard)
