Add a specification of budgets for z3

Induction shows for any number of owners and sub-agents in turn that what is really sent stays within the budget.

--- a/tests/unit/test_model.py
+++ b/tests/unit/test_model.py
@@ -18,7 +18,14 @@
 from bronzepost._internal.core.ledger.rule_base import VALID, Verdict
 from bronzepost._internal.core.ledger.state import PartitionState
 from tests import builders_faults, builders_records
-from tests.model import configuration, leases, play, specification, systems
+from tests.model import (
+    budgets,
+    configuration,
+    leases,
+    play,
+    specification,
+    systems,
+)
 
 DEPTH = 13
 MAX_TRACES = 60
@@ -204,3 +211,19 @@
             )
             trace = systems.find_counterexample(system, DEPTH)
             self.assertNotEqual([], trace, guard)
+
+
+class BudgetModelTest(TestCase):
+    """Guard the budget of a program over all owners and sub-agents."""
+
+    def test_budget_is_kept_for_any_number_of_owners(self) -> None:
+        """Guard against rules that let a program spend beyond its budget."""
+        system = budgets.build_budgets()
+        self.assertEqual([], systems.find_unproved(system))
+
+    def test_budget_needs_every_guard(self) -> None:
+        """Guard against a specification that holds without its guards."""
+        for guard in budgets.GUARDS:
+            system = budgets.build_budgets(without=guard)
+            trace = systems.find_counterexample(system, DEPTH)
+            self.assertNotEqual([], trace, guard)
