End programs at their bounds, and repeat histories that age

Cause: a program that loops, or whose caller has died, held its budget and engine memory without end; the records of a live program's first turns could leave the log; and the tables grew with every program ever run.

Owners look at their programs every 2 s: a program ends at its turn limit or after idle_seconds without a call in its tree, never during a call. Programs whose end has left the log are forgotten. 'bronzepost replay' runs a recording again.

Ruled out: a deadline over the whole program (a person may take an hour to answer a tool).

--- a/src/bronzepost/_internal/cli/main.py
+++ b/src/bronzepost/_internal/cli/main.py
@@ -11,6 +11,7 @@
 from bronzepost._internal.cli.commands.drain import DrainCommand
 from bronzepost._internal.cli.commands.endpoints import EndpointsCommand
 from bronzepost._internal.cli.commands.programs import ProgramsCommand
+from bronzepost._internal.cli.commands.replay import ReplayCommand
 from bronzepost._internal.cli.commands.runners import RunnersCommand
 from bronzepost._internal.cli.commands.serve import ServeCommand
 from bronzepost._internal.cli.commands.status import StatusCommand
@@ -42,6 +43,7 @@
         | EndpointsCommand
         | DrainCommand
         | StatusCommand
+        | ReplayCommand
         | VersionCommand
     ]
 
--- a/src/bronzepost/_internal/core/configuration/schema.py
+++ b/src/bronzepost/_internal/core/configuration/schema.py
@@ -57,6 +57,8 @@
 _DAY_SECONDS = 86_400.0
 _DEFAULT_BUDGET = 1_000_000
 _DEFAULT_DEADLINE_SECONDS = 300.0
+# A person who is asked for a decision may take an hour to answer.
+_DEFAULT_IDLE_SECONDS = 7200.0
 _MAXIMUM_BYTES_PER_TOKEN = 8
 # The longest programs of the design scale have 400 turns.
 _DEFAULT_TURN_LIMIT = 400
@@ -92,6 +94,12 @@
         maximum=_DAY_SECONDS,
         description='seconds from a call until it is given up',
     ),
+    'idle_seconds': NumberSetting(
+        default=_DEFAULT_IDLE_SECONDS,
+        minimum=1,
+        maximum=_DAY_SECONDS,
+        description='seconds without a call after which a program is ended',
+    ),
     'slots': IntegerSetting(
         default=_DEFAULT_SLOTS,
         minimum=0,
--- a/src/bronzepost/_internal/node/node.py
+++ b/src/bronzepost/_internal/node/node.py
@@ -21,6 +21,7 @@
 from bronzepost._internal.node.parts import CallParts
 from bronzepost._internal.node.program_api import ProgramApi
 from bronzepost._internal.node.refusals import refuse_not_ready
+from bronzepost._internal.node.upkeep import UPKEEP_SECONDS, ProgramUpkeep
 from bronzepost._internal.node.web import WebApplication
 from bronzepost._internal.settings import Settings
 from bronzepost._internal.telemetry.events import LogEvent
@@ -125,6 +126,7 @@
         self._repeat(TICK_SECONDS, self._tick)
         self._repeat(PARTITION_SECONDS, self._paths.partitions.tick)
         self._repeat(SWEEP_SECONDS, self._sweep)
+        self._repeat(UPKEEP_SECONDS, self._build_upkeep().run)
         self._repeat(FLUSH_SECONDS, self._telemetry.metrics.flush)
 
     def _tick(self) -> None:
@@ -197,6 +199,15 @@
             organisation, service, program, name
         )
 
+    def _build_upkeep(self) -> ProgramUpkeep:
+        return ProgramUpkeep(
+            keeper=self._storage.keeper,
+            programs=self._storage.programs,
+            ends=self._paths.ends,
+            log=self._storage.log,
+            lookup=self._look_up,
+        )
+
     def _list_endpoints(self, program: str) -> Any:
         owner = ''
         if program:
--- /dev/null
+++ b/src/bronzepost/_internal/node/upkeep.py
@@ -0,0 +1,123 @@
+"""Keep the programs of owned partitions within their bounds and on the log."""
+
+from typing import Any, Final
+
+from bronzepost._internal.core.ledger import records
+from bronzepost._internal.core.ledger.journal import Journal, submit_record
+from bronzepost._internal.core.ledger.state import ProgramEntry
+from bronzepost._internal.core.ledger.upkeep import (
+    Activity,
+    ProgramLimits,
+    find_ends,
+    list_aging_histories,
+    prune_ended,
+)
+from bronzepost._internal.exceptions import LogServiceError
+from bronzepost._internal.node.call_defaults import SettingLookup
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.journal_keeper import JournalKeeper
+from bronzepost._internal.node.log_client import LogClient
+from bronzepost._internal.node.program_calls import ProgramCalls
+from bronzepost._internal.node.program_ends import ProgramEnds
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
+
+UPKEEP_SECONDS: Final = 2.0
+
+
+class ProgramUpkeep:
+    """End programs at their bounds, and repeat histories that age."""
+
+    def __init__(
+        self,
+        *,
+        keeper: JournalKeeper,
+        programs: ProgramCalls,
+        ends: ProgramEnds,
+        log: LogClient,
+        lookup: SettingLookup,
+    ) -> None:
+        """Use the node's journals and settings."""
+        self._keeper = keeper
+        self._programs = programs
+        self._ends = ends
+        self._log = log
+        self._lookup = lookup
+        self._activity_by_program: dict[str, Activity] = {}
+
+    def run(self) -> None:
+        """Look at every program of the owned partitions."""
+        for journal in self._keeper.owned_journals():
+            self._end_programs(journal)
+            prune_ended(journal)
+            self._repeat_histories(journal)
+
+    def _end_programs(self, journal: Journal) -> None:
+        reasons = find_ends(
+            journal,
+            self._activity_by_program,
+            at=read_clock(),
+            running=self._programs.running_by_program,
+            find_limits=self._find_limits,
+        )
+        for program, reason in reasons.items():
+            emit(LogEvent.PROGRAM_ENDED, program=program, reason=reason)
+            self._ends.end(journal, program, reason)
+
+    def _find_limits(self, program: ProgramEntry) -> ProgramLimits:
+        root = program.program.partition('.')[0]
+        place = (program.organisation, program.service, root)
+        return ProgramLimits(
+            turn_limit=self._lookup(*place, 'turn_limit'),
+            idle_seconds=self._lookup(*place, 'idle_seconds'),
+        )
+
+    def _repeat_histories(self, journal: Journal) -> None:
+        # What is under way may be a repeated history that is not on the log
+        # yet, and must not be submitted once more each time.
+        if not journal.is_settled:
+            return
+        for program in list_aging_histories(journal):
+            self._repeat_history(journal, program)
+
+    def _repeat_history(self, journal: Journal, program: ProgramEntry) -> None:
+        messages: list[dict[str, Any]] = []
+        try:
+            for offset in program.history_offsets:
+                messages.extend(self._read_messages(journal, offset))
+        except LogServiceError as error:
+            emit(LogEvent.RETENTION_GAP, error=error, program=program.program)
+            return
+        snapshot = records.HistorySnapshot(
+            record_id=journal.next_record_id(),
+            epoch=journal.view.epoch,
+            node=journal.node,
+            program=program.program,
+            messages=messages,
+            digest=program.digest,
+        )
+        if submit_record(journal, snapshot).valid:
+            emit(LogEvent.HISTORY_REAPPENDED, program=program.program)
+            self._keeper.send(journal)
+
+    def _read_messages(
+        self, journal: Journal, offset: int
+    ) -> list[dict[str, Any]]:
+        """Return the messages of one record of a history.
+
+        Raises:
+            LogServiceError: if the log does not answer or no longer has it.
+        """
+        page = self._log.read_records(journal.stream, offset, limit=1)
+        if not page.records or page.records[0][0] != offset:
+            raise LogServiceError(
+                f'record {offset} has left the log', step='read history'
+            )
+        record = records.decode_record(page.records[0][1])
+        if isinstance(record, records.TurnCompleted):
+            return [*record.messages, record.answer]
+        if isinstance(record, records.HistorySnapshot):
+            return record.messages
+        raise LogServiceError(
+            f'record {offset} is no part of a history', step='read history'
+        )
