--- a/src/bronzepost/_internal/core/ledger/journal.py
+++ b/src/bronzepost/_internal/core/ledger/journal.py
@@ -24,6 +24,8 @@
 class Requests:
     """What is under way towards the log; times in seconds.
 
+    ``failing_since`` is when the first request failed after which none has
+    shown that the log works; reads don't show that appends do.
     ``maybe_stored_ids`` are records of appends without an answer. The log may
     still store them at any later time, so they can't be taken back.
     """
@@ -32,6 +34,7 @@
     refresh_wanted: bool = False
     retry_at: float = 0
     failing_since: float | None = None
+    appends_failing: bool = False
     append_tokens: float = APPEND_BURST
     tokens_at: float = 0
     maybe_stored_ids: set[str] = dataclasses.field(default_factory=set)
--- a/src/bronzepost/_internal/core/ledger/journal_system.py
+++ b/src/bronzepost/_internal/core/ledger/journal_system.py
@@ -63,7 +63,9 @@
 
 @handle_event.register
 def _(event: events.AppendSucceeded, journal: Journal) -> Actions:
-    _succeed(journal)
+    journal.requests.busy = False
+    journal.requests.appends_failing = False
+    journal.requests.failing_since = None
     if event.first_offset != journal.state.next_offset:
         # Another writer came first; only a read shows in which order.
         journal.requests.refresh_wanted = True
@@ -79,6 +81,7 @@
 @handle_event.register
 def _(event: events.AppendRefused, journal: Journal) -> Actions:
     _fail(journal, event.at, event.retry_after_seconds)
+    journal.requests.appends_failing = True
     maybe_stored = journal.requests.maybe_stored_ids
     not_stored = [
         record
@@ -94,6 +97,7 @@
 @handle_event.register
 def _(event: events.AppendAmbiguous, journal: Journal) -> Actions:
     _fail(journal, event.at, retry_after_seconds=0)
+    journal.requests.appends_failing = True
     journal.requests.maybe_stored_ids.update(journal.in_flight_by_id)
     journal.requests.refresh_wanted = True
     return _next_request(journal, event.at)
@@ -107,7 +111,8 @@
 
 @handle_event.register
 def _(event: events.RecordsRead, journal: Journal) -> Actions:
-    _succeed(journal)
+    journal.requests.busy = False
+    had_in_flight = bool(journal.in_flight_by_id)
     journal.first_kept_offset = event.first_offset
     skipped: Actions = ()
     if journal.loading.done and event.first_offset > journal.state.next_offset:
@@ -118,6 +123,7 @@
     else:
         applied = load_records(journal, event)
     after = _after_apply(journal)
+    _note_read(journal, had_in_flight)
     return skipped + applied + after + _next_request(journal, event.at)
 
 
@@ -213,9 +219,16 @@
     )
 
 
-def _succeed(journal: Journal) -> None:
-    journal.requests.busy = False
-    journal.requests.failing_since = None
+def _note_read(journal: Journal, had_in_flight: bool) -> None:
+    """Decide whether a read shows that the log works.
+
+    It shows that appends do if it found the records of one without an answer,
+    and it has to do if there is nothing to append.
+    """
+    if journal.is_settled or (had_in_flight and not journal.in_flight_by_id):
+        journal.requests.appends_failing = False
+    if not journal.requests.appends_failing:
+        journal.requests.failing_since = None
 
 
 def _fail(journal: Journal, at: float, retry_after_seconds: float) -> None:
@@ -229,7 +242,7 @@
     """Return the next request to the log, if one is due."""
     if journal.requests.busy or at < journal.requests.retry_at:
         return ()
-    if not journal.loading.done or journal.requests.refresh_wanted:
+    if _wants_read(journal):
         journal.requests.busy = True
         start = journal.loading.start or 0
         if journal.loading.done:
@@ -240,6 +253,14 @@
     return _append(journal)
 
 
+def _wants_read(journal: Journal) -> bool:
+    if not journal.loading.done or journal.requests.refresh_wanted:
+        return True
+    # Calls are refused while the log fails, so without a read nothing would
+    # show that it is back.
+    return journal.is_settled and journal.requests.failing_since is not None
+
+
 def _take_token(journal: Journal, at: float) -> bool:
     requests = journal.requests
     elapsed = max(0, at - requests.tokens_at)
--- a/tests/unit/test_ledger_journal.py
+++ b/tests/unit/test_ledger_journal.py
@@ -4,6 +4,7 @@
 
 from bronzepost._internal.core.ledger import journal_events as events
 from bronzepost._internal.core.ledger import records
+from bronzepost._internal.core.ledger.calls import is_log_down
 from bronzepost._internal.core.ledger.journal import withdraw_pending
 from tests import builders_ledger as builders
 from tests.builders_ledger import Delivery
@@ -114,6 +115,46 @@
         self.assertEqual(2, self.log.replay().programs_by_id['p'].sequence)
 
 
+class OutageTest(TestCase):
+    """Guard what the journal knows of an outage."""
+
+    def setUp(self) -> None:
+        """Start with an owner and a record for the log."""
+        super().setUp()
+        self.log = builders.FakeLog()
+        self.owner = builders.build_owner(self.log)
+        self.record = start_program(self.owner)
+
+    def is_down(self) -> bool:
+        """Return whether the owner takes the log for down."""
+        return is_log_down(self.owner.journal, self.owner.now)
+
+    def test_log_outage_ends_though_nothing_is_to_be_written(self) -> None:
+        """Guard against refusals that go on after the log is back."""
+        self.log.is_down = True
+        self.owner.tick()
+        self.owner.deliver()
+        withdraw_pending(self.owner.journal, self.record.record_id)
+        self.owner.tick()
+        self.owner.deliver()
+        self.owner.tick()
+        self.assertTrue(self.is_down())
+        self.log.is_down = False
+        self.owner.run()
+        self.assertFalse(self.is_down())
+
+    def test_log_outage_of_appends_alone(self) -> None:
+        """Guard against calls that wait while only reads are answered."""
+        for _ in range(4):
+            self.owner.tick()
+            self.owner.deliver(Delivery.LOST_REQUEST)
+            self.owner.deliver()
+        self.owner.tick()
+        self.assertTrue(self.is_down())
+        self.owner.run()
+        self.assertFalse(self.is_down())
+
+
 class OwnershipTest(TestCase):
     """Guard the change of owners."""
 
