--- a/src/bronzepost/_internal/core/scheduling/admission.py
+++ b/src/bronzepost/_internal/core/scheduling/admission.py
@@ -13,9 +13,12 @@
 # A program's history grows; its first prompt is about a third of it.
 NEW_PROGRAM_GROWTH = 3
 # Most live programs are paused at any time, so their histories together may
-# be longer than the memory. Beyond 2 the engines evict prefixes that are
-# needed again and the p95 latency at peak rises again.
-MEMORY_OVERCOMMIT = 2.0
+# be longer than the memory. Far beyond 2 the engines evict prefixes that are
+# needed again, and the p95 latency at peak rises again.
+MEMORY_OVERCOMMIT = 2.2
+# The prefixes held at this moment must leave room for half-done programs that
+# come back from a pause.
+RESIDENT_SHARE = 0.9
 
 
 @functools.singledispatch
@@ -70,11 +73,16 @@
     call: CallRequest,
 ) -> int:
     """Return how many new programs the engines' memory has room for."""
-    capacity = sum(
-        server.cache_capacity for server in list_candidates(tables, call)
+    servers = list_candidates(tables, call)
+    capacity = policy.memory_share * sum(
+        server.cache_capacity for server in servers
+    )
+    held = tables.held_tokens_by_service.get(call.service, 0)
+    resident = sum(server.believed_tokens for server in servers)
+    room = min(
+        capacity * MEMORY_OVERCOMMIT - held,
+        capacity * RESIDENT_SHARE - resident,
     )
-    room = capacity * policy.memory_share * MEMORY_OVERCOMMIT
-    room -= tables.held_tokens_by_service.get(call.service, 0)
     size = NEW_PROGRAM_GROWTH * call.prompt_tokens
     return int(room // max(size, 1))
 
