Let a new owner read on a stream that the old owner was relaying

Cause: when the owner of a program dies in the middle of an answer, the caller could only run the call again, which spends twice and may give another text.

The stream names the engine's stream in a comment line. A caller that repeats the call with Bronzepost-Upstream and Bronzepost-Offset gets the rest of the same answer from the new owner, which reads the engine's stream from its beginning and settles the turn. A caller may only name a stream of its own call.

Ruled out: a record on the log for each dispatch (an append per call).

--- a/src/bronzepost/_internal/node/caller_api.py
+++ b/src/bronzepost/_internal/node/caller_api.py
@@ -137,5 +137,5 @@
 def _answer_chat(call: ChatCall, stream: AnswerStream) -> Response:
     headers = call_headers(call.fields.program, stream)
     if call.chat.is_streaming:
-        return answer_events(stream, headers=headers)
+        return answer_events(stream, offset=call.fields.offset, headers=headers)
     return answer_completion(stream, headers=headers)
--- a/src/bronzepost/_internal/node/caller_request.py
+++ b/src/bronzepost/_internal/node/caller_request.py
@@ -11,6 +11,9 @@
     r'[A-Za-z0-9_-]{1,64}(\.[A-Za-z0-9_-]{1,64}){0,8}'
 )
 NAME_PATTERN: Final = re.compile('[A-Za-z0-9_-]{1,64}')
+UPSTREAM_PATTERN: Final = re.compile(
+    r'[A-Za-z0-9_.-]{1,128} [A-Za-z0-9_.:~-]{1,700}'
+)
 MAX_KEY_LENGTH: Final = 256
 MAX_IMPORTANCE: Final = 10
 # The largest integer that every JSON implementation keeps exact.
@@ -29,7 +32,9 @@
     """The fields of a call that are not its content.
 
     Empty strings, zero and None stand for fields that were not given.
-    ``deadline_seconds`` counts from the arrival of the request.
+    ``deadline_seconds`` counts from the arrival of the request. ``offset`` is
+    the first chunk that the caller still wants, and ``upstream`` names the
+    engine's stream that an earlier answer to the same call came from.
     """
 
     program: str = ''
@@ -41,6 +46,8 @@
     importance: int | None = None
     deadline_seconds: float | None = None
     non_idempotent: bool = False
+    offset: int = 0
+    upstream: str = ''
     traceparent: str = ''
     hops: int = 0
 
@@ -66,6 +73,8 @@
         importance=reader.read_integer('importance', 1, MAX_IMPORTANCE),
         deadline_seconds=reader.read_seconds('deadline'),
         non_idempotent=reader.read_flag('non-idempotent'),
+        offset=reader.read_integer('offset', 0, MAX_INTEGER) or 0,
+        upstream=reader.read_name('upstream', UPSTREAM_PATTERN),
         traceparent=request.headers.get('traceparent', ''),
         hops=int(request.headers.get(HOPS_HEADER, '0')),
     )
--- a/src/bronzepost/_internal/node/chat_calls.py
+++ b/src/bronzepost/_internal/node/chat_calls.py
@@ -211,6 +211,7 @@
             policy=call.terms.policy,
             body=call.engine_body(),
             retry_terms=_retry_terms(call, affordable),
+            upstream=call.fields.upstream,
             traceparent=call.span.traceparent,
         )
         return self._run_until_deadline(model_call, owned.stream)
--- a/src/bronzepost/_internal/node/model_call.py
+++ b/src/bronzepost/_internal/node/model_call.py
@@ -25,9 +25,13 @@
     EngineCall,
     EngineChunk,
     Usage,
+    resume_completion,
     stream_completion,
 )
-from bronzepost._internal.node.refusals import refuse_broken_call
+from bronzepost._internal.node.refusals import (
+    refuse_broken_call,
+    refuse_lost_stream,
+)
 from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.start import Telemetry
 
@@ -43,7 +47,8 @@
     """A model call whose budget is reserved.
 
     ``call_id`` is unique to the call. The retry terms allow no more runs than
-    the reserved budget pays for.
+    the reserved budget pays for. ``upstream`` names an engine's stream of an
+    earlier run of this call, which is read on instead of running it again.
     """
 
     call_id: str
@@ -51,6 +56,7 @@
     policy: Policy
     body: dict[str, Any]
     retry_terms: RetryTerms
+    upstream: str = ''
     traceparent: str = ''
 
 
@@ -100,6 +106,9 @@
         """
         self._retries.add_call()
         answer = ModelAnswer()
+        if call.upstream:
+            self._resume(call, answer, stream)
+            return answer
         while True:
             answer.attempts += 1
             try:
@@ -112,6 +121,25 @@
             else:
                 return answer
 
+    def _resume(
+        self, call: ModelCall, answer: ModelAnswer, stream: AnswerStream
+    ) -> None:
+        """Read the stream of an earlier run from its beginning."""
+        answer.attempts = 1
+        server_id, _, request_id = call.upstream.partition(' ')
+        # A caller may only name a stream of its own call.
+        is_own = request_id.startswith(f'{call.call_id.rpartition(":")[0]}:')
+        if not is_own or server_id not in self._directory.addresses_by_id:
+            raise refuse_lost_stream('the runner is gone', call.upstream)
+        peer = self._directory.peer_of(server_id, STREAM_IDLE_SECONDS)
+        stream.upstream = call.upstream
+        try:
+            self._move_chunks(
+                resume_completion(peer, request_id), answer, stream
+            )
+        except (ExchangeError, BackendServerError) as error:
+            raise refuse_lost_stream(error.message, server_id) from error
+
     def _attempt(
         self, call: ModelCall, answer: ModelAnswer, stream: AnswerStream
     ) -> None:
@@ -135,20 +163,22 @@
                 traceparent=dispatched.traceparent,
             )
             stream.upstream = f'{dispatched.server_id} {request_id}'
-            self._move_chunks(dispatched.server_id, engine_call, answer, stream)
+            peer = self._directory.peer_of(
+                dispatched.server_id, STREAM_IDLE_SECONDS
+            )
+            self._move_chunks(
+                stream_completion(peer, engine_call), answer, stream
+            )
             dispatched.output_tokens = answer.usage.completion_tokens
             dispatched.cached_tokens = answer.usage.cached_tokens
 
     def _move_chunks(
         self,
-        server_id: str,
-        engine_call: EngineCall,
+        chunks: Iterator[EngineChunk],
         answer: ModelAnswer,
         stream: AnswerStream,
     ) -> None:
-        peer = self._directory.peer_of(server_id, STREAM_IDLE_SECONDS)
         started = read_clock()
-        chunks = stream_completion(peer, engine_call)
         for chunk in _skip_repeated(chunks, answer, stream):
             if not stream.chunks:
                 elapsed = (read_clock() - started) * MILLISECONDS
--- a/src/bronzepost/_internal/node/refusals.py
+++ b/src/bronzepost/_internal/node/refusals.py
@@ -181,3 +181,16 @@
         step='propose change',
         parameter='base_revision',
     )
+
+
+def refuse_lost_stream(reason: str, peer: str) -> RefusedError:
+    """Return the refusal to go on with a stream that the engine has lost."""
+    return RefusedError(
+        f'the stream of the earlier run cannot be read on: {reason}; repeat '
+        'the call without Bronzepost-Upstream to run it again',
+        code='stream_lost',
+        status=HTTPStatus.CONFLICT,
+        step='resume stream',
+        peer=peer,
+        run=RunState.RAN,
+    )
--- a/src/bronzepost/_internal/node/responses.py
+++ b/src/bronzepost/_internal/node/responses.py
@@ -89,14 +89,27 @@
     return b'id: %d\ndata: %b\n\n' % (offset, chunk)
 
 
+def write_upstream(upstream: str) -> bytes:
+    """Return the comment that names the engine's stream.
+
+    A caller that repeats the call at another node gives it back, so that the
+    new owner reads the stream on instead of running the call again.
+    """
+    return b': upstream %b\n\n' % upstream.encode()
+
+
 def write_error_event(error: RefusedError) -> bytes:
     """Return the event that ends a stream with an error."""
     return b'event: error\ndata: %b\n\n' % encode_refusal(error)
 
 
 def _write_events(stream: AnswerStream, offset: int) -> Iterator[bytes]:
+    upstream = ''
     try:
         for event_offset, chunk in stream.read_from(offset, START_SECONDS):
+            if stream.upstream != upstream:
+                upstream = stream.upstream
+                yield write_upstream(upstream)
             if chunk is None:
                 yield KEEP_ALIVE
             else:
