Refuse hostile requests instead of failing on them

Cause: found by hypothesis and by reading. A body nested 100,000 deep raised RecursionError, a hops header that is no number raised ValueError (both were answered as 500 with run 'unknown'), and a decoded path with line ends went into the request line to the owner or the backend server as it was.

Each is a refusal that names its field now; paths are encoded again before they are sent.

--- a/src/bronzepost/_internal/node/caller_request.py
+++ b/src/bronzepost/_internal/node/caller_request.py
@@ -76,7 +76,7 @@
         offset=reader.read_integer('offset', 0, MAX_INTEGER) or 0,
         upstream=reader.read_name('upstream', UPSTREAM_PATTERN),
         traceparent=request.headers.get('traceparent', ''),
-        hops=int(request.headers.get(HOPS_HEADER, '0')),
+        hops=reader.read_integer('hops', 0, MAX_HOPS) or 0,
     )
 
 
--- a/src/bronzepost/_internal/node/http_exchange.py
+++ b/src/bronzepost/_internal/node/http_exchange.py
@@ -4,6 +4,7 @@
 import errno
 from collections.abc import Iterator, Mapping
 from typing import Any, Final, Self
+from urllib.parse import quote
 
 import gevent
 import msgspec
@@ -15,6 +16,10 @@
 CONNECT_SECONDS: Final = 1.0
 _READ_BYTES: Final = 65536
 
+# A path can come from a caller. Spaces and line ends in it must not end the
+# request line, or the rest would be read as headers.
+_PATH_SAFE: Final = "/?&=%:~+,;@!$()*'"
+
 # With these the connection was never open, so no request was sent.
 _NOT_SENT_ERRORS: Final = frozenset((
     errno.ECONNREFUSED,
@@ -173,7 +178,9 @@
             headers={'Content-Type': 'application/json'},
         )
         try:
-            response = client.request(method, path, body, headers or {})
+            response = client.request(
+                method, encode_path(path), body, headers or {}
+            )
         except Exception as error:
             client.close()
             raise self._fail(error, step) from error
@@ -194,6 +201,11 @@
         )
 
 
+def encode_path(path: str) -> str:
+    """Return a path as it may stand in a request line."""
+    return quote(path, safe=_PATH_SAFE)
+
+
 def _read_available(response: HTTPSocketPoolResponse) -> bytes:
     """Return what has arrived, waiting for at least one byte if need be.
 
--- a/src/bronzepost/_internal/node/web.py
+++ b/src/bronzepost/_internal/node/web.py
@@ -43,7 +43,7 @@
         """
         try:
             return msgspec.json.decode(self.body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise refuse_parameter('body', f'not JSON: {error}') from error
 
 
@@ -173,7 +173,7 @@
 
     def _dispatch(self, environ: dict[str, Any]) -> Response:
         method = environ['REQUEST_METHOD']
-        path = environ['PATH_INFO']
+        path = _read_path(environ)
         matches = [
             (route_method, handler, match.groupdict())
             for route_method, pattern, handler in self._routes
@@ -194,7 +194,7 @@
         }
         return Request(
             method=environ['REQUEST_METHOD'],
-            path=environ['PATH_INFO'],
+            path=_read_path(environ),
             query=dict(parse_qsl(environ.get('QUERY_STRING', ''))),
             headers=headers,
             body=self._read_body(environ),
@@ -224,6 +224,12 @@
         )
 
 
+def _read_path(environ: dict[str, Any]) -> str:
+    # WSGI hands over the bytes of the path as if they were Latin-1.
+    raw: str = environ['PATH_INFO']
+    return raw.encode('latin-1', 'replace').decode(errors='replace')
+
+
 def _body_timeout() -> RefusedError:
     return RefusedError(
         f'the body did not arrive within {BODY_SECONDS:g} s',
