--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -149,6 +149,7 @@
                 program_id=work.call.program_id,
                 service=work.call.service,
                 retry_after_seconds=seconds,
+                prompt_tokens=work.call.prompt_tokens,
             )
         )
         jitter = 1 + RETRY_JITTER_SHARE * self._generator.random()
--- a/src/bronzepost/_internal/core/scheduling/admission.py
+++ b/src/bronzepost/_internal/core/scheduling/admission.py
@@ -1,6 +1,7 @@
 """Admission by slots: new programs are held back before half-done ones."""
 
 import functools
+import math
 
 from .actions import Admitted, RefusalReason, Refused
 from .policies import Policy, ProgramAware
@@ -57,9 +58,9 @@
         return decision
     if not call.model:
         return decision
-    free = count_free_programs(policy, tables, call)
-    ahead = count_ahead(tables, call, at, free)
-    if ahead < free:
+    room = find_room(policy, tables, call)
+    ahead = sum_ahead(tables, call, at)
+    if ahead + call.prompt_tokens <= room / NEW_PROGRAM_GROWTH:
         return decision
     return Refused(
         reason=RefusalReason.NO_SLOT,
@@ -67,44 +68,47 @@
     )
 
 
-def count_free_programs(
+def find_room(
     policy: ProgramAware,
     tables: SchedulingTables,
     call: CallRequest,
-) -> int:
-    """Return how many new programs the engines' memory has room for."""
+) -> float:
+    """Return the tokens of engine memory that new programs may use.
+
+    Without any live program there is room for whatever comes, so that a
+    prompt that is longer than the share is not refused forever.
+    """
+    held = tables.held_tokens_by_service.get(call.service, 0)
+    if not held:
+        return math.inf
     servers = list_candidates(tables, call)
     capacity = policy.memory_share * sum(
         server.cache_capacity for server in servers
     )
-    held = tables.held_tokens_by_service.get(call.service, 0)
     resident = sum(server.believed_tokens for server in servers)
-    room = min(
+    return min(
         capacity * MEMORY_OVERCOMMIT - held,
         capacity * RESIDENT_SHARE - resident,
     )
-    size = NEW_PROGRAM_GROWTH * call.prompt_tokens
-    return int(room // max(size, 1))
 
 
-def count_ahead(
+def sum_ahead(
     tables: SchedulingTables,
     call: CallRequest,
     at: float,
-    limit: int,
 ) -> int:
-    """Return how many programs were refused before this one, up to a limit.
+    """Return the prompt tokens of programs refused before this one.
 
-    Programs that did not come again in time are not counted.
+    Memory that comes free is kept for them, so a long prompt is not overtaken
+    by short ones. Programs that did not come again in time do not count.
     """
     ahead = 0
     for program_id, refusal in tables.refusals_by_program.items():
-        if program_id == call.program_id or ahead >= limit:
+        if program_id == call.program_id:
             break
-        if refusal.service != call.service:
-            continue
-        if refusal.expected_at + RETURN_GRACE_SECONDS >= at:
-            ahead += 1
+        is_expected = refusal.expected_at + RETURN_GRACE_SECONDS >= at
+        if is_expected and refusal.service == call.service:
+            ahead += refusal.prompt_tokens
     return ahead
 
 
--- a/src/bronzepost/_internal/core/scheduling/events.py
+++ b/src/bronzepost/_internal/core/scheduling/events.py
@@ -113,6 +113,7 @@
     program_id: str
     service: str
     retry_after_seconds: float
+    prompt_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/bronzepost/_internal/core/scheduling/program_events.py
+++ b/src/bronzepost/_internal/core/scheduling/program_events.py
@@ -70,6 +70,7 @@
     # the first refusals.
     refusals[event.program_id] = Refusal(
         service=event.service,
+        prompt_tokens=event.prompt_tokens,
         first_refused_at=first,
         expected_at=event.at + event.retry_after_seconds,
     )
--- a/src/bronzepost/_internal/core/scheduling/tables.py
+++ b/src/bronzepost/_internal/core/scheduling/tables.py
@@ -129,6 +129,7 @@
     """A new program that was refused and is expected to come again."""
 
     service: str
+    prompt_tokens: int
     first_refused_at: float
     expected_at: float
 
--- a/tests/unit/test_scheduling_admission.py
+++ b/tests/unit/test_scheduling_admission.py
@@ -71,12 +71,25 @@
         decision = admit(ProgramAware(), tables, build_call('new'), 1)
         self.assertIsInstance(decision, Admitted)
 
+    def test_long_prompt_is_admitted_to_an_idle_service(self) -> None:
+        """Guard against a prompt so long that it is refused forever."""
+        tables = build_tables(build_server('one', cache_capacity=2000))
+        decision = admit(
+            ProgramAware(), tables, build_call('new', prompt_tokens=1900), 1
+        )
+        self.assertIsInstance(decision, Admitted)
+
     def test_earlier_refusal_goes_first(self) -> None:
         """Guard against newcomers that overtake programs refused before."""
-        tables = build_tables(build_server('one', cache_capacity=4000))
+        tables = build_tables(build_server('one', cache_capacity=6000))
+        send_call(tables, build_call('old'), 'one', call_id='a', at=0)
         for name in ('first', 'second'):
             refused = ProgramRefused(
-                at=0, program_id=name, service='pool', retry_after_seconds=5
+                at=0,
+                program_id=name,
+                service='pool',
+                retry_after_seconds=5,
+                prompt_tokens=1000,
             )
             apply_event(tables, refused)
         names = ('newcomer', 'second', 'first')
