Use pauses, cache events and memory shares in the node

A pause begins with an answer, is reviewed every 2 s and ends with the next call. Each owner admits new programs to its share of the engines' memory, by the partitions that it owns; a program that the ledger knows is never held back.

--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -6,11 +6,12 @@
 from typing import Final
 
 from bronzepost._internal.core.ledger.journal import Journal
-from bronzepost._internal.core.rendezvous import partition_of
+from bronzepost._internal.core.rendezvous import PARTITION_COUNT, partition_of
 from bronzepost._internal.core.retry_budget import RetryBudget
 from bronzepost._internal.core.scheduling.tables import SchedulingTables
 from bronzepost._internal.node.answers import AnswerStore
 from bronzepost._internal.node.backend_directory import BackendDirectory
+from bronzepost._internal.node.cache_events import CacheEventReader
 from bronzepost._internal.node.chat_calls import ChatCalls
 from bronzepost._internal.node.cluster import Cluster
 from bronzepost._internal.node.engine_memory import EngineMemory
@@ -21,6 +22,7 @@
 from bronzepost._internal.node.mirroring import Mirroring
 from bronzepost._internal.node.model_call import ModelCallRunner
 from bronzepost._internal.node.partitions import Partitions
+from bronzepost._internal.node.pauses import Pauses
 from bronzepost._internal.node.program_calls import ProgramCalls
 from bronzepost._internal.node.program_ends import ProgramEnds
 from bronzepost._internal.node.service_calls import ServiceCalls
@@ -49,6 +51,8 @@
 
     directory: BackendDirectory
     memory: EngineMemory
+    pauses: Pauses
+    cache_events: CacheEventReader
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -118,7 +122,12 @@
         node=settings.node.name,
         metrics=telemetry.metrics,
     )
-    return Runners(directory=directory, memory=memory)
+    return Runners(
+        directory=directory,
+        memory=memory,
+        pauses=Pauses(tables=tables, memory=memory),
+        cache_events=CacheEventReader(directory=directory),
+    )
 
 
 def build_call_paths(
@@ -139,6 +148,8 @@
         runner=runner,
         directory=runners.directory,
         memory=runners.memory,
+        pauses=runners.pauses,
+        find_memory_share=_memory_share_finder(storage.keeper),
         availability_zone=zone,
     )
     services = ServiceCalls(
@@ -176,6 +187,14 @@
     return sorted(pairs)
 
 
+def _memory_share_finder(keeper: JournalKeeper) -> Callable[[], float]:
+    def find_memory_share() -> float:  # noqa: WPS430
+        owned = max(1, len(keeper.owned_journals()))
+        return owned / PARTITION_COUNT
+
+    return find_memory_share
+
+
 def _running_call_check(storage: Storage) -> Callable[[Journal], bool]:
     def has_running_call(journal: Journal) -> bool:  # noqa: WPS430
         return any(
--- a/src/bronzepost/_internal/node/chat_calls.py
+++ b/src/bronzepost/_internal/node/chat_calls.py
@@ -1,6 +1,7 @@
 """Chat completions: of owned programs, and of callers without a program."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Any, Final
 
 import gevent
@@ -12,8 +13,11 @@
 )
 from bronzepost._internal.core.ledger import calls, records
 from bronzepost._internal.core.ledger.journal import Journal
-from bronzepost._internal.core.scheduling.actions import Refused
+from bronzepost._internal.core.scheduling.actions import Admitted
 from bronzepost._internal.core.scheduling.admission import admit
+from bronzepost._internal.core.scheduling.apply import apply_event
+from bronzepost._internal.core.scheduling.events import ProgramRefused
+from bronzepost._internal.core.scheduling.policies import ProgramAware
 from bronzepost._internal.core.scheduling.tables import CallRequest
 from bronzepost._internal.exceptions import RefusedError, RunState
 from bronzepost._internal.node.answer_stream import AnswerStream
@@ -33,6 +37,7 @@
     ModelCall,
     ModelCallRunner,
 )
+from bronzepost._internal.node.pauses import Pauses
 from bronzepost._internal.node.program_calls import OwnedCall, ProgramCalls
 from bronzepost._internal.node.refusals import (
     refuse_admission,
@@ -98,6 +103,8 @@
         runner: ModelCallRunner,
         directory: BackendDirectory,
         memory: EngineMemory,
+        pauses: Pauses,
+        find_memory_share: Callable[[], float],
         availability_zone: str,
     ) -> None:
         """Use the node's programs and runners."""
@@ -105,13 +112,17 @@
         self._runner = runner
         self._directory = directory
         self._memory = memory
+        self._pauses = pauses
+        self._find_memory_share = find_memory_share
         self._availability_zone = availability_zone
 
     def begin_owned(self, journal: Journal, call: ChatCall) -> AnswerStream:
         """Start a call of a program that this node owns."""
         request = self._ledger_request(call)
         if not self._is_repeated(journal, request):
-            self._admit(call)
+            self._pauses.end(request.program)
+            if request.program not in journal.view.programs_by_id:
+                self._admit(call)
             _check_history(journal, call)
         stream = self._programs.begin(
             journal,
@@ -164,14 +175,25 @@
         return bool(request.key) and known is not None
 
     def _admit(self, call: ChatCall) -> None:
-        verdict = admit(
-            call.terms.policy,
-            self._directory.tables,
-            self._scheduling_request(call),
-            read_clock(),
+        policy = call.terms.policy
+        if isinstance(policy, ProgramAware):
+            # Other nodes admit programs to the same runners.
+            share = self._find_memory_share()
+            policy = dataclasses.replace(policy, memory_share=share)
+        request = self._scheduling_request(call)
+        tables = self._directory.tables
+        verdict = admit(policy, tables, request, read_clock())
+        if isinstance(verdict, Admitted):
+            return
+        refused = ProgramRefused(
+            at=read_clock(),
+            program_id=request.program_id,
+            service=request.service,
+            retry_after_seconds=verdict.retry_after_seconds,
+            prompt_tokens=request.prompt_tokens,
         )
-        if isinstance(verdict, Refused):
-            raise refuse_admission(verdict)
+        apply_event(tables, refused)
+        raise refuse_admission(verdict)
 
     def _scheduling_request(
         self, call: ChatCall, session: str = ''
@@ -198,6 +220,7 @@
             raise
         record = _build_turn(owned, call, answer, new_messages)
         self._programs.settle(owned, record)
+        self._pauses.begin(owned.call.program, record.answer, call.terms.policy)
         owned.stream.append(answer.final_chunk)
         owned.stream.finish()
 
--- a/src/bronzepost/_internal/node/engine_memory.py
+++ b/src/bronzepost/_internal/node/engine_memory.py
@@ -61,12 +61,16 @@
         self._metrics = metrics
 
     def release(self, session: str) -> None:
+        """Release the session of an ended program wherever it is held."""
+        self.release_prefix(session)
+        ended = events.ProgramEnded(at=read_clock(), program_id=session)
+        apply_event(self._directory.tables, ended)
+
+    def release_prefix(self, session: str) -> None:
         """Release a session wherever it is believed to be held."""
         tables = self._directory.tables
         for server_id in list(tables.prefixes_by_session.get(session, ())):
             gevent.spawn(self._release_at, server_id, session)
-        ended = events.ProgramEnded(at=read_clock(), program_id=session)
-        apply_event(tables, ended)
 
     def sweep(self, live_nodes: Collection[str]) -> None:
         """Release what runners hold for programs that have ended.
--- a/src/bronzepost/_internal/node/node.py
+++ b/src/bronzepost/_internal/node/node.py
@@ -12,6 +12,7 @@
     LIST_SECONDS,
     LOAD_SECONDS,
 )
+from bronzepost._internal.node.cache_events import CACHE_EVENT_SECONDS
 from bronzepost._internal.node.caller_api import CallerApi
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.cluster import Cluster
@@ -19,6 +20,7 @@
 from bronzepost._internal.node.listeners import KeyedApplication, listen
 from bronzepost._internal.node.operator_api import OperatorApi
 from bronzepost._internal.node.parts import CallParts
+from bronzepost._internal.node.pauses import REVIEW_SECONDS
 from bronzepost._internal.node.program_api import ProgramApi
 from bronzepost._internal.node.refusals import refuse_not_ready
 from bronzepost._internal.node.upkeep import UPKEEP_SECONDS, ProgramUpkeep
@@ -127,6 +129,8 @@
         self._repeat(PARTITION_SECONDS, self._paths.partitions.tick)
         self._repeat(SWEEP_SECONDS, self._sweep)
         self._repeat(UPKEEP_SECONDS, self._build_upkeep().run)
+        self._repeat(REVIEW_SECONDS, self._runners.pauses.review)
+        self._repeat(CACHE_EVENT_SECONDS, self._runners.cache_events.poll)
         self._repeat(FLUSH_SECONDS, self._telemetry.metrics.flush)
 
     def _tick(self) -> None:
--- /dev/null
+++ b/src/bronzepost/_internal/node/pauses.py
@@ -0,0 +1,70 @@
+"""Keep or release the prefixes of programs that wait for a tool."""
+
+from typing import Any, Final
+
+from bronzepost._internal.core.scheduling import events
+from bronzepost._internal.core.scheduling.actions import Retention
+from bronzepost._internal.core.scheduling.apply import apply_event
+from bronzepost._internal.core.scheduling.cache import retention
+from bronzepost._internal.core.scheduling.policies import Policy
+from bronzepost._internal.core.scheduling.tables import (
+    ProgramPause,
+    SchedulingTables,
+)
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.engine_memory import EngineMemory
+
+REVIEW_SECONDS: Final = 2.0
+
+
+class Pauses:
+    """The programs that are between two calls."""
+
+    def __init__(
+        self, *, tables: SchedulingTables, memory: EngineMemory
+    ) -> None:
+        """Start with no program paused."""
+        self._tables = tables
+        self._memory = memory
+        self._pauses_by_program: dict[str, tuple[ProgramPause, Policy]] = {}
+
+    def begin(
+        self, program: str, message: dict[str, Any], policy: Policy
+    ) -> None:
+        """Note that a program has its answer, and which tool it asks for."""
+        pause = ProgramPause(
+            program_id=program,
+            tool=_name_tool(message),
+            paused_at=read_clock(),
+        )
+        self._pauses_by_program[program] = (pause, policy)
+
+    def end(self, program: str) -> None:
+        """Note that a program has come back with its next call."""
+        pause, _ = self._pauses_by_program.pop(program, (None, None))
+        if pause is None:
+            return
+        at = read_clock()
+        seen = events.PauseSeen(
+            at=at, tool=pause.tool, seconds=at - pause.paused_at
+        )
+        apply_event(self._tables, seen)
+
+    def review(self) -> None:
+        """Release the prefixes whose pause costs more than a refill."""
+        for program, paused in list(self._pauses_by_program.items()):
+            pause, policy = paused
+            decision = retention(policy, self._tables, pause, read_clock())
+            if decision is Retention.RELEASE:
+                self._pauses_by_program.pop(program)
+                self._memory.release_prefix(program)
+
+
+def _name_tool(message: dict[str, Any]) -> str:
+    """Return the first tool that an answer asks for, empty if none."""
+    for tool_call in message.get('tool_calls') or ():
+        function = tool_call.get('function') or {}
+        name = function.get('name')
+        if name:
+            return str(name)
+    return ''
