Read partitions again while ownership is unsettled

Cause: nodes that start together each claim all partitions. One whose claim was overtaken did not learn of it before its next append, and a first choice kept a released owner in its view, so calls went round until 'too many hops'.

Ruled out: the claims themselves; the log order decides, no effect occurred twice. Cost: one read per partition and 0.5 s, only while ownership is unsettled.

--- a/src/bronzepost/_internal/node/partitions.py
+++ b/src/bronzepost/_internal/node/partitions.py
@@ -34,6 +34,10 @@
 # A node that has just joined may leave again soon; handing partitions over to
 # it costs each program an append.
 STABLE_SECONDS: Final = 5.0
+# Nodes that did not see each other may all have claimed a partition. An owner
+# that has nothing to append learns of it only by reading the log again, and so
+# does the first choice learn that the owner has released the partition.
+REFRESH_SECONDS: Final = 0.5
 
 
 class Partitions:
@@ -54,6 +58,7 @@
         self._has_running_call = has_running_call
         self._serving: frozenset[str] = frozenset()
         self._serving_since = read_clock()
+        self._refreshed_at = read_clock()
         self._claiming: set[int] = set()
         self.is_draining = False
 
@@ -93,6 +98,7 @@
             self._serving = serving
             self._serving_since = read_clock()
         is_stable = read_clock() - self._serving_since >= STABLE_SECONDS
+        self._refresh(is_stable=is_stable)
         may_release = is_stable or self.is_draining
         for partition in range(PARTITION_COUNT):
             journal = self._keeper.find_journal(partition)
@@ -108,6 +114,17 @@
             self._release(journal)
         return not self._keeper.owned_journals()
 
+    def _refresh(self, *, is_stable: bool) -> None:
+        """Read the partitions of which this node may have a wrong view."""
+        if read_clock() - self._refreshed_at < REFRESH_SECONDS:
+            return
+        self._refreshed_at = read_clock()
+        for journal in self._keeper.journals_by_partition.values():
+            first = first_choice(journal.stream, self._serving)
+            is_awaited = first == self._node and not journal.is_owner
+            if is_awaited or (journal.is_owner and not is_stable):
+                self._keeper.refresh(journal)
+
     def _route(self, journal: Journal) -> Route:
         return route_call(self._view(journal), self._list_serving())
 
