Give up a forwarded call when its owner is dead

Cause: a paused owner keeps its connections open, so a call forwarded to it was held until the deadline of the call (300 s). A stream had the same limit of silence.

--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -143,6 +143,7 @@
         ends=ProgramEnds(keeper=storage.keeper, memory=runners.memory),
         forwarder=Forwarder(
             find_address=cluster.find_forward_address,
+            is_live=lambda member: member in cluster.list_live(),
             find_peer_key=lambda: next(iter(settings.peers.keys), ''),
         ),
     )
--- a/src/bronzepost/_internal/node/forwarding.py
+++ b/src/bronzepost/_internal/node/forwarding.py
@@ -4,6 +4,8 @@
 from http import HTTPStatus
 from typing import Final
 
+import gevent
+
 from bronzepost._internal.exceptions import (
     ExchangeError,
     RefusedError,
@@ -25,6 +27,9 @@
 # An owner sends keep-alive lines each second while a call waits.
 FORWARD_IDLE_SECONDS: Final = 5.0
 MAX_RESUMES: Final = 3
+# A paused owner keeps its connections open and silent until the deadline, so
+# its membership is looked at while it has not answered.
+LIVE_POLL_SECONDS: Final = 0.25
 
 _STEP: Final = 'forward call'
 _ID: Final = b'id:'
@@ -37,19 +42,26 @@
 _RETURNED: Final = ('retry-after', 'x-should-retry')
 
 FindAddress = Callable[[str], str]
+IsLive = Callable[[str], bool]
 
 
 class Forwarder:
     """Send calls to their owner and relay the answers.
 
-    ``find_address`` returns the forward address of a member by its name.
+    ``find_address`` returns the forward address of a member by its name, and
+    ``is_live`` whether the member is not known to be dead.
     """
 
     def __init__(
-        self, *, find_address: FindAddress, find_peer_key: Callable[[], str]
+        self,
+        *,
+        find_address: FindAddress,
+        is_live: IsLive,
+        find_peer_key: Callable[[], str],
     ) -> None:
         """Use the current addresses and the current peer key."""
         self._find_address = find_address
+        self._is_live = is_live
         self._find_peer_key = find_peer_key
 
     def forward(
@@ -97,18 +109,31 @@
         query = '&'.join(
             f'{name}={text}' for name, text in request.query.items()
         )
-        try:
-            return peer.open_stream(
-                request.method,
-                f'{request.path}?{query}' if query else request.path,
-                step=_STEP,
-                body=request.body,
-                headers=headers,
-            )
-        except ExchangeError as error:
-            emit(LogEvent.FORWARD_FAILED, error=error, member=member)
-            run = RunState.UNKNOWN if error.was_sent else RunState.NOT_RUN
-            raise _refuse_forward(error.message, member, run) from error
+        worker = gevent.spawn(
+            _exchange,
+            peer,
+            request,
+            f'{request.path}?{query}' if query else request.path,
+            headers,
+        )
+        stream = self._await_answer(worker, member)
+        if stream.headers.get('content-type', '').startswith(EVENT_STREAM_TYPE):
+            stream.limit_silence(FORWARD_IDLE_SECONDS)
+        return stream
+
+    def _await_answer(self, worker: gevent.Greenlet, member: str) -> HttpStream:
+        """Return the answer, or refuse once the member is dead."""
+        while not worker.ready():
+            worker.join(LIVE_POLL_SECONDS)
+            if not worker.ready() and not self._is_live(member):
+                worker.kill()
+                raise _refuse_forward('it is dead', member, RunState.UNKNOWN)
+        if isinstance(worker.value, HttpStream):
+            return worker.value
+        error: ExchangeError = worker.value
+        emit(LogEvent.FORWARD_FAILED, error=error, member=member)
+        run = RunState.UNKNOWN if error.was_sent else RunState.NOT_RUN
+        raise _refuse_forward(error.message, member, run) from error
 
     def _relay_events(
         self, member: str, request: Request, stream: HttpStream
@@ -184,6 +209,21 @@
         return b'\n'.join((*lines, b''))
 
 
+def _exchange(
+    peer: HttpPeer, request: Request, path: str, headers: dict[str, str]
+) -> HttpStream | ExchangeError:
+    try:
+        return peer.open_stream(
+            request.method,
+            path,
+            step=_STEP,
+            body=request.body,
+            headers=headers,
+        )
+    except ExchangeError as error:
+        return error
+
+
 def _relay_whole(
     stream: HttpStream,
     headers: tuple[tuple[str, str], ...],
--- a/src/bronzepost/_internal/node/http_exchange.py
+++ b/src/bronzepost/_internal/node/http_exchange.py
@@ -96,6 +96,12 @@
         if rest:
             yield rest
 
+    def limit_silence(self, seconds: float) -> None:
+        """Bound the silence between two blocks from now on."""
+        sock = self._response._sock
+        if sock is not None:
+            sock.settimeout(seconds)
+
     def close(self) -> None:
         """Close the connection."""
         self._client.close()
