Say in a refusal that the call ran when it did

Cause: the run state of the ledger's decision was dropped, so a call that has finished, or whose answer is on its way to the log, was refused as not_run. Found by reading; test_not_run_* covers it.

--- a/src/bronzepost/_internal/node/refusals.py
+++ b/src/bronzepost/_internal/node/refusals.py
@@ -23,6 +23,7 @@
         code=decision.code,
         status=decision.status,
         step='begin call',
+        run=decision.run,
         retry_after_seconds=decision.retry_after_seconds,
     )
 
