Take ports of test nodes below the range of outgoing connections

Cause: an outgoing connection took a port of 127.0.0.1 between the choice of the port and the start of the node (seen once in about 30 starts).

--- a/standins/node_process.py
+++ b/standins/node_process.py
@@ -1,6 +1,7 @@
 """Plans, settings and processes of the nodes of a deployment."""
 
 import json
+import secrets
 import signal
 import socket
 from collections.abc import Mapping, Sequence
@@ -12,6 +13,9 @@
 from standins.organisations import Organisation
 from standins.processes import ManagedProcess
 
+FIRST_PORT = 12000
+PORT_COUNT = 20000
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodePlan:
@@ -101,16 +105,29 @@
 
 
 def free_addresses(host: str, *, count: int) -> list[str]:
-    """Return addresses of a host whose ports were free a moment ago."""
-    listeners = [socket.create_server((host, 0)) for _ in range(count)]
-    addresses = [
-        f'{host}:{listener.getsockname()[1]}' for listener in listeners
-    ]
-    for listener in listeners:
-        listener.close()
+    """Return addresses of a host whose ports were free a moment ago.
+
+    The ports are below the range from which outgoing connections get theirs:
+    one of those would take a port before the node listens on it.
+    """
+    addresses: list[str] = []
+    while len(addresses) < count:
+        port = FIRST_PORT + secrets.randbelow(PORT_COUNT)
+        address = f'{host}:{port}'
+        if address not in addresses and _is_free(host, port):
+            addresses.append(address)
     return addresses
 
 
+def _is_free(host: str, port: int) -> bool:
+    try:
+        listener = socket.create_server((host, port))
+    except OSError:
+        return False
+    listener.close()
+    return True
+
+
 def settings_text(
     plan: NodePlan,
     *,
