--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -15,7 +15,7 @@
 from bronzepost._internal.node.chat_calls import ChatCalls
 from bronzepost._internal.node.cluster import Cluster
 from bronzepost._internal.node.engine_memory import EngineMemory
-from bronzepost._internal.node.forwarding import Forwarder
+from bronzepost._internal.node.forwarding import Forwarder, Owners
 from bronzepost._internal.node.http_exchange import HttpPeer
 from bronzepost._internal.node.journal_keeper import JournalKeeper
 from bronzepost._internal.node.log_client import LogClient
@@ -159,22 +159,25 @@
         tracer=telemetry.tracer,
         availability_zone=zone,
     )
+    partitions = Partitions(
+        node=settings.node.name,
+        keeper=storage.keeper,
+        list_serving=cluster.list_serving,
+        may_claim=cluster.may_claim,
+        has_running_call=_running_call_check(storage),
+    )
+    owners = Owners(
+        find_owner=partitions.find_owner,
+        find_address=cluster.find_forward_address,
+        is_live=lambda member: member in cluster.list_live(),
+        find_peer_key=lambda: next(iter(settings.peers.keys), ''),
+    )
     return CallPaths(
         chats=chats,
         services=services,
-        partitions=Partitions(
-            node=settings.node.name,
-            keeper=storage.keeper,
-            list_serving=cluster.list_serving,
-            may_claim=cluster.may_claim,
-            has_running_call=_running_call_check(storage),
-        ),
+        partitions=partitions,
         ends=ProgramEnds(keeper=storage.keeper, memory=runners.memory),
-        forwarder=Forwarder(
-            find_address=cluster.find_forward_address,
-            find_peer_key=lambda: next(iter(settings.peers.keys), ''),
-            tracer=telemetry.tracer,
-        ),
+        forwarder=Forwarder(owners=owners, tracer=telemetry.tracer),
     )
 
 
--- a/src/bronzepost/_internal/node/forwarding.py
+++ b/src/bronzepost/_internal/node/forwarding.py
@@ -1,9 +1,12 @@
 """Forward calls to the node that owns their program."""
 
 import dataclasses
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
+from urllib.parse import urlencode
+
+import gevent
 
 from bronzepost._internal.exceptions import (
     ExchangeError,
@@ -13,7 +16,8 @@
 from bronzepost._internal.node.caller_request import HOPS_HEADER, MAX_HOPS
 from bronzepost._internal.node.http_exchange import HttpPeer, HttpStream
 from bronzepost._internal.node.refusals import OWNER_RETRY_SECONDS
-from bronzepost._internal.node.responses import Headers, write_error_event
+from bronzepost._internal.node.relay import EventRelay, Progress
+from bronzepost._internal.node.responses import Headers
 from bronzepost._internal.node.web import (
     EVENT_STREAM_TYPE,
     JSON_TYPE,
@@ -26,12 +30,11 @@
 
 # An owner sends keep-alive lines each second while a call waits.
 FORWARD_IDLE_SECONDS: Final = 5.0
-MAX_RESUMES: Final = 3
+# A paused owner keeps its connections open and silent until the deadline, so
+# its membership is looked at while it has not answered.
+LIVE_POLL_SECONDS: Final = 0.25
 
 _STEP: Final = 'forward call'
-_ID: Final = b'id:'
-_END: Final = b'data: [DONE]'
-_ERROR: Final = b'event: error'
 
 # Headers of a caller that go on to the owner; the rest ends at this node.
 _FORWARDED_PREFIX: Final = 'bronzepost-'
@@ -39,25 +42,30 @@
 _FORWARDED: Final = frozenset(('idempotency-key', _TRACE_HEADER))
 _RETURNED: Final = ('retry-after', 'x-should-retry')
 
-FindAddress = Callable[[str], str]
+FindText = Callable[[str], str]
 
 
-class Forwarder:
-    """Send calls to their owner and relay the answers.
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Owners:
+    """How a forwarder finds the owners of programs.
 
-    ``find_address`` returns the forward address of a member by its name.
+    ``find_owner`` returns the member that owns a program, ``find_address``
+    the forward address of a member, and ``is_live`` whether a member is not
+    known to be dead.
     """
 
-    def __init__(
-        self,
-        *,
-        find_address: FindAddress,
-        find_peer_key: Callable[[], str],
-        tracer: Tracer,
-    ) -> None:
+    find_owner: FindText
+    find_address: FindText
+    is_live: Callable[[str], bool]
+    find_peer_key: Callable[[], str]
+
+
+class Forwarder:
+    """Send calls to their owner and relay the answers."""
+
+    def __init__(self, *, owners: Owners, tracer: Tracer) -> None:
         """Use the current addresses and the current peer key."""
-        self._find_address = find_address
-        self._find_peer_key = find_peer_key
+        self._owners = owners
         self._tracer = tracer
 
     def forward(
@@ -75,23 +83,46 @@
         # span covers the rest.
         with self._tracer.record_span(_STEP, parse_traceparent(header)) as span:
             span.attributes['member'] = member
-            traced = _with_traceparent(request, span.traceparent)
+            traced = _with_headers(request, {_TRACE_HEADER: span.traceparent})
             stream = self._open(member, traced, idle_seconds)
         headers = _returned_headers(stream)
         content_type = stream.headers.get('content-type', JSON_TYPE)
         if not content_type.startswith(EVENT_STREAM_TYPE):
             return _relay_whole(stream, headers, content_type)
+        relay = EventRelay(
+            reopen=lambda progress: self._reopen(stream, traced, progress)
+        )
         return Response(
             status=stream.status,
             headers=headers,
-            body=self._relay_events(member, request, stream),
+            body=relay.relay(stream),
             content_type=content_type,
         )
 
+    def _reopen(
+        self, broken: HttpStream, request: Request, progress: Progress
+    ) -> HttpStream:
+        """Ask the program's owner of now for the rest of an answer."""
+        program = broken.headers.get('bronzepost-program', '')
+        if not program:
+            raise _refuse_forward('it broke off', '', RunState.UNKNOWN)
+        member = self._owners.find_owner(program)
+        resumed = _with_headers(
+            request,
+            {
+                'bronzepost-sequence': broken.headers['bronzepost-sequence'],
+                'bronzepost-offset': str(progress.next_offset),
+                'bronzepost-upstream': progress.upstream,
+            },
+        )
+        query = {**request.query, 'offset': str(progress.next_offset)}
+        resumed = dataclasses.replace(resumed, query=query)
+        return self._open(member, resumed, FORWARD_IDLE_SECONDS)
+
     def _open(
         self, member: str, request: Request, idle_seconds: float
     ) -> HttpStream:
-        hops = int(request.headers.get(HOPS_HEADER, '0')) + 1
+        hops = _count_hops(request) + 1
         if hops > MAX_HOPS:
             raise _refuse_forward('too many hops', member, RunState.NOT_RUN)
         headers = {
@@ -100,73 +131,42 @@
             if name in _FORWARDED or name.startswith(_FORWARDED_PREFIX)
         }
         headers[HOPS_HEADER] = str(hops)
-        headers['Authorization'] = f'Bearer {self._find_peer_key()}'
+        headers['Authorization'] = f'Bearer {self._owners.find_peer_key()}'
         peer = HttpPeer(
-            address=self._find_address(member), idle_seconds=idle_seconds
-        )
-        query = '&'.join(
-            f'{name}={text}' for name, text in request.query.items()
-        )
-        try:
-            return peer.open_stream(
-                request.method,
-                f'{request.path}?{query}' if query else request.path,
-                step=_STEP,
-                body=request.body,
-                headers=headers,
-            )
-        except ExchangeError as error:
-            emit(LogEvent.FORWARD_FAILED, error=error, member=member)
-            run = RunState.UNKNOWN if error.was_sent else RunState.NOT_RUN
-            raise _refuse_forward(error.message, member, run) from error
-
-    def _relay_events(
-        self, member: str, request: Request, stream: HttpStream
-    ) -> Iterator[bytes]:
-        """Yield the events; a broken connection is resumed at its offset."""
-        progress = _Progress()
-        resumes = 0
-        while True:
-            try:
-                yield from progress.relay(stream)
-            except ExchangeError as error:
-                emit(LogEvent.FORWARD_FAILED, error=error, member=member)
-            if progress.is_ended:
-                return
-            resumes += 1
-            try:
-                stream = self._resume(
-                    member, request, stream, progress, resumes
-                )
-            except RefusedError as refusal:
-                yield write_error_event(refusal)
-                return
-
-    def _resume(
-        self,
-        member: str,
-        request: Request,
-        broken: HttpStream,
-        progress: '_Progress',
-        resumes: int,
-    ) -> HttpStream:
-        program = broken.headers.get('bronzepost-program', '')
-        sequence = broken.headers.get('bronzepost-sequence', '')
-        if not program or not sequence or resumes > MAX_RESUMES:
-            raise _refuse_forward('it broke off', member, RunState.UNKNOWN)
-        resumed = Request(
-            method='GET',
-            path=f'/v1/programs/{program}/calls/{sequence}',
-            query={'offset': str(progress.next_offset)},
-            headers=request.headers,
-            body=b'',
-            path_parts={},
+            address=self._owners.find_address(member),
+            idle_seconds=idle_seconds,
         )
-        stream = self._open(member, resumed, FORWARD_IDLE_SECONDS)
-        if stream.status != HTTPStatus.OK:
-            raise _refuse_forward('it broke off', member, RunState.UNKNOWN)
+        worker = gevent.spawn(_exchange, peer, request, headers)
+        stream = self._await_answer(worker, member)
+        if stream.headers.get('content-type', '').startswith(EVENT_STREAM_TYPE):
+            stream.limit_silence(FORWARD_IDLE_SECONDS)
         return stream
 
+    def _await_answer(self, worker: gevent.Greenlet, member: str) -> HttpStream:
+        """Return the answer, or refuse once the member is dead."""
+        while not worker.ready():
+            worker.join(LIVE_POLL_SECONDS)
+            if not worker.ready() and not self._owners.is_live(member):
+                worker.kill()
+                raise _refuse_forward('it is dead', member, RunState.UNKNOWN)
+        if isinstance(worker.value, HttpStream):
+            return worker.value
+        error: ExchangeError = worker.value
+        emit(LogEvent.FORWARD_FAILED, error=error, member=member)
+        run = RunState.UNKNOWN if error.was_sent else RunState.NOT_RUN
+        raise _refuse_forward(error.message, member, run) from error
+
+
+def _count_hops(request: Request) -> int:
+    text = request.headers.get(HOPS_HEADER, '0')
+    return int(text) if text.isdecimal() else MAX_HOPS
+
+
+def _with_headers(request: Request, headers: dict[str, str]) -> Request:
+    merged = {**request.headers, **headers}
+    given = {name: text for name, text in merged.items() if text}
+    return dataclasses.replace(request, headers=given)
+
 
 def _returned_headers(stream: HttpStream) -> Headers:
     return tuple(
@@ -176,41 +176,26 @@
     )
 
 
-def _with_traceparent(request: Request, traceparent: str) -> Request:
-    headers = {**request.headers, _TRACE_HEADER: traceparent}
-    return dataclasses.replace(request, headers=headers)
-
-
-class _Progress:
-    """How much of a stream was relayed."""
-
-    def __init__(self) -> None:
-        self.next_offset = 0
-        self.is_ended = False
-
-    def relay(self, stream: HttpStream) -> Iterator[bytes]:
-        """Yield whole events, so that no event is cut in two."""
-        event: list[bytes] = []
-        with stream:
-            for line in stream.read_lines():
-                event.append(line)
-                if not line:
-                    yield self._end_event(event)
-                    event = []
-
-    def _end_event(self, lines: list[bytes]) -> bytes:
-        first = lines[0]
-        if first.startswith(_ID):
-            self.next_offset = int(first.removeprefix(_ID)) + 1
-        elif first in {_END, _ERROR}:
-            self.is_ended = True
-        return b'\n'.join((*lines, b''))
+def _exchange(
+    peer: HttpPeer, request: Request, headers: dict[str, str]
+) -> HttpStream | ExchangeError:
+    path = request.path
+    if request.query:
+        path = f'{path}?{urlencode(request.query)}'
+    try:
+        return peer.open_stream(
+            request.method,
+            path,
+            step=_STEP,
+            body=request.body,
+            headers=headers,
+        )
+    except ExchangeError as error:
+        return error
 
 
 def _relay_whole(
-    stream: HttpStream,
-    headers: Headers,
-    content_type: str,
+    stream: HttpStream, headers: Headers, content_type: str
 ) -> Response:
     try:
         with stream:
--- a/src/bronzepost/_internal/node/partitions.py
+++ b/src/bronzepost/_internal/node/partitions.py
@@ -29,10 +29,14 @@
 from bronzepost._internal.telemetry.logs import emit
 
 CLAIM_SECONDS: Final = 2.0
-REFRESH_SECONDS: Final = 2.0
 # A node that has just joined may leave again soon; handing partitions over to
 # it costs each program an append.
 STABLE_SECONDS: Final = 5.0
+# Nodes that did not see each other may all have claimed a partition. An owner
+# that has nothing to append learns of it only by reading the log again, and so
+# does the first choice learn that the owner has released the partition.
+REFRESH_SECONDS: Final = 2.0
+UNSETTLED_REFRESH_SECONDS: Final = 0.5
 
 
 class Partitions:
@@ -55,8 +59,8 @@
         self._has_running_call = has_running_call
         self._serving: Serving = {}
         self._serving_since = read_clock()
+        self._refreshed_at = read_clock()
         self._claiming: set[int] = set()
-        self._refresh_at = read_clock()
         self.is_draining = False
 
     def find_owner(self, program: str) -> str:
@@ -96,8 +100,8 @@
             self._serving = serving
             self._serving_since = read_clock()
         is_stable = read_clock() - self._serving_since >= STABLE_SECONDS
+        self._refresh(is_stable=is_stable)
         may_release = is_stable or self.is_draining
-        self._refresh_owned()
         for partition in range(PARTITION_COUNT):
             journal = self._keeper.find_journal(partition)
             view = self._view(journal)
@@ -112,6 +116,18 @@
             self._release(journal)
         return not self._keeper.owned_journals()
 
+    def _refresh(self, *, is_stable: bool) -> None:
+        """Read the partitions of which this node may have a wrong view."""
+        seconds = REFRESH_SECONDS if is_stable else UNSETTLED_REFRESH_SECONDS
+        if read_clock() - self._refreshed_at < seconds:
+            return
+        self._refreshed_at = read_clock()
+        for journal in self._keeper.journals_by_partition.values():
+            first = first_choice(journal.stream, self._serving)
+            is_awaited = first == self._node and not journal.is_owner
+            if is_awaited or journal.is_owner:
+                self._keeper.refresh(journal)
+
     def _route(self, journal: Journal) -> Route:
         return route_call(self._view(journal), self._list_serving())
 
@@ -144,15 +160,6 @@
             route = self._route(journal)
         return route
 
-    def _refresh_owned(self) -> None:
-        # An owner that was paused or cut off learns from the log alone that
-        # another node has claimed its partition.
-        if read_clock() < self._refresh_at:
-            return
-        self._refresh_at = read_clock() + REFRESH_SECONDS
-        for journal in self._keeper.owned_journals():
-            self._keeper.refresh(journal)
-
     def _release(self, journal: Journal) -> None:
         """Return unused allowances and give the partition up.
 
