--- a/tests/functional/clusters.py
+++ b/tests/functional/clusters.py
@@ -61,13 +61,16 @@
     """Return whether the nodes know all and agree on each owner."""
     states = list_states(run)
     owned = sum(state['partitions'] for state in states)
-    runners = [
-        len(ask_operator(run, node, '/v1/runners')['runners'])
-        for node in run.nodes
-    ]
     sees_all = all(state['members'] == len(run.nodes) for state in states)
-    has_runners = min(runners) == len(run.runners)
-    return owned == PARTITION_COUNT and sees_all and has_runners
+    knows_loads = all(knows_each_load(run, node) for node in run.nodes)
+    return owned == PARTITION_COUNT and sees_all and knows_loads
+
+
+def knows_each_load(run: Deployment, node: Node) -> bool:
+    """Return whether a node has a load report of each runner."""
+    runners = ask_operator(run, node, '/v1/runners')['runners']
+    reported = [runner for runner in runners if runner['slots'] > 1]
+    return len(reported) == len(run.runners)
 
 
 def list_states(run: Deployment) -> list[Any]:
