Read the log before a lost partition is spoken for

Nodes that start together each claim every partition, and a node learned of a later claim only when it appended. A node that had read a foreign claim never read the release after it, so that first choice and former owner forwarded to each other: "too many hops".

Calls that proceed are not affected, since their records are checked anyway. Ruled out: a faulty answer store (the stream was still there at the owner).

--- a/src/bronzepost/_internal/core/ownership.py
+++ b/src/bronzepost/_internal/core/ownership.py
@@ -76,6 +76,13 @@
     )
 
 
+def should_watch(view: PartitionView, serving: Collection[str]) -> bool:
+    """Return whether this node waits for another to hand the partition over."""
+    first = first_choice(view.stream, serving)
+    is_foreign = view.owner not in {view.node, ''}
+    return is_foreign and first == view.node
+
+
 def should_release(view: PartitionView, serving: Collection[str]) -> bool:
     """Return whether this node should hand the partition to another."""
     first = first_choice(view.stream, serving)
--- a/src/bronzepost/_internal/node/engine_memory.py
+++ b/src/bronzepost/_internal/node/engine_memory.py
@@ -74,6 +74,12 @@
         ``live_nodes`` names the nodes whose calls without a program may
         still be under way.
         """
+        # A node that has lost a partition must not release the sessions of
+        # programs that it never heard of.
+        gevent.joinall([
+            gevent.spawn(self._keeper.confirm_owner, journal)
+            for journal in self._keeper.owned_journals()
+        ])
         servers = self._directory.tables.backend_servers_by_id.values()
         greenlets = [
             gevent.spawn(
--- a/src/bronzepost/_internal/node/journal_keeper.py
+++ b/src/bronzepost/_internal/node/journal_keeper.py
@@ -7,6 +7,7 @@
 import gevent
 
 from bronzepost._internal.core.ledger import journal_events as events
+from bronzepost._internal.core.ledger.calls import is_log_down
 from bronzepost._internal.core.ledger.journal import (
     Journal,
     build_checkpoint,
@@ -29,6 +30,8 @@
 from bronzepost._internal.telemetry.metrics import Metrics
 
 _POLL_SECONDS: Final = 0.005
+# Callers wait for this read, which takes milliseconds while the log is up.
+_CONFIRM_SECONDS: Final = 1.0
 
 
 class JournalKeeper:
@@ -91,6 +94,27 @@
         self._poll(journal, timeout_seconds, lambda: journal.is_settled)
         return journal.is_owner
 
+    def confirm_owner(self, journal: Journal) -> bool:
+        """Read the log to its end; return if the node has kept its claim.
+
+        An owner that does not append learns of a successor only by reading,
+        so what it says of programs that it does not know has to be confirmed.
+        While the log does not answer, what was read last holds.
+        """
+        claim_id = journal.claim_id
+        if not is_log_down(journal, read_clock()):
+            # A read that has begun may not show the latest records.
+            self._poll(
+                journal, _CONFIRM_SECONDS, lambda: not journal.requests.busy
+            )
+            self.refresh(journal)
+            self._poll(
+                journal,
+                _CONFIRM_SECONDS,
+                lambda: not journal.requests.refresh_wanted,
+            )
+        return journal.is_owner and journal.claim_id == claim_id
+
     def append(self, journal: Journal, records: tuple[Record, ...]) -> None:
         """Append records and tell the journal what became of it."""
         started = read_clock()
--- a/src/bronzepost/_internal/node/partitions.py
+++ b/src/bronzepost/_internal/node/partitions.py
@@ -21,6 +21,7 @@
     route_call,
     should_claim,
     should_release,
+    should_watch,
 )
 from bronzepost._internal.core.rendezvous import PARTITION_COUNT, partition_of
 from bronzepost._internal.node.clock import read_clock
@@ -101,6 +102,7 @@
                 self._start_claim(partition, journal)
             elif may_release and should_release(view, serving):
                 self._release(journal)
+            self._watch(journal, view)
 
     def release_all(self) -> bool:
         """Hand over what has no call under way; return if nothing is left."""
@@ -119,6 +121,11 @@
             is_owner=journal.is_owner,
         )
 
+    def _watch(self, journal: Journal, view: PartitionView) -> None:
+        # Only the log shows that the owner has released a partition.
+        if should_watch(view, self._serving):
+            self._keeper.refresh(journal)
+
     def _start_claim(self, partition: int, journal: Journal) -> None:
         if partition in self._claiming or self.is_draining:
             return
--- a/src/bronzepost/_internal/node/program_api.py
+++ b/src/bronzepost/_internal/node/program_api.py
@@ -82,6 +82,7 @@
             )
         ended = self._parts.ends.end(journal, program, ENDED_BY_CALLER)
         if ended is None:
+            self._parts.programs.check_owner(journal, program)
             raise RefusedError(
                 f'program {program} is not known',
                 code='unknown_program',
@@ -111,6 +112,8 @@
         if kept is not None:
             return kept
         decision = calls.find_call(journal, program, sequence)
+        if isinstance(decision, calls.Refuse):
+            self._parts.programs.check_owner(journal, program)
         request = calls.CallRequest(
             program=program,
             sequence=sequence,
--- a/src/bronzepost/_internal/node/program_calls.py
+++ b/src/bronzepost/_internal/node/program_calls.py
@@ -13,6 +13,7 @@
     submit_record,
     withdraw_pending,
 )
+from bronzepost._internal.core.rendezvous import partition_of
 from bronzepost._internal.exceptions import (
     BronzepostError,
     RefusedError,
@@ -26,6 +27,7 @@
     refuse_broken_call,
     refuse_deadline,
     refuse_decision,
+    refuse_no_owner,
     refuse_not_durable,
     refuse_unknown,
 )
@@ -106,6 +108,8 @@
         )
         decision = calls.begin_call(journal, reserved, read_clock())
         if not isinstance(decision, calls.Proceed):
+            if isinstance(decision, calls.Refuse):
+                self.check_owner(journal, call.program)
             return find_answer(decision, self, journal, call)
         owned = OwnedCall(
             journal=journal,
@@ -123,6 +127,17 @@
         self.keeper.send(journal)
         return owned.stream
 
+    def check_owner(self, journal: Journal, program: str) -> None:
+        """Refuse if the program has moved to another node meanwhile.
+
+        Raises:
+            RefusedError: if it has; the request may be sent again.
+        """
+        if not self.keeper.confirm_owner(journal):
+            raise refuse_no_owner(
+                partition_of(program), 'another node has claimed it'
+            )
+
     def wait_durable(self, owned: OwnedCall) -> None:
         """Wait for the records that have to be on the log before the send.
 
--- /dev/null
+++ b/tests/functional/test_stale_owner.py
@@ -0,0 +1,113 @@
+"""Tests of a node that lost a partition and has not read so."""
+
+import time
+from contextlib import ExitStack
+from typing import Any
+
+import gevent
+from testtools import TestCase
+
+from bronzepost._internal.core.ledger import calls
+from bronzepost._internal.core.ledger.journal import Journal
+from bronzepost._internal.exceptions import RefusedError
+from bronzepost._internal.node.answers import AnswerStore
+from bronzepost._internal.node.http_exchange import HttpPeer
+from bronzepost._internal.node.journal_keeper import JournalKeeper
+from bronzepost._internal.node.log_client import LogClient
+from bronzepost._internal.node.partitions import Partitions
+from bronzepost._internal.node.program_calls import ProgramCalls
+from bronzepost._internal.telemetry.metrics import NoMetrics
+from tests.functional.standin_processes import running_standin
+
+CLAIM_SECONDS = 5
+PARTITION = 7
+
+
+def fail(*arguments: Any) -> None:
+    """Stand for a call that must not run."""
+    raise AssertionError('the call ran')
+
+
+def build_partitions(node: str, keeper: JournalKeeper) -> Partitions:
+    """Return the partitions of one of two nodes."""
+    return Partitions(
+        node=node,
+        keeper=keeper,
+        list_serving=lambda: ('node-a', 'node-b'),
+        has_running_call=lambda journal: False,
+    )
+
+
+class StaleOwnerTest(TestCase):
+    """Guard what a node says of programs that moved to another node."""
+
+    def setUp(self) -> None:
+        """Let a node claim a partition, and then another one."""
+        super().setUp()
+        with ExitStack() as stack:
+            address = stack.enter_context(running_standin('log'))
+            self.addCleanup(stack.pop_all().close)
+        peer = HttpPeer(address=address, idle_seconds=5)
+        self.log = LogClient(peer=peer)
+        keeper, stale = self.claim('node-a')
+        self.keeper = keeper
+        self.stale = stale
+        self.claim('node-b')
+
+    def claim(self, node: str) -> tuple[JournalKeeper, Journal]:
+        """Return a node's keeper and journal after its claim."""
+        keeper = JournalKeeper(
+            node=node, boot=node, log=self.log, metrics=NoMetrics()
+        )
+        journal = keeper.find_journal(PARTITION)
+        self.assertTrue(keeper.claim(journal, CLAIM_SECONDS))
+        return keeper, journal
+
+    def test_lost_ownership_is_found_by_reading(self) -> None:
+        """Guard against a node that never learns that it lost a partition."""
+        self.assertTrue(self.stale.is_owner)
+        self.assertFalse(self.keeper.confirm_owner(self.stale))
+        self.assertEqual('node-b', self.stale.state.owner)
+
+    def test_owner_is_confirmed(self) -> None:
+        """Guard against an owner that refuses its own programs."""
+        keeper, journal = self.claim('node-c')
+        self.assertTrue(keeper.confirm_owner(journal))
+
+    def test_stale_owner_refuses_with_a_retry(self) -> None:
+        """Guard against "unknown program" for a program that has moved."""
+        programs = ProgramCalls(
+            keeper=self.keeper, answers=AnswerStore(log=self.log)
+        )
+        call = calls.CallRequest(
+            program='trip-41',
+            sequence=2,
+            key='',
+            organisation='kostiumy',
+            service='pass-assistant',
+            worst_case=10,
+            budget=100,
+        )
+        refusal = self.assertRaises(
+            RefusedError,
+            programs.begin,
+            self.stale,
+            call,
+            deadline_at=0,
+            work=fail,
+        )
+        self.assertEqual('owner_unavailable', refusal.code)
+        self.assertIsNotNone(refusal.retry_after_seconds)
+
+    def test_released_partition_is_claimed(self) -> None:
+        """Guard against a first choice that waits for ever for a release."""
+        keeper_b, _ = self.claim('node-b')
+        self.assertFalse(self.keeper.confirm_owner(self.stale))
+        build_partitions('node-b', keeper_b).release_all()
+        waiting = build_partitions('node-a', self.keeper)
+        deadline = time.monotonic() + CLAIM_SECONDS
+        while not self.stale.is_owner and time.monotonic() < deadline:
+            waiting.tick()
+            self.keeper.tick()
+            gevent.sleep(0.05)
+        self.assertTrue(self.stale.is_owner)
