--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Replay traces of agent programs against real processes."""
