--- a/src/bronzepost/_internal/core/scheduling/cache.py
+++ b/src/bronzepost/_internal/core/scheduling/cache.py
@@ -9,9 +9,8 @@
 
 # Below this share of the engines' memory nothing needs to make room.
 PRESSURE_SHARE = 1.0
-# A released prefix also makes the returning program wait, so releases begin
-# later than where memory and refill cost the same.
-RELEASE_FACTOR = 3
+# The more wasted cache weighs, the later prefixes are released.
+RELEASE_WEIGHT_FACTOR = 3
 # A tool is judged by its mean pause once it was seen this often.
 PAUSES_NEEDED = 3
 
@@ -49,7 +48,8 @@
     # Holding h tokens for t seconds costs h * t token-seconds of memory.
     # Filling them again stops the engine's other work for h / rate seconds,
     # which costs capacity * h / rate. The two are equal at capacity / rate.
-    worth_seconds = RELEASE_FACTOR * prefill_seconds(capacity / servers)
+    worth_seconds = prefill_seconds(capacity / servers)
+    worth_seconds *= 1 + RELEASE_WEIGHT_FACTOR * policy.cache_weight
     if estimate_pause(tables, pause, at) > worth_seconds:
         return Retention.RELEASE
     return Retention.KEEP
