Let hypothesis withdraw calls and repeat them elsewhere

Without these steps it did not notice a withdrawal that is not final, or a call that is sent before its intent is valid. With them it notices both, and a repeated call, in trials with the guards removed.

--- a/tests/unit/test_ledger_faults.py
+++ b/tests/unit/test_ledger_faults.py
@@ -60,6 +60,17 @@
         """Move a call on."""
         self.world.advance(node, position, step)
 
+    @rule(node=NODE, position=NUMBER, program=PROGRAM, amount=NUMBER)
+    def withdraw(
+        self, node: int, position: int, program: int, amount: int
+    ) -> None:
+        """Withdraw a call, and let the node go on with it."""
+        self.world.begin(node, program, 1, amount)
+        self.world.tick(node, 0)
+        self.world.advance(node, position, 11)
+        self.world.deliver(node, 0)
+        self.world.advance(node, position, 0)
+
     @rule(node=NODE, position=NUMBER)
     def abandon(self, node: int, position: int) -> None:
         """Go on without an outcome."""
@@ -88,6 +99,16 @@
             self.world.tick(node, 0)
             self.world.deliver(node, 0)
 
+    @rule(node=NODE, other=NODE, program=PROGRAM, amount=NUMBER)
+    def retry_elsewhere(
+        self, node: int, other: int, program: int, amount: int
+    ) -> None:
+        """Let a caller repeat a call at a node that takes over."""
+        self.world.begin(node, program, 1, amount)
+        self.world.advance(node, 0, amount % 6)
+        self.take_over(other)
+        self.world.work(other, program, 1, amount)
+
     @rule(position=NUMBER)
     def store_delayed(self, position: int) -> None:
         """Store an append late or twice."""
@@ -162,7 +183,7 @@
                 derandomize=True,
                 database=None,
                 deadline=None,
-                max_examples=150,
+                max_examples=200,
                 stateful_step_count=80,
                 suppress_health_check=list(HealthCheck),
             ),
