--- a/tests/functional/test_stale_owner.py
+++ b/tests/functional/test_stale_owner.py
@@ -14,9 +14,13 @@
 from bronzepost._internal.node.http_exchange import HttpPeer
 from bronzepost._internal.node.journal_keeper import JournalKeeper
 from bronzepost._internal.node.log_client import LogClient
+from bronzepost._internal.node.mirroring import Mirroring
 from bronzepost._internal.node.partitions import Partitions
 from bronzepost._internal.node.program_calls import ProgramCalls
+from bronzepost._internal.node.settlements import Settlements
 from bronzepost._internal.telemetry.metrics import NoMetrics
+from bronzepost._internal.telemetry.spans import NoSpans, Tracer
+from bronzepost._internal.telemetry.start import Telemetry
 from tests.functional.standin_processes import running_standin
 
 CLAIM_SECONDS = 5
@@ -33,11 +37,31 @@
     return Partitions(
         node=node,
         keeper=keeper,
-        list_serving=lambda: ('node-a', 'node-b'),
+        list_serving=lambda: {'node-a': 'a1', 'node-b': 'b1'},
+        may_claim=lambda: True,
         has_running_call=lambda journal: False,
     )
 
 
+def build_keeper(node: str, log: LogClient) -> JournalKeeper:
+    """Return a node's keeper, which is a mirror for nobody."""
+    settlements = Settlements()
+    mirroring = Mirroring(
+        node=node,
+        peer_address='127.0.0.1:1',
+        settlements=settlements,
+        limit_bytes=0,
+    )
+    return JournalKeeper(
+        node=node,
+        boot=f'{node[-1]}1',
+        log=log,
+        telemetry=Telemetry(metrics=NoMetrics(), tracer=Tracer(sink=NoSpans())),
+        settlements=settlements,
+        mirroring=mirroring,
+    )
+
+
 class StaleOwnerTest(TestCase):
     """Guard what a node says of programs that moved to another node."""
 
@@ -56,10 +80,9 @@
 
     def claim(self, node: str) -> tuple[JournalKeeper, Journal]:
         """Return a node's keeper and journal after its claim."""
-        keeper = JournalKeeper(
-            node=node, boot=node, log=self.log, metrics=NoMetrics()
-        )
+        keeper = build_keeper(node, self.log)
         journal = keeper.find_journal(PARTITION)
+        self.assertTrue(keeper.catch_up(journal, CLAIM_SECONDS))
         self.assertTrue(keeper.claim(journal, CLAIM_SECONDS))
         return keeper, journal
 
@@ -77,7 +100,9 @@
     def test_stale_owner_refuses_with_a_retry(self) -> None:
         """Guard against "unknown program" for a program that has moved."""
         programs = ProgramCalls(
-            keeper=self.keeper, answers=AnswerStore(log=self.log)
+            keeper=self.keeper,
+            answers=AnswerStore(log=self.log),
+            mirroring=self.keeper.mirroring,
         )
         call = calls.CallRequest(
             program='trip-41',
