Build the view again when the log differs from what was submitted

Cause: the view was only built again when every submitted record was settled. An owner that always has records under way never saw an outcome that an earlier owner had written, and went on from records that the log had refused.

--- a/src/bronzepost/_internal/core/ledger/journal.py
+++ b/src/bronzepost/_internal/core/ledger/journal.py
@@ -73,6 +73,7 @@
     first_kept_offset: int = 0
     claim_id: str = ''
     was_owner: bool = False
+    is_view_stale: bool = False
     record_count: int = 0
     records_since_checkpoint: int = 0
     covered_offset: int = 0
@@ -130,6 +131,7 @@
 
 def reset_view(journal: Journal) -> None:
     """Build the view again from the log's state and what is under way."""
+    journal.is_view_stale = False
     journal.view = copy_state(journal.state)
     for record in (*journal.in_flight_by_id.values(), *journal.pending):
         apply_record(journal.view, journal.view.next_offset, record)
--- a/src/bronzepost/_internal/core/ledger/journal_system.py
+++ b/src/bronzepost/_internal/core/ledger/journal_system.py
@@ -160,7 +160,11 @@
 
 def _apply(journal: Journal, offset: int, record: records.Record) -> Actions:
     verdict = apply_record(journal.state, offset, record)
-    if not note_applied(journal, record):
+    is_own = note_applied(journal, record)
+    if is_own != verdict.valid:
+        # The view holds what this node submitted, and takes it for valid.
+        journal.is_view_stale = True
+    if not is_own:
         return ()
     settled = events.RecordSettled(
         record_id=record.record_id,
@@ -188,7 +192,8 @@
         actions = (*_drop_submitted(journal), *actions)
     if journal.is_settled:
         journal.view = journal.state
-    elif actions:
+        journal.is_view_stale = False
+    elif actions or journal.is_view_stale:
         reset_view(journal)
     return actions
 
--- a/tests/unit/test_ledger_journal.py
+++ b/tests/unit/test_ledger_journal.py
@@ -27,6 +27,23 @@
     return record
 
 
+def build_outcome(
+    member: builders.Member, intent: records.Intent
+) -> records.Outcome:
+    """Return the outcome of an announced call."""
+    outcome: records.Outcome = builders.build_record(
+        member,
+        records.Outcome,
+        program=intent.program,
+        sequence=intent.sequence,
+        intent_id=intent.record_id,
+        status=200,
+        body='{}',
+        spent=5,
+    )
+    return outcome
+
+
 class LostAnswerTest(TestCase):
     """Guard appends whose effect is not known at once."""
 
@@ -167,6 +184,24 @@
         self.first.run()
         self.second.run()
 
+    def announce_and_replace(self) -> records.Intent:
+        """Let the first node announce a call and the second take over."""
+        self.first.claim()
+        start_program(self.first)
+        intent: records.Intent = builders.build_record(
+            self.first,
+            records.Intent,
+            program='p',
+            sequence=1,
+            key='k',
+            service='pass-registry',
+            path='issue',
+        )
+        self.first.submit(intent)
+        self.first.run()
+        self.second.claim()
+        return intent
+
     def test_order_competing_claims_have_one_winner(self) -> None:
         """Guard against two owners when two nodes claim at once."""
         for member in (self.first, self.second):
@@ -204,30 +239,8 @@
 
     def test_frozen_owner_still_delivers_facts(self) -> None:
         """Guard against the loss of the outcome of a call that ran."""
-        self.first.claim()
-        start_program(self.first)
-        intent = builders.build_record(
-            self.first,
-            records.Intent,
-            program='p',
-            sequence=1,
-            key='k',
-            service='pass-registry',
-            path='issue',
-        )
-        self.first.submit(intent)
-        self.first.run()
-        self.second.claim()
-        outcome = builders.build_record(
-            self.first,
-            records.Outcome,
-            program='p',
-            sequence=1,
-            intent_id=intent.record_id,
-            status=200,
-            body='{}',
-            spent=5,
-        )
+        intent = self.announce_and_replace()
+        outcome = build_outcome(self.first, intent)
         self.first.submit(outcome)
         self.first.run()
         self.assertTrue(self.first.is_settled_valid(outcome.record_id))
@@ -235,6 +248,25 @@
         state = self.second.journal.state
         self.assertIn(('p', 1), state.outcomes_by_call)
 
+    def test_frozen_owner_fact_reaches_a_busy_successor(self) -> None:
+        """Guard against a view that never sees an outcome of another node.
+
+        An owner that always has records under way never settles all of them.
+        """
+        intent = self.announce_and_replace()
+        outcome = build_outcome(self.first, intent)
+        self.first.submit(outcome)
+        self.first.run()
+        start_program(self.second, 'q')
+        self.second.tick()
+        start_program(self.second, 'r')
+        self.second.deliver()
+        self.second.deliver()
+        self.assertFalse(self.second.journal.is_settled)
+        view = self.second.journal.view
+        self.assertIn(('p', 1), view.outcomes_by_call)
+        self.assertIn('r', view.programs_by_id)
+
     def test_frozen_owner_delayed_append_after_takeover(self) -> None:
         """Guard against an old append that the log stores after a claim."""
         self.first.claim()
