Tell boots apart in the membership machine and close test gaps

Cause: the machine told boots of a member apart by the identity of its tables, which Python reuses, so a longer run reported an entry that went back.

Conclusion: tests made stricter.

--- a/tests/builders_membership.py
+++ b/tests/builders_membership.py
@@ -49,6 +49,7 @@
         dataclasses.field(default_factory=list)
     )
     boots: int = 0
+    boot_by_name: dict[str, int] = dataclasses.field(default_factory=dict)
     in_flight: list[tuple[float, int, str, membership.MembershipMessage]] = (
         dataclasses.field(default_factory=list)
     )
@@ -61,6 +62,7 @@
         """Boot a member; a second boot of a name forgets the first."""
         self.stop(name)
         self.boots += 1
+        self.boot_by_name[name] = self.boots
         self.tables_by_name[name] = membership.create_tables(
             build_entry(name, incarnation=1000 * self.boots),
             at=self.at,
--- a/tests/unit/test_configuration_system.py
+++ b/tests/unit/test_configuration_system.py
@@ -163,7 +163,9 @@
         cluster.log.first_offset = 2
         cluster.start('new')
         cluster.run(seconds=2)
-        self.assertFalse(cluster.tables_by_name['new'].is_ready)
+        tables = cluster.tables_by_name['new']
+        self.assertFalse(tables.is_ready)
+        self.assertEqual(0, tables.next_offset)
 
     def test_retention_few_snapshots_are_appended(self) -> None:
         """Guard against every reader appending the same snapshot."""
--- a/tests/unit/test_configuration_tree.py
+++ b/tests/unit/test_configuration_tree.py
@@ -83,6 +83,12 @@
         configuration.apply_record(tables, 0, build_change('r1', value=1))
         configuration.apply_record(tables, 1, build_change('r2', value=2))
         configuration.apply_record(tables, 2, build_change('r3', value=3))
+        accepted = [
+            record_id
+            for record_id, result in tables.results_by_record_id.items()
+            if isinstance(result, configuration.ChangeAccepted)
+        ]
+        self.assertEqual(['r2'], accepted)
         self.assertEqual(2, configuration.inherit(tables, *PROGRAM))
 
     def test_second_copy_keeps_the_first_result(self) -> None:
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -200,6 +200,25 @@
         left = [it.sends_by_name for it in network.tables_by_name.values()]
         self.assertEqual([{}, {}, {}, {}], left)
 
+    def test_lasting_difference_leads_to_full_exchange(self) -> None:
+        """Guard against an update that was lost to some for good."""
+        tables = membership.create_tables(build_entry('a'), at=0)
+        message = membership.Ack(
+            sender=build_entry('b'),
+            sequence=0,
+            configuration_offset=0,
+            digest=5,
+        )
+        event = membership.MessageReceived(at=0, message=message)
+        membership.apply_event(tables, event)
+        tables.sends_by_name.clear()
+        found = [membership.apply_event(tables, event) for _ in range(4)]
+        sends = [action for actions in found for action in actions]
+        self.assertEqual(1, len(sends))
+        assert isinstance(sends[0], membership.Send)
+        assert isinstance(sends[0].message, membership.Ping)
+        self.assertTrue(sends[0].message.is_joining)
+
     def test_offset_ahead_is_reported(self) -> None:
         """Guard against gaps in the configuration that nobody repairs."""
         tables = membership.create_tables(build_entry('a'), at=0)
--- a/tests/unit/test_membership_machine.py
+++ b/tests/unit/test_membership_machine.py
@@ -92,7 +92,7 @@
     def entries_never_go_back(self) -> None:
         """A member's entry only moves on: leaving never becomes alive."""
         for viewer, tables in self.network.tables_by_name.items():
-            boot = id(tables)
+            boot = self.network.boot_by_name[viewer]
             for name, member in tables.members_by_name.items():
                 key = (viewer, boot, name)
                 order = (member.incarnation, RANKS.index(member.state))
