Test results and offsets around a loaded tree

Cause: two seeded faults passed all tests: a result given for a second copy whose first may lie before a loaded tree, and a tree that is behind the node.

--- a/tests/unit/test_configuration_tree.py
+++ b/tests/unit/test_configuration_tree.py
@@ -131,6 +131,40 @@
         self.assertFalse(configuration.load_tree(tables, stale))
         self.assertEqual(1, configuration.inherit(tables, *PROGRAM))
 
+    def test_tree_that_is_behind_is_not_loaded(self) -> None:
+        """Guard against a node that goes back over rejected records."""
+        change = build_change('r1', value=1)
+        tables = build_tables(change, build_change('r2', value=2))
+        behind = configuration.TreeAtOffset(
+            next_offset=2,
+            snapshot_next_offset=0,
+            entries=configuration.list_entries(tables),
+        )
+        self.assertFalse(configuration.load_tree(tables, behind))
+        self.assertEqual(3, tables.next_offset)
+
+    def test_second_copy_after_tree_gives_no_wrong_result(self) -> None:
+        """Guard against "rejected" when the first copy was not seen."""
+        tables = build_tables()
+        tables.is_ready = True
+        proposal = configuration.ChangeProposed(
+            at=0, path=PATH, value=1, base_revision=0, author='a'
+        )
+        append = configuration.apply_event(tables, proposal)[0]
+        assert isinstance(append, configuration.AppendRecords)
+        change = append.records[0]
+        assert isinstance(change, configuration.ConfigurationChange)
+        other = build_tables(change, build_change('r2', value=2, base=1))
+        tree = configuration.TreeAtOffset(
+            next_offset=3,
+            snapshot_next_offset=0,
+            entries=configuration.list_entries(other),
+        )
+        self.assertTrue(configuration.load_tree(tables, tree))
+        self.assertEqual((), configuration.apply_record(tables, 3, change))
+        found = configuration.find_result(tables, change.record_id)
+        self.assertIsNone(found)
+
     def test_unreadable_records_take_up_their_offset(self) -> None:
         """Guard against a node that stops at what an operator published."""
         for content in ({'kind': 'note'}, {}, None, [1], {'path': 'a:budget'}):
