Log and measure what the catalogues promise, and replace keys by SIGHUP

Events and metrics of what does not exist are gone from the catalogues; the rest is written, and a test compares catalogue and code. An unreadable record has no effect and is logged. SIGHUP puts the keys of the settings file in force. The node's drain, status and gauges are modules of their own.

--- a/src/bronzepost/_internal/cli/commands/serve.py
+++ b/src/bronzepost/_internal/cli/commands/serve.py
@@ -2,10 +2,13 @@
 
 import dataclasses
 import importlib
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import cappa
 
+if TYPE_CHECKING:
+    from bronzepost._internal.settings import Settings
+
 SERVER_MODULE = 'bronzepost._internal.node.server'
 
 
@@ -29,6 +32,9 @@
             load_settings,
         )
 
-        settings = load_settings(self.settings)
+        def read_settings() -> 'Settings':  # noqa: WPS430
+            return load_settings(self.settings)
+
+        settings = read_settings()
         server = importlib.import_module(SERVER_MODULE)
-        return int(server.serve(settings))
+        return int(server.serve(settings, read_settings))
--- a/src/bronzepost/_internal/core/ledger/apply.py
+++ b/src/bronzepost/_internal/core/ledger/apply.py
@@ -31,6 +31,8 @@
     Records have to be applied in the order of the log, without omission.
     """
     state.next_offset = offset + 1
+    if isinstance(record, records.UnreadableRecord):
+        return invalid(record.problem)
     if _is_stale(state, record):
         return invalid(
             f'epoch {record.epoch} is not in force: '
--- a/src/bronzepost/_internal/core/ledger/journal_events.py
+++ b/src/bronzepost/_internal/core/ledger/journal_events.py
@@ -124,3 +124,11 @@
 
     from_offset: int
     to_offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RecordUnreadable(Action):
+    """The log holds a record that this version cannot read."""
+
+    offset: int
+    problem: str
--- a/src/bronzepost/_internal/core/ledger/journal_system.py
+++ b/src/bronzepost/_internal/core/ledger/journal_system.py
@@ -147,7 +147,7 @@
     actions: list[events.Action] = []
     # A malformed record must not cut off the report on those before it.
     decoded = [
-        (offset, records.decode_record(body))
+        (offset, records.decode_stored(body))
         for offset, body in event.records
         if offset >= journal.state.next_offset
     ]
@@ -164,6 +164,11 @@
     if is_own != verdict.valid:
         # The view holds what this node submitted, and takes it for valid.
         journal.is_view_stale = True
+    if isinstance(record, records.UnreadableRecord):
+        unreadable = events.RecordUnreadable(
+            offset=offset, problem=record.problem
+        )
+        return (unreadable,)
     if not is_own:
         return ()
     settled = events.RecordSettled(
--- a/src/bronzepost/_internal/core/ledger/loading.py
+++ b/src/bronzepost/_internal/core/ledger/loading.py
@@ -40,7 +40,7 @@
         _start_window(journal, event)
         return ()
     loading.buffer += [
-        (offset, records.decode_record(body)) for offset, body in event.records
+        (offset, records.decode_stored(body)) for offset, body in event.records
     ]
     if loading.buffer and loading.buffer[-1][0] + 1 < event.next_offset:
         loading.start = loading.buffer[-1][0] + 1
--- a/src/bronzepost/_internal/core/ledger/records.py
+++ b/src/bronzepost/_internal/core/ledger/records.py
@@ -187,6 +187,13 @@
     state: dict[str, Any]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UnreadableRecord(Record):
+    """Stand for a record that this version cannot read; it has no effect."""
+
+    problem: str
+
+
 RECORD_CLASSES: Final = (
     Claim,
     PartitionReleased,
@@ -240,3 +247,19 @@
         raise ProtocolError(
             f'malformed {kind} record: {error}', step='read log'
         ) from error
+
+
+def decode_stored(body: dict[str, Any]) -> Record:
+    """Return the record of a JSON object, whatever it holds.
+
+    A record that cannot be read must not keep a partition from being read on.
+    """
+    try:
+        return decode_record(body)
+    except ProtocolError as error:
+        return UnreadableRecord(
+            record_id=str(body.get('record_id', '')),
+            epoch=0,
+            node=str(body.get('node', '')),
+            problem=error.message,
+        )
--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -66,6 +66,14 @@
     forwarder: Forwarder
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Keys:
+    """The keys in force; they can be replaced while the node runs."""
+
+    peers: tuple[str, ...]
+    operators: tuple[str, ...]
+
+
 def make_boot() -> str:
     """Return a name that no other process of the system has."""
     return secrets.token_hex(_BOOT_BYTES)
@@ -136,6 +144,7 @@
     storage: Storage,
     runners: Runners,
     cluster: Cluster,
+    keys: Keys,
 ) -> CallPaths:
     """Return the parts that move calls."""
     retries = RetryBudget()
@@ -170,14 +179,18 @@
         find_owner=partitions.find_owner,
         find_address=cluster.find_forward_address,
         is_live=lambda member: member in cluster.list_live(),
-        find_peer_key=lambda: next(iter(settings.peers.keys), ''),
+        find_peer_key=lambda: next(iter(keys.peers), ''),
     )
     return CallPaths(
         chats=chats,
         services=services,
         partitions=partitions,
-        ends=ProgramEnds(keeper=storage.keeper, memory=runners.memory),
-        forwarder=Forwarder(owners=owners, tracer=telemetry.tracer),
+        ends=ProgramEnds(
+            keeper=storage.keeper,
+            memory=runners.memory,
+            programs=storage.programs,
+        ),
+        forwarder=Forwarder(owners=owners, telemetry=telemetry),
     )
 
 
--- a/src/bronzepost/_internal/node/chat_calls.py
+++ b/src/bronzepost/_internal/node/chat_calls.py
@@ -45,6 +45,8 @@
     refuse_deadline,
     refuse_history,
 )
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
 from bronzepost._internal.telemetry.spans import Span
 
 _PASSED_OVER: Final = frozenset(('metadata', 'stream', 'stream_options'))
@@ -288,6 +290,7 @@
     point = HistoryPoint(digest=program.digest, count=program.message_count)
     new_messages = find_new_messages(point, call.chat.messages)
     if new_messages is None:
+        emit(LogEvent.HISTORY_MISMATCH, program=program.program)
         raise refuse_history(program)
     return new_messages
 
--- a/src/bronzepost/_internal/node/cluster.py
+++ b/src/bronzepost/_internal/node/cluster.py
@@ -11,6 +11,7 @@
     EndpointAnswer,
     choose_endpoints,
 )
+from bronzepost._internal.exceptions import ProtocolError
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.configuration_keeper import ConfigurationKeeper
 from bronzepost._internal.node.log_client import LogClient
@@ -47,19 +48,21 @@
         incarnation = int(time.time() * _MILLISECONDS)
         own = _own_entry(settings, incarnation, boot)
         self._started_at = read_clock()
+        self._starts_alone = False
         self.members = membership.create_tables(
             own,
             at=read_clock(),
             seeds=settings.peers.seeds,
             random_seed=random.SystemRandom().getrandbits(_SEED_BITS),
         )
+        self.codec = MessageCodec(
+            name=own.name,
+            peer_address=own.peer_address,
+            boot=incarnation,
+            keys=list(settings.peers.keys),
+        )
         self.transport = PeerTransport(
-            codec=MessageCodec(
-                name=own.name,
-                peer_address=own.peer_address,
-                boot=incarnation,
-                keys=list(settings.peers.keys),
-            ),
+            codec=self.codec,
             receive=self._receive,
             report=_report_error,
         )
@@ -106,8 +109,12 @@
         if not self.configuration.tables.is_ready:
             return False
         is_alone = not self.members.seeds
-        waited = read_clock() - self._started_at >= JOIN_SECONDS
-        return self.members.has_joined or is_alone or waited
+        if self.members.has_joined or is_alone or self._starts_alone:
+            return True
+        self._starts_alone = read_clock() - self._started_at >= JOIN_SECONDS
+        if self._starts_alone:
+            emit(LogEvent.SEEDS_UNREACHABLE, seeds=self.members.seeds)
+        return self._starts_alone
 
     def list_serving(self) -> dict[str, str]:
         """Return the boots of the members that may be given work, by name."""
@@ -143,8 +150,8 @@
 
     def handle_change(self, action: membership.MemberChanged) -> None:
         """Log a change of a member and tell the configuration."""
-        event = _EVENTS_BY_STATE.get(str(action.current or ''))
-        if event is not None and action.name != self.members.own_name:
+        event = _find_event(action, self.members.own_name)
+        if event is not None:
             emit(event, member=action.name)
         self._announce_members()
 
@@ -192,6 +199,19 @@
 })
 
 
+def _find_event(
+    action: membership.MemberChanged, own_name: str
+) -> LogEvent | None:
+    if action.name == own_name:
+        # The node's own entry changes only when it answers a suspicion.
+        is_leaving = action.current is membership.MemberState.LEAVING
+        return None if is_leaving else LogEvent.SELF_SUSPECTED
+    if action.previous is membership.MemberState.SUSPECTED:
+        if action.current is membership.MemberState.ALIVE:
+            return LogEvent.MEMBER_REFUTED
+    return _EVENTS_BY_STATE.get(str(action.current or ''))
+
+
 @functools.singledispatch
 def carry_out(action: membership.MembershipAction, cluster: Cluster) -> None:
     """Do what the membership asks for; one function a kind of action."""
@@ -205,6 +225,7 @@
 
 @carry_out.register
 def _(action: membership.ReconnectPeer, cluster: Cluster) -> None:
+    emit(LogEvent.PEER_SOCKET_REOPENED, peer=action.peer_address)
     cluster.transport.reconnect(action.peer_address)
 
 
@@ -240,4 +261,7 @@
 
 
 def _report_error(error: Exception) -> None:
-    emit(LogEvent.PEER_MESSAGE_DROPPED, error=error)
+    event = LogEvent.PEER_MESSAGE_DROPPED
+    if isinstance(error, ProtocolError):
+        event = LogEvent.PEER_REJECTED
+    emit(event, error=error)
--- a/src/bronzepost/_internal/node/configuration_keeper.py
+++ b/src/bronzepost/_internal/node/configuration_keeper.py
@@ -45,6 +45,7 @@
         self.send = send
         self.report_offset = report_offset
         self.changed = Event()
+        self._was_ready = False
 
     def put(self, event: core.ConfigurationEvent) -> None:
         """Let an event change the tree and start what it asks for."""
@@ -55,6 +56,12 @@
         """Do the periodic work."""
         self.put(core.Tick(at=read_clock()))
 
+    def note_ready(self) -> None:
+        """Log once that the node has a configuration."""
+        if self.tables.is_ready and not self._was_ready:
+            self._was_ready = True
+            emit(LogEvent.CONFIGURATION_READY, offset=self.tables.next_offset)
+
     def lookup(
         self, organisation: str, service: str, program: str, name: str
     ) -> core.SettingValue:
@@ -93,6 +100,8 @@
 
     def append(self, action: core.AppendRecords) -> None:
         """Append records; the same identifiers are used for each attempt."""
+        if not action.record_id:
+            emit(LogEvent.SNAPSHOT_APPENDED)
         bodies = [core.record_to_builtins(record) for record in action.records]
         for _ in range(APPEND_ATTEMPTS):
             try:
@@ -161,6 +170,7 @@
 
 @carry_out.register
 def _(action: core.OffsetReached, keeper: ConfigurationKeeper) -> None:
+    keeper.note_ready()
     keeper.report_offset(action.next_offset)
     keeper.changed.set()
 
--- a/src/bronzepost/_internal/node/forwarding.py
+++ b/src/bronzepost/_internal/node/forwarding.py
@@ -24,9 +24,11 @@
     Request,
     Response,
 )
+from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
-from bronzepost._internal.telemetry.spans import Tracer, parse_traceparent
+from bronzepost._internal.telemetry.spans import parse_traceparent
+from bronzepost._internal.telemetry.start import Telemetry
 
 # An owner sends keep-alive lines each second while a call waits.
 FORWARD_IDLE_SECONDS: Final = 5.0
@@ -63,10 +65,11 @@
 class Forwarder:
     """Send calls to their owner and relay the answers."""
 
-    def __init__(self, *, owners: Owners, tracer: Tracer) -> None:
+    def __init__(self, *, owners: Owners, telemetry: Telemetry) -> None:
         """Use the current addresses and the current peer key."""
         self._owners = owners
-        self._tracer = tracer
+        self._tracer = telemetry.tracer
+        self._metrics = telemetry.metrics
 
     def forward(
         self, member: str, request: Request, *, idle_seconds: float
@@ -78,6 +81,7 @@
                 the call may have run.
         """
         emit(LogEvent.CALL_FORWARDED, member=member, path=request.path)
+        self._metrics.count(Metric.CALLS_FORWARDED)
         header = request.headers.get(_TRACE_HEADER, '')
         # The span ends when the owner has begun to answer; the owner's own
         # span covers the rest.
@@ -115,6 +119,7 @@
                 'bronzepost-upstream': progress.upstream,
             },
         )
+        self._metrics.count(Metric.STREAMS_RESUMED)
         query = {**request.query, 'offset': str(progress.next_offset)}
         resumed = dataclasses.replace(resumed, query=query)
         return self._open(member, resumed, FORWARD_IDLE_SECONDS)
--- a/src/bronzepost/_internal/node/journal_keeper.py
+++ b/src/bronzepost/_internal/node/journal_keeper.py
@@ -94,6 +94,7 @@
         for journal in list(self.journals_by_partition.values()):
             if is_checkpoint_due(journal):
                 submit_record(journal, build_checkpoint(journal))
+                emit(LogEvent.CHECKPOINT_APPENDED, stream=journal.stream)
             self.send(journal)
 
     def catch_up(self, journal: Journal, timeout_seconds: float) -> bool:
@@ -158,6 +159,8 @@
         was_failing = journal.requests.failing_since is not None
         self.put(journal, request())
         is_failing = journal.requests.failing_since is not None
+        if is_failing:
+            self.metrics.count(Metric.LOG_ERRORS)
         if is_failing and not was_failing:
             emit(LogEvent.LOG_OUTAGE_STARTED, stream=journal.stream)
         elif was_failing and not is_failing:
@@ -202,6 +205,7 @@
     action: events.RecordSettled, keeper: JournalKeeper, journal: Journal
 ) -> None:
     if not action.valid:
+        keeper.metrics.count(Metric.RECORDS_INVALID)
         emit(
             LogEvent.RECORD_INVALID,
             record=action.record_id,
@@ -239,3 +243,15 @@
     action: events.RecordsSkipped, keeper: JournalKeeper, journal: Journal
 ) -> None:
     emit(LogEvent.RETENTION_GAP, stream=journal.stream)
+
+
+@carry_out.register
+def _(
+    action: events.RecordUnreadable, keeper: JournalKeeper, journal: Journal
+) -> None:
+    emit(
+        LogEvent.RECORD_UNREADABLE,
+        stream=journal.stream,
+        offset=action.offset,
+        problem=action.problem,
+    )
--- a/src/bronzepost/_internal/node/listeners.py
+++ b/src/bronzepost/_internal/node/listeners.py
@@ -14,6 +14,8 @@
     WebApplication,
     answer_refusal,
 )
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
 
 # A connection that sends no complete header within this time is closed.
 HEADER_SECONDS: Final = 30.0
@@ -43,11 +45,12 @@
     """Let requests through that present one of the keys.
 
     Without keys every request passes: settings without keys are refused for
-    addresses beyond loopback.
+    addresses beyond loopback. ``event`` is logged for a request without one.
     """
 
     application: WebApplication
     keys: Callable[[], Sequence[str]]
+    event: LogEvent
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -55,6 +58,7 @@
         """Answer a request, or refuse it if it has no valid key."""
         if self._is_allowed(environ.get('HTTP_AUTHORIZATION', '')):
             return self.application(environ, start_response)
+        emit(self.event, path=environ['PATH_INFO'])
         response = answer_refusal(_refuse_key())
         start_response(
             f'{response.status} Unauthorized',
--- a/src/bronzepost/_internal/node/log_client.py
+++ b/src/bronzepost/_internal/node/log_client.py
@@ -15,6 +15,8 @@
     LogServiceError,
 )
 from bronzepost._internal.node.http_exchange import HttpAnswer, HttpPeer
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
 
 READ_LIMIT: Final = 1000
 RETRY_SECONDS: Final = 0.25
@@ -70,7 +72,9 @@
         except ExchangeError as error:
             raise self._append_error(error, step) from error
         if answer.status == HTTPStatus.TOO_MANY_REQUESTS:
-            raise self._refused(answer, step)
+            refused = self._refused(answer, step)
+            emit(LogEvent.LOG_RATE_LIMITED, error=refused)
+            raise refused
         if answer.status != HTTPStatus.OK:
             # A proxy before the log may answer an error after the effect.
             raise AmbiguousAppendError(
--- a/src/bronzepost/_internal/node/messages.py
+++ b/src/bronzepost/_internal/node/messages.py
@@ -153,11 +153,15 @@
         self.peer_address = peer_address
         self.boot = boot
         self.limit_bytes = limit_bytes
-        self._keys = [key.encode() for key in keys[:_MAXIMUM_KEYS]] or [b'']
+        self._keys = _encode_keys(keys)
         self._guard = ReplayGuard()
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Envelope)
 
+    def replace_keys(self, keys: list[str]) -> None:
+        """Sign with the first of other keys from now on, accept each."""
+        self._keys = _encode_keys(keys)
+
     def encode(
         self, message: PeerMessage, *, receiver: str, counter: int
     ) -> bytes:
@@ -238,5 +242,9 @@
             )
 
 
+def _encode_keys(keys: list[str]) -> list[bytes]:
+    return [key.encode() for key in keys[:_MAXIMUM_KEYS]] or [b'']
+
+
 def _sign(key: bytes, body: bytes) -> bytes:
     return hmac.digest(key, body, hashlib.sha256)
--- a/src/bronzepost/_internal/node/model_call.py
+++ b/src/bronzepost/_internal/node/model_call.py
@@ -119,8 +119,14 @@
                 )
                 self._metrics.count(Metric.CALLS_RETRIED)
             else:
+                self._count_tokens(answer.usage)
                 return answer
 
+    def _count_tokens(self, usage: Usage) -> None:
+        self._metrics.count(Metric.TOKENS_PROMPT, usage.prompt_tokens)
+        self._metrics.count(Metric.TOKENS_OUTPUT, usage.completion_tokens)
+        self._metrics.count(Metric.TOKENS_CACHED, usage.cached_tokens or 0)
+
     def _resume(
         self, call: ModelCall, answer: ModelAnswer, stream: AnswerStream
     ) -> None:
--- a/src/bronzepost/_internal/node/node.py
+++ b/src/bronzepost/_internal/node/node.py
@@ -1,6 +1,6 @@
-"""A running node: its listeners, its periodic work and its drain."""
+"""A running node: its listeners and its periodic work."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Final
 
 import gevent
@@ -14,17 +14,19 @@
 )
 from bronzepost._internal.node.cache_events import CACHE_EVENT_SECONDS
 from bronzepost._internal.node.caller_api import CallerApi
-from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.cluster import Cluster
+from bronzepost._internal.node.draining import Drain
 from bronzepost._internal.node.engine_memory import SWEEP_SECONDS
+from bronzepost._internal.node.gauges import GaugeReporter, TickWatch
 from bronzepost._internal.node.listeners import KeyedApplication, listen
 from bronzepost._internal.node.operator_api import OperatorApi
 from bronzepost._internal.node.parts import CallParts
 from bronzepost._internal.node.pauses import REVIEW_SECONDS
 from bronzepost._internal.node.program_api import ProgramApi
 from bronzepost._internal.node.refusals import refuse_not_ready
+from bronzepost._internal.node.status import NodeStatus
 from bronzepost._internal.node.upkeep import UPKEEP_SECONDS, ProgramUpkeep
-from bronzepost._internal.node.web import WebApplication
+from bronzepost._internal.node.web import Route, WebApplication
 from bronzepost._internal.settings import Settings
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -33,10 +35,6 @@
 
 TICK_SECONDS: Final = 0.05
 PARTITION_SECONDS: Final = 0.25
-# Callers keep an endpoint answer for 5 s and may connect at its end.
-DRAIN_SECONDS: Final = 6.0
-# A drain that hangs on a call without end is cut here.
-MAX_DRAIN_SECONDS: Final = 600.0
 
 
 class Node:
@@ -47,6 +45,9 @@
         self._settings = settings
         self._telemetry = telemetry
         self._boot = assembly.make_boot()
+        self._keys = assembly.Keys(
+            peers=settings.peers.keys, operators=settings.operators.keys
+        )
         self._storage = assembly.build_storage(settings, telemetry, self._boot)
         self._cluster = Cluster(
             settings=settings,
@@ -58,8 +59,17 @@
             settings, telemetry, self._storage
         )
         self._paths = assembly.build_call_paths(
-            settings, telemetry, self._storage, self._runners, self._cluster
+            settings,
+            telemetry,
+            self._storage,
+            self._runners,
+            self._cluster,
+            self._keys,
+        )
+        self._tick_watch = TickWatch(
+            metrics=telemetry.metrics, tick_seconds=TICK_SECONDS
         )
+        self._callers = self._build_caller_application()
         self._servers: list[WSGIServer] = []
         self._loops: list[gevent.Greenlet] = []
         self._drain_wanted = Event()
@@ -72,20 +82,22 @@
             SettingsError: if the peer address cannot be listened on.
         """
         node = self._settings.node
-        callers = self._build_caller_application()
         forwards = KeyedApplication(
-            application=callers, keys=lambda: self._settings.peers.keys
+            application=self._callers,
+            keys=lambda: self._keys.peers,
+            event=LogEvent.PEER_REJECTED,
         )
         operators = KeyedApplication(
             application=self._build_operator_application(),
-            keys=lambda: self._settings.operators.keys,
+            keys=lambda: self._keys.operators,
+            event=LogEvent.OPERATOR_REJECTED,
         )
         self._cluster.start()
         self._start_loops()
         self._servers = [
             listen(node.operator_address, operators),
             listen(node.forward_address, forwards),
-            listen(node.caller_address, callers),
+            listen(node.caller_address, self._callers),
         ]
         emit(LogEvent.NODE_STARTED, caller_address=node.caller_address)
 
@@ -93,68 +105,52 @@
         """Ask the node to hand over its work and stop."""
         self._drain_wanted.set()
 
+    def replace_keys(self, settings: Settings) -> None:
+        """Use the keys of other settings; all else stays as it is."""
+        self._keys.peers = settings.peers.keys
+        self._keys.operators = settings.operators.keys
+        self._cluster.codec.replace_keys(list(settings.peers.keys))
+        emit(LogEvent.KEYS_REPLACED, peers=len(settings.peers.keys))
+
     def run(self) -> None:
         """Serve until somebody wants the node to stop, then drain."""
         self._drain_wanted.wait()
-        self._drain()
+        Drain(
+            cluster=self._cluster,
+            partitions=self._paths.partitions,
+            is_idle=self._is_idle,
+        ).run()
         for server in self._servers:
             server.stop()
         gevent.killall(self._loops)
         self._cluster.close()
         emit(LogEvent.NODE_STOPPED)
 
-    def describe(self) -> dict[str, Any]:
-        """Return the state of the node for operators."""
-        keeper = self._storage.keeper
-        return {
-            'name': self._settings.node.name,
-            'state': 'draining' if self._drain_wanted.is_set() else 'serving',
-            'configuration_offset': (
-                self._cluster.configuration.tables.next_offset
-            ),
-            'partitions': len(keeper.owned_journals()),
-            'calls_running': len(self._storage.programs.running_by_program),
-            'members': len(self._cluster.list_live()),
-            'log_failing': any(
-                journal.requests.failing_since is not None
-                for journal in keeper.journals_by_partition.values()
-            ),
-        }
-
     def _start_loops(self) -> None:
         directory = self._runners.directory
+        memory = self._runners.memory
+        cluster = self._cluster
         self._repeat(LIST_SECONDS, directory.poll_list)
         self._repeat(LOAD_SECONDS, directory.poll_loads)
         self._repeat(TICK_SECONDS, self._tick)
         self._repeat(PARTITION_SECONDS, self._paths.partitions.tick)
-        self._repeat(SWEEP_SECONDS, self._sweep)
+        self._repeat(SWEEP_SECONDS, lambda: memory.sweep(cluster.list_live()))
         self._repeat(UPKEEP_SECONDS, self._build_upkeep().run)
         self._repeat(REVIEW_SECONDS, self._runners.pauses.review)
         self._repeat(CACHE_EVENT_SECONDS, self._runners.cache_events.poll)
-        self._repeat(FLUSH_SECONDS, self._telemetry.metrics.flush)
+        self._repeat(FLUSH_SECONDS, self._build_gauges().report)
 
     def _tick(self) -> None:
+        self._tick_watch.begin()
         self._cluster.tick()
         self._storage.keeper.tick()
+        self._tick_watch.end()
 
-    def _drain(self) -> None:
-        """Leave, hand over, and wait for callers and streams."""
-        emit(LogEvent.DRAIN_STARTED)
-        self._cluster.leave()
-        self._paths.partitions.is_draining = True
-        started = read_clock()
-        while read_clock() < started + MAX_DRAIN_SECONDS:
-            is_released = self._paths.partitions.release_all()
-            is_idle = not self._storage.programs.running_by_program
-            is_idle = is_idle and not self._runners.memory.live_calls
-            is_due = read_clock() >= started + DRAIN_SECONDS
-            if is_released and is_idle and is_due and self._no_streams():
-                break
-            gevent.sleep(TICK_SECONDS)
-        emit(LogEvent.DRAIN_FINISHED)
-
-    def _no_streams(self) -> bool:
-        return all(application.is_idle for application in self._applications)
+    def _is_idle(self) -> bool:
+        """Return whether no call runs and no answer is being sent."""
+        owned_calls = self._storage.programs.running_by_program
+        other_calls = self._runners.memory.live_calls
+        return not owned_calls and not other_calls and self._callers.is_idle
 
     def _build_caller_application(self) -> WebApplication:
         parts = CallParts(
@@ -176,22 +172,29 @@
             *CallerApi(parts=parts).routes(),
             *ProgramApi(parts=parts).routes(),
         )
-        application = WebApplication(
-            routes=routes, body_bytes=self._settings.limits.body_bytes
-        )
-        self._applications = (application,)
-        return application
+        return self._build_application(routes)
 
     def _build_operator_application(self) -> WebApplication:
+        status = NodeStatus(
+            keeper=self._storage.keeper,
+            programs=self._storage.programs,
+            cluster=self._cluster,
+            is_draining=self._drain_wanted.is_set,
+        )
         api = OperatorApi(
             cluster=self._cluster,
             keeper=self._storage.keeper,
             directory=self._runners.directory,
-            describe=self.describe,
+            describe=status.describe,
             drain=self.drain,
         )
+        return self._build_application(api.routes())
+
+    def _build_application(self, routes: Sequence[Route]) -> WebApplication:
         return WebApplication(
-            routes=api.routes(), body_bytes=self._settings.limits.body_bytes
+            routes=routes,
+            body_bytes=self._settings.limits.body_bytes,
+            metrics=self._telemetry.metrics,
         )
 
     def _look_up(
@@ -203,6 +206,15 @@
             organisation, service, program, name
         )
 
+    def _build_gauges(self) -> GaugeReporter:
+        return GaugeReporter(
+            metrics=self._telemetry.metrics,
+            keeper=self._storage.keeper,
+            programs=self._storage.programs,
+            cluster=self._cluster,
+            directory=self._runners.directory,
+        )
+
     def _build_upkeep(self) -> ProgramUpkeep:
         return ProgramUpkeep(
             keeper=self._storage.keeper,
@@ -218,9 +230,6 @@
             owner = self._paths.partitions.find_owner(program)
         return self._cluster.list_endpoints(program, owner)
 
-    def _sweep(self) -> None:
-        self._runners.memory.sweep(self._cluster.list_live())
-
     def _repeat(self, seconds: float, work: Callable[[], None]) -> None:
         self._loops.append(gevent.spawn(_run_repeatedly, seconds, work))
 
--- a/src/bronzepost/_internal/node/operator_api.py
+++ b/src/bronzepost/_internal/node/operator_api.py
@@ -20,6 +20,8 @@
     encode_refusal,
     refuse_parameter,
 )
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
 
 
 class _Change(msgspec.Struct, frozen=True):
@@ -89,6 +91,7 @@
             change = msgspec.convert(request.json(), _Change)
         except msgspec.ValidationError as error:
             raise refuse_parameter('body', str(error)) from error
+        emit(LogEvent.CHANGE_PROPOSED, path=change.path, author=change.author)
         outcome = self._cluster.configuration.propose(
             path=change.path,
             value=change.value,
@@ -177,6 +180,7 @@
 
     def drain(self, request: Request) -> Response:
         """Begin to drain the node."""
+        emit(LogEvent.DRAIN_REQUESTED)
         self._drain()
         return answer_json({'state': 'draining'})
 
--- a/src/bronzepost/_internal/node/program_calls.py
+++ b/src/bronzepost/_internal/node/program_calls.py
@@ -25,6 +25,7 @@
 from bronzepost._internal.node.journal_keeper import JournalKeeper
 from bronzepost._internal.node.mirroring import Mirroring
 from bronzepost._internal.node.refusals import (
+    DEADLINE_CODE,
     refuse_broken_call,
     refuse_deadline,
     refuse_decision,
@@ -32,6 +33,7 @@
     refuse_not_durable,
     refuse_unknown,
 )
+from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
@@ -86,6 +88,7 @@
         """Start with no call under way."""
         self._mirroring = mirroring
         self.running_by_program: dict[str, OwnedCall] = {}
+        self.started_at_by_program: dict[str, float] = {}
         self.keeper = keeper
         self.answers = answers
         self._lost_units_by_program: dict[str, int] = {}
@@ -130,6 +133,9 @@
             lost_units=lost_units,
         )
         owned.stream.sequence = decision.sequence
+        if decision.sequence == 1:
+            emit(LogEvent.PROGRAM_STARTED, program=call.program)
+            self.started_at_by_program[call.program] = read_clock()
         self.running_by_program[call.program] = owned
         self.answers.keep(call.program, decision.sequence, owned.stream)
         self.keeper.settlements.expect(decision.wait_for)
@@ -264,8 +270,13 @@
             emit(LogEvent.GREENLET_FAILED, error=error)
             owned.stream.fail(refuse_broken_call(error, RunState.UNKNOWN))
         self.running_by_program.pop(owned.call.program, None)
-        if owned.stream.error is not None:
-            self.answers.drop(owned.call.program, owned.proceed.sequence)
+        if owned.stream.error is None:
+            self.keeper.metrics.count(Metric.CALLS_ANSWERED)
+            emit(LogEvent.CALL_ANSWERED, program=owned.call.program)
+            return
+        if owned.stream.error.code == DEADLINE_CODE:
+            emit(LogEvent.DEADLINE_PASSED, program=owned.call.program)
+        self.answers.drop(owned.call.program, owned.proceed.sequence)
 
 
 def _is_same_call(running: OwnedCall, call: calls.CallRequest) -> bool:
--- a/src/bronzepost/_internal/node/program_ends.py
+++ b/src/bronzepost/_internal/node/program_ends.py
@@ -5,12 +5,16 @@
 
 from bronzepost._internal.core.ledger import records
 from bronzepost._internal.core.ledger.journal import Journal, submit_record
+from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.engine_memory import EngineMemory
 from bronzepost._internal.node.journal_keeper import JournalKeeper
+from bronzepost._internal.node.program_calls import ProgramCalls
+from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
 END_SECONDS: Final = 2.0
+_MILLISECONDS: Final = 1000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,8 +31,15 @@
 class ProgramEnds:
     """End programs that this node owns."""
 
-    def __init__(self, *, keeper: JournalKeeper, memory: EngineMemory) -> None:
+    def __init__(
+        self,
+        *,
+        keeper: JournalKeeper,
+        memory: EngineMemory,
+        programs: ProgramCalls,
+    ) -> None:
         """Use the node's journals and its view of the engines."""
+        self._programs = programs
         self._keeper = keeper
         self._memory = memory
 
@@ -73,6 +84,15 @@
         self._keeper.send(journal)
         settled = self._keeper.settlements.wait([record.record_id], END_SECONDS)
         emit(LogEvent.PROGRAM_ENDED, program=program, reason=reason)
+        self._keeper.metrics.count(Metric.PROGRAMS_ENDED, label=reason)
+        self._measure(program)
         for session in tree:
             self._memory.release(session)
         return bool(settled) and settled[0].valid
+
+    def _measure(self, program: str) -> None:
+        # A program that began at another node has no start here.
+        started_at = self._programs.started_at_by_program.pop(program, None)
+        if started_at is not None:
+            elapsed = (read_clock() - started_at) * _MILLISECONDS
+            self._keeper.metrics.timing(Metric.PROGRAM_LATENCY, elapsed)
--- a/src/bronzepost/_internal/node/refusals.py
+++ b/src/bronzepost/_internal/node/refusals.py
@@ -16,6 +16,8 @@
 NO_SERVER_RETRY_SECONDS: Final = 1.0
 OWNER_RETRY_SECONDS: Final = 0.5
 
+DEADLINE_CODE: Final = 'deadline'
+
 
 def refuse_decision(decision: Refuse) -> RefusedError:
     """Return the refusal that the ledger decided on."""
@@ -93,7 +95,7 @@
     """Return the refusal of a call whose deadline has passed."""
     return RefusedError(
         'the deadline of the call has passed',
-        code='deadline',
+        code=DEADLINE_CODE,
         status=HTTPStatus.GATEWAY_TIMEOUT,
         step=step,
         run=run,
--- a/src/bronzepost/_internal/node/responses.py
+++ b/src/bronzepost/_internal/node/responses.py
@@ -13,6 +13,8 @@
     Response,
     encode_refusal,
 )
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
 
 # The status of a stream is sent after this time even if no chunk is there, so
 # that keep-alive lines can show that the connection works.
@@ -117,6 +119,9 @@
     except RefusedError as error:
         yield write_error_event(error)
         return
+    except GeneratorExit:
+        emit(LogEvent.CALLER_DISCONNECTED, upstream=upstream)
+        raise
     yield END_OF_STREAM
 
 
--- a/src/bronzepost/_internal/node/server.py
+++ b/src/bronzepost/_internal/node/server.py
@@ -1,26 +1,37 @@
 """Run a node as a process."""
 
 import signal
+from collections.abc import Callable
 from typing import Final
 
 import gevent
 
-from bronzepost._internal.exceptions import SettingsError
+from bronzepost._internal.exceptions import SettingsError, SettingsErrorGroup
 from bronzepost._internal.node.node import Node
 from bronzepost._internal.settings import Settings
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 from bronzepost._internal.telemetry.start import start_telemetry
 
+ReadSettings = Callable[[], Settings]
+
 _STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 
 
-def serve(settings: Settings) -> int:
-    """Serve until a signal asks to stop; return the exit code."""
+def serve(settings: Settings, reload: ReadSettings) -> int:
+    """Serve until a signal asks to stop; return the exit code.
+
+    SIGHUP reads the settings again and puts their keys in force.
+    """
     telemetry = start_telemetry(settings)
+    emit(
+        LogEvent.SETTINGS_LOADED,
+        availability_zone=settings.node.availability_zone,
+    )
     node = Node(settings=settings, telemetry=telemetry)
     for number in _STOP_SIGNALS:
         gevent.signal_handler(number, _stop, node, number)
+    gevent.signal_handler(signal.SIGHUP, _replace_keys, node, reload)
     try:
         node.start()
     except (OSError, SettingsError) as error:
@@ -31,6 +42,15 @@
     return 0
 
 
+def _replace_keys(node: Node, reload: ReadSettings) -> None:
+    try:
+        settings = reload()
+    except SettingsErrorGroup as group:
+        emit(LogEvent.KEYS_REFUSED, problems=list(map(str, group.exceptions)))
+    else:
+        node.replace_keys(settings)
+
+
 def _stop(node: Node, number: int) -> None:
     emit(LogEvent.SIGNAL_RECEIVED, signal=signal.Signals(number).name)
     node.drain()
--- a/src/bronzepost/_internal/node/web.py
+++ b/src/bronzepost/_internal/node/web.py
@@ -12,8 +12,10 @@
 import msgspec
 
 from bronzepost._internal.exceptions import RefusedError, RunState
+from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
+from bronzepost._internal.telemetry.metrics import Metrics
 
 # A caller that sends its body more slowly than this is cut off.
 BODY_SECONDS: Final = 10.0
@@ -117,8 +119,15 @@
 class WebApplication:
     """A WSGI application of routes."""
 
-    def __init__(self, *, routes: Sequence[Route], body_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        routes: Sequence[Route],
+        body_bytes: int,
+        metrics: Metrics,
+    ) -> None:
         """Compile the routes; ``body_bytes`` bounds a request's body."""
+        self._metrics = metrics
         self._body_bytes = body_bytes
         self._open_answers = 0
         self._routes = [
@@ -166,6 +175,7 @@
                 return self._dispatch(environ)
         except RefusedError as error:
             emit(LogEvent.CALL_REFUSED, error=error, code=error.code)
+            self._metrics.count(Metric.CALLS_REFUSED, label=error.code)
             return answer_refusal(error)
         except Exception as error:  # noqa: BLE001
             emit(LogEvent.GREENLET_FAILED, error=error)
--- a/src/bronzepost/_internal/telemetry/catalogue.py
+++ b/src/bronzepost/_internal/telemetry/catalogue.py
@@ -26,52 +26,46 @@
 class Metric(enum.Enum):
     """Every metric that a node sends: kind, unit and description."""
 
-    # The two figures that the scheduler is judged by.
+    # One of the two figures that the scheduler is judged by. The other, cache
+    # that was filled and evicted unused, is counted by the engines.
     PROGRAM_LATENCY = TIMING, MILLISECONDS, 'Start to end of a program.'
-    TOKENS_WASTED = COUNTER, TOKENS, 'Filled and evicted unused.'
 
     CALLS_ANSWERED = COUNTER, CALLS, 'Calls answered in full.'
     CALLS_REFUSED = COUNTER, CALLS, 'Calls refused, by code.'
     CALLS_FORWARDED = COUNTER, CALLS, 'Calls sent on to the owner.'
     CALLS_RETRIED = COUNTER, CALLS, 'Calls sent to a second server.'
     CALLS_RUNNING = GAUGE, CALLS, 'Calls that have been sent.'
-    CALLS_QUEUED = GAUGE, CALLS, 'Calls that wait for a slot.'
     FIRST_TOKEN = TIMING, MILLISECONDS, 'Request to first token.'
-    TOKEN_GAP = TIMING, MILLISECONDS, 'Time between two chunks.'
-    QUEUE_TIME = TIMING, MILLISECONDS, 'Request to send.'
     STREAMS_RESUMED = COUNTER, 'streams', 'Streams continued at an offset.'
     TOKENS_PROMPT = COUNTER, TOKENS, 'Prompt tokens.'
     TOKENS_OUTPUT = COUNTER, TOKENS, 'Output tokens.'
     TOKENS_CACHED = COUNTER, TOKENS, 'Prompt tokens found in a cache.'
-    TOKENS_FILLED = COUNTER, TOKENS, 'Tokens filled into caches.'
 
     PROGRAMS_LIVE = GAUGE, 'programs', 'Programs of the owned partitions.'
     PROGRAMS_ENDED = COUNTER, 'programs', 'Programs ended, by reason.'
     PARTITIONS_OWNED = GAUGE, 'partitions', 'Partitions with a claim in force.'
     PARTITIONS_LOST = COUNTER, 'partitions', 'Claims lost to another node.'
-    TAKEOVER_TIME = TIMING, MILLISECONDS, 'Claim to a partition in service.'
-    UNITS_FORFEITED = COUNTER, 'units', 'Allowance lost with its owner.'
 
     LOG_APPENDS = COUNTER, 'appends', 'Appends accepted by the log.'
     LOG_ERRORS = COUNTER, 'appends', 'Appends without a good answer.'
     LOG_APPEND_TIME = TIMING, MILLISECONDS, 'Append to its answer.'
     RECORDS_PENDING = GAUGE, RECORDS, 'Records that wait for the log.'
-    BYTES_PENDING = GAUGE, BYTES, 'Size of the records that wait.'
     RECORDS_INVALID = COUNTER, RECORDS, 'Records of another epoch.'
 
     MEMBERS_LIVE = GAUGE, 'nodes', 'Nodes taken for alive.'
     MEMBERS_SUSPECTED = GAUGE, 'nodes', 'Nodes suspected.'
-    PEER_MESSAGES = COUNTER, 'messages', 'Messages sent to peers.'
-    PEER_BYTES = COUNTER, BYTES, 'Size of the messages sent to peers.'
-    PEER_REJECTED = COUNTER, 'messages', 'Messages without a valid key.'
+    PEER_MESSAGES = GAUGE, 'messages', 'Messages sent to peers since the start.'
+    PEER_REJECTED = (
+        GAUGE,
+        'messages',
+        'Messages without a valid key since the start.',
+    )
 
     CONFIGURATION_OFFSET = GAUGE, 'offset', 'Last record in force.'
-    CONFIGURATION_DELAY = TIMING, MILLISECONDS, 'Change to its being in force.'
 
     RUNNERS_LIVE = GAUGE, 'runners', 'Runners that take work.'
     RUNNERS_LEAVING = GAUGE, 'runners', 'Runners that are leaving.'
     SESSIONS_SWEPT = COUNTER, 'sessions', 'Sessions freed by the sweep.'
-    ORDERS_SENT = COUNTER, 'orders', 'Orders to engines.'
 
     TICK_TIME = TIMING, MILLISECONDS, 'Time that a tick takes.'
     TICK_DELAY = TIMING, MILLISECONDS, 'Time by which a tick is late.'
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -52,13 +52,13 @@
     TICK_LATE = 1009, WARNING, 'A tick ran late: the loop was busy or paused.'
     NODE_PAUSED = 1010, WARNING, 'The process was paused for a time.'
 
+    KEYS_REPLACED = 1011, INFO, 'The keys of the settings file are in force.'
+    KEYS_REFUSED = 1012, ERROR, 'The settings file is wrong; the keys stay.'
+
     # Ledger
-    CLAIM_APPENDED = 2001, DEBUG, 'A claim of a partition was appended.'
     PARTITION_CLAIMED = 2002, INFO, 'A claim of this node is in force.'
-    CLAIM_REJECTED = 2003, INFO, 'A claim of this node lost in log order.'
     PARTITION_GIVEN_UP = 2004, WARNING, 'Another node owns the partition now.'
     PARTITION_HANDED_OVER = 2005, INFO, 'A partition went to its successor.'
-    PARTITION_RECOVERED = 2006, INFO, 'A partition was read from the log.'
     CHECKPOINT_APPENDED = 2007, DEBUG, 'An index of live programs was appended.'
     HISTORY_REAPPENDED = 2008, INFO, 'A history was appended before retention.'
     APPEND_RETRIED = 2009, WARNING, 'An append failed and is sent again.'
@@ -71,7 +71,6 @@
     LOG_OUTAGE_ENDED = 2012, INFO, 'The log service answers again.'
     LOG_RATE_LIMITED = 2013, WARNING, 'The log service limits the append rate.'
     RECORD_INVALID = 2014, WARNING, 'A record is not of the epoch in force.'
-    RECORD_DUPLICATE = 2015, DEBUG, 'A record appears twice; one is dropped.'
     RECORD_UNREADABLE = 2016, ERROR, 'A record on the log cannot be decoded.'
     RECORDS_MIRRORED = 2017, INFO, 'Records wait in memory and on a mirror.'
     MIRROR_FAILED = 2018, WARNING, 'No other node holds the waiting records.'
@@ -83,8 +82,6 @@
     RETENTION_GAP = 2024, ERROR, 'Records of a live program left retention.'
     PROGRAM_STARTED = 2025, DEBUG, 'A program has started.'
     PROGRAM_ENDED = 2026, DEBUG, 'A program has ended.'
-    BUDGET_SPENT = 2027, INFO, 'A program has spent its budget.'
-    ALLOWANCE_FORFEITED = 2028, INFO, 'Units of a failed owner are lost.'
 
     # Membership
     MEMBER_JOINED = 3001, INFO, 'A node has joined.'
@@ -95,7 +92,6 @@
     SELF_SUSPECTED = 3006, WARNING, 'Other nodes suspected this one.'
     SEEDS_UNREACHABLE = 3007, WARNING, 'No seed answers; check the peers table.'
     PEER_REJECTED = 3008, WARNING, 'A peer message has no valid key.'
-    PEER_KEY_OLD = 3009, INFO, 'A peer still signs with the second key.'
     PEER_SOCKET_REOPENED = 3010, INFO, 'A silent peer socket was replaced.'
     PEER_MESSAGE_DROPPED = 3011, WARNING, 'A peer message was not readable.'
 
@@ -103,19 +99,12 @@
     CONFIGURATION_READY = 4001, INFO, 'The node has a configuration.'
     CHANGE_ACCEPTED = 4002, INFO, 'A configuration change is in force.'
     CHANGE_REJECTED = 4003, INFO, 'A change was based on an old revision.'
-    CHANGE_INVALID = 4004, WARNING, 'A record of a change has a wrong value.'
     SNAPSHOT_APPENDED = 4005, INFO, 'The whole configuration was appended.'
-    SNAPSHOT_FETCHED = 4006, INFO, 'The configuration came from a peer.'
-    GAP_REPAIRED = 4007, INFO, 'Missing configuration records were fetched.'
-    READER_CHOSEN = 4008, INFO, 'The node reads the configuration stream.'
-    READER_RELEASED = 4009, INFO, 'The node reads that stream no more.'
 
     # Backend servers
     RUNNER_FOUND = 5001, INFO, 'A backend server is on the VM list.'
     RUNNER_LEAVING = 5002, INFO, 'A backend server is leaving: no new work.'
-    RUNNER_GONE = 5003, INFO, 'A backend server has left.'
     RUNNER_UNREACHABLE = 5004, WARNING, 'A backend server does not answer.'
-    RUNNER_RECOVERED = 5005, INFO, 'A backend server answers again.'
     CALL_RETRIED = 5006, INFO, 'An idempotent call went to another server.'
     RETRY_BUDGET_SPENT = 5007, WARNING, 'Too many calls failed to retry more.'
     STREAM_SILENT = 5008, WARNING, 'A stream went silent; it is resumed.'
@@ -124,10 +113,6 @@
     CACHE_EVENTS_MISSED = 5011, INFO, 'Cache events have a gap.'
     SESSION_RELEASED = 5012, DEBUG, 'Engine memory of an ended program is free.'
     SESSION_NOT_RELEASED = 5013, WARNING, 'An engine did not free a session.'
-    ORDER_SENT = 5014, INFO, 'An engine was ordered to change its state.'
-    ORDER_REJECTED = 5015, WARNING, 'An engine refused an order.'
-    PLACEMENT_CLAIMED = 5016, INFO, 'The node holds the placement lease.'
-    PLACEMENT_LOST = 5017, INFO, 'The placement lease has ended.'
     VM_LIST_UNAVAILABLE = 5018, WARNING, 'The last VM list stays in use.'
     VM_LIST_RECOVERED = 5019, INFO, 'The VM list answers again.'
 
@@ -139,14 +124,11 @@
     ANSWER_NOT_DURABLE = 6005, WARNING, 'An answer left without its record.'
     CALLER_DISCONNECTED = 6006, INFO, 'A caller left before the answer ended.'
     DEADLINE_PASSED = 6007, INFO, 'A call ended at its deadline.'
-    TURN_LIMIT_REACHED = 6008, INFO, 'A program ended at its turn limit.'
-    REQUEST_INVALID = 6009, INFO, 'A request is not of the caller protocol.'
 
     # Operators
     OPERATOR_REJECTED = 7001, WARNING, 'An operator request has no valid key.'
     CHANGE_PROPOSED = 7002, INFO, 'An operator proposes a change.'
     DRAIN_REQUESTED = 7003, INFO, 'An operator drains the node.'
-    OPERATOR_REQUEST_FAILED = 7004, WARNING, 'An operator request failed.'
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         """Take the columns of the catalogue."""
--- /dev/null
+++ b/tests/unit/test_catalogues.py
@@ -0,0 +1,37 @@
+"""Tests that the catalogues list what the code emits."""
+
+from pathlib import Path
+
+from testtools import TestCase
+
+import bronzepost
+from bronzepost._internal.telemetry.catalogue import Metric
+from bronzepost._internal.telemetry.events import LogEvent
+
+SOURCE = Path(bronzepost.__file__).parent
+CATALOGUES = frozenset(('events.py', 'catalogue.py'))
+
+
+class CatalogueTest(TestCase):
+    """Guard against entries that nothing ever writes."""
+
+    def setUp(self) -> None:
+        """Read the code of the package."""
+        super().setUp()
+        self.code = '\n'.join(
+            path.read_text(encoding='utf-8')
+            for path in SOURCE.rglob('*.py')
+            if path.name not in CATALOGUES or path.parent.name != 'telemetry'
+        )
+
+    def test_every_event_is_logged(self) -> None:
+        """Guard against a page that promises events that never come."""
+        names = [f'LogEvent.{event.name}' for event in LogEvent]
+        unused = [name for name in names if name not in self.code]
+        self.assertEqual([], unused)
+
+    def test_every_metric_is_sent(self) -> None:
+        """Guard against a dashboard of metrics that are always empty."""
+        names = [f'Metric.{metric.name}' for metric in Metric]
+        unused = [name for name in names if name not in self.code]
+        self.assertEqual([], unused)
--- a/tests/unit/test_hostile_requests.py
+++ b/tests/unit/test_hostile_requests.py
@@ -23,6 +23,7 @@
     Route,
     WebApplication,
 )
+from bronzepost._internal.telemetry.metrics import NoMetrics
 from tests.builders_requests import build_environ, build_request
 
 FIELDS = (
@@ -143,7 +144,7 @@
     def setUp(self) -> None:
         """Serve no route."""
         super().setUp()
-        self.application = WebApplication(routes=(), body_bytes=100)
+        self.application = build_application((), 100)
         self.status = ''
 
     def answer(self, environ: dict[str, Any]) -> bytes:
@@ -168,7 +169,7 @@
     def test_body_over_its_limit(self) -> None:
         """Guard against holding a body of any size in memory."""
         route = Route(method='GET', pattern='/', handler=_answer_empty)
-        self.application = WebApplication(routes=(route,), body_bytes=10)
+        self.application = build_application((route,), 10)
         body = self.answer(build_environ('/', '', '11'))
         self.assertEqual('413', self.status[:3])
         self.assertIn(b'body_too_large', body)
@@ -176,7 +177,7 @@
     def test_chunked_body_over_its_limit(self) -> None:
         """Guard against a body that does not state its length."""
         route = Route(method='GET', pattern='/', handler=_answer_empty)
-        self.application = WebApplication(routes=(route,), body_bytes=10)
+        self.application = build_application((route,), 10)
         self.answer(build_environ('/', '', ''))
         self.assertEqual('413', self.status[:3])
 
@@ -196,5 +197,14 @@
         self.assertEqual(path, encode_path(path))
 
 
+def build_application(
+    routes: tuple[Route, ...], body_bytes: int
+) -> WebApplication:
+    """Return an application that measures nothing."""
+    return WebApplication(
+        routes=routes, body_bytes=body_bytes, metrics=NoMetrics()
+    )
+
+
 def _answer_empty(_request: Request) -> Response:
     return Response()
