--- a/tests/builders_faults.py
+++ b/tests/builders_faults.py
@@ -164,6 +164,17 @@
         """End a program and its sub-agents."""
         self._submit(records.ProgramEnded, program=program, reason='done')
 
+    def repeat_history(self, program: str) -> None:
+        """Write a program's history again before its records age out."""
+        entry = self.member.journal.view.live_program(program)
+        if entry is not None and entry.message_count:
+            self._submit(
+                records.HistorySnapshot,
+                program=program,
+                messages=[],
+                digest=entry.digest,
+            )
+
     def release(self, *, whole: bool) -> None:
         """Return what is not reserved, and the partition if it is wanted."""
         view = self.member.journal.view
@@ -239,7 +250,15 @@
             self.seen.wrong_answers.append(f'{call} got an absent record')
             return
         body = log.bodies[decision.offset]
-        found = (body.get('program'), body.get('sequence'))
-        is_right = found == (call.program, decision.sequence)
-        if not is_right or call.key not in {'', body['key']}:
+        entry = self.member.journal.state.programs_by_id[call.program]
+        if body['kind'] == records.HistorySnapshot.__name__:
+            # Its last message is the answer to the program's last call.
+            found = (body['program'], body['digest'])
+            is_right = found == (call.program, entry.digest)
+            is_right = is_right and decision.sequence == entry.sequence
+        else:
+            found = (body.get('program'), body.get('sequence'))
+            is_right = found == (call.program, decision.sequence)
+            is_right = is_right and call.key in {'', body['key']}
+        if not is_right:
             self.seen.wrong_answers.append(f'{call} got {body}')
--- a/tests/fault_world.py
+++ b/tests/fault_world.py
@@ -93,7 +93,7 @@
             self.advance(node, 0, 6)
 
     def manage(self, node: int, program: int, step: int) -> None:
-        """Write a checkpoint, release allowances or end a program."""
+        """Write a checkpoint or a history, release, or end a program."""
         chosen = self._running(node)
         if chosen is None or not chosen.member.journal.is_owner:
             return
@@ -103,7 +103,10 @@
         elif step < 6:
             chosen.release(whole=step == 5)
             self.counts['releases'] += 1
-        elif step == 7:
+        elif step == 6:
+            chosen.repeat_history(self._name(program))
+            self.counts['history snapshots'] += 1
+        else:
             chosen.end(self._name(program))
 
     def start_afresh(self) -> None:
@@ -259,6 +262,12 @@
             for call, record_id in seen.acknowledged.items()
             if self.finished.get(call) != record_id
         ]
+        problems += [
+            f'history of {entry.program} names record {offset}'
+            for entry in self.truth.programs_by_id.values()
+            for offset in entry.history_offsets
+            if self.log.bodies[offset].get('program') != entry.program
+        ]
         broken = builders_records.find_broken_budget(self.truth)
         problems += [f'budget of {program} is broken' for program in broken]
         return problems + self._check_spending()
