Leave a partition to its leaving owner until it is released

Cause: the first choice claimed the partitions of a member as soon as that was leaving. The calls in progress there then ended as 'ran' and not recorded.

Before: test_drain_of_each_node_cuts_no_stream saw a stream end with 'epoch 3 is not in force'. After: the partition is claimed once its owner has released it, or is dead; a call that arrives meanwhile reads the log first. Not solved: a partition that always has a call under way is released only when the drain ends after 600 s.

--- a/src/bronzepost/_internal/core/ownership.py
+++ b/src/bronzepost/_internal/core/ownership.py
@@ -38,13 +38,14 @@
     """A partition as one node sees it.
 
     ``owner`` is who owns it by the records that the node has read, empty if
-    nobody does or nothing was read.
+    nobody does or nothing was read. A live owner may be leaving.
     """
 
     stream: str
     node: str
     owner: str
     is_owner: bool
+    is_owner_live: bool
 
 
 def first_choice(stream: str, serving: Collection[str]) -> str:
@@ -57,14 +58,15 @@
     """Return where a call of the partition is served.
 
     The first choice forwards to the owner on the log while that member
-    serves, since an owner hands over by itself.
+    lives, since an owner hands over by itself, and one that is leaving does so
+    only after its calls in progress.
     """
     if view.is_owner:
         return ServeHere()
     first = first_choice(view.stream, serving)
     if first not in {view.node, ''}:
         return ForwardTo(member=first)
-    if view.owner in serving and view.owner != view.node:
+    if view.is_owner_live and view.owner != view.node:
         return ForwardTo(member=view.owner)
     return ClaimHere()
 
--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -138,6 +138,7 @@
             node=settings.node.name,
             keeper=storage.keeper,
             list_serving=cluster.list_serving,
+            list_live=cluster.list_live,
             has_running_call=_running_call_check(storage),
         ),
         ends=ProgramEnds(keeper=storage.keeper, memory=runners.memory),
--- a/src/bronzepost/_internal/node/journal_keeper.py
+++ b/src/bronzepost/_internal/node/journal_keeper.py
@@ -75,6 +75,16 @@
         """Read what other nodes have appended."""
         self.put(journal, events.RefreshWanted(at=read_clock()))
 
+    def catch_up(self, journal: Journal, timeout_seconds: float) -> None:
+        """Read what other nodes have appended, and wait for it."""
+        self.refresh(journal)
+        requests = journal.requests
+        self._poll(
+            journal,
+            timeout_seconds,
+            lambda: not requests.busy and not requests.refresh_wanted,
+        )
+
     def tick(self) -> None:
         """Do the periodic work of all journals."""
         for journal in list(self.journals_by_partition.values()):
--- a/src/bronzepost/_internal/node/partitions.py
+++ b/src/bronzepost/_internal/node/partitions.py
@@ -30,7 +30,7 @@
 from bronzepost._internal.telemetry.logs import emit
 
 CLAIM_SECONDS: Final = 2.0
-RELEASE_SECONDS: Final = 1.0
+CATCH_UP_SECONDS: Final = 0.5
 # A node that has just joined may leave again soon; handing partitions over to
 # it costs each program an append.
 STABLE_SECONDS: Final = 5.0
@@ -49,12 +49,14 @@
         node: str,
         keeper: JournalKeeper,
         list_serving: Callable[[], Collection[str]],
+        list_live: Callable[[], Collection[str]],
         has_running_call: Callable[[Journal], bool],
     ) -> None:
         """Start owning nothing."""
         self._node = node
         self._keeper = keeper
         self._list_serving = list_serving
+        self._list_live = list_live
         self._has_running_call = has_running_call
         self._serving: frozenset[str] = frozenset()
         self._serving_since = read_clock()
@@ -80,6 +82,9 @@
         """
         partition = partition_of(program)
         journal = self._keeper.find_journal(partition)
+        if self._is_awaited(journal):
+            # The owner may have released the partition a moment ago.
+            self._keeper.catch_up(journal, CATCH_UP_SECONDS)
         route = self._route(journal)
         if not isinstance(route, ClaimHere):
             return journal, route
@@ -120,11 +125,17 @@
             return
         self._refreshed_at = read_clock()
         for journal in self._keeper.journals_by_partition.values():
-            first = first_choice(journal.stream, self._serving)
-            is_awaited = first == self._node and not journal.is_owner
-            if is_awaited or (journal.is_owner and not is_stable):
+            is_doubtful = journal.is_owner and not is_stable
+            if is_doubtful or self._is_awaited(journal):
                 self._keeper.refresh(journal)
 
+    def _is_awaited(self, journal: Journal) -> bool:
+        """Return whether this node should own what another one owns."""
+        if journal.is_owner or not journal.state.owner:
+            return False
+        first = first_choice(journal.stream, self._list_serving())
+        return first == self._node
+
     def _route(self, journal: Journal) -> Route:
         return route_call(self._view(journal), self._list_serving())
 
@@ -134,6 +145,7 @@
             node=self._node,
             owner=journal.state.owner,
             is_owner=journal.is_owner,
+            is_owner_live=journal.state.owner in self._list_live(),
         )
 
     def _start_claim(self, partition: int, journal: Journal) -> None:
