--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -10,7 +10,7 @@
 import secrets
 import tempfile
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from pathlib import Path
 from types import MappingProxyType, TracebackType
 from typing import Any, Self
@@ -37,6 +37,7 @@
         self.availability_zone = zone
         self.state = 'live'
         self.address = ''
+        self.relay_control_address = ''
 
     def vm_entry(self) -> dict[str, Any]:
         """Return the runner's entry in the VM list."""
@@ -56,7 +57,8 @@
     """A set of stand-ins and nodes on loopback addresses.
 
     ``options`` gives command-line options by kind of stand-in, such as
-    ``{'engine': ('--slots', '2')}``. Node ``i`` (from 0) uses the host
+    ``{'engine': ('--slots', '2')}``. Runners of the services in ``relayed``
+    are reached through a relay each, which has a control address. Node ``i`` (from 0) uses the host
     ``127.0.0.{i + 1}``. The model of an engine has its service's name.
     """
 
@@ -67,6 +69,7 @@
         nodes: int,
         scale: float = 1,
         options: Mapping[str, Sequence[str]] = NO_OPTIONS,
+        relayed: Collection[str] = (),
     ) -> None:
         """Plan the deployment; ``start`` starts it."""
         self.organisation = organisation
@@ -79,6 +82,8 @@
         self._plans = plan_nodes(organisation, nodes)
         self._scale = scale
         self._options = options
+        self._relayed = relayed
+        self._relays: list[ManagedProcess] = []
         self._directory = tempfile.TemporaryDirectory(prefix='bronzepost-')
         self.directory = Path(self._directory.name)
 
@@ -114,6 +119,7 @@
         for node in self.nodes:
             node.process.wait_ended()
         standins = [
+            *self._relays,
             *(runner.process for runner in self.runners),
             *self.platform_by_kind.values(),
         ]
@@ -178,6 +184,19 @@
                 )
         for runner in self.runners:
             runner.address = runner.process.wait_ready()
+            if runner.group.service in self._relayed:
+                self._start_relay(runner)
+
+    def _start_relay(self, runner: Runner) -> None:
+        relay = self._launch_standin(
+            'relay',
+            f'relay-of-{runner.process.name}',
+            ('--target', runner.address),
+        )
+        self._relays.append(relay)
+        relayed, control = relay.wait_ready().split()
+        runner.address = relayed
+        runner.relay_control_address = control
 
     def _start_nodes(self) -> None:
         for plan in self._plans:
--- a/tests/functional/clusters.py
+++ b/tests/functional/clusters.py
@@ -29,6 +29,7 @@
     *,
     scale: float = SMALL_SCALE,
     options: Mapping[str, Sequence[str]] = NO_OPTIONS,
+    relayed: Sequence[str] = (),
     is_settled: bool = True,
 ) -> Iterator[Deployment]:
     """Run a deployment; its nodes are killed at the end, not drained.
@@ -36,7 +37,11 @@
     A settled one has a single owner for each partition.
     """
     with Deployment(
-        organisation=HANGAR_TRUST, nodes=nodes, scale=scale, options=options
+        organisation=HANGAR_TRUST,
+        nodes=nodes,
+        scale=scale,
+        options=options,
+        relayed=relayed,
     ) as run:
         try:
             if is_settled and not wait_until(lambda: has_settled(run)):
