--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -172,13 +172,14 @@
         node=settings.node.name,
         keeper=storage.keeper,
         list_serving=cluster.list_serving,
+        list_boots=cluster.list_boots,
         may_claim=cluster.may_claim,
         has_running_call=_running_call_check(storage),
     )
     owners = Owners(
         find_owner=partitions.find_owner,
         find_address=cluster.find_forward_address,
-        is_live=lambda member: member in cluster.list_live(),
+        is_live=lambda member: member in cluster.list_boots(),
         find_peer_key=lambda: next(iter(keys.peers), ''),
     )
     return CallPaths(
--- a/src/bronzepost/_internal/node/cluster.py
+++ b/src/bronzepost/_internal/node/cluster.py
@@ -116,15 +116,15 @@
             emit(LogEvent.SEEDS_UNREACHABLE, seeds=self.members.seeds)
         return self._starts_alone
 
-    def list_serving(self) -> dict[str, str]:
-        """Return the boots of the members that may be given work, by name."""
+    def list_serving(self) -> tuple[str, ...]:
+        """Return the names of the members that may be given work."""
         serving = membership.serving_members(self.members)
-        return {member.name: member.boot for member in serving}
+        return tuple(member.name for member in serving)
 
-    def list_live(self) -> frozenset[str]:
-        """Return the names of all members that are not dead."""
+    def list_boots(self) -> dict[str, str]:
+        """Return the boots of all members that are not dead, by name."""
         live = membership.live_members(self.members)
-        return frozenset(member.name for member in live)
+        return {member.name: member.boot for member in live}
 
     def find_forward_address(self, member: str) -> str:
         """Return where a member takes forwarded calls.
--- a/src/bronzepost/_internal/node/gauges.py
+++ b/src/bronzepost/_internal/node/gauges.py
@@ -100,7 +100,9 @@
         members = self._cluster.members.members_by_name.values()
         states = [member.state for member in members]
         counts = self._cluster.transport.counts
-        self._metrics.gauge(Metric.MEMBERS_LIVE, len(self._cluster.list_live()))
+        self._metrics.gauge(
+            Metric.MEMBERS_LIVE, len(self._cluster.list_boots())
+        )
         self._metrics.gauge(
             Metric.MEMBERS_SUSPECTED, states.count(MemberState.SUSPECTED)
         )
--- a/src/bronzepost/_internal/node/journal_keeper.py
+++ b/src/bronzepost/_internal/node/journal_keeper.py
@@ -99,10 +99,14 @@
 
     def catch_up(self, journal: Journal, timeout_seconds: float) -> bool:
         """Read a partition up to its end; return whether that succeeded."""
+        requests = journal.requests
+        # A read that has begun may not show the latest records.
+        self._poll(journal, timeout_seconds, lambda: not requests.busy)
         self.refresh(journal)
 
         def is_done() -> bool:  # noqa: WPS430
-            return journal.loading.done and not journal.requests.refresh_wanted
+            is_read = not requests.busy and not requests.refresh_wanted
+            return journal.loading.done and is_read
 
         self._poll(journal, timeout_seconds, is_done)
         return is_done()
@@ -122,16 +126,7 @@
         """
         claim_id = journal.claim_id
         if not is_log_down(journal, read_clock()):
-            # A read that has begun may not show the latest records.
-            self._poll(
-                journal, _CONFIRM_SECONDS, lambda: not journal.requests.busy
-            )
-            self.refresh(journal)
-            self._poll(
-                journal,
-                _CONFIRM_SECONDS,
-                lambda: not journal.requests.refresh_wanted,
-            )
+            self.catch_up(journal, _CONFIRM_SECONDS)
         return journal.is_owner and journal.claim_id == claim_id
 
     def append(self, journal: Journal, records: tuple[Record, ...]) -> None:
--- a/src/bronzepost/_internal/node/node.py
+++ b/src/bronzepost/_internal/node/node.py
@@ -134,7 +134,7 @@
         self._repeat(LOAD_SECONDS, directory.poll_loads)
         self._repeat(TICK_SECONDS, self._tick)
         self._repeat(PARTITION_SECONDS, self._paths.partitions.tick)
-        self._repeat(SWEEP_SECONDS, lambda: memory.sweep(cluster.list_live()))
+        self._repeat(SWEEP_SECONDS, lambda: memory.sweep(cluster.list_boots()))
         self._repeat(UPKEEP_SECONDS, self._build_upkeep().run)
         self._repeat(REVIEW_SECONDS, self._runners.pauses.review)
         self._repeat(CACHE_EVENT_SECONDS, self._runners.cache_events.poll)
--- a/src/bronzepost/_internal/node/partitions.py
+++ b/src/bronzepost/_internal/node/partitions.py
@@ -1,6 +1,6 @@
 """Claim the partitions that this node should own, and hand others over."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
 import gevent
@@ -15,7 +15,6 @@
     ClaimHere,
     PartitionView,
     Route,
-    Serving,
     first_choice,
     route_call,
     should_claim,
@@ -29,6 +28,7 @@
 from bronzepost._internal.telemetry.logs import emit
 
 CLAIM_SECONDS: Final = 2.0
+CATCH_UP_SECONDS: Final = 0.5
 # A node that has just joined may leave again soon; handing partitions over to
 # it costs each program an append.
 STABLE_SECONDS: Final = 5.0
@@ -47,7 +47,8 @@
         *,
         node: str,
         keeper: JournalKeeper,
-        list_serving: Callable[[], Serving],
+        list_serving: Callable[[], Collection[str]],
+        list_boots: Callable[[], Mapping[str, str]],
         may_claim: Callable[[], bool],
         has_running_call: Callable[[Journal], bool],
     ) -> None:
@@ -56,8 +57,9 @@
         self._keeper = keeper
         self._list_serving = list_serving
         self._may_claim = may_claim
+        self._list_boots = list_boots
         self._has_running_call = has_running_call
-        self._serving: Serving = {}
+        self._serving: frozenset[str] = frozenset()
         self._serving_since = read_clock()
         self._refreshed_at = read_clock()
         self._claiming: set[int] = set()
@@ -81,6 +83,9 @@
         """
         partition = partition_of(program)
         journal = self._keeper.find_journal(partition)
+        if self._is_awaited(journal):
+            # The owner may have released the partition a moment ago.
+            self._keeper.catch_up(journal, CATCH_UP_SECONDS)
         route = self._route(journal)
         if not isinstance(route, ClaimHere):
             return journal, route
@@ -95,7 +100,7 @@
         """Claim and release what is due."""
         if not self._may_claim():
             return
-        serving = self._list_serving()
+        serving = frozenset(self._list_serving())
         if serving != self._serving:
             self._serving = serving
             self._serving_since = read_clock()
@@ -123,11 +128,24 @@
             return
         self._refreshed_at = read_clock()
         for journal in self._keeper.journals_by_partition.values():
-            first = first_choice(journal.stream, self._serving)
-            is_awaited = first == self._node and not journal.is_owner
-            if is_awaited or journal.is_owner:
+            if journal.is_owner or self._is_awaited(journal):
                 self._keeper.refresh(journal)
 
+    def _is_awaited(self, journal: Journal) -> bool:
+        """Return whether this node should own what another one owns."""
+        if journal.is_owner or not journal.state.owner:
+            return False
+        first = first_choice(journal.stream, self._list_serving())
+        return first == self._node
+
+    def _is_owner_live(self, journal: Journal) -> bool:
+        """Return whether the process that claimed the partition runs.
+
+        A new process of the same name does not own what the last one claimed.
+        """
+        boot = journal.state.claim_id.partition('-')[0]
+        return self._list_boots().get(journal.state.owner) == boot
+
     def _route(self, journal: Journal) -> Route:
         return route_call(self._view(journal), self._list_serving())
 
@@ -136,8 +154,8 @@
             stream=journal.stream,
             node=self._node,
             owner=journal.state.owner,
-            owner_boot=journal.state.claim_id.partition('-')[0],
             is_owner=journal.is_owner,
+            is_owner_live=self._is_owner_live(journal),
         )
 
     def _start_claim(self, partition: int, journal: Journal) -> None:
--- a/src/bronzepost/_internal/node/status.py
+++ b/src/bronzepost/_internal/node/status.py
@@ -35,7 +35,7 @@
             'configuration_offset': tables.next_offset,
             'partitions': len(self._keeper.owned_journals()),
             'calls_running': len(self._programs.running_by_program),
-            'members': len(self._cluster.list_live()),
+            'members': len(self._cluster.list_boots()),
             'log_failing': any(
                 journal.requests.failing_since is not None
                 for journal in journals
--- a/tests/functional/test_stale_owner.py
+++ b/tests/functional/test_stale_owner.py
@@ -18,9 +18,7 @@
 from bronzepost._internal.node.partitions import Partitions
 from bronzepost._internal.node.program_calls import ProgramCalls
 from bronzepost._internal.node.settlements import Settlements
-from bronzepost._internal.telemetry.metrics import NoMetrics
-from bronzepost._internal.telemetry.spans import NoSpans, Tracer
-from bronzepost._internal.telemetry.start import Telemetry
+from tests.builders_telemetry import build_telemetry
 from tests.functional.standin_processes import running_standin
 
 CLAIM_SECONDS = 5
@@ -37,7 +35,8 @@
     return Partitions(
         node=node,
         keeper=keeper,
-        list_serving=lambda: {'node-a': 'a1', 'node-b': 'b1'},
+        list_serving=lambda: ('node-a', 'node-b'),
+        list_boots=lambda: {'node-a': 'a1', 'node-b': 'b1'},
         may_claim=lambda: True,
         has_running_call=lambda journal: False,
     )
