--- a/demo/caller.py
+++ b/demo/caller.py
@@ -1,12 +1,12 @@
 """A caller of one program, which follows docs/protocol.md."""
 
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from http.client import HTTPException, HTTPResponse
 from typing import Any, Final, TypeVar
 
-from demo.endpoints import EndpointCache
+from demo.endpoints import Endpoints
 from demo.exchange import (
     BrokenStreamError,
     RefusedCallError,
@@ -76,7 +76,7 @@
         self,
         *,
         program: str,
-        entry_addresses: Sequence[str],
+        endpoints: Endpoints,
         budget: int | None = None,
         importance: int | None = None,
     ) -> None:
@@ -85,9 +85,7 @@
         self.sequence = 0
         self._budget = budget
         self._importance = importance
-        self._endpoints = EndpointCache(
-            program=program, entry_addresses=entry_addresses
-        )
+        self._endpoints = endpoints
 
     @property
     def next_sequence(self) -> int:
--- a/demo/endpoints.py
+++ b/demo/endpoints.py
@@ -3,10 +3,21 @@
 import math
 import time
 from collections.abc import Sequence
+from typing import Protocol
 
 from demo.exchange import exchange_json
 
 
+class Endpoints(Protocol):
+    """Where a caller sends its calls."""
+
+    def choose(self) -> str:
+        """Return the address for the next call."""
+
+    def forget(self) -> None:
+        """Note that an address did not answer."""
+
+
 class EndpointCache:
     """Addresses for one program, kept for their time to live.
 
--- a/demo/observations.py
+++ b/demo/observations.py
@@ -121,8 +121,11 @@
     endpoints = request_json('GET', f'{node.caller_address}/v1/endpoints')
     location = f'{node.operator_address}/v1/runners'
     runners = _ask_operator(deployment, 'GET', location)['runners']
+    # A runner without a load report has no slots yet, and new programs are
+    # held back for seconds.
+    reported = [runner for runner in runners if runner['slots']]
     return len(endpoints['endpoints']) == len(deployment.nodes) and (
-        len(runners) == len(deployment.runners)
+        len(reported) == len(deployment.runners)
     )
 
 
--- a/demo/program_run.py
+++ b/demo/program_run.py
@@ -10,9 +10,11 @@
 
 import gevent
 import msgspec
+from gevent.util import wrap_errors
 
 from demo import trace
 from demo.caller import Caller, ChatAnswer, Message
+from demo.endpoints import EndpointCache
 from demo.exchange import RefusedCallError
 from standins.text import answer_text
 
@@ -113,18 +115,17 @@
     @run_step.register
     def _(self, step: trace.Once) -> None:
         body = {**step.body, 'business_key': step.key}
+        # A refusal becomes the value of its greenlet, which would be
+        # reported as failed otherwise.
+        send = wrap_errors(RefusedCallError, self._caller.call_service)
         copies = [
-            gevent.spawn(
-                self._caller.call_service,
-                step.service,
-                step.path,
-                body,
-                key=step.key,
-            )
+            gevent.spawn(send, step.service, step.path, body, key=step.key)
             for _ in range(step.copies)
         ]
-        gevent.joinall(copies)
         answers = [copy.get() for copy in copies]
+        refusals = [it for it in answers if isinstance(it, RefusedCallError)]
+        if refusals:
+            raise refusals[0]
         self._caller.finish_call()
         if any(answer != answers[0] for answer in answers):
             self._result.problems.append(f'{step.key}: answers differ')
@@ -135,7 +136,9 @@
         name = f'{self._caller.program}.{step.name}'
         caller = Caller(
             program=name,
-            entry_addresses=self._entry_addresses,
+            endpoints=EndpointCache(
+                program=name, entry_addresses=self._entry_addresses
+            ),
             budget=step.budget,
         )
         self._result.budgets_by_program[name] = step.budget
@@ -188,10 +191,13 @@
     if program.budget is not None:
         result.budgets_by_program[program.name] = program.budget
     gevent.sleep(program.start_seconds)
+    name = '' if program.is_alone else program.name
     agent = Agent(
         caller=Caller(
-            program='' if program.is_alone else program.name,
-            entry_addresses=entry_addresses,
+            program=name,
+            endpoints=EndpointCache(
+                program=name, entry_addresses=entry_addresses
+            ),
             budget=program.budget,
             importance=program.importance,
         ),
