Quote paths that are sent on and check the hop count

WSGI decodes a path, and it was sent on decoded: "calls/a%20b" became an invalid request, answered 502 with run "unknown" though nothing was sent, and other letters were encoded twice. Query strings of forwarded requests had the same fault. A Bronzepost-Hops header that is no number was answered 500.

--- a/src/bronzepost/_internal/node/caller_request.py
+++ b/src/bronzepost/_internal/node/caller_request.py
@@ -22,6 +22,7 @@
 
 _PREFIX: Final = 'bronzepost-'
 HOPS_HEADER: Final = 'bronzepost-hops'
+_HOPS: Final = frozenset(str(hops) for hops in range(MAX_HOPS + 1))
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,10 +68,24 @@
         deadline_seconds=reader.read_seconds('deadline'),
         non_idempotent=reader.read_flag('non-idempotent'),
         traceparent=request.headers.get('traceparent', ''),
-        hops=int(request.headers.get(HOPS_HEADER, '0')),
+        hops=read_hops(request),
     )
 
 
+def read_hops(request: Request) -> int:
+    """Return how many nodes have forwarded a request.
+
+    Raises:
+        RefusedError: if a caller set the header to something else.
+    """
+    text = request.headers.get(HOPS_HEADER, '0')
+    if text not in _HOPS:
+        raise refuse_parameter(
+            HOPS_HEADER.title(), f'not a whole number up to {MAX_HOPS}'
+        )
+    return int(text)
+
+
 def _read_key(request: Request, metadata: Mapping[str, Any]) -> str:
     key = request.headers.get('idempotency-key', '')
     key = key or str(metadata.get('idempotency_key', ''))
--- a/src/bronzepost/_internal/node/forwarding.py
+++ b/src/bronzepost/_internal/node/forwarding.py
@@ -3,14 +3,23 @@
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import Final
+from urllib.parse import urlencode
 
 from bronzepost._internal.exceptions import (
     ExchangeError,
     RefusedError,
     RunState,
 )
-from bronzepost._internal.node.caller_request import HOPS_HEADER, MAX_HOPS
-from bronzepost._internal.node.http_exchange import HttpPeer, HttpStream
+from bronzepost._internal.node.caller_request import (
+    HOPS_HEADER,
+    MAX_HOPS,
+    read_hops,
+)
+from bronzepost._internal.node.http_exchange import (
+    HttpPeer,
+    HttpStream,
+    quote_path,
+)
 from bronzepost._internal.node.refusals import OWNER_RETRY_SECONDS
 from bronzepost._internal.node.responses import write_error_event
 from bronzepost._internal.node.web import (
@@ -81,7 +90,7 @@
     def _open(
         self, member: str, request: Request, idle_seconds: float
     ) -> HttpStream:
-        hops = int(request.headers.get(HOPS_HEADER, '0')) + 1
+        hops = read_hops(request) + 1
         if hops > MAX_HOPS:
             raise _refuse_forward('too many hops', member, RunState.NOT_RUN)
         headers = {
@@ -94,13 +103,12 @@
         peer = HttpPeer(
             address=self._find_address(member), idle_seconds=idle_seconds
         )
-        query = '&'.join(
-            f'{name}={text}' for name, text in request.query.items()
-        )
+        path = quote_path(request.path)
+        query = urlencode(request.query)
         try:
             return peer.open_stream(
                 request.method,
-                f'{request.path}?{query}' if query else request.path,
+                f'{path}?{query}' if query else path,
                 step=_STEP,
                 body=request.body,
                 headers=headers,
--- a/src/bronzepost/_internal/node/http_exchange.py
+++ b/src/bronzepost/_internal/node/http_exchange.py
@@ -4,6 +4,7 @@
 import errno
 from collections.abc import Iterator, Mapping
 from typing import Any, Final, Self
+from urllib.parse import quote
 
 import gevent
 import msgspec
@@ -14,6 +15,8 @@
 
 CONNECT_SECONDS: Final = 1.0
 _READ_BYTES: Final = 65536
+# What RFC 3986 allows in a path as it is, but for the letters and digits.
+_SAFE_IN_PATHS: Final = "/:@!$&'()*+,;="
 
 # With these the connection was never open, so no request was sent.
 _NOT_SENT_ERRORS: Final = frozenset((
@@ -23,6 +26,15 @@
 ))
 
 
+def quote_path(path: str) -> str:
+    """Return a path as it goes into a request.
+
+    WSGI servers decode the path that they received: each character stands
+    for one byte.
+    """
+    return quote(path.encode('latin-1'), safe=_SAFE_IN_PATHS)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HttpAnswer:
     """A complete answer; header names are in lower case."""
--- a/src/bronzepost/_internal/node/service_client.py
+++ b/src/bronzepost/_internal/node/service_client.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from bronzepost._internal.node.http_exchange import HttpPeer
+from bronzepost._internal.node.http_exchange import HttpPeer, quote_path
 
 MAX_STORED_BODY: Final = 65536
 
@@ -32,7 +32,7 @@
     """
     stream = peer.open_stream(
         'POST',
-        f'/{path}',
+        quote_path(f'/{path}'),
         step='service call',
         body=body,
         headers={'X-Request-Id': request_id, **headers},
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -229,6 +229,7 @@
             ('Bronzepost-Sequence', good, {'bronzepost_sequence': '-1'}),
             ('Bronzepost-Budget', good, {'bronzepost_budget': 'all'}),
             ('Bronzepost-Deadline', good, {'bronzepost_deadline': 'nan'}),
+            ('Bronzepost-Hops', good, {'bronzepost_hops': 'far'}),
         )
         for parameter, body, headers in cases:
             refusal = self.refuse(chat, body, **headers)
@@ -251,6 +252,18 @@
         self.assertEqual(405, self.refuse('/v1/models', {}).status)
         self.check_serving(0)
 
+    def test_path_of_a_service_arrives_as_it_was_sent(self) -> None:
+        """Guard paths with spaces or other letters, forwarded or not."""
+        for number in range(NODES):
+            caller = self.build_caller('paths', node=number)
+            caller.sequence = number
+            answer = caller.call_service(
+                'pass-registry', 'calls/hala%20%C5%BC', {}
+            )
+            # The stand-in shows the bytes of the path as Latin-1.
+            name = answer['name'].encode('latin-1').decode()
+            self.assertEqual('hala ż', name)
+
     def test_small_budget_has_no_effect(self) -> None:
         """Guard against a refusal as "not run" of a call that ran."""
         for node in range(NODES):
