--- a/src/bronzepost/_internal/node/forwarding.py
+++ b/src/bronzepost/_internal/node/forwarding.py
@@ -13,7 +13,11 @@
     RefusedError,
     RunState,
 )
-from bronzepost._internal.node.caller_request import HOPS_HEADER, MAX_HOPS
+from bronzepost._internal.node.caller_request import (
+    HOPS_HEADER,
+    MAX_HOPS,
+    read_hops,
+)
 from bronzepost._internal.node.http_exchange import HttpPeer, HttpStream
 from bronzepost._internal.node.refusals import OWNER_RETRY_SECONDS
 from bronzepost._internal.node.relay import EventRelay, Progress
@@ -127,7 +131,7 @@
     def _open(
         self, member: str, request: Request, idle_seconds: float
     ) -> HttpStream:
-        hops = _count_hops(request) + 1
+        hops = read_hops(request) + 1
         if hops > MAX_HOPS:
             raise _refuse_forward('too many hops', member, RunState.NOT_RUN)
         headers = {
@@ -162,11 +166,6 @@
         raise _refuse_forward(error.message, member, run) from error
 
 
-def _count_hops(request: Request) -> int:
-    text = request.headers.get(HOPS_HEADER, '0')
-    return int(text) if text.isdecimal() else MAX_HOPS
-
-
 def _with_headers(request: Request, headers: dict[str, str]) -> Request:
     merged = {**request.headers, **headers}
     given = {name: text for name, text in merged.items() if text}
--- a/tests/functional/test_stale_owner.py
+++ b/tests/functional/test_stale_owner.py
@@ -55,7 +55,7 @@
         node=node,
         boot=f'{node[-1]}1',
         log=log,
-        telemetry=Telemetry(metrics=NoMetrics(), tracer=Tracer(sink=NoSpans())),
+        telemetry=build_telemetry(),
         settlements=settlements,
         mirroring=mirroring,
     )
