Serve the demo from the binary, and mark answers that are not durable

Cause: the binary was only tried with commands that end, and an answer that was given without its record was logged but not marked for the caller.

A test starts a node from it and lists the processes that it starts: none. A stream that could not be made durable has a comment line before its end, any other answer the header Bronzepost-Durable.

--- a/demo/command.py
+++ b/demo/command.py
@@ -29,11 +29,12 @@
     """Replay a trace, print the figures and return the exit code."""
     parser = ArgumentParser(prog='demo', description=__doc__)
     parser.add_argument('--trace', type=Path, default=DEFAULT_TRACE)
-    path = parser.parse_args(arguments).trace
+    parser.add_argument('--binary', type=Path, help='binary of the nodes')
+    options = parser.parse_args(arguments)
     # The context manager of a deployment stops its processes on the way out.
     gevent.signal_handler(signal.SIGTERM, sys.exit, NOT_RUN)
     try:
-        report = _replay_all(read_trace(path))
+        report = _replay_all(read_trace(options.trace), options.binary)
     except (OSError, ValueError, LaunchError) as error:
         show(f'the trace was not replayed: {error}')
         return NOT_RUN
@@ -49,11 +50,11 @@
     sys.stderr.write(f'{text}\n')
 
 
-def _replay_all(trace: Trace) -> Report:
+def _replay_all(trace: Trace, binary: Path | None) -> Report:
     report = Report()
     for organisation in _find_organisations(trace):
         started_at = time.monotonic()
-        results, observation = replay(organisation, trace, show)
+        results, observation = replay(organisation, trace, show, binary=binary)
         report.add(results, observation)
         seconds = time.monotonic() - started_at
         show(f'{organisation.name}: {seconds:.1f} s with start and stop')
--- a/demo/replay.py
+++ b/demo/replay.py
@@ -1,6 +1,7 @@
 """Replay the programs of one organisation against its deployment."""
 
 from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
 from types import MappingProxyType
 from typing import Final
 
@@ -32,10 +33,16 @@
 
 
 def replay(
-    organisation: Organisation, trace: Trace, show: Show
+    organisation: Organisation,
+    trace: Trace,
+    show: Show,
+    *,
+    binary: Path | None = None,
 ) -> tuple[list[RunResult], Observation]:
     """Start a deployment, replay the organisation's programs and stop it.
 
+    The nodes run the binary, or without one the worktree.
+
     Raises:
         TimeoutError: if the nodes do not find each other.
         LaunchError: if a process does not become ready.
@@ -44,7 +51,11 @@
     programs = [it for it in trace.programs if it.organisation == name]
     show(f'{name}: starting {NODES} nodes')
     with Deployment(
-        organisation=organisation, nodes=NODES, scale=SCALE, options=OPTIONS
+        organisation=organisation,
+        nodes=NODES,
+        scale=SCALE,
+        options=OPTIONS,
+        binary=binary,
     ) as deployment:
         wait_until_ready(deployment)
         for setting in trace.settings:
--- a/src/bronzepost/_internal/node/responses.py
+++ b/src/bronzepost/_internal/node/responses.py
@@ -22,6 +22,8 @@
 
 KEEP_ALIVE: Final = b': keep-alive\n\n'
 END_OF_STREAM: Final = b'data: [DONE]\n\n'
+NOT_DURABLE: Final = b': not durable\n\n'
+_NOT_DURABLE_HEADER: Final = ('Bronzepost-Durable', 'false')
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -59,7 +61,7 @@
         if chunk is not None
     ]
     return Response(
-        headers=headers,
+        headers=_add_durability(stream, headers),
         body=msgspec.json.encode(_build_completion(chunks)),
     )
 
@@ -72,7 +74,9 @@
     """
     chunks = [chunk for _, chunk in stream.read_from() if chunk is not None]
     return Response(
-        status=stream.status, headers=headers, body=b''.join(chunks)
+        status=stream.status,
+        headers=_add_durability(stream, headers),
+        body=b''.join(chunks),
     )
 
 
@@ -86,6 +90,10 @@
     )
 
 
+def _add_durability(stream: AnswerStream, headers: Headers) -> Headers:
+    return headers if stream.is_durable else (*headers, _NOT_DURABLE_HEADER)
+
+
 def write_event(offset: int, chunk: bytes) -> bytes:
     """Return one server-sent event."""
     return b'id: %d\ndata: %b\n\n' % (offset, chunk)
@@ -122,6 +130,8 @@
     except GeneratorExit:
         emit(LogEvent.CALLER_DISCONNECTED, upstream=upstream)
         raise
+    if not stream.is_durable:
+        yield NOT_DURABLE
     yield END_OF_STREAM
 
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -58,8 +58,8 @@
 
     ``options`` gives command-line options by kind of stand-in, such as
     ``{'engine': ('--slots', '2')}``. Runners of the services in ``relayed``
-    are reached through a relay each, which has a control address. Node ``i`` (from 0) uses the host
-    ``127.0.0.{i + 1}``. The model of an engine has its service's name.
+    are reached through a relay each, which has a control address. Node ``i``
+    (from 0) uses the host ``127.0.0.{i + 1}``. The model of an engine has its service's name.
     """
 
     def __init__(
@@ -70,8 +70,13 @@
         scale: float = 1,
         options: Mapping[str, Sequence[str]] = NO_OPTIONS,
         relayed: Collection[str] = (),
+        binary: Path | None = None,
     ) -> None:
-        """Plan the deployment; ``start`` starts it."""
+        """Plan the deployment; ``start`` starts it.
+
+        With a ``binary`` the nodes run it instead of the worktree.
+        """
+        self._binary = binary
         self.organisation = organisation
         self.peer_key = secrets.token_hex(KEY_BYTES)
         self.operator_key = secrets.token_hex(KEY_BYTES)
@@ -232,10 +237,14 @@
 
     def _launch_node(self, plan: NodePlan) -> ManagedProcess:
         settings = str(plan.settings_path(self.directory))
+        arguments: tuple[str, ...] = ('serve', '--settings', settings)
+        if self._binary is None:
+            arguments = ('bronzepost', *arguments)
         return ManagedProcess(
             name=plan.name,
-            arguments=('bronzepost', 'serve', '--settings', settings),
+            arguments=arguments,
             output=self.directory / f'{plan.name}.output',
+            binary=self._binary,
         )
 
     def _wait_node_ready(self, node: Node) -> None:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -24,22 +24,28 @@
     """One child process, with its output kept in a file."""
 
     def __init__(
-        self, *, name: str, arguments: Sequence[str], output: Path
+        self,
+        *,
+        name: str,
+        arguments: Sequence[str],
+        output: Path,
+        binary: Path | None = None,
     ) -> None:
-        """Start the process; its output goes to a file, not a pipe.
+        """Start a module of the worktree, or a binary, with arguments.
 
-        A pipe that nobody reads would stop a process that logs much.
-        ."""
+        The output goes to a file: a pipe that nobody reads would stop a
+        process that logs much.
+        """
         self.name = name
         self.output = output
         with output.open('ab') as output_file:
             self._process = subprocess.Popen(
-                [sys.executable, '-m', *arguments],
+                _build_command(binary, arguments),
                 stdout=output_file,
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
                 cwd=ROOT,
-                env=child_environment(os.environ),
+                env=_build_environment(binary, output.parent),
             )
 
     @property
@@ -93,3 +99,21 @@
         'PYTHONPATH': os.pathsep.join((str(ROOT / 'src'), str(ROOT))),
         'PYTHONDONTWRITEBYTECODE': '1',
     }
+
+
+def _build_command(binary: Path | None, arguments: Sequence[str]) -> list[str]:
+    if binary is None:
+        return [sys.executable, '-m', *arguments]
+    return [str(binary), *arguments]
+
+
+def _build_environment(binary: Path | None, directory: Path) -> dict[str, str]:
+    if binary is None:
+        return child_environment(os.environ)
+    # The binary brings its own modules and must not find those of the
+    # worktree.
+    interpreter = Path(sys.base_prefix) / 'bin'
+    return {
+        'PATH': f'{interpreter}:{os.environ["PATH"]}',
+        'SHIV_ROOT': str(directory / 'unpacked'),
+    }
--- a/tests/functional/test_binary.py
+++ b/tests/functional/test_binary.py
@@ -12,6 +12,9 @@
 
 from testtools import TestCase
 
+from standins.deployment import Deployment
+from standins.organisations import CONVENTIONS
+
 ROOT = Path(__file__).resolve().parents[2]
 BUILD_SECONDS = 120
 RUN_SECONDS = 30
@@ -109,6 +112,17 @@
         command = Path(f'/proc/{started.pid}/cmdline').read_bytes()
         self.assertIn(b'endpoints', command)
 
+    def test_serving_node_starts_no_other_process(self) -> None:
+        """Guard against a node whose binary is more than one process."""
+        binary = Path(self.directory.name) / 'bronzepost'
+        with Deployment(
+            organisation=CONVENTIONS, nodes=1, scale=0.1, binary=binary
+        ) as running:
+            node = running.nodes[0].process
+            self.assertEqual([], list_children(node.process_id))
+            command = Path(f'/proc/{node.process_id}/cmdline').read_bytes()
+            self.assertIn(str(binary).encode(), command)
+
     def test_version(self) -> None:
         """Guard against a binary that lacks a module of its own."""
         process = self.start('version')
