Bound the bytes of kept answers

Cause: a node kept the last 512 answers whatever their size; at 500 chunks of 250 bytes each that is 64 MB, the whole memory of a node.

The oldest finished answers go beyond 4 MB; what is evicted is read from the log. Answers under way stay.

--- a/src/bronzepost/_internal/node/answer_stream.py
+++ b/src/bronzepost/_internal/node/answer_stream.py
@@ -23,12 +23,14 @@
         self.upstream = ''
         self.status = 200
         self.sequence = 0
+        self.size_bytes = 0
         self._changed = Event()
         self._finished = Event()
 
     def append(self, chunk: bytes) -> None:
         """Add a chunk and wake the readers."""
         self.chunks.append(chunk)
+        self.size_bytes += len(chunk)
         self._wake()
 
     def finish(self) -> None:
--- a/src/bronzepost/_internal/node/answers.py
+++ b/src/bronzepost/_internal/node/answers.py
@@ -12,6 +12,8 @@
 from bronzepost._internal.node.refusals import refuse_not_durable
 
 MAX_KEPT_ANSWERS: Final = 512
+# Of the 64 MB of a node, about 12 MB are left at idle.
+MAX_KEPT_BYTES: Final = 4_000_000
 
 
 class AnswerStore:
@@ -27,8 +29,7 @@
     def keep(self, program: str, sequence: int, stream: AnswerStream) -> None:
         """Keep an answer that is being produced."""
         self._streams_by_call[program, sequence] = stream
-        while len(self._streams_by_call) > MAX_KEPT_ANSWERS:
-            self._streams_by_call.popitem(last=False)
+        self._evict()
 
     def drop(self, program: str, sequence: int) -> None:
         """Forget an answer that ended with an error."""
@@ -59,6 +60,19 @@
         stream.sequence = sequence
         return stream
 
+    def _evict(self) -> None:
+        """Forget the oldest finished answers beyond the bounds."""
+        kept = list(self._streams_by_call.items())
+        count = len(kept)
+        size = sum(stream.size_bytes for _, stream in kept)
+        for call, stream in kept:
+            if count <= MAX_KEPT_ANSWERS and size <= MAX_KEPT_BYTES:
+                return
+            if stream.is_finished:
+                self._streams_by_call.pop(call)
+                count -= 1
+                size -= stream.size_bytes
+
 
 def _restore_answer(record: records.Record) -> AnswerStream:
     stream = AnswerStream()
