Tighten ledger tests that passed without a guard

Cause: of 22 guards removed one at a time in a trial, four failed no test: the epoch check for a boot that owns again, the call that a late outcome names, the open intent that holds a turn (its test was refused for the spending), and the facts that are kept after a takeover. Now each fails a test of its own.

--- a/tests/unit/test_ledger_journal.py
+++ b/tests/unit/test_ledger_journal.py
@@ -248,6 +248,16 @@
         state = self.second.journal.state
         self.assertIn(('p', 1), state.outcomes_by_call)
 
+    def test_frozen_owner_keeps_facts_when_it_drops_the_rest(self) -> None:
+        """Guard against an outcome that is dropped with the ownership."""
+        intent = self.announce_and_replace()
+        outcome = build_outcome(self.first, intent)
+        other = start_program(self.first, 'q')
+        self.first.submit(outcome)
+        self.first.refresh()
+        self.assertTrue(self.first.is_settled_valid(outcome.record_id))
+        self.assertFalse(self.first.settled_by_id[other.record_id].valid)
+
     def test_frozen_owner_fact_reaches_a_busy_successor(self) -> None:
         """Guard against a view that never sees an outcome of another node.
 
--- a/tests/unit/test_ledger_rules.py
+++ b/tests/unit/test_ledger_rules.py
@@ -68,6 +68,14 @@
         stream = (self.second.claim(), rival.claim(), rival.intent())
         self.assertEqual([True, False, False], self.apply(*stream))
 
+    def test_frozen_owner_old_records_after_it_owns_again(self) -> None:
+        """Guard against a delayed record of an epoch that the writer lost."""
+        late = self.first.intent()
+        self.apply(self.second.claim())
+        self.first.epoch = 3
+        valid = self.apply(self.first.claim(), late, self.first.intent())
+        self.assertEqual([True, False, True], valid)
+
     def test_order_other_boot_of_owner_cannot_write(self) -> None:
         """Guard against a frozen process whose node name was used again."""
         other = builders_records.Writer('hall-b-1', boot='other', epoch=2)
@@ -92,7 +100,7 @@
         self.apply(self.first.intent(), self.second.claim())
         self.second.count = 9
         self.assertEqual([False, False], self.apply(*later))
-        again = (self.second.turn(), self.second.intent())
+        again = (self.second.turn(spent=40), self.second.intent())
         self.assertEqual([False, False], self.apply(*again))
 
     def test_frozen_owner_outcome_is_accepted_from_an_old_epoch(self) -> None:
@@ -139,18 +147,31 @@
         self.apply(self.first.started('q', budget=9, granted=1), intent)
         self.assertEqual([False, False], self.apply(other, later))
 
+    def test_order_late_outcome_names_the_call_of_its_intent(self) -> None:
+        """Guard against a late answer that is stored for another program."""
+        intent = self.first.intent()
+        self.apply(
+            self.first.started('q', budget=9, granted=1),
+            intent,
+            self.first.about(records.CallAbandoned, intent),
+        )
+        other = self.first.about(records.Outcome, intent, program='q')
+        later = self.first.about(records.Outcome, intent, sequence=2)
+        self.assertEqual([False, False], self.apply(other, later))
+
     def test_order_key_is_found_after_a_withdrawn_use(self) -> None:
         """Guard against a second run of a call whose key was used twice."""
         first = self.first.intent()
-        again = self.first.intent()
+        again = self.first.intent(sequence=2)
         self.apply(
             first,
             self.first.about(records.IntentWithdrawn, first),
+            self.first.turn(),
             again,
             self.first.about(records.Outcome, again),
-            self.first.turn(sequence=2),
+            self.first.turn(sequence=3),
         )
-        self.assertEqual(1, self.state.find_call_by_key('p', 'k'))
+        self.assertEqual(2, self.state.find_call_by_key('p', 'k'))
 
     def test_order_key_before_an_abandoned_call(self) -> None:
         """Guard against the answer of another call for a repeated key."""
