--- /dev/null
+++ b/tests/unit/test_scheduling_retention.py
@@ -0,0 +1,128 @@
+"""Tests of retention, the cache view and the end of programs."""
+
+from testtools import TestCase
+
+from bronzepost._internal.core.scheduling.actions import (
+    ReleaseSession,
+    Retention,
+)
+from bronzepost._internal.core.scheduling.apply import apply_event
+from bronzepost._internal.core.scheduling.cache import retention
+from bronzepost._internal.core.scheduling.events import (
+    BackendServerGone,
+    CacheEventKind,
+    CacheEventSeen,
+    CallFinished,
+    PauseSeen,
+    ProgramEnded,
+)
+from bronzepost._internal.core.scheduling.policies import (
+    ProgramAware,
+    StickyFcfs,
+)
+from bronzepost._internal.core.scheduling.tables import (
+    ProgramPause,
+    SchedulingTables,
+)
+from tests.builders_scheduling import (
+    build_call,
+    build_server,
+    build_tables,
+    send_call,
+)
+
+PAUSE = ProgramPause(program_id='program', tool='tool', paused_at=10)
+
+
+def build_paused_tables(pause_seconds: float) -> SchedulingTables:
+    """Return tables under memory pressure that know the tool's pauses."""
+    tables = build_tables(build_server('one', cache_capacity=6000))
+    call = build_call(prompt_tokens=6000)
+    send_call(tables, call, 'one', call_id='a', at=0)
+    apply_event(tables, CallFinished(at=10, call_id='a', output_tokens=10))
+    for at in range(5):
+        apply_event(
+            tables, PauseSeen(at=at, tool='tool', seconds=pause_seconds)
+        )
+    return tables
+
+
+class RetentionTest(TestCase):
+    """Guard which paused programs keep their prefix."""
+
+    def test_pauses_seen_decide(self) -> None:
+        """Guard against a decision that ignores the tool's pauses."""
+        decisions = [
+            retention(ProgramAware(), build_paused_tables(seconds), PAUSE, 10)
+            for seconds in (0.1, 100)
+        ]
+        self.assertEqual([Retention.KEEP, Retention.RELEASE], decisions)
+
+    def test_pause_that_goes_on_is_released(self) -> None:
+        """Guard against a hanging tool that holds memory forever."""
+        tables = build_paused_tables(0.1)
+        decision = retention(ProgramAware(), tables, PAUSE, 1000)
+        self.assertIs(Retention.RELEASE, decision)
+
+    def test_cache_weight_keeps_longer(self) -> None:
+        """Guard against a cache weight without effect."""
+        tables = build_paused_tables(2)
+        decisions = [
+            retention(ProgramAware(cache_weight=weight), tables, PAUSE, 10)
+            for weight in (0, 1)
+        ]
+        self.assertEqual([Retention.RELEASE, Retention.KEEP], decisions)
+
+    def test_free_memory_and_baselines_keep(self) -> None:
+        """Guard against releases that nothing needs."""
+        tables = build_paused_tables(100)
+        baseline = retention(StickyFcfs(), tables, PAUSE, 10)
+        send_call(tables, build_call(), 'one', call_id='b', at=11)
+        free = retention(ProgramAware(), tables, PAUSE, 10)
+        self.assertEqual([Retention.KEEP, Retention.KEEP], [baseline, free])
+
+
+class CacheViewTest(TestCase):
+    """Guard what the scheduler believes about prefixes."""
+
+    def test_late_eviction_shortens_the_prefix(self) -> None:
+        """Guard against a prefix that is believed after its eviction."""
+        tables = build_paused_tables(1)
+        for number, left in ((1, 4010), (2, 2010)):
+            evicted = CacheEventSeen(
+                at=12,
+                backend_server_id='one',
+                number=number,
+                kind=CacheEventKind.EVICTED,
+                session='program',
+                tokens=2000,
+            )
+            apply_event(tables, evicted)
+            prefix = tables.prefixes_by_session['program']['one']
+            server = tables.backend_servers_by_id['one']
+            self.assertEqual(
+                (left, left), (prefix.tokens, server.believed_tokens)
+            )
+
+    def test_end_releases_every_copy(self) -> None:
+        """Guard against engine memory of ended programs and sub-agents."""
+        tables = build_paused_tables(1)
+        send_call(
+            tables, build_call('program.child'), 'one', call_id='b', at=11
+        )
+        apply_event(tables, CallFinished(at=12, call_id='b'))
+        actions = apply_event(tables, ProgramEnded(at=13, program_id='program'))
+        released = {
+            ReleaseSession(backend_server_id='one', session=session)
+            for session in ('program', 'program.child')
+        }
+        self.assertEqual(released, set(actions))
+        self.assertEqual({}, tables.programs_by_id)
+        self.assertEqual(0, tables.held_tokens_by_service['pool'])
+
+    def test_gone_server_loses_its_prefixes(self) -> None:
+        """Guard against calls that follow a cache that is lost."""
+        tables = build_paused_tables(1)
+        apply_event(tables, BackendServerGone(at=11, backend_server_id='one'))
+        prefixes = tables.prefixes_by_session.get('program', {})
+        self.assertEqual({}, prefixes)
