--- a/src/bronzepost/_internal/core/scheduling/cache.py
+++ b/src/bronzepost/_internal/core/scheduling/cache.py
@@ -5,10 +5,10 @@
 from .actions import Retention
 from .policies import Policy, ProgramAware
 from .speeds import prefill_seconds
-from .tables import PausesSeen, ProgramPause, SchedulingTables
+from .tables import BackendServer, PausesSeen, ProgramPause, SchedulingTables
 
-# Below this share of the engines' memory nothing needs to make room.
-PRESSURE_SHARE = 1.0
+# Below this share of an engine's memory nothing needs to make room.
+PRESSURE_SHARE = 0.7
 # The more wasted cache weighs, the later prefixes are released.
 RELEASE_WEIGHT_FACTOR = 3
 # A tool is judged by its mean pause once it was seen this often.
@@ -41,28 +41,29 @@
     program = tables.programs_by_id.get(pause.program_id)
     if program is None:
         return Retention.RELEASE
-    capacity, servers = sum_capacity(tables, program.service)
-    held = tables.held_tokens_by_service.get(program.service, 0)
-    if not servers or held < capacity * policy.memory_share * PRESSURE_SHARE:
+    server = find_holder(tables, pause.program_id)
+    if server is None or not server.cache_capacity:
+        return Retention.KEEP
+    capacity = server.cache_capacity
+    if server.believed_tokens < capacity * policy.memory_share * PRESSURE_SHARE:
         return Retention.KEEP
     # Holding h tokens for t seconds costs h * t token-seconds of memory.
     # Filling them again stops the engine's other work for h / rate seconds,
     # which costs capacity * h / rate. The two are equal at capacity / rate.
-    worth_seconds = prefill_seconds(capacity / servers)
+    worth_seconds = prefill_seconds(capacity)
     worth_seconds *= 1 + RELEASE_WEIGHT_FACTOR * policy.cache_weight
     if estimate_pause(tables, pause, at) > worth_seconds:
         return Retention.RELEASE
     return Retention.KEEP
 
 
-def sum_capacity(tables: SchedulingTables, service: str) -> tuple[int, int]:
-    """Return the cache tokens of a service's staying servers, and their count."""
-    identifiers = tables.backend_server_ids_by_service.get(service, ())
-    servers = [tables.backend_servers_by_id[each] for each in identifiers]
-    capacities = [
-        server.cache_capacity for server in servers if not server.is_leaving
-    ]
-    return sum(capacities), len(capacities)
+def find_holder(
+    tables: SchedulingTables,
+    program_id: str,
+) -> BackendServer | None:
+    """Return the server that the program's last call went to."""
+    home = tables.home_by_session.get(program_id, '')
+    return tables.backend_servers_by_id.get(home)
 
 
 def estimate_pause(
