Admit programs in progress after their partition has moved

Admission knew a program only from the scheduling tables of its node. After a handover or takeover the new owner took a half-done program for a new one, and as its prompt had grown, it could refuse it with "no_slot" for ever, even when idle. The ledger says which programs live, so it decides now. Ruled out: a runner that hangs and a session that was not released.

--- a/src/bronzepost/_internal/node/chat_calls.py
+++ b/src/bronzepost/_internal/node/chat_calls.py
@@ -14,7 +14,11 @@
 from bronzepost._internal.core.ledger.journal import Journal
 from bronzepost._internal.core.scheduling.actions import Refused
 from bronzepost._internal.core.scheduling.admission import admit
-from bronzepost._internal.core.scheduling.tables import CallRequest
+from bronzepost._internal.core.scheduling.policies import Policy
+from bronzepost._internal.core.scheduling.tables import (
+    CallRequest,
+    find_root,
+)
 from bronzepost._internal.exceptions import RefusedError, RunState
 from bronzepost._internal.node.answer_stream import AnswerStream
 from bronzepost._internal.node.backend_directory import BackendDirectory
@@ -110,7 +114,7 @@
         """Start a call of a program that this node owns."""
         request = self._ledger_request(call)
         if not self._is_repeated(journal, request):
-            self._admit(call)
+            self._admit(call, is_live=_is_live(journal, call.fields.program))
             _check_history(journal, call)
         return self._programs.begin(
             journal,
@@ -159,9 +163,11 @@
         known = journal.view.find_call_by_key(request.program, request.key)
         return bool(request.key) and known is not None
 
-    def _admit(self, call: ChatCall) -> None:
+    def _admit(self, call: ChatCall, *, is_live: bool = False) -> None:
+        # A program that another node began is not in this node's tables, but
+        # it is in progress: it only needs a runner, not a slot.
         verdict = admit(
-            call.terms.policy,
+            Policy() if is_live else call.terms.policy,
             self._directory.tables,
             self._scheduling_request(call),
             read_clock(),
@@ -252,6 +258,11 @@
         self._memory.release(call_id)
 
 
+def _is_live(journal: Journal, program: str) -> bool:
+    root = journal.view.programs_by_id.get(find_root(program))
+    return root is not None and not root.ended
+
+
 def _check_history(journal: Journal, call: ChatCall) -> list[Any]:
     """Return the messages that are new, or refuse a call that lacks some."""
     program = journal.view.programs_by_id.get(call.fields.program)
