--- a/src/bronzepost/_internal/node/chat_calls.py
+++ b/src/bronzepost/_internal/node/chat_calls.py
@@ -17,8 +17,14 @@
 from bronzepost._internal.core.scheduling.admission import admit
 from bronzepost._internal.core.scheduling.apply import apply_event
 from bronzepost._internal.core.scheduling.events import ProgramRefused
-from bronzepost._internal.core.scheduling.policies import ProgramAware
-from bronzepost._internal.core.scheduling.tables import CallRequest
+from bronzepost._internal.core.scheduling.policies import (
+    Policy,
+    ProgramAware,
+)
+from bronzepost._internal.core.scheduling.tables import (
+    CallRequest,
+    find_root,
+)
 from bronzepost._internal.exceptions import RefusedError, RunState
 from bronzepost._internal.node.answer_stream import AnswerStream
 from bronzepost._internal.node.backend_directory import BackendDirectory
@@ -123,8 +129,8 @@
         request = self._ledger_request(call)
         if not self._is_repeated(journal, request):
             self._pauses.end(request.program)
-            if request.program not in journal.view.programs_by_id:
-                self._admit(call)
+            is_live = _is_live(journal, request.program)
+            self._admit(call, is_live=is_live)
             _check_history(journal, call)
         stream = self._programs.begin(
             journal,
@@ -176,8 +182,10 @@
         known = journal.view.find_call_by_key(request.program, request.key)
         return bool(request.key) and known is not None
 
-    def _admit(self, call: ChatCall) -> None:
-        policy = call.terms.policy
+    def _admit(self, call: ChatCall, *, is_live: bool = False) -> None:
+        # A program that another node began is not in this node's tables, but
+        # it is in progress: it only needs a runner, not a slot.
+        policy = Policy() if is_live else call.terms.policy
         if isinstance(policy, ProgramAware):
             # Other nodes admit programs to the same runners.
             share = self._find_memory_share()
@@ -287,6 +295,11 @@
         self._memory.release(call_id)
 
 
+def _is_live(journal: Journal, program: str) -> bool:
+    root = journal.view.programs_by_id.get(find_root(program))
+    return root is not None and not root.ended
+
+
 def _check_history(journal: Journal, call: ChatCall) -> list[Any]:
     """Return the messages that are new, or refuse a call that lacks some."""
     program = journal.view.programs_by_id.get(call.fields.program)
