Build the admission tests with the parts of today

Cause: the test was written before calls carried a span and admission a share of the engines' memory.

--- a/tests/unit/test_program_admission.py
+++ b/tests/unit/test_program_admission.py
@@ -14,7 +14,9 @@
 from bronzepost._internal.node.caller_request import CallerFields
 from bronzepost._internal.node.chat_calls import ChatCall, ChatCalls
 from bronzepost._internal.node.chat_request import ChatRequest
+from bronzepost._internal.node.pauses import Pauses
 from tests.builders_scheduling import MODEL, SERVICE, build_server, build_tables
+from tests.builders_telemetry import build_telemetry
 
 
 def build_chat(program: str) -> ChatCall:
@@ -43,6 +45,7 @@
             policy=ProgramAware(),
         ),
         arrived_at=0,
+        span=build_telemetry().tracer.start_span('test'),
     )
 
 
@@ -78,6 +81,8 @@
             runner=unused,
             directory=directory,
             memory=unused,
+            pauses=Pauses(tables=tables, memory=unused),
+            find_memory_share=lambda: 1,
             availability_zone='zone-a',
         )
 
