State in the admission tests that the engines' memory is held

Cause: admission now lets a new program in while no program lives, however small the engines are, so the test's empty system admitted everything (2 of 3 passed). The test says what it always meant: other programs hold the memory.

--- a/tests/unit/test_program_admission.py
+++ b/tests/unit/test_program_admission.py
@@ -71,6 +71,8 @@
         """Build calls of a node that has never scheduled the program."""
         super().setUp()
         tables = build_tables(build_server('full', cache_capacity=0))
+        # The engine's memory is held by other programs that live.
+        tables.held_tokens_by_service[SERVICE] = 100
         programs: Any = SimpleNamespace(
             running_by_program={}, begin=lambda *args, **kw: AnswerStream()
         )
