Bound what an outage of the log keeps in a node's memory

Cause: limits.pending_bytes bounded only what a node holds as a mirror; its own waiting records were bounded by number, 10,000 for each partition.

Records that outlast their call are counted in bytes; above the limit a node refuses further calls of programs as not run, with a time to come back.

--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -27,6 +27,7 @@
 from bronzepost._internal.node.program_ends import ProgramEnds
 from bronzepost._internal.node.service_calls import ServiceCalls
 from bronzepost._internal.node.settlements import Settlements
+from bronzepost._internal.node.waiting import WaitingRecords
 from bronzepost._internal.settings import Settings
 from bronzepost._internal.telemetry.start import Telemetry
 
@@ -103,6 +104,7 @@
         telemetry=telemetry,
         settlements=settlements,
         mirroring=mirroring,
+        waiting=WaitingRecords(limit_bytes=settings.limits.pending_bytes),
     )
     programs = ProgramCalls(
         keeper=keeper, answers=AnswerStore(log=log), mirroring=mirroring
--- a/src/bronzepost/_internal/node/gauges.py
+++ b/src/bronzepost/_internal/node/gauges.py
@@ -95,6 +95,9 @@
         self._metrics.gauge(Metric.PROGRAMS_LIVE, live)
         self._metrics.gauge(Metric.RECORDS_PENDING, waiting)
         self._metrics.gauge(Metric.CALLS_RUNNING, running)
+        self._metrics.gauge(
+            Metric.BYTES_PENDING, self._keeper.waiting.size_bytes
+        )
 
     def _report_cluster(self) -> None:
         members = self._cluster.members.members_by_name.values()
--- a/src/bronzepost/_internal/node/journal_keeper.py
+++ b/src/bronzepost/_internal/node/journal_keeper.py
@@ -25,6 +25,7 @@
 )
 from bronzepost._internal.node.mirroring import Mirroring
 from bronzepost._internal.node.settlements import Settlement, Settlements
+from bronzepost._internal.node.waiting import WaitingRecords
 from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -47,11 +48,13 @@
         telemetry: Telemetry,
         settlements: Settlements,
         mirroring: Mirroring,
+        waiting: WaitingRecords,
     ) -> None:
         """Start with no journal."""
         self.journals_by_partition: dict[int, Journal] = {}
         self.settlements = settlements
         self.mirroring = mirroring
+        self.waiting = waiting
         self.metrics = telemetry.metrics
         self._tracer = telemetry.tracer
         self._node = node
@@ -206,6 +209,7 @@
             record=action.record_id,
             reason=action.reason,
         )
+    keeper.waiting.remove(action.record_id)
     settlement = Settlement(
         valid=action.valid, offset=action.offset, reason=action.reason
     )
--- a/src/bronzepost/_internal/node/program_calls.py
+++ b/src/bronzepost/_internal/node/program_calls.py
@@ -116,6 +116,9 @@
         running = self._wait_for_turn(call, deadline_at)
         if running is not None:
             return running.stream
+        if self.keeper.waiting.is_full:
+            emit(LogEvent.PENDING_FULL, bytes=self.keeper.waiting.size_bytes)
+            raise refuse_not_durable('too much waits', RunState.NOT_RUN)
         lost_units = self._lost_units_by_program.get(call.program, 0)
         reserved = dataclasses.replace(
             call,
@@ -237,6 +240,8 @@
         if is_down and not self._mirroring.has_mirror(journal):
             seconds = 0
         settled = self.keeper.settlements.wait([record.record_id], seconds)
+        if not settled or settled[0].offset < 0:
+            self.keeper.waiting.add(record)
         if not settled:
             emit(LogEvent.ANSWER_NOT_DURABLE, program=owned.call.program)
             owned.stream.is_durable = False
--- a/src/bronzepost/_internal/telemetry/catalogue.py
+++ b/src/bronzepost/_internal/telemetry/catalogue.py
@@ -49,6 +49,7 @@
     LOG_APPENDS = COUNTER, 'appends', 'Appends accepted by the log.'
     LOG_ERRORS = COUNTER, 'appends', 'Appends without a good answer.'
     LOG_APPEND_TIME = TIMING, MILLISECONDS, 'Append to its answer.'
+    BYTES_PENDING = GAUGE, BYTES, 'Size of the records that wait.'
     RECORDS_PENDING = GAUGE, RECORDS, 'Records that wait for the log.'
     RECORDS_INVALID = COUNTER, RECORDS, 'Records of another epoch.'
 
--- a/tests/functional/test_stale_owner.py
+++ b/tests/functional/test_stale_owner.py
@@ -18,6 +18,7 @@
 from bronzepost._internal.node.partitions import Partitions
 from bronzepost._internal.node.program_calls import ProgramCalls
 from bronzepost._internal.node.settlements import Settlements
+from bronzepost._internal.node.waiting import WaitingRecords
 from tests.builders_telemetry import build_telemetry
 from tests.functional.standin_processes import running_standin
 
@@ -58,6 +59,7 @@
         telemetry=build_telemetry(),
         settlements=settlements,
         mirroring=mirroring,
+        waiting=WaitingRecords(limit_bytes=1000),
     )
 
 
