Hold back new calls of a partition that is handed over

Cause: a draining node releases a partition only when no call is under way in it. With a few programs in one partition that never happened, and the calls in progress were cut at the end of the drain.

Ruled out: refusing the calls at once; a caller of a short turn would wait for its retry. Calls of a program tree with a call under way are not held, since a tool call may wait for those of a sub-agent. A call is held for at most 5 s and then refused as not_run.

--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -2,11 +2,8 @@
 
 import dataclasses
 import secrets
-from collections.abc import Callable
 from typing import Final
 
-from bronzepost._internal.core.ledger.journal import Journal
-from bronzepost._internal.core.rendezvous import partition_of
 from bronzepost._internal.core.retry_budget import RetryBudget
 from bronzepost._internal.core.scheduling.tables import SchedulingTables
 from bronzepost._internal.node.answers import AnswerStore
@@ -139,7 +136,7 @@
             keeper=storage.keeper,
             list_serving=cluster.list_serving,
             list_live=cluster.list_live,
-            has_running_call=_running_call_check(storage),
+            list_running=lambda: storage.programs.running_by_program,
         ),
         ends=ProgramEnds(keeper=storage.keeper, memory=runners.memory),
         forwarder=Forwarder(
@@ -159,16 +156,6 @@
     return sorted(pairs)
 
 
-def _running_call_check(storage: Storage) -> Callable[[Journal], bool]:
-    def has_running_call(journal: Journal) -> bool:  # noqa: WPS430
-        return any(
-            storage.keeper.find_journal(partition_of(program)) is journal
-            for program in storage.programs.running_by_program
-        )
-
-    return has_running_call
-
-
 def _read_distances(settings: Settings) -> dict[tuple[str, str], float]:
     seconds_by_pair: dict[tuple[str, str], float] = {}
     for distance in settings.distances:
--- a/src/bronzepost/_internal/node/partitions.py
+++ b/src/bronzepost/_internal/node/partitions.py
@@ -31,6 +31,8 @@
 
 CLAIM_SECONDS: Final = 2.0
 CATCH_UP_SECONDS: Final = 0.5
+HOLD_SECONDS: Final = 5.0
+HOLD_POLL_SECONDS: Final = 0.02
 # A node that has just joined may leave again soon; handing partitions over to
 # it costs each program an append.
 STABLE_SECONDS: Final = 5.0
@@ -50,14 +52,14 @@
         keeper: JournalKeeper,
         list_serving: Callable[[], Collection[str]],
         list_live: Callable[[], Collection[str]],
-        has_running_call: Callable[[Journal], bool],
+        list_running: Callable[[], Collection[str]],
     ) -> None:
         """Start owning nothing."""
         self._node = node
         self._keeper = keeper
         self._list_serving = list_serving
         self._list_live = list_live
-        self._has_running_call = has_running_call
+        self._list_running = list_running
         self._serving: frozenset[str] = frozenset()
         self._serving_since = read_clock()
         self._refreshed_at = read_clock()
@@ -96,6 +98,30 @@
             raise refuse_no_owner(partition, reason)
         return journal, route
 
+    def find_begin_route(self, program: str) -> tuple[Journal, Route]:
+        """Return a program's journal and where its next call is served.
+
+        A draining owner holds the call back until it has released the
+        partition. Otherwise a partition with enough programs would never be
+        without a call under way.
+
+        Raises:
+            RefusedError: if nobody can serve the call now; nothing was run.
+        """
+        journal, route = self.find_route(program)
+        is_held = self.is_draining and isinstance(route, ServeHere)
+        if not is_held or not self._list_serving():
+            return journal, route
+        end = read_clock() + HOLD_SECONDS
+        while journal.is_owner and read_clock() < end:
+            if self._has_running_root(program):
+                return journal, route
+            gevent.sleep(HOLD_POLL_SECONDS)
+        if journal.is_owner:
+            reason = 'it is handed over after its calls in progress'
+            raise refuse_no_owner(partition_of(program), reason)
+        return self.find_route(program)
+
     def tick(self) -> None:
         """Claim and release what is due."""
         serving = frozenset(self._list_serving())
@@ -136,6 +162,23 @@
         first = first_choice(journal.stream, self._list_serving())
         return first == self._node
 
+    def _has_running_call(self, journal: Journal) -> bool:
+        return any(
+            self._keeper.find_journal(partition_of(program)) is journal
+            for program in self._list_running()
+        )
+
+    def _has_running_root(self, program: str) -> bool:
+        """Return whether a call of the program's tree is under way.
+
+        A tool call may wait for the calls of a sub-agent.
+        """
+        root = program.partition('.')[0]
+        return any(
+            running.partition('.')[0] == root
+            for running in self._list_running()
+        )
+
     def _route(self, journal: Journal) -> Route:
         return route_call(self._view(journal), self._list_serving())
 
