--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -25,6 +25,7 @@
     SERVICE,
     find_runner,
     has_settled,
+    list_siblings,
     place_program,
     running_cluster,
 )
@@ -35,7 +36,9 @@
 # A caller keeps an endpoint answer for 5 s.
 OLD_ANSWER_SECONDS = 2.0
 LONG_ANSWER = 50
-STOP_SECONDS = 60
+STOP_SECONDS = 40
+# Answers of different lengths, so that the programs are never all idle.
+BUSY_TOKENS = (11, 17, 23, 31, 37)
 
 
 class Traffic:
@@ -94,6 +97,18 @@
     return caller.open_stream(node.caller_address, 'go').read(tokens=1)
 
 
+def keep_busy(
+    node: Node, program: str, tokens: int, is_stopped: threading.Event
+) -> set[int]:
+    """Make turns one after another; return the statuses of the answers."""
+    caller = ProgramCaller(program=program, model=MODEL, max_tokens=tokens)
+    statuses: set[int] = set()
+    while not is_stopped.is_set():
+        answer = retry(caller.ask, node.caller_address, 'more')
+        statuses.add(answer.status)
+    return statuses
+
+
 class PlannedStopTest(TestCase):
     """Guard requests in progress, and runners that are about to stop."""
 
@@ -132,9 +147,9 @@
         """Guard against streams and calls that a planned stop cuts.
 
         A caller with an old endpoint answer opens a stream at the node that
-        is stopping.
+        is stopping, and other programs of its partition are never all idle.
         """
-        with running_cluster(2) as run, ThreadPoolExecutor(2) as pool:
+        with running_cluster(2) as run, ThreadPoolExecutor(10) as pool:
             has_all_settled = partial(has_settled, run)
             for turn in range(2):
                 program, owner, (other,) = place_program(run, f'drain{turn}')
@@ -156,6 +171,16 @@
                 reading = [
                     pool.submit(stream.read) for stream in (*streams, alone)
                 ]
+                is_stopped = threading.Event()
+                busy = [
+                    pool.submit(keep_busy, other, name, tokens, is_stopped)
+                    for name, tokens in zip(
+                        list_siblings(program, len(BUSY_TOKENS)),
+                        BUSY_TOKENS,
+                        strict=True,
+                    )
+                ]
+                time.sleep(LATER_SECONDS)
                 owner.terminate()
                 time.sleep(OLD_ANSWER_SECONDS)
                 caller = ProgramCaller(program=program, model=MODEL)
@@ -167,6 +192,10 @@
                 for stream in streams:
                     self.assertEqual(LONG_ANSWER, len(stream.tokens))
                     self.assertTrue(stream.is_complete, str(stream.error))
-                self.assertEqual(0, owner.process.wait_ended(STOP_SECONDS))
+                code = owner.process.wait_ended(STOP_SECONDS)
+                is_stopped.set()
+                self.assertEqual(0, code)
+                statuses = [future.result() for future in busy]
+                self.assertTrue(all(got == {200} for got in statuses))
                 run.start_node(owner)
                 self.assertTrue(wait_until(has_all_settled))
