--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -5,8 +5,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from bronzepost._internal.core.ledger.journal import Journal
-from bronzepost._internal.core.rendezvous import PARTITION_COUNT, partition_of
+from bronzepost._internal.core.rendezvous import PARTITION_COUNT
 from bronzepost._internal.core.retry_budget import RetryBudget
 from bronzepost._internal.core.scheduling.tables import SchedulingTables
 from bronzepost._internal.node.answers import AnswerStore
@@ -176,7 +175,7 @@
         list_serving=cluster.list_serving,
         list_boots=cluster.list_boots,
         may_claim=cluster.may_claim,
-        has_running_call=_running_call_check(storage),
+        list_running=lambda: storage.programs.running_by_program,
     )
     owners = Owners(
         find_owner=partitions.find_owner,
@@ -214,16 +213,6 @@
     return find_memory_share
 
 
-def _running_call_check(storage: Storage) -> Callable[[Journal], bool]:
-    def has_running_call(journal: Journal) -> bool:  # noqa: WPS430
-        return any(
-            storage.keeper.find_journal(partition_of(program)) is journal
-            for program in storage.programs.running_by_program
-        )
-
-    return has_running_call
-
-
 def _read_distances(settings: Settings) -> dict[tuple[str, str], float]:
     seconds_by_pair: dict[tuple[str, str], float] = {}
     for distance in settings.distances:
--- a/src/bronzepost/_internal/node/partitions.py
+++ b/src/bronzepost/_internal/node/partitions.py
@@ -1,6 +1,6 @@
 """Claim the partitions that this node should own, and hand others over."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
 import gevent
@@ -15,6 +15,7 @@
     ClaimHere,
     PartitionView,
     Route,
+    ServeHere,
     first_choice,
     route_call,
     should_claim,
@@ -29,6 +30,8 @@
 
 CLAIM_SECONDS: Final = 2.0
 CATCH_UP_SECONDS: Final = 0.5
+HOLD_SECONDS: Final = 5.0
+HOLD_POLL_SECONDS: Final = 0.02
 # A node that has just joined may leave again soon; handing partitions over to
 # it costs each program an append.
 STABLE_SECONDS: Final = 5.0
@@ -50,7 +53,7 @@
         list_serving: Callable[[], frozenset[str]],
         list_boots: Callable[[], Mapping[str, str]],
         may_claim: Callable[[], bool],
-        has_running_call: Callable[[Journal], bool],
+        list_running: Callable[[], Collection[str]],
     ) -> None:
         """Start owning nothing."""
         self._node = node
@@ -58,7 +61,7 @@
         self._list_serving = list_serving
         self._may_claim = may_claim
         self._list_boots = list_boots
-        self._has_running_call = has_running_call
+        self._list_running = list_running
         self._serving: frozenset[str] = frozenset()
         self._serving_since = read_clock()
         self._refreshed_at = read_clock()
@@ -96,6 +99,30 @@
             raise refuse_no_owner(partition, 'the claim is not on the log')
         return journal, route
 
+    def find_begin_route(self, program: str) -> tuple[Journal, Route]:
+        """Return a program's journal and where its next call is served.
+
+        A draining owner holds the call back until it has released the
+        partition. Otherwise a partition with enough programs would never be
+        without a call under way.
+
+        Raises:
+            RefusedError: if nobody can serve the call now; nothing was run.
+        """
+        journal, route = self.find_route(program)
+        is_held = self.is_draining and isinstance(route, ServeHere)
+        if not is_held or not self._list_serving():
+            return journal, route
+        end = read_clock() + HOLD_SECONDS
+        while journal.is_owner and read_clock() < end:
+            if self._has_running_root(program):
+                return journal, route
+            gevent.sleep(HOLD_POLL_SECONDS)
+        if journal.is_owner:
+            reason = 'it is handed over after its calls in progress'
+            raise refuse_no_owner(partition_of(program), reason)
+        return self.find_route(program)
+
     def tick(self) -> None:
         """Claim and release what is due."""
         if not self._may_claim():
@@ -146,6 +173,23 @@
         boot = journal.state.claim_id.partition('-')[0]
         return self._list_boots().get(journal.state.owner) == boot
 
+    def _has_running_call(self, journal: Journal) -> bool:
+        return any(
+            self._keeper.find_journal(partition_of(program)) is journal
+            for program in self._list_running()
+        )
+
+    def _has_running_root(self, program: str) -> bool:
+        """Return whether a call of the program's tree is under way.
+
+        A tool call may wait for the calls of a sub-agent.
+        """
+        root = program.partition('.')[0]
+        return any(
+            running.partition('.')[0] == root
+            for running in self._list_running()
+        )
+
     def _route(self, journal: Journal) -> Route:
         return route_call(self._view(journal), self._list_serving())
 
--- a/tests/functional/test_stale_owner.py
+++ b/tests/functional/test_stale_owner.py
@@ -39,7 +39,7 @@
         list_serving=lambda: frozenset(('node-a', 'node-b')),
         list_boots=lambda: {'node-a': 'a1', 'node-b': 'b1'},
         may_claim=lambda: True,
-        has_running_call=lambda journal: False,
+        list_running=tuple,
     )
 
 
