Read only the partitions that a node claims

Ruled out: the claim needs no earlier read, since it reads the partition first.

A node that owns nothing no longer notices a log outage by itself.

--- a/src/bronzepost/_internal/node/journal_keeper.py
+++ b/src/bronzepost/_internal/node/journal_keeper.py
@@ -77,8 +77,15 @@
         self.put(journal, events.RefreshWanted(at=read_clock()))
 
     def tick(self) -> None:
-        """Do the periodic work of all journals."""
+        """Do the periodic work of the journals that have any.
+
+        A journal that was only looked up is not read. Otherwise each node
+        would load the programs of all partitions: 44 MB at a restart with
+        4,000 programs of two turns.
+        """
         for journal in list(self.journals_by_partition.values()):
+            if not _has_work(journal):
+                continue
             if is_checkpoint_due(journal):
                 submit_record(journal, build_checkpoint(journal))
             self.send(journal)
@@ -141,6 +148,11 @@
             gevent.sleep(_POLL_SECONDS)
 
 
+def _has_work(journal: Journal) -> bool:
+    is_reading = journal.requests.refresh_wanted
+    return journal.is_owner or is_reading or not journal.is_settled
+
+
 @functools.singledispatch
 def carry_out(
     action: events.Action, keeper: JournalKeeper, journal: Journal
--- /dev/null
+++ b/tests/unit/test_journal_keeper.py
@@ -0,0 +1,42 @@
+"""Tests of which journals the periodic work touches."""
+
+from testtools import TestCase
+
+from bronzepost._internal.node.http_exchange import HttpPeer
+from bronzepost._internal.node.journal_keeper import JournalKeeper
+from bronzepost._internal.node.log_client import LogClient
+from bronzepost._internal.telemetry.metrics import open_metrics
+from bronzepost._internal.telemetry.spans import NoSpans, Tracer
+from bronzepost._internal.telemetry.start import Telemetry
+
+
+def build_keeper() -> JournalKeeper:
+    """Return a keeper whose log is never asked."""
+    return JournalKeeper(
+        node='hall-a-1',
+        boot='4f1c',
+        log=LogClient(peer=HttpPeer(address='127.0.0.1:1')),
+        telemetry=Telemetry(
+            metrics=open_metrics(address='', node='hall-a-1'),
+            tracer=Tracer(sink=NoSpans()),
+        ),
+    )
+
+
+class TickTest(TestCase):
+    """Guard what a node reads that owns few partitions."""
+
+    def test_tick_does_not_read_what_was_only_looked_up(self) -> None:
+        """Guard against nodes that load the programs of all partitions."""
+        keeper = build_keeper()
+        journal = keeper.find_journal(7)
+        keeper.tick()
+        self.assertFalse(journal.requests.busy)
+
+    def test_tick_goes_on_with_a_read_that_failed(self) -> None:
+        """Guard against a partition that is never loaded after an outage."""
+        keeper = build_keeper()
+        journal = keeper.find_journal(7)
+        journal.requests.refresh_wanted = True
+        keeper.tick()
+        self.assertTrue(journal.requests.busy)
