Let the first choice see that a partition was handed over

Cause: a node re-reads only the partitions that it owns. When an owner hands a partition over to a node that has joined, the first choice goes on forwarding to the old owner by what it read before, and the old owner forwards back. The partition stays without an owner until the old owner's process ends.

--- a/src/bronzepost/_internal/node/partitions.py
+++ b/src/bronzepost/_internal/node/partitions.py
@@ -97,7 +97,7 @@
             self._serving_since = read_clock()
         is_stable = read_clock() - self._serving_since >= STABLE_SECONDS
         may_release = is_stable or self.is_draining
-        self._refresh_owned()
+        self._refresh_own(serving)
         for partition in range(PARTITION_COUNT):
             journal = self._keeper.find_journal(partition)
             view = self._view(journal)
@@ -144,14 +144,18 @@
             route = self._route(journal)
         return route
 
-    def _refresh_owned(self) -> None:
+    def _refresh_own(self, serving: Serving) -> None:
         # An owner that was paused or cut off learns from the log alone that
-        # another node has claimed its partition.
+        # another node has claimed its partition, and the first choice learns
+        # from it that the owner has handed the partition over.
         if read_clock() < self._refresh_at:
             return
         self._refresh_at = read_clock() + REFRESH_SECONDS
-        for journal in self._keeper.owned_journals():
-            self._keeper.refresh(journal)
+        for partition in range(PARTITION_COUNT):
+            journal = self._keeper.find_journal(partition)
+            is_first = first_choice(journal.stream, serving) == self._node
+            if journal.is_owner or is_first:
+                self._keeper.refresh(journal)
 
     def _release(self, journal: Journal) -> None:
         """Return unused allowances and give the partition up.
--- a/tests/unit/test_journal_keeper.py
+++ b/tests/unit/test_journal_keeper.py
@@ -3,9 +3,11 @@
 from testtools import TestCase
 
 from bronzepost._internal.core.ownership import first_choice
+from bronzepost._internal.core.rendezvous import PARTITION_COUNT
 from bronzepost._internal.node.http_exchange import HttpPeer
 from bronzepost._internal.node.journal_keeper import JournalKeeper
 from bronzepost._internal.node.log_client import LogClient
+from bronzepost._internal.node.partitions import Partitions
 from bronzepost._internal.telemetry.metrics import open_metrics
 from bronzepost._internal.telemetry.spans import NoSpans, Tracer
 from bronzepost._internal.telemetry.start import Telemetry
@@ -43,6 +45,31 @@
         self.assertTrue(journal.requests.busy)
 
 
+class RefreshTest(TestCase):
+    """Guard what a node reads again of the partitions of others."""
+
+    def test_first_choice_reads_what_another_owns(self) -> None:
+        """Guard against a handed-over partition that nobody claims."""
+        keeper = build_keeper()
+        serving = {'hall-a-1': 'x', 'hall-b-1': 'y'}
+        for partition in range(PARTITION_COUNT):
+            journal = keeper.find_journal(partition)
+            journal.loading.done = True
+            journal.state.owner = 'hall-b-1'
+            journal.state.claim_id = 'y-stream-1'
+        partitions = Partitions(
+            node='hall-a-1',
+            keeper=keeper,
+            list_serving=lambda: serving,
+            may_claim=lambda: True,
+            has_running_call=lambda _journal: False,
+        )
+        partitions.tick()
+        for journal in keeper.journals_by_partition.values():
+            is_first = first_choice(journal.stream, serving) == 'hall-a-1'
+            self.assertEqual(is_first, journal.requests.busy)
+
+
 class FirstChoiceTest(TestCase):
     """Guard the first choice, which is kept from check to check."""
 
