Tell refused programs further back to come later

Cause: each program at peak was refused about 64 times, every 5 s. The benchmark gives each of k nodes a memory share of 1 / k.

--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -91,7 +91,7 @@
             deployment=self._deployment,
         )
         self.dispatchers = [
-            self._build_dispatcher(case.policy) for _ in range(case.nodes)
+            self._build_dispatcher(case) for _ in range(case.nodes)
         ]
         self._left = len(self.trace.programs) + len(self.trace.lookups)
 
@@ -113,11 +113,13 @@
         self._report_loads()
         self._clock.run(self.trace.shape.seconds + DRAIN_SECONDS)
 
-    def _build_dispatcher(self, policy: str) -> Dispatcher:
+    def _build_dispatcher(self, case: Case) -> Dispatcher:
         return Dispatcher(
             clock=self._clock,
             policy=make_policy(
-                policy, cache_weight=self._deployment.cache_weight
+                case.policy,
+                cache_weight=self._deployment.cache_weight,
+                memory_share=1 / case.nodes,
             ),
             tables=SchedulingTables(
                 zone_seconds_by_pair=build_distances(self._deployment)
--- a/src/bronzepost/_internal/core/scheduling/admission.py
+++ b/src/bronzepost/_internal/core/scheduling/admission.py
@@ -10,6 +10,9 @@
 
 NO_SERVER_RETRY_SECONDS = 2.0
 DEFAULT_RETRY_SECONDS = 5.0
+LONGEST_RETRY_SECONDS = 60.0
+# A line as long as the engines' memory takes about half a minute.
+RETRY_GROWTH = 6.0
 RETURN_GRACE_SECONDS = 5.0
 # A program's history grows; its first prompt is about a third of it.
 NEW_PROGRAM_GROWTH = 3
@@ -64,7 +67,7 @@
         return decision
     return Refused(
         reason=RefusalReason.NO_SLOT,
-        retry_after_seconds=estimate_retry_seconds(tables, call),
+        retry_after_seconds=estimate_retry_seconds(tables, call, ahead),
     )
 
 
@@ -115,6 +118,18 @@
 def estimate_retry_seconds(
     tables: SchedulingTables,
     call: CallRequest,
+    ahead: int,
 ) -> float:
-    """Return when a refused program should come again."""
-    return DEFAULT_RETRY_SECONDS
+    """Return when a refused program should come again.
+
+    The first in line come often, so that freed memory is not left unused. The
+    others come less often the more tokens are ahead of them.
+    """
+    capacity = sum(
+        server.cache_capacity for server in list_candidates(tables, call)
+    )
+    lines = ahead / max(capacity, 1)
+    return min(
+        DEFAULT_RETRY_SECONDS * (1 + RETRY_GROWTH * lines),
+        LONGEST_RETRY_SECONDS,
+    )
--- a/src/bronzepost/_internal/core/scheduling/policies.py
+++ b/src/bronzepost/_internal/core/scheduling/policies.py
@@ -36,7 +36,12 @@
     memory_share: float = 1.0
 
 
-def make_policy(name: str, *, cache_weight: float) -> Policy:
+def make_policy(
+    name: str,
+    *,
+    cache_weight: float,
+    memory_share: float = 1.0,
+) -> Policy:
     """Return the policy that the setting ``policy`` names.
 
     Raises ``KeyError`` for a name that is not a policy.
@@ -45,6 +50,8 @@
         'round_robin': RoundRobin(),
         'least_outstanding': LeastOutstanding(),
         'sticky_fcfs': StickyFcfs(),
-        'program_aware': ProgramAware(cache_weight=cache_weight),
+        'program_aware': ProgramAware(
+            cache_weight=cache_weight, memory_share=memory_share
+        ),
     }
     return policies_by_name[name]
