--- a/capacity/measure_tick.py
+++ b/capacity/measure_tick.py
@@ -5,13 +5,15 @@
 from typing import Final
 
 from bronzepost._internal.core import membership
-from bronzepost._internal.core.ledger.journal import Journal
 from bronzepost._internal.core.membership.entities import entry_of
 from bronzepost._internal.node.http_exchange import HttpPeer
 from bronzepost._internal.node.journal_keeper import JournalKeeper
 from bronzepost._internal.node.log_client import LogClient
+from bronzepost._internal.node.mirroring import Mirroring
 from bronzepost._internal.node.node import PARTITION_SECONDS, TICK_SECONDS
 from bronzepost._internal.node.partitions import Partitions
+from bronzepost._internal.node.settlements import Settlements
+from bronzepost._internal.node.waiting import WaitingRecords
 from bronzepost._internal.telemetry.metrics import open_metrics
 from bronzepost._internal.telemetry.spans import NoSpans, Tracer
 from bronzepost._internal.telemetry.start import Telemetry
@@ -26,6 +28,7 @@
 PINGS_EVERY: Final = 10
 # The node is not among the members, so it has nothing to claim.
 OBSERVER: Final = 'observer'
+NOWHERE: Final = '127.0.0.1:1'
 
 
 def measure_tick() -> Iterable[Row]:
@@ -76,13 +79,24 @@
 
 def build_keeper() -> JournalKeeper:
     """Return a keeper with all partitions read and none owned."""
-    log = LogClient(peer=HttpPeer(address='127.0.0.1:1'))
     telemetry = Telemetry(
         metrics=open_metrics(address='', node=OBSERVER),
         tracer=Tracer(sink=NoSpans()),
     )
+    settlements = Settlements()
     keeper = JournalKeeper(
-        node=OBSERVER, boot=BOOT, log=log, telemetry=telemetry
+        node=OBSERVER,
+        boot=BOOT,
+        log=LogClient(peer=HttpPeer(address=NOWHERE)),
+        telemetry=telemetry,
+        settlements=settlements,
+        mirroring=Mirroring(
+            node=OBSERVER,
+            peer_address=NOWHERE,
+            settlements=settlements,
+            limit_bytes=0,
+        ),
+        waiting=WaitingRecords(limit_bytes=0),
     )
     for partition in range(scale.PARTITIONS):
         keeper.find_journal(partition).loading.done = True
@@ -90,21 +104,19 @@
 
 
 def _partition_share(members: int) -> float:
-    tables = build_members(members)
+    boots = dict(list_serving(build_members(members)))
+    serving = frozenset(boots)
     partitions = Partitions(
         node=OBSERVER,
         keeper=build_keeper(),
-        list_serving=lambda: list_serving(tables),
+        list_serving=lambda: serving,
+        list_boots=lambda: boots,
         may_claim=lambda: True,
-        has_running_call=_has_no_call,
+        list_running=tuple,
     )
     return _measure_share(partitions.tick, PARTITION_SECONDS)
 
 
-def _has_no_call(_journal: Journal) -> bool:
-    return False
-
-
 def _keeper_share() -> float:
     return _measure_share(build_keeper().tick, TICK_SECONDS)
 
