Forget partitions of others, and let dormant programs hold no slot

An unknown model was a 429 as well.

Journals of partitions that others own are dropped, not while a claim is under way, and record numbers go on. A program that has not come back for 120 s takes no part of the engines' memory; the ledger still knows it. An unknown model is 404 model_not_found, a service without runners 503.

--- /dev/null
+++ b/src/bronzepost/_internal/core/ledger/handover.py
@@ -0,0 +1,39 @@
+"""Give a partition up, so that another node can claim it at once."""
+
+from bronzepost._internal.core.ledger import records
+from bronzepost._internal.core.ledger.journal import (
+    Journal,
+    build_checkpoint,
+    submit_record,
+)
+from bronzepost._internal.core.ledger.state import ProgramEntry
+
+
+def submit_release(journal: Journal) -> None:
+    """Return unused allowances, write a checkpoint and release.
+
+    No call of the partition may be under way: its allowance would be returned
+    while it spends from it.
+    """
+    for program in list(journal.view.programs_by_id.values()):
+        if program.allowance and not program.ended:
+            submit_record(journal, _return_allowance(journal, program))
+    submit_record(journal, build_checkpoint(journal))
+    released = records.PartitionReleased(
+        record_id=journal.next_record_id(),
+        epoch=journal.view.epoch,
+        node=journal.node,
+    )
+    submit_record(journal, released)
+
+
+def _return_allowance(
+    journal: Journal, program: ProgramEntry
+) -> records.Record:
+    return records.AllowanceReleased(
+        record_id=journal.next_record_id(),
+        epoch=journal.view.epoch,
+        node=journal.node,
+        program=program.program,
+        granted=program.spent,
+    )
--- a/src/bronzepost/_internal/node/chat_calls.py
+++ b/src/bronzepost/_internal/node/chat_calls.py
@@ -203,7 +203,7 @@
             prompt_tokens=request.prompt_tokens,
         )
         apply_event(tables, refused)
-        raise refuse_admission(verdict)
+        raise refuse_admission(verdict, request.service, request.model)
 
     def _scheduling_request(
         self, call: ChatCall, session: str = ''
--- a/src/bronzepost/_internal/node/journal_keeper.py
+++ b/src/bronzepost/_internal/node/journal_keeper.py
@@ -57,6 +57,7 @@
         self.waiting = waiting
         self.metrics = telemetry.metrics
         self._tracer = telemetry.tracer
+        self._record_counts_by_partition: dict[int, int] = {}
         self._node = node
         self._boot = boot
         self._log = log
@@ -69,10 +70,25 @@
                 stream=f'programs-{partition:02}',
                 node=self._node,
                 boot=self._boot,
+                # The identifiers of records must not be given out again.
+                record_count=self._record_counts_by_partition.get(partition, 0),
             )
             self.journals_by_partition[partition] = journal
         return journal
 
+    def forget_journal(self, partition: int) -> None:
+        """Drop what is known of a partition that others own.
+
+        If this node claims the partition later, it reads on from the last
+        checkpoint instead of from where it stopped long ago. A journal with
+        records or requests under way stays.
+        """
+        journal = self.journals_by_partition.get(partition)
+        if journal is None or not _is_unused(journal):
+            return
+        self._record_counts_by_partition[partition] = journal.record_count
+        self.journals_by_partition.pop(partition)
+
     def owned_journals(self) -> list[Journal]:
         """Return the journals of the partitions that this node owns."""
         journals = self.journals_by_partition.values()
@@ -183,6 +199,11 @@
             gevent.sleep(_POLL_SECONDS)
 
 
+def _is_unused(journal: Journal) -> bool:
+    is_read = journal.loading.done and not journal.requests.busy
+    return is_read and journal.is_settled and not journal.is_owner
+
+
 def _has_work(journal: Journal) -> bool:
     is_reading = journal.requests.refresh_wanted
     return journal.is_owner or is_reading or not journal.is_settled
--- a/src/bronzepost/_internal/node/partitions.py
+++ b/src/bronzepost/_internal/node/partitions.py
@@ -1,16 +1,14 @@
 """Claim the partitions that this node should own, and hand others over."""
 
+from collections import Counter
 from collections.abc import Callable, Collection, Mapping
+from contextlib import ExitStack
 from typing import Final
 
 import gevent
 
-from bronzepost._internal.core.ledger import records
-from bronzepost._internal.core.ledger.journal import (
-    Journal,
-    build_checkpoint,
-    submit_record,
-)
+from bronzepost._internal.core.ledger.handover import submit_release
+from bronzepost._internal.core.ledger.journal import Journal
 from bronzepost._internal.core.ownership import (
     ClaimHere,
     PartitionView,
@@ -65,7 +63,7 @@
         self._serving: frozenset[str] = frozenset()
         self._serving_since = read_clock()
         self._refreshed_at: float = 0
-        self._claiming: set[int] = set()
+        self._claiming: Counter[int] = Counter()
         self.is_draining = False
 
     def find_owner(self, program: str) -> str:
@@ -94,7 +92,7 @@
             return journal, route
         if not self._may_claim():
             raise refuse_no_owner(partition, 'this node has just started')
-        route = self._claim(journal)
+        route = self._claim(partition, journal)
         if isinstance(route, ClaimHere):
             raise refuse_no_owner(partition, 'the claim is not on the log')
         return journal, route
@@ -135,12 +133,7 @@
         self._refresh(is_stable=is_stable)
         may_release = is_stable or self.is_draining
         for partition in range(PARTITION_COUNT):
-            journal = self._keeper.find_journal(partition)
-            view = self._view(journal)
-            if should_claim(view, serving):
-                self._start_claim(partition, journal)
-            elif may_release and should_release(view, serving):
-                self._release(journal)
+            self._tend(partition, may_release=may_release)
 
     def release_all(self) -> bool:
         """Hand over what has no call under way; return if nothing is left."""
@@ -148,6 +141,18 @@
             self._release(journal)
         return not self._keeper.owned_journals()
 
+    def _tend(self, partition: int, *, may_release: bool) -> None:
+        journal = self._keeper.find_journal(partition)
+        view = self._view(journal)
+        if should_claim(view, self._serving):
+            self._start_claim(partition, journal)
+        elif may_release and should_release(view, self._serving):
+            self._release(journal)
+        elif partition not in self._claiming:
+            # Only the first choice may have to claim a partition of others.
+            if first_choice(journal.stream, self._serving) != self._node:
+                self._keeper.forget_journal(partition)
+
     def _refresh(self, *, is_stable: bool) -> None:
         """Read the partitions of which this node may have a wrong view."""
         seconds = REFRESH_SECONDS if is_stable else UNSETTLED_REFRESH_SECONDS
@@ -173,12 +178,6 @@
         boot = journal.state.claim_id.partition('-')[0]
         return self._list_boots().get(journal.state.owner) == boot
 
-    def _has_running_call(self, journal: Journal) -> bool:
-        return any(
-            self._keeper.find_journal(partition_of(program)) is journal
-            for program in self._list_running()
-        )
-
     def _route(self, journal: Journal) -> Route:
         return route_call(self._view(journal), self._list_serving())
 
@@ -192,52 +191,36 @@
         )
 
     def _start_claim(self, partition: int, journal: Journal) -> None:
-        if partition in self._claiming or self.is_draining:
-            return
-        self._claiming.add(partition)
-        gevent.spawn(self._claim_in_background, partition, journal)
-
-    def _claim_in_background(self, partition: int, journal: Journal) -> None:
-        self._claim(journal)
-        self._claiming.discard(partition)
+        if partition not in self._claiming and not self.is_draining:
+            gevent.spawn(self._claim, partition, journal)
 
-    def _claim(self, journal: Journal) -> Route:
+    def _claim(self, partition: int, journal: Journal) -> Route:
         """Read the partition, then claim it if nobody serves it."""
-        if not self._keeper.catch_up(journal, CLAIM_SECONDS):
-            return ClaimHere()
-        route = self._route(journal)
-        if isinstance(route, ClaimHere):
-            self._keeper.claim(journal, CLAIM_SECONDS)
+        self._claiming[partition] += 1
+        with ExitStack() as stack:
+            stack.callback(self._end_claim, partition)
+            if not self._keeper.catch_up(journal, CLAIM_SECONDS):
+                return ClaimHere()
             route = self._route(journal)
-        return route
+            if isinstance(route, ClaimHere):
+                self._keeper.claim(journal, CLAIM_SECONDS)
+                route = self._route(journal)
+            return route
 
-    def _release(self, journal: Journal) -> None:
-        """Return unused allowances and give the partition up.
+    def _end_claim(self, partition: int) -> None:
+        self._claiming[partition] -= 1
+        if not self._claiming[partition]:
+            self._claiming.pop(partition)
 
-        Nothing is released while a call is under way, so that no request in
-        progress is cut.
-        """
-        if self._has_running_call(journal) or not journal.is_settled:
-            return
-        for program in list(journal.view.programs_by_id.values()):
-            if program.allowance and not program.ended:
-                submit_record(
-                    journal,
-                    records.AllowanceReleased(
-                        record_id=journal.next_record_id(),
-                        epoch=journal.view.epoch,
-                        node=journal.node,
-                        program=program.program,
-                        granted=program.spent,
-                    ),
-                )
-        submit_record(journal, build_checkpoint(journal))
-        released = records.PartitionReleased(
-            record_id=journal.next_record_id(),
-            epoch=journal.view.epoch,
-            node=journal.node,
+    def _release(self, journal: Journal) -> None:
+        """Give the partition up unless a call of it is under way."""
+        is_running = any(
+            self._keeper.find_journal(partition_of(program)) is journal
+            for program in self._list_running()
         )
-        submit_record(journal, released)
+        if is_running or not journal.is_settled:
+            return
+        submit_release(journal)
         emit(LogEvent.PARTITION_HANDED_OVER, stream=journal.stream)
         self._keeper.send(journal)
 
--- a/src/bronzepost/_internal/node/parts.py
+++ b/src/bronzepost/_internal/node/parts.py
@@ -10,6 +10,10 @@
 from bronzepost._internal.node.partitions import Partitions
 from bronzepost._internal.node.program_calls import ProgramCalls
 from bronzepost._internal.node.program_ends import ProgramEnds
+from bronzepost._internal.node.refusals import (
+    refuse_model,
+    refuse_no_server,
+)
 from bronzepost._internal.node.service_calls import ServiceCalls
 from bronzepost._internal.telemetry.spans import Tracer
 
@@ -39,8 +43,15 @@
     list_models: Callable[[], list[ModelAndService]]
 
     def find_service(self, model: str) -> str:
-        """Return the service whose runners have a model, empty if none."""
-        for known_model, service in self.list_models():
-            if known_model == model:
-                return service
-        return ''
+        """Return the service whose runners have a model.
+
+        Raises:
+            RefusedError: if none has it, or if no runner is known yet.
+        """
+        services_by_model = dict(self.list_models())
+        service = services_by_model.get(model)
+        if service is not None:
+            return service
+        if services_by_model:
+            raise refuse_model(model)
+        raise refuse_no_server('', model)
--- a/src/bronzepost/_internal/node/pauses.py
+++ b/src/bronzepost/_internal/node/pauses.py
@@ -15,6 +15,12 @@
 from bronzepost._internal.node.engine_memory import EngineMemory
 
 REVIEW_SECONDS: Final = 2.0
+# Callers seldom end their programs. One that has not come back for so long
+# takes no part of the engines' memory away from new programs; the ledger still
+# knows it, so it is not held back when it comes.
+DORMANT_SECONDS: Final = 120.0
+
+_RELEASE: Final = Retention.RELEASE
 
 
 class Pauses:
@@ -54,9 +60,11 @@
         """Release the prefixes whose pause costs more than a refill."""
         for program, paused in list(self._pauses_by_program.items()):
             pause, policy = paused
-            decision = retention(policy, self._tables, pause, read_clock())
-            if decision is Retention.RELEASE:
+            at = read_clock()
+            if at - pause.paused_at >= DORMANT_SECONDS:
                 self._pauses_by_program.pop(program)
+                self._memory.release(program)
+            elif retention(policy, self._tables, pause, at) is _RELEASE:
                 self._memory.release_prefix(program)
 
 
--- a/src/bronzepost/_internal/node/refusals.py
+++ b/src/bronzepost/_internal/node/refusals.py
@@ -6,7 +6,7 @@
 from bronzepost._internal.core.configuration import ChangeRejected
 from bronzepost._internal.core.ledger.calls import Refuse
 from bronzepost._internal.core.ledger.state import ProgramEntry
-from bronzepost._internal.core.scheduling.actions import Refused
+from bronzepost._internal.core.scheduling.actions import RefusalReason, Refused
 from bronzepost._internal.exceptions import (
     BronzepostError,
     RefusedError,
@@ -102,8 +102,12 @@
     )
 
 
-def refuse_admission(verdict: Refused) -> RefusedError:
+def refuse_admission(
+    verdict: Refused, service: str, model: str
+) -> RefusedError:
     """Return the refusal of a call that is not admitted now."""
+    if verdict.reason is RefusalReason.NO_BACKEND_SERVER:
+        return refuse_no_server(service, model)
     return RefusedError(
         'no slot is free for a new program',
         code=verdict.reason.value,
@@ -197,3 +201,14 @@
         peer=peer,
         run=RunState.RAN,
     )
+
+
+def refuse_model(model: str) -> RefusedError:
+    """Return the refusal of a model that no service has."""
+    return RefusedError(
+        f'no service has a model {model!r}; GET /v1/models lists them',
+        code='model_not_found',
+        status=HTTPStatus.NOT_FOUND,
+        step='find service',
+        parameter='model',
+    )
--- a/tests/unit/test_journal_keeper.py
+++ b/tests/unit/test_journal_keeper.py
@@ -27,6 +27,31 @@
         self.assertTrue(journal.requests.busy)
 
 
+class ForgetTest(TestCase):
+    """Guard the memory that partitions of others take."""
+
+    def setUp(self) -> None:
+        """Read a partition that another node owns."""
+        super().setUp()
+        self.keeper = build_keeper('hall-a-1', build_log_client())
+        self.journal = self.keeper.find_journal(7)
+        self.journal.loading.done = True
+
+    def test_record_identifiers_are_not_given_out_again(self) -> None:
+        """Guard against two records of one boot with the same identifier."""
+        first = self.journal.next_record_id()
+        self.keeper.forget_journal(7)
+        again = self.keeper.find_journal(7)
+        self.assertIsNot(self.journal, again)
+        self.assertNotEqual(first, again.next_record_id())
+
+    def test_journal_with_a_request_under_way_stays(self) -> None:
+        """Guard against an answer of the log that nobody waits for."""
+        self.journal.requests.busy = True
+        self.keeper.forget_journal(7)
+        self.assertIs(self.journal, self.keeper.find_journal(7))
+
+
 class RefreshTest(TestCase):
     """Guard what a node reads again of the partitions of others."""
 
--- /dev/null
+++ b/tests/unit/test_pauses.py
@@ -0,0 +1,41 @@
+"""Tests of programs that are between two calls."""
+
+from typing import Any
+from unittest import mock
+
+from testtools import TestCase
+
+from bronzepost._internal.core.scheduling.policies import ProgramAware
+from bronzepost._internal.node import pauses
+from tests.builders_scheduling import build_tables
+
+PROGRAM = 'trip'
+
+
+class PausesTest(TestCase):
+    """Guard the engines' memory against programs that do not come back."""
+
+    def setUp(self) -> None:
+        """Begin a pause at a time that the test moves."""
+        super().setUp()
+        self.memory: Any = mock.Mock()
+        self.now = 1000.0
+        patch = mock.patch.object(pauses, 'read_clock', lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.pauses = pauses.Pauses(tables=build_tables(), memory=self.memory)
+        self.pauses.begin(PROGRAM, {'role': 'assistant'}, ProgramAware())
+
+    def test_dormant_program_holds_no_slot(self) -> None:
+        """Guard against callers that never end their programs."""
+        self.now += pauses.DORMANT_SECONDS
+        self.pauses.review()
+        self.pauses.review()
+        self.memory.release.assert_called_once_with(PROGRAM)
+
+    def test_program_that_came_back_is_not_dormant(self) -> None:
+        """Guard against releasing a program that has a call under way."""
+        self.pauses.end(PROGRAM)
+        self.now += pauses.DORMANT_SECONDS
+        self.pauses.review()
+        self.memory.release.assert_not_called()
