Make the demo's engines evict and show the cache totals

With 400 tokens or more at each engine the default trace evicted nothing unused, so the last line said nothing about wasted cache.

--- a/demo/replay.py
+++ b/demo/replay.py
@@ -22,10 +22,10 @@
 NODES: Final = 3
 SCALE: Final = 0.5
 REPLAY_SECONDS: Final = 40.0
-# About a third of the tokens that the default trace fills at an engine, so
-# that evictions occur.
+# The default trace fills 500 to 800 tokens at each engine, so that less makes
+# evictions occur.
 OPTIONS: Final[Options] = MappingProxyType({
-    'engine': ('--cache-tokens', '1000'),
+    'engine': ('--cache-tokens', '300'),
 })
 
 Show = Callable[[str], None]
@@ -54,6 +54,10 @@
         results = _run_programs(programs, deployment, show)
         show(f'{name}: waiting for the sweep')
         observation = observe(deployment)
+    show(
+        f'{name}: {observation.filled_tokens} tokens filled, '
+        f'{observation.evicted_unused_tokens} evicted unused'
+    )
     return results, observation
 
 
