Share what chat and service calls do before and after the send

Cause: both built the ledger's request, named the attempt and gave a call up in the same way, each in its own code; the query of a service call was dropped.

--- a/src/bronzepost/_internal/node/caller_api.py
+++ b/src/bronzepost/_internal/node/caller_api.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+from urllib.parse import urlencode
 
 import xxhash
 
@@ -73,7 +74,7 @@
             program = _name_keyed_program(terms.organisation, fields.key)
             fields = dataclasses.replace(fields, program=program)
         call = ServiceCall(
-            path=request.path_parts['path'],
+            path=_read_service_path(request),
             body=request.body,
             fields=fields,
             terms=terms,
@@ -129,6 +130,11 @@
         return name_call_session(self._parts.node, self._parts.boot, number)
 
 
+def _read_service_path(request: Request) -> str:
+    path = request.path_parts['path']
+    return f'{path}?{urlencode(request.query)}' if request.query else path
+
+
 def _name_keyed_program(organisation: str, key: str) -> str:
     digest = xxhash.xxh3_128_hexdigest(f'{organisation}\n{key}'.encode())
     return f'key-{digest}'
--- a/src/bronzepost/_internal/node/chat_calls.py
+++ b/src/bronzepost/_internal/node/chat_calls.py
@@ -43,6 +43,7 @@
     ModelCall,
     ModelCallRunner,
 )
+from bronzepost._internal.node.owned_request import build_request
 from bronzepost._internal.node.pauses import Pauses
 from bronzepost._internal.node.program_calls import OwnedCall, ProgramCalls
 from bronzepost._internal.node.refusals import (
@@ -126,7 +127,9 @@
 
     def begin_owned(self, journal: Journal, call: ChatCall) -> AnswerStream:
         """Start a call of a program that this node owns."""
-        request = self._ledger_request(call)
+        request = build_request(
+            call.fields, call.terms, worst_case=call.worst_case
+        )
         if not self._is_repeated(journal, request):
             self._pauses.end(request.program)
             is_live = _is_live(journal, request.program)
@@ -154,20 +157,6 @@
         gevent.spawn(self._run_alone, call, call_id, stream)
         return stream
 
-    def _ledger_request(self, call: ChatCall) -> calls.CallRequest:
-        return calls.CallRequest(
-            program=call.fields.program,
-            sequence=call.fields.sequence,
-            key=call.fields.key,
-            organisation=call.terms.organisation,
-            service=call.terms.service,
-            worst_case=call.worst_case,
-            budget=call.terms.budget,
-            importance=call.terms.importance,
-            turn_limit=call.terms.turn_limit,
-            non_idempotent=call.terms.non_idempotent,
-        )
-
     def _is_repeated(
         self, journal: Journal, request: calls.CallRequest
     ) -> bool:
@@ -224,7 +213,7 @@
         try:
             new_messages, answer = self._check_and_run(owned, call)
         except RefusedError as refusal:
-            self._give_up(owned, call, refusal)
+            self._programs.give_up(owned, refusal)
             raise
         record = _build_turn(owned, call, answer, new_messages)
         self._programs.settle(owned, record)
@@ -243,8 +232,7 @@
         program = owned.journal.view.programs_by_id[owned.call.program]
         affordable = program.allowance // max(1, call.worst_case)
         model_call = ModelCall(
-            call_id=f'{program.program}:{owned.proceed.sequence}'
-            f':{owned.journal.state.epoch}',
+            call_id=owned.call_id,
             request=self._scheduling_request(call),
             policy=call.terms.policy,
             body=call.engine_body(),
@@ -262,16 +250,6 @@
         with gevent.Timeout(seconds, late):
             return self._runner.run(model_call, stream)
 
-    def _give_up(
-        self, owned: OwnedCall, call: ChatCall, refusal: RefusedError
-    ) -> None:
-        if refusal.run is RunState.NOT_RUN:
-            self._programs.withdraw(owned)
-            return
-        self._programs.lose_units(owned, call.worst_case)
-        if owned.proceed.intent_id:
-            self._programs.abandon(owned)
-
     def _run_alone(
         self, call: ChatCall, call_id: str, stream: AnswerStream
     ) -> None:
--- a/src/bronzepost/_internal/node/program_calls.py
+++ b/src/bronzepost/_internal/node/program_calls.py
@@ -64,6 +64,11 @@
         """Return the time to the deadline, never below zero."""
         return max(0, self.deadline_at - read_clock())
 
+    @property
+    def call_id(self) -> str:
+        """Return a name of this attempt that no other attempt has."""
+        return f'{self.call.program}:{self.proceed.sequence}:{self.epoch}'
+
     def record_fields(self) -> dict[str, str | int]:
         """Return the fields that every record of the call has."""
         return {
@@ -248,11 +253,20 @@
         elif not settled[0].valid:
             raise refuse_not_durable(settled[0].reason, RunState.RAN)
 
-    def lose_units(self, owned: OwnedCall, units: int) -> None:
+    def give_up(self, owned: OwnedCall, refusal: RefusedError) -> None:
+        """Record what is known of a call that has no answer."""
+        if refusal.run is RunState.NOT_RUN:
+            self.withdraw(owned)
+            return
+        self._lose_units(owned)
+        if owned.proceed.intent_id:
+            self.abandon(owned)
+
+    def _lose_units(self, owned: OwnedCall) -> None:
         """Count units that a run without a record may have spent."""
         program = owned.call.program
         lost = self._lost_units_by_program.get(program, 0)
-        self._lost_units_by_program[program] = lost + units
+        self._lost_units_by_program[program] = lost + owned.call.worst_case
 
     def _wait_for_turn(
         self, call: calls.CallRequest, deadline_at: float
--- a/src/bronzepost/_internal/node/service_calls.py
+++ b/src/bronzepost/_internal/node/service_calls.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from bronzepost._internal.core.ledger import calls, records
+from bronzepost._internal.core.ledger import records
 from bronzepost._internal.core.ledger.journal import Journal
 from bronzepost._internal.core.retry_budget import RetryBudget
 from bronzepost._internal.core.scheduling.tables import CallRequest
@@ -24,6 +24,7 @@
     check_retry,
     dispatch_call,
 )
+from bronzepost._internal.node.owned_request import build_request
 from bronzepost._internal.node.program_calls import OwnedCall, ProgramCalls
 from bronzepost._internal.node.refusals import refuse_deadline
 from bronzepost._internal.node.service_client import (
@@ -75,18 +76,11 @@
 
     def begin_owned(self, journal: Journal, call: ServiceCall) -> AnswerStream:
         """Start a call of a program that this node owns."""
-        request = calls.CallRequest(
-            program=call.fields.program,
-            sequence=call.fields.sequence,
-            key=call.fields.key,
-            organisation=call.terms.organisation,
-            service=call.terms.service,
+        request = build_request(
+            call.fields,
+            call.terms,
             worst_case=call.terms.call_price,
-            budget=call.terms.budget,
-            importance=call.terms.importance,
-            turn_limit=call.terms.turn_limit,
             path=call.path,
-            non_idempotent=call.terms.non_idempotent,
         )
         stream = self._programs.begin(
             journal,
@@ -106,14 +100,10 @@
 
     def _run_owned(self, owned: OwnedCall, call: ServiceCall) -> None:
         self._programs.wait_durable(owned)
-        request_id = (
-            f'{owned.call.program}:{owned.proceed.sequence}'
-            f':{owned.journal.state.epoch}'
-        )
         try:
-            answer = self._send(call, request_id)
+            answer = self._send(call, owned.call_id)
         except RefusedError as refusal:
-            self._give_up(owned, refusal)
+            self._programs.give_up(owned, refusal)
             raise
         program = owned.journal.view.programs_by_id[owned.call.program]
         spent = program.spent + call.terms.call_price + owned.lost_units
@@ -130,14 +120,6 @@
         owned.stream.append(answer.body)
         owned.stream.finish()
 
-    def _give_up(self, owned: OwnedCall, refusal: RefusedError) -> None:
-        if refusal.run is RunState.NOT_RUN:
-            self._programs.withdraw(owned)
-            return
-        self._programs.lose_units(owned, owned.call.worst_case)
-        if owned.proceed.intent_id:
-            self._programs.abandon(owned)
-
     def _run_alone(
         self, call: ServiceCall, call_id: str, stream: AnswerStream
     ) -> None:
