--- a/src/bronzepost/_internal/node/chat_calls.py
+++ b/src/bronzepost/_internal/node/chat_calls.py
@@ -56,6 +56,10 @@
 from bronzepost._internal.telemetry.logs import emit
 from bronzepost._internal.telemetry.spans import Span
 
+# The scheduler compares prompts with the tokens that engines count. The bound
+# for the budget, one token a byte by default, would be about four times that.
+TYPICAL_BYTES_PER_TOKEN: Final = 4.0
+
 _PASSED_OVER: Final = frozenset(('metadata', 'stream', 'stream_options'))
 
 
@@ -81,6 +85,11 @@
             self.chat.messages, self.terms.bytes_per_token
         )
 
+    @property
+    def prompt_estimate(self) -> int:
+        """Return about how many tokens the prompt is, for the scheduler."""
+        return count_prompt_bound(self.chat.messages, TYPICAL_BYTES_PER_TOKEN)
+
     @property
     def worst_case(self) -> int:
         """Return the most units that one run can spend."""
@@ -202,7 +211,7 @@
             service=call.terms.service,
             availability_zone=self._availability_zone,
             model=call.chat.model,
-            prompt_tokens=call.prompt_bound,
+            prompt_tokens=call.prompt_estimate,
             max_output_tokens=call.chat.max_output_tokens,
             importance=call.terms.importance,
         )
