Offer the ledger in the public library

Cause: the library of coordination parts lacked the ledger, which the design names; who embeds it had to import private modules.

--- a/src/bronzepost/coordination.py
+++ b/src/bronzepost/coordination.py
@@ -9,7 +9,8 @@
 ``membership`` tells which nodes run (SWIM), ``configuration`` holds a tree of
 settings that all nodes accept in the order of a log, ``rank_members`` and
 ``partition_of`` say which node comes first for a key, and
-``choose_endpoints`` which addresses a caller should use.
+``choose_endpoints`` which addresses a caller should use. ``ledger`` decides
+from the order of a log who owns a partition and what programs may do.
 
 Two members find each other; a message is carried by hand here, and by the
 embedding program's transport otherwise::
@@ -70,9 +71,36 @@
     ...     tables, 'kostiumy', 'pass-assistant', 'p-1', 'cache_weight'
     ... )
     0.8
+
+``ledger`` keeps what must last of programs: a claim says who owns a partition,
+and each record is valid only under the claim in force. The journal asks for
+requests to a log and settles every submitted record once::
+
+    >>> from bronzepost.coordination import ledger
+    >>> journal = ledger.Journal(
+    ...     stream='programs-07', node='hall-a-1', boot='4f1c'
+    ... )
+    >>> ledger.handle_event(ledger.events.Tick(at=0), journal)
+    (ReadRecords(from_offset=0),)
+    >>> empty = ledger.events.RecordsRead(
+    ...     at=0, from_offset=0, records=(), first_offset=0, next_offset=0
+    ... )
+    >>> ledger.handle_event(empty, journal)
+    ()
+    >>> wanted = ledger.events.OwnershipWanted(at=1)
+    >>> append, = ledger.handle_event(wanted, journal)
+    >>> type(append.records[0]).__name__
+    'Claim'
+    >>> stored = ledger.events.AppendSucceeded(at=2, first_offset=0)
+    >>> [type(it).__name__ for it in ledger.handle_event(stored, journal)]
+    ['RecordSettled', 'OwnershipGained']
+    >>> journal.is_owner
+    True
+
+``admission`` is part of the scheduler and is not offered apart from it yet.
 """
 
-from bronzepost._internal.core import configuration, membership
+from bronzepost._internal.core import configuration, ledger, membership
 from bronzepost._internal.core.endpoints import (
     Endpoint,
     EndpointAnswer,
@@ -94,6 +122,7 @@
     'configuration',
     'first_members',
     'format_record_id',
+    'ledger',
     'membership',
     'partition_of',
     'rank_members',
