Print the output of the nodes when a test of failures fails

Cause: test_silent_connection_is_resumed failed once in a whole check (no answer to the call after the resumed streams within its retries of 25 s) and nothing showed why. It was not seen again in 15 runs, 12 of them six at a time. The cause is not known.

--- a/tests/functional/clusters.py
+++ b/tests/functional/clusters.py
@@ -52,6 +52,12 @@
             if is_settled and not wait_until(lambda: has_settled(run)):
                 raise AssertionError(f'not settled: {list_states(run)}')
             yield run
+        except BaseException:
+            # The files are deleted with the deployment; pytest shows this.
+            for failed in run.nodes:
+                print(failed.plan.name, failed.process.is_running)
+                print(failed.process.last_output())
+            raise
         finally:
             for node in run.nodes:
                 node.resume()
