--- a/tests/functional/clusters.py
+++ b/tests/functional/clusters.py
@@ -1,5 +1,6 @@
 """Deployments for tests that bring about failures."""
 
+import sys
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from types import MappingProxyType
@@ -55,8 +56,9 @@
         except BaseException:
             # The files are deleted with the deployment; pytest shows this.
             for failed in run.nodes:
-                print(failed.plan.name, failed.process.is_running)
-                print(failed.process.last_output())
+                is_running = failed.process.is_running
+                sys.stdout.write(f'{failed.plan.name}: {is_running=}\n')
+                sys.stdout.write(failed.process.last_output())
             raise
         finally:
             for node in run.nodes:
