--- a/tests/functional/clusters.py
+++ b/tests/functional/clusters.py
@@ -1,5 +1,6 @@
 """Deployments for tests that bring about failures."""
 
+import sys
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from types import MappingProxyType
@@ -52,6 +53,13 @@
             if is_settled and not wait_until(lambda: has_settled(run)):
                 raise AssertionError(f'not settled: {list_states(run)}')
             yield run
+        except BaseException:
+            # The files are deleted with the deployment; pytest shows this.
+            for failed in run.nodes:
+                is_running = failed.process.is_running
+                sys.stdout.write(f'{failed.plan.name}: {is_running=}\n')
+                sys.stdout.write(failed.process.last_output())
+            raise
         finally:
             for node in run.nodes:
                 node.resume()
