Follow runners that fail, are replaced or answer with an error

Cause: an error to a load report was read as the load of an idle server; a server that came back under its old name kept its old address; and a dead server that a lagging VM list still names was taken up again each second, so calls went to it and used up the retry budget.

--- a/src/bronzepost/_internal/node/backend_directory.py
+++ b/src/bronzepost/_internal/node/backend_directory.py
@@ -12,7 +12,11 @@
     BackendServer,
     SchedulingTables,
 )
-from bronzepost._internal.exceptions import BronzepostError, ExchangeError
+from bronzepost._internal.exceptions import (
+    BackendServerError,
+    BronzepostError,
+    ExchangeError,
+)
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.http_exchange import HttpPeer
 from bronzepost._internal.telemetry.events import LogEvent
@@ -63,6 +67,7 @@
         self.leaving_entry_vms: frozenset[str] = frozenset()
         self._vm_list = vm_list
         self._failures_by_id: dict[str, int] = {}
+        self._unreachable_ids: set[str] = set()
         self._is_list_down = False
 
     def peer_of(self, server_id: str, idle_seconds: float) -> HttpPeer:
@@ -84,7 +89,9 @@
             emit(LogEvent.VM_LIST_RECOVERED)
         self._is_list_down = False
         for vm in vms:
-            if vm.kind == 'backend':
+            if vm.kind == 'backend' and vm.id in self._unreachable_ids:
+                gevent.spawn(self._try_again, vm)
+            elif vm.kind == 'backend':
                 self._see_backend(vm)
         self.leaving_entry_vms = frozenset(
             entry.address
@@ -143,9 +150,22 @@
                 self.tables,
                 events.BackendServerSeen(at=at, backend_server=server),
             )
-        elif vm.state == LEAVING:
+            return
+        # A server that was replaced may come back under its old name.
+        self.addresses_by_id[vm.id] = vm.address
+        if vm.state == LEAVING:
             self.mark_leaving(vm.id)
 
+    def _try_again(self, vm: ListedVm) -> None:
+        """Use a server again once it answers; the list may be behind."""
+        peer = HttpPeer(address=vm.address, idle_seconds=POLL_IDLE_SECONDS)
+        try:
+            _read_load(peer)
+        except (BronzepostError, msgspec.DecodeError):
+            return
+        self._unreachable_ids.discard(vm.id)
+        self._see_backend(vm)
+
     def _poll_load(self, server_id: str) -> None:
         asked_at = read_clock()
         peer = self.peer_of(server_id, POLL_IDLE_SECONDS)
@@ -178,6 +198,7 @@
         if failures != UNREACHABLE_AFTER:
             return
         emit(LogEvent.RUNNER_UNREACHABLE, runner=server_id, error=error)
+        self._unreachable_ids.add(server_id)
         self.addresses_by_id.pop(server_id, None)
         self._failures_by_id.pop(server_id, None)
         apply_event(
@@ -190,4 +211,9 @@
 
 def _read_load(peer: HttpPeer) -> _Load:
     answer = peer.exchange('GET', '/v1/load', step='read load')
+    if answer.status != HTTPStatus.OK:
+        # The body of an error would read as the load of an idle server.
+        raise BackendServerError(
+            f'status {answer.status}', step='read load', peer=peer.address
+        )
     return msgspec.json.decode(answer.body, type=_Load)
--- /dev/null
+++ b/tests/functional/test_backend_directory.py
@@ -0,0 +1,66 @@
+"""Tests of the directory of backend servers against stand-ins."""
+
+import time
+
+import gevent
+from testtools import TestCase
+
+from bronzepost._internal.core.scheduling.tables import SchedulingTables
+from bronzepost._internal.node import backend_directory
+from bronzepost._internal.node.http_exchange import HttpPeer
+from standins.http_client import request_json
+from tests.functional.standin_processes import running_standin
+
+RUNNER = 'pass-registry-1'
+POLLS = backend_directory.UNREACHABLE_AFTER
+PATIENCE_SECONDS = 20
+
+
+class BackendDirectoryTest(TestCase):
+    """Guard what a node believes of runners that fail and come back."""
+
+    def list_runner(self, vm_list: str, address: str) -> None:
+        """Put one runner on the VM list."""
+        entry = {
+            'id': RUNNER,
+            'address': address,
+            'kind': 'backend',
+            'service': 'pass-registry',
+            'model': None,
+            'availability_zone': 'hall-a',
+            'state': 'live',
+        }
+        request_json('PUT', f'{vm_list}/vms', {'vms': [entry]})
+
+    def test_dead_runner_on_a_lagging_list_gets_no_calls(self) -> None:
+        """Guard against calls to a runner that the list still names."""
+        with running_standin('vm_list', '--lag-seconds', '0') as vm_list:
+            directory = backend_directory.BackendDirectory(
+                tables=SchedulingTables(), vm_list=HttpPeer(address=vm_list)
+            )
+            with running_standin('service') as address:
+                self.list_runner(vm_list, address)
+                self.poll_until(directory, is_known=True)
+            for _ in range(POLLS):
+                directory.poll_loads()
+            self.assertNotIn(RUNNER, directory.addresses_by_id)
+            directory.poll_list()
+            gevent.sleep(0.2)
+            self.assertNotIn(RUNNER, directory.addresses_by_id)
+            with running_standin('service') as address:
+                self.list_runner(vm_list, address)
+                self.poll_until(directory, is_known=True)
+                self.assertEqual(address, directory.addresses_by_id[RUNNER])
+
+    def poll_until(
+        self,
+        directory: backend_directory.BackendDirectory,
+        *,
+        is_known: bool,
+    ) -> None:
+        """Read the list until the runner is known, or is not."""
+        end = time.monotonic() + PATIENCE_SECONDS
+        while (RUNNER in directory.addresses_by_id) is not is_known:
+            assert time.monotonic() < end, 'the directory does not follow'
+            directory.poll_list()
+            gevent.sleep(0.05)
