Refuse the repeat of an earlier call alike while the log lags

Cause: test_not_run_refusals_have_no_effect failed in 2 of 8 runs: right after an outage, the answer to call 1 was given once more although call 2 had finished, because the durable state still ended with call 1. The answer was the right one and nothing ran; the verdict depended on how far the log had come. Ruled out: a second run (effects were equal) and a mixed answer.

--- a/src/bronzepost/_internal/core/ledger/calls.py
+++ b/src/bronzepost/_internal/core/ledger/calls.py
@@ -195,7 +195,9 @@
             retry_after_seconds=LOG_OUTAGE_SECONDS,
             run=RunState.RAN,
         )
-    if entry.sequence == sequence and entry.history_offsets:
+    # The log may lag behind the calls that have finished since.
+    is_last = journal.view.programs_by_id[program].sequence == sequence
+    if is_last and entry.history_offsets:
         return AnswerStored(sequence=sequence, offset=entry.history_offsets[-1])
     return Refuse(
         code='call_finished',
--- a/tests/unit/test_ledger_calls.py
+++ b/tests/unit/test_ledger_calls.py
@@ -98,6 +98,18 @@
         self.owner.refresh()
         self.assert_refused('not_owner', self.begin())
 
+    def test_order_finished_call_is_refused_while_the_log_lags(self) -> None:
+        """Guard against an answer that depends on how far the log has come."""
+        self.proceed(sequence=1)
+        self.finish(spent=1)
+        self.proceed(sequence=2)
+        entry = self.owner.journal.view.programs_by_id['p']
+        turn = builders.build_turn(self.owner, 'p', spent=entry.spent + 1)
+        assert self.owner.submit(turn).valid
+        decision = self.begin(sequence=1)
+        assert isinstance(decision, calls.Refuse), decision
+        self.assertEqual('call_finished', decision.code)
+
     def test_order_repeated_call_gets_its_own_answer(self) -> None:
         """Guard against the answer of another call for a repeated one."""
         self.proceed()
