Keep budgets and histories of programs on every VM

One VM, the home of a program, reserves the most a turn can generate, from allowances granted by appends that fail when another VM has written in between. Without the store a bounded part is granted with a copy on another VM. Turns are appended to the store before the last byte of their answer, with a copy at the home, so the next turn usually finds its chain with one question.

Ruled out: an append for each turn and no home (no turn runs while the store is away); the same with allowances on each VM (turns of a program visit two to eleven VMs, which would split the budget); claims with epochs (the expected end of the append already fences a home that was replaced).

--- /dev/null
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -0,0 +1,211 @@
+"""Keep each program within its token budget.
+
+One VM, the program's home, reserves tokens for all turns of the program. It
+spends only from allowances: parts of the budget that were granted to it in
+the store, by an append that fails if another VM has written in between. So
+the allowances of all VMs together stay within the budget whichever VM takes
+itself for the home, and what a lost VM had not spent counts as spent.
+
+While the store is away, a home may grant itself one further part that only
+other VMs hold a copy of.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final
+
+# The part of a budget that one append grants. A program uses a quarter of its
+# budget on average, so most need one append, and the loss of a VM costs a
+# program at most this part.
+ALLOWANCE_SHARE: Final = 0.25
+
+_NONE: Final[Mapping[str, int]] = MappingProxyType({})
+
+
+def _no_tokens() -> Mapping[str, int]:
+    return _NONE
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProgramAccount:
+    """The tokens of one program as its home sees them.
+
+    ``granted_by_holder`` holds what the store says, by the boot of the VM that
+    was granted it. ``provisional_by_holder`` was granted without the store.
+    ``spent`` and ``reserved_by_request`` are those of this VM.
+    """
+
+    program_id: str
+    budget: int
+    granted_by_holder: Mapping[str, int] = dataclasses.field(
+        default_factory=_no_tokens
+    )
+    provisional_by_holder: Mapping[str, int] = dataclasses.field(
+        default_factory=_no_tokens
+    )
+    reserved_by_request: Mapping[str, int] = dataclasses.field(
+        default_factory=_no_tokens
+    )
+    spent: int = 0
+    touched_at: float = 0.0
+
+    @property
+    def granted(self) -> int:
+        """Return what all VMs together may spend."""
+        return sum(self.granted_by_holder.values()) + sum(
+            self.provisional_by_holder.values()
+        )
+
+    def count_available(self, holder: str) -> int:
+        """Return what a VM may still reserve from its own allowances."""
+        own = self.granted_by_holder.get(holder, 0)
+        own += self.provisional_by_holder.get(holder, 0)
+        return own - self.spent - sum(self.reserved_by_request.values())
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reserved:
+    """The tokens are reserved; the account has changed."""
+
+    account: ProgramAccount
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BudgetSpent:
+    """The budget does not hold the tokens; no later answer differs."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AllowanceNeeded:
+    """The VM needs a further allowance of ``tokens`` first."""
+
+    tokens: int
+
+
+Decision = Reserved | BudgetSpent | AllowanceNeeded
+
+
+def reserve_tokens(
+    account: ProgramAccount, *, holder: str, request_id: str, tokens: int
+) -> Decision:
+    """Decide on the most that one turn can generate.
+
+    >>> account = ProgramAccount(program_id='a', budget=100)
+    >>> reserve_tokens(account, holder='x', request_id='1', tokens=40)
+    AllowanceNeeded(tokens=40)
+    """
+    if request_id in account.reserved_by_request:
+        return Reserved(account=account)
+    available = account.count_available(holder)
+    if available >= tokens:
+        reserved = {**account.reserved_by_request, request_id: tokens}
+        return Reserved(
+            account=dataclasses.replace(account, reserved_by_request=reserved)
+        )
+    missing = tokens - available
+    grantable = account.budget - account.granted
+    if missing > grantable:
+        return BudgetSpent()
+    share = int(account.budget * ALLOWANCE_SHARE)
+    return AllowanceNeeded(tokens=min(max(missing, share), grantable))
+
+
+def grant_allowance(
+    account: ProgramAccount, *, holder: str, tokens: int
+) -> ProgramAccount:
+    """Return the account with a further allowance that the store has."""
+    granted = account.granted_by_holder.get(holder, 0) + tokens
+    return dataclasses.replace(
+        account,
+        granted_by_holder={**account.granted_by_holder, holder: granted},
+    )
+
+
+def may_grant_provisionally(
+    account: ProgramAccount, *, tokens: int, most: int
+) -> bool:
+    """Return whether tokens may be granted without the store.
+
+    All such grants of a program together stay within one share of its budget,
+    or within one turn, of which ``most`` is the size.
+    """
+    provisional = sum(account.provisional_by_holder.values())
+    bound = max(int(account.budget * ALLOWANCE_SHARE), most)
+    return provisional + tokens <= bound
+
+
+def grant_provisionally(
+    account: ProgramAccount, *, holder: str, tokens: int
+) -> ProgramAccount:
+    """Return the account with an allowance that the store lacks."""
+    granted = account.provisional_by_holder.get(holder, 0) + tokens
+    return dataclasses.replace(
+        account,
+        provisional_by_holder={
+            **account.provisional_by_holder,
+            holder: granted,
+        },
+    )
+
+
+def confirm_provisional(account: ProgramAccount) -> ProgramAccount:
+    """Return the account as the store is to have it, nothing provisional."""
+    granted = dict(account.granted_by_holder)
+    for holder, tokens in account.provisional_by_holder.items():
+        granted[holder] = granted.get(holder, 0) + tokens
+    return dataclasses.replace(
+        account, granted_by_holder=granted, provisional_by_holder=_NONE
+    )
+
+
+def settle_tokens(
+    account: ProgramAccount, *, request_id: str, tokens: int
+) -> ProgramAccount:
+    """Return the account after a turn that generated ``tokens``."""
+    if request_id not in account.reserved_by_request:
+        return account
+    reserved = dict(account.reserved_by_request)
+    reserved.pop(request_id)
+    return dataclasses.replace(
+        account,
+        reserved_by_request=reserved,
+        spent=account.spent + tokens,
+    )
+
+
+def merge_stored(
+    account: ProgramAccount | None, stored: ProgramAccount
+) -> ProgramAccount:
+    """Return what a VM knows of a program together with the store's record.
+
+    An allowance only grows, so the larger figure of each holder is newer. A
+    provisional one ends once the store has it.
+    """
+    if account is None:
+        return stored
+    known = account.granted_by_holder
+    granted = dict(known)
+    provisional = dict(account.provisional_by_holder)
+    for holder, tokens in stored.granted_by_holder.items():
+        gained = tokens - known.get(holder, 0)
+        if gained >= provisional.get(holder, 0):
+            provisional.pop(holder, None)
+        granted[holder] = max(known.get(holder, 0), tokens)
+    return dataclasses.replace(
+        account, granted_by_holder=granted, provisional_by_holder=provisional
+    )
+
+
+def hold_copy(
+    account: ProgramAccount, *, holder: str, tokens: int
+) -> ProgramAccount:
+    """Return the account with another VM's provisional allowance noted.
+
+    ``tokens`` is the total of that VM, so a repeated copy changes nothing.
+    """
+    held = max(account.provisional_by_holder.get(holder, 0), tokens)
+    return dataclasses.replace(
+        account,
+        provisional_by_holder={**account.provisional_by_holder, holder: held},
+    )
--- a/src/bronzepost/_internal/core/gateway/entities.py
+++ b/src/bronzepost/_internal/core/gateway/entities.py
@@ -132,3 +132,13 @@
     def is_turn(self) -> bool:
         """Return whether the request is a turn of a program."""
         return bool(self.program_id) and self.budget_tokens is not None
+
+    @property
+    def lines(self) -> tuple[str, ...]:
+        """Return what one cache should serve, the most specific first.
+
+        These are the prompt parts after the first, which many programs
+        share; a sub-agent's prompt begins with the parts of its parent.
+        """
+        own = self.prompt_parts[1:] or self.prompt_parts
+        return tuple(part.part_id for part in reversed(own))
--- a/src/bronzepost/_internal/gateway/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/caller_connections.py
@@ -70,6 +70,11 @@
             self.keep_alive = False
         self._write_head(head.status, head.reason, headers)
 
+    def ensure_started(self, head: AnswerHead) -> None:
+        """Write the head unless a part of the answer has been written."""
+        if not self.is_started:
+            self.start(head)
+
     def write(self, block: bytes) -> None:
         """Write a block of the body."""
         if block:
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -41,11 +41,13 @@
     find_header,
     strip_connection_headers,
 )
+from bronzepost._internal.gateway.homes import PeerReports
 from bronzepost._internal.gateway.http_messages import (
     AnswerHead,
     HttpRequest,
     encode_head,
 )
+from bronzepost._internal.gateway.program_state import OpenTurn, ProgramState
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -94,6 +96,7 @@
     server_id: str = ''
     passed_over: set[str] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
+    turn: OpenTurn | None = None
 
     @property
     def remaining_seconds(self) -> float:
@@ -108,6 +111,8 @@
         self,
         *,
         directory: Directory,
+        reports: PeerReports,
+        programs: ProgramState,
         pool: ConnectionPool,
         names: HeaderNames,
         decode_call: DecodeCall,
@@ -115,11 +120,12 @@
     ) -> None:
         """Keep the parts that a request needs."""
         self._directory = directory
+        self._reports = reports
+        self._programs = programs
         self._pool = pool
         self._names = names
         self._decode_call = decode_call
         self._availability_zone = availability_zone
-        self._home_by_line: dict[str, str] = {}
 
     def handle(self, request: HttpRequest, answer: CallerAnswer) -> None:
         """Answer one request."""
@@ -165,6 +171,7 @@
         )
         try:
             with timeout:
+                self._prepare(pending)
                 self._run(pending)
         except DeadlinePassedError:
             self._end_late(pending)
@@ -173,6 +180,29 @@
             raise
         else:
             self._log_done(pending, 'answered')
+        finally:
+            self._settle(pending)
+
+    def _prepare(self, pending: PendingCall) -> None:
+        if pending.call.is_turn and pending.route.kind is RouteKind.STREAM:
+            pending.turn = self._programs.open_turn(
+                pending.call, pending.route, pending.body
+            )
+            pending.body = pending.turn.prompt
+
+    def _settle(self, pending: PendingCall) -> None:
+        if pending.turn is not None:
+            tokens = pending.events.events * self._count_event(pending)
+            self._programs.close_turn(pending.turn, tokens, pending.server_id)
+
+    def _count_event(self, pending: PendingCall) -> int:
+        configuration = self._directory.configuration
+        if configuration is None:
+            return 1
+        service = configuration.services_by_name.get(pending.service)
+        if service is None or service.engine is None:
+            return 1
+        return service.engine.tokens_per_event
 
     def _run(self, pending: PendingCall) -> None:
         while True:
@@ -197,8 +227,8 @@
         ]
         view = PlacementView(
             availability_zone=self._availability_zone,
-            in_flight=self._directory.in_flight_by_id,
-            home=self._home_by_line.get(find_line(pending.call), ''),
+            in_flight=self._reports.sum_in_flight(),
+            home=pending.turn.reservation.server_id if pending.turn else '',
             avoided=self._directory.list_avoided(),
             salt=random.getrandbits(_SALT_BITS),
         )
@@ -225,9 +255,6 @@
                 head = exchange.read_head()
                 self._check_run(head, server, step)
                 self._deliver(pending, exchange, head)
-        line = find_line(pending.call)
-        if line:
-            self._home_by_line[line] = server.server_id
 
     @contextmanager
     def _count_in_flight(self, server: BackendServer) -> Iterator[None]:
@@ -254,10 +281,36 @@
     ) -> None:
         is_stream = pending.route.kind is RouteKind.STREAM
         if is_stream and head.status == HTTPStatus.OK:
-            deliver_stream(pending, exchange, head)
+            self._deliver_stream(pending, exchange, head)
         else:
             deliver_whole(pending, exchange, head)
 
+    def _deliver_stream(
+        self, pending: PendingCall, exchange: BackendExchange, head: AnswerHead
+    ) -> None:
+        """Pass on the events of a stream as they arrive, each as a whole.
+
+        A stream that breaks off in an event can then go on after the last
+        whole one at another server.
+        """
+        head = drop_length(head)
+        pending.events.drop_rest()
+        for block in exchange.read_blocks():
+            whole = pending.events.feed(block)
+            if whole:
+                pending.answer.ensure_started(head)
+                pending.answer.write(whole)
+        pending.answer.ensure_started(head)
+        pending.answer.write(pending.events.take_rest())
+        if pending.turn is not None:
+            self._programs.keep_turn(
+                pending.turn,
+                pending.route,
+                pending.request.body,
+                pending.events,
+            )
+        pending.answer.finish()
+
     def _encode_head(
         self, pending: PendingCall, server: BackendServer
     ) -> bytes:
@@ -359,9 +412,10 @@
 _BODILESS_METHODS: Final = frozenset((b'GET', b'HEAD', b'DELETE', b'OPTIONS'))
 
 
-def find_line(call: CallRequest) -> str:
-    """Return what requests have in common that one cache should serve."""
-    return call.line_id or call.affinity
+def drop_length(head: AnswerHead) -> AnswerHead:
+    """Return the head of a stream whose length another server may change."""
+    headers = drop_headers(head.headers, (b'content-length',))
+    return dataclasses.replace(head, headers=headers, length=None)
 
 
 def deliver_whole(
@@ -382,33 +436,6 @@
     pending.answer.send_whole(head, held)
 
 
-def deliver_stream(
-    pending: PendingCall, exchange: BackendExchange, head: AnswerHead
-) -> None:
-    """Pass on the events of a stream as they arrive, each as a whole.
-
-    A stream that breaks off in an event can then go on after the last whole
-    one at another server.
-    """
-    events = pending.events
-    events.drop_rest()
-    head = dataclasses.replace(
-        head,
-        headers=drop_headers(head.headers, (b'content-length',)),
-        length=None,
-    )
-    for block in exchange.read_blocks():
-        whole = events.feed(block)
-        if whole:
-            if not pending.answer.is_started:
-                pending.answer.start(head)
-            pending.answer.write(whole)
-    if not pending.answer.is_started:
-        pending.answer.start(head)
-    pending.answer.write(events.take_rest())
-    pending.answer.finish()
-
-
 def refuse_starting() -> RefusedError:
     """Return the refusal of a VM that has no configuration yet."""
     return RefusedError(
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/homes.py
@@ -0,0 +1,104 @@
+"""Which VM keeps what belongs to a program."""
+
+import random
+from collections import Counter
+from collections.abc import Mapping
+from typing import Final
+
+import gevent
+import xxhash
+
+from bronzepost._internal.core.rendezvous import rank_members
+from bronzepost._internal.gateway.directory import Directory
+from bronzepost._internal.gateway.fleet import Fleet
+from bronzepost._internal.gateway.registry import RegistryFollower
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.messages import LoadReport
+
+# Four reports a second let a dispatcher see a burst of the others before it
+# fills a runner, at 40 bytes for each busy backend server.
+REPORT_SECONDS: Final = 0.25
+# A VM that was not heard of for three reports is asked last.
+SILENT_SECONDS: Final = 0.8
+# Reports older than this say nothing about the load of now.
+STALE_SECONDS: Final = 1.5
+# Bounds the messages of a VM; beyond this number each report goes to a random
+# choice of the others, and the choice differs each time.
+REPORT_PEERS: Final = 24
+# A VM that has just joined has not reported yet.
+JOIN_GRACE_SECONDS: Final = 1.0
+
+
+class PeerReports:
+    """The last report of each gateway process, and the sending of our own."""
+
+    def __init__(
+        self, *, fleet: Fleet, directory: Directory, follower: RegistryFollower
+    ) -> None:
+        """Report on ``directory`` and listen to the fleet."""
+        self._fleet = fleet
+        self._directory = directory
+        self._follower = follower
+        self._started_at = read_clock()
+        self._reports_by_name: dict[str, tuple[float, LoadReport]] = {}
+        fleet.subscribe(LoadReport, self._take)
+
+    def start(self) -> None:
+        """Start to send reports."""
+        gevent.spawn(self._send_reports)
+
+    @property
+    def has_store(self) -> bool:
+        """Return whether the store answers this VM."""
+        return not self._follower.is_lost
+
+    def rank_homes(self, key: str) -> tuple[str, ...]:
+        """Return the members in the order in which they are asked for a key.
+
+        Those that are silent, or that the store does not answer, come last:
+        another VM that does the same choice sees much the same reports.
+        """
+        names = [member.name for member in self._fleet.list_serving()]
+        ranked = rank_members(names, key)
+        return tuple(sorted(ranked, key=self._is_unfit))
+
+    def sum_in_flight(self) -> Mapping[str, float]:
+        """Return the requests in flight of all VMs by backend server."""
+        total: Counter[str] = Counter(self._directory.in_flight_by_id)
+        oldest = read_clock() - STALE_SECONDS
+        for at, report in self._reports_by_name.values():
+            if at >= oldest:
+                total.update(report.in_flight)
+        return total
+
+    def _is_unfit(self, name: str) -> bool:
+        if name == self._fleet.own_name:
+            return not self.has_store
+        now = read_clock()
+        known = self._reports_by_name.get(name)
+        if known is None:
+            return now - self._started_at > JOIN_GRACE_SECONDS
+        at, report = known
+        return now - at > SILENT_SECONDS or not report.has_store
+
+    def _take(self, sender: str, report: LoadReport) -> None:
+        self._reports_by_name[sender] = (read_clock(), report)
+
+    def _send_reports(self) -> None:
+        while True:
+            gevent.sleep(REPORT_SECONDS)
+            in_flight = self._directory.in_flight_by_id
+            report = LoadReport(
+                in_flight={key: n for key, n in in_flight.items() if n},
+                has_store=self.has_store,
+            )
+            names = list(self._fleet.list_others())
+            if len(names) > REPORT_PEERS:
+                names = random.sample(names, REPORT_PEERS)  # noqa: S311
+            for name in names:
+                self._fleet.send(name, report)
+
+
+def partition_of_key(key: str, partitions: int) -> int:
+    """Return the partition of the store that a key belongs to."""
+    return xxhash.xxh64_intdigest(key.encode()) % partitions
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/peer_calls.py
@@ -0,0 +1,77 @@
+"""Questions to other gateway processes, and their answers."""
+
+import itertools
+from collections.abc import Callable
+from typing import Any, Final
+
+from gevent.event import AsyncResult
+from gevent.timeout import Timeout
+
+from bronzepost._internal.gateway.fleet import Fleet
+from bronzepost._internal.node.messages import (
+    Held,
+    PeerMessage,
+    TokensReserved,
+    TurnsFound,
+)
+
+# A peer in the same region answers in a few milliseconds. One that takes
+# longer is paused or gone, and the next one is asked.
+ANSWER_SECONDS: Final = 0.15
+
+_ANSWERS: Final = (Held, TokensReserved, TurnsFound)
+
+MakeMessage = Callable[[int], PeerMessage]
+
+
+class PeerCalls:
+    """Match answers to questions by their number."""
+
+    def __init__(self, *, fleet: Fleet) -> None:
+        """Ask the members of a fleet."""
+        self._fleet = fleet
+        self._numbers = itertools.count(1)
+        self._waiting_by_number: dict[int, AsyncResult] = {}
+        for answer_type in _ANSWERS:
+            fleet.subscribe(answer_type, self._take_answer)
+
+    def ask(
+        self,
+        name: str,
+        make_message: MakeMessage,
+        seconds: float = ANSWER_SECONDS,
+    ) -> Any:
+        """Return a member's answer, or None without one in time.
+
+        ``make_message`` gets the number that the answer has to repeat.
+        """
+        number, waiting = self._open()
+        try:
+            return self._wait(name, make_message(number), waiting, seconds)
+        finally:
+            self._waiting_by_number.pop(number, None)
+
+    def _open(self) -> tuple[int, AsyncResult]:
+        number = next(self._numbers)
+        waiting = AsyncResult()
+        self._waiting_by_number[number] = waiting
+        return number, waiting
+
+    def _wait(
+        self,
+        name: str,
+        message: PeerMessage,
+        waiting: AsyncResult,
+        seconds: float,
+    ) -> Any:
+        if not self._fleet.send(name, message):
+            return None
+        try:
+            return waiting.get(timeout=seconds)
+        except Timeout:
+            return None
+
+    def _take_answer(self, _sender: str, answer: Any) -> None:
+        waiting = self._waiting_by_number.get(answer.call_id)
+        if waiting is not None:
+            waiting.set(answer)
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -10,13 +10,19 @@
 
 from bronzepost._internal.exceptions import SettingsError
 from bronzepost._internal.gateway.backend_connections import ConnectionPool
+from bronzepost._internal.gateway.budget_keeper import BudgetKeeper
 from bronzepost._internal.gateway.caller_connections import CallerServer
 from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.forwarding import DecodeCall, Forwarder
 from bronzepost._internal.gateway.header_names import HeaderNames
+from bronzepost._internal.gateway.homes import PeerReports
+from bronzepost._internal.gateway.keyed_store import KeyedStore
+from bronzepost._internal.gateway.peer_calls import PeerCalls
+from bronzepost._internal.gateway.program_state import ProgramState
 from bronzepost._internal.gateway.registry import Registry, RegistryFollower
 from bronzepost._internal.gateway.settings import GatewaySettings
+from bronzepost._internal.gateway.turn_keeper import TurnKeeper
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -38,6 +44,7 @@
         *,
         settings: GatewaySettings,
         registry: Registry,
+        store: KeyedStore,
         pool: ConnectionPool,
         names: HeaderNames,
         decode_call: DecodeCall,
@@ -50,8 +57,20 @@
         self.follower = RegistryFollower(
             registry=registry, directory=self.directory
         )
+        self.reports = PeerReports(
+            fleet=self.fleet, directory=self.directory, follower=self.follower
+        )
+        calls = PeerCalls(fleet=self.fleet)
+        self.budgets = BudgetKeeper(
+            fleet=self.fleet, reports=self.reports, calls=calls, store=store
+        )
+        self.turns = TurnKeeper(
+            fleet=self.fleet, reports=self.reports, calls=calls, store=store
+        )
         self.forwarder = Forwarder(
             directory=self.directory,
+            reports=self.reports,
+            programs=ProgramState(budgets=self.budgets, turns=self.turns),
             pool=pool,
             names=names,
             decode_call=decode_call,
@@ -91,6 +110,9 @@
         """
         self.follower.start()
         self.fleet.start()
+        self.reports.start()
+        self.budgets.start()
+        self.turns.start()
         self.callers.start()
         gevent.spawn(self._keep_up)
         emit(LogEvent.NODE_STARTED, address=self.settings.caller_address)
--- a/src/bronzepost/_internal/node/messages.py
+++ b/src/bronzepost/_internal/node/messages.py
@@ -53,6 +53,99 @@
     record_ids: tuple[str, ...]
 
 
+class ReserveTokens(
+    msgspec.Struct, frozen=True, kw_only=True, tag='reserve_tokens'
+):
+    """Ask the home of a program for the tokens of one turn.
+
+    ``lines`` are the parts of the prompt that one server may have in its
+    cache, the most specific first.
+    """
+
+    call_id: int
+    program_id: str
+    request_id: str
+    budget: int
+    tokens: int
+    lines: tuple[str, ...]
+
+
+class TokensReserved(
+    msgspec.Struct, frozen=True, kw_only=True, tag='tokens_reserved'
+):
+    """Answer to ``ReserveTokens``; the verdict is reserved, spent or unsure.
+
+    ``server_id`` names the server that the lines ran on last, if known.
+    """
+
+    call_id: int
+    verdict: str
+    server_id: str = ''
+
+
+class SettleTokens(
+    msgspec.Struct, frozen=True, kw_only=True, tag='settle_tokens'
+):
+    """Tell the home of a program how many tokens a turn has generated."""
+
+    program_id: str
+    request_id: str
+    tokens: int
+    line: str
+    server_id: str
+
+
+class HoldAllowance(
+    msgspec.Struct, frozen=True, kw_only=True, tag='hold_allowance'
+):
+    """Ask for a copy of an allowance that the store could not take."""
+
+    call_id: int
+    program_id: str
+    budget: int
+    holder: str
+    tokens: int
+
+
+class Held(msgspec.Struct, frozen=True, kw_only=True, tag='held'):
+    """Say that a copy is held."""
+
+    call_id: int
+
+
+class HoldTurn(msgspec.Struct, frozen=True, kw_only=True, tag='hold_turn'):
+    """Ask for a copy of a turn; it is also in the store if ``is_stored``."""
+
+    call_id: int
+    turn_id: str
+    content: bytes
+    is_stored: bool
+
+
+class FindTurns(msgspec.Struct, frozen=True, kw_only=True, tag='find_turns'):
+    """Ask for turns by their ids."""
+
+    call_id: int
+    turn_ids: tuple[str, ...]
+
+
+class TurnsFound(msgspec.Struct, frozen=True, kw_only=True, tag='turns_found'):
+    """The turns that are at hand of those that were asked for."""
+
+    call_id: int
+    contents: tuple[bytes, ...]
+
+
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag='load_report'):
+    """What a gateway has sent to backend servers and not had answered.
+
+    ``has_store`` tells whether the store answers it.
+    """
+
+    in_flight: dict[str, int]
+    has_store: bool
+
+
 PeerMessage = (
     Ping
     | Ack
@@ -61,6 +154,15 @@
     | ConfigurationRequest
     | MirrorRecords
     | MirrorAck
+    | ReserveTokens
+    | TokensReserved
+    | SettleTokens
+    | HoldAllowance
+    | Held
+    | HoldTurn
+    | FindTurns
+    | TurnsFound
+    | LoadReport
 )
 
 
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -149,6 +149,13 @@
     STORE_REGAINED = 8014, INFO, 'The store answers again.'
     SETTINGS_RELOADED = 8015, INFO, 'Changed settings are in force.'
     SETTINGS_REFUSED = 8016, ERROR, 'Changed settings are wrong; old ones stay.'
+    ALLOWANCE_NOT_STORED = 8017, WARNING, 'The store took no allowances.'
+    ALLOWANCE_REREAD = 8018, INFO, 'Allowances are read again before an append.'
+    ALLOWANCE_PROVISIONAL = 8019, INFO, 'A turn has an allowance without store.'
+    HOME_SILENT = 8020, WARNING, 'The home of a program did not answer.'
+    TURN_NOT_STORED = 8021, WARNING, 'The store did not take a turn yet.'
+    TURN_NOT_DURABLE = 8022, ERROR, 'An answer left while one VM has its turn.'
+    TURN_NOT_FOUND = 8023, WARNING, 'A turn to continue from was not found.'
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         """Take the columns of the catalogue."""
