Let only the first home grant tokens without the store

Each VM that was asked in turn granted a part of its own, so a loop got 2,772 tokens of a budget of 1,152. The VMs also ordered homes by whether the store answered, and that flag flapped, because two reads shared it.

The first VM in the order that all agree on is the only one that may grant without the store, and a VM with a copy refuses one that contradicts it. A feed that fails alone no longer counts as an outage.

--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -122,17 +122,14 @@
     )
 
 
-def may_grant_provisionally(
-    account: ProgramAccount, *, tokens: int, most: int
-) -> bool:
-    """Return whether tokens may be granted without the store.
+def is_provisional_bounded(account: ProgramAccount, *, most: int) -> bool:
+    """Return whether the allowances that the store lacks are few enough.
 
-    All such grants of a program together stay within one share of its budget,
-    or within one turn, of which ``most`` is the size.
+    Together they stay within one share of the budget, or within one turn, of
+    which ``most`` is the size.
     """
     provisional = sum(account.provisional_by_holder.values())
-    bound = max(int(account.budget * ALLOWANCE_SHARE), most)
-    return provisional + tokens <= bound
+    return provisional <= max(int(account.budget * ALLOWANCE_SHARE), most)
 
 
 def grant_provisionally(
--- a/src/bronzepost/_internal/gateway/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/budget_keeper.py
@@ -98,9 +98,11 @@
         Raises:
             RefusedError: if the budget is spent, or if no home can tell.
         """
-        homes = self._rank(call.program_id)[:HOMES_TRIED]
-        for home in homes:
-            answer = self._ask_home(home, call)
+        ranked = self._rank(call.program_id)
+        homes = self._reports.put_store_first(ranked)[:HOMES_TRIED]
+        # Only one VM may grant without the store, or each would grant a part.
+        for home in (*homes, ranked[0]):
+            answer = self._ask_home(home, call, is_first=home == ranked[0])
             if answer.verdict == RESERVED:
                 return Reservation(
                     program_id=call.program_id,
@@ -137,7 +139,9 @@
         number = partition_of_key(program_id, len(self._partitions))
         return self._partitions[number]
 
-    def _ask_home(self, home: str, call: CallRequest) -> TokensReserved:
+    def _ask_home(
+        self, home: str, call: CallRequest, *, is_first: bool
+    ) -> TokensReserved:
         budget = call.budget_tokens or 0
         question = functools.partial(
             ReserveTokens,
@@ -146,6 +150,7 @@
             budget=budget,
             tokens=call.output_tokens,
             lines=call.lines,
+            may_be_provisional=is_first,
         )
         if home == self._fleet.own_name:
             return self._decide(question(call_id=0))
@@ -155,6 +160,7 @@
         if answer is not None:
             return answer
         emit(LogEvent.HOME_SILENT, request=call.request_id, peer=home)
+        self._reports.note_silent(home)
         # The home may have reserved the tokens all the same.
         unused = Reservation(
             program_id=call.program_id, request_id=call.request_id, home=home
@@ -200,19 +206,18 @@
     def _grant_provisionally(
         self, partition: BudgetPartition, question: ReserveTokens
     ) -> bool:
+        if not question.may_be_provisional:
+            return False
         account = partition.find_account(question.program_id, question.budget)
         # A share of the budget would use up what may be granted this way.
         available = account.count_available(self._fleet.own_boot)
         tokens = max(question.tokens - available, 0)
-        is_allowed = budgets.may_grant_provisionally(
-            account, tokens=tokens, most=question.tokens
-        )
-        if not is_allowed:
-            return False
         holder = self._fleet.own_boot
         account = budgets.grant_provisionally(
             account, holder=holder, tokens=tokens
         )
+        if not budgets.is_provisional_bounded(account, most=question.tokens):
+            return False
         partition.put_account(account)
         total = account.provisional_by_holder[holder]
         is_held = self._send_copies(question, total)
@@ -237,6 +242,7 @@
             budget=question.budget,
             holder=self._fleet.own_boot,
             tokens=total,
+            most=question.tokens,
         )
         asked = [
             gevent.spawn(
@@ -246,10 +252,9 @@
             )
             for name in others[:COPIES]
         ]
-        for answered in gevent.iwait(asked):
-            if answered.value is not None:
-                return True
-        return False
+        gevent.joinall(asked)
+        answers = [done.value for done in asked if done.value is not None]
+        return bool(answers) and all(answer.is_held for answer in answers)
 
     def _take_question(self, sender: str, question: ReserveTokens) -> None:
         gevent.spawn(self._answer_question, sender, question)
@@ -273,10 +278,15 @@
     def _take_copy(self, sender: str, copy: HoldAllowance) -> None:
         partition = self._find_partition(copy.program_id)
         account = partition.find_account(copy.program_id, copy.budget)
-        partition.put_account(
-            budgets.hold_copy(account, holder=copy.holder, tokens=copy.tokens)
+        account = budgets.hold_copy(
+            account, holder=copy.holder, tokens=copy.tokens
         )
-        self._fleet.send(sender, Held(call_id=copy.call_id))
+        # Refused if this VM knows of another one's provisional allowance.
+        is_held = budgets.is_provisional_bounded(account, most=copy.most)
+        if is_held:
+            partition.put_account(account)
+        held = Held(call_id=copy.call_id, is_held=is_held)
+        self._fleet.send(sender, held)
 
     def _keep_up(self) -> None:
         next_drop = read_clock() + DROP_SECONDS
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -51,6 +51,7 @@
             LogEvent.ROUTES_IN_FORCE,
             version=configuration.version,
             routes=len(configuration.routes),
+            kinds=sorted(map(_describe_route, configuration.routes)),
         )
 
     def put_servers(self, servers: Iterable[BackendServer]) -> None:
@@ -114,3 +115,7 @@
             peer=new.address,
             born=new.born,
         )
+
+
+def _describe_route(route):
+    return f'{route.kind} {route.services} x{route.attempts} {route.timeout_seconds:g} s hist={route.keeps_history} res={route.is_resumable} rank={route.rank} {route.path_prefix}'
--- a/src/bronzepost/_internal/gateway/homes.py
+++ b/src/bronzepost/_internal/gateway/homes.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import gevent
@@ -55,12 +55,20 @@
     def rank_homes(self, key: str) -> tuple[str, ...]:
         """Return the members in the order in which they are asked for a key.
 
-        Those that are silent, or that the store does not answer, come last:
-        another VM that does the same choice sees much the same reports.
+        Those that are silent come last: another VM that does the same choice
+        sees much the same reports.
         """
         names = [member.name for member in self._fleet.list_serving()]
         ranked = rank_members(names, key)
-        return tuple(sorted(ranked, key=self._is_unfit))
+        return tuple(sorted(ranked, key=self._is_silent))
+
+    def put_store_first(self, names: Sequence[str]) -> list[str]:
+        """Return members with those last that the store does not answer."""
+        return sorted(names, key=self._lacks_store)
+
+    def note_silent(self, name: str) -> None:
+        """Take a member for silent until its next report."""
+        self._reports_by_name.pop(name, None)
 
     def sum_in_flight(self) -> Mapping[str, float]:
         """Return the requests in flight of all VMs by backend server."""
@@ -71,15 +79,20 @@
                 total.update(report.in_flight)
         return total
 
-    def _is_unfit(self, name: str) -> bool:
+    def _is_silent(self, name: str) -> bool:
         if name == self._fleet.own_name:
-            return not self.has_store
+            return False
         now = read_clock()
         known = self._reports_by_name.get(name)
         if known is None:
             return now - self._started_at > JOIN_GRACE_SECONDS
-        at, report = known
-        return now - at > SILENT_SECONDS or not report.has_store
+        return now - known[0] > SILENT_SECONDS
+
+    def _lacks_store(self, name: str) -> bool:
+        if name == self._fleet.own_name:
+            return not self.has_store
+        known = self._reports_by_name.get(name)
+        return known is not None and not known[1].has_store
 
     def _take(self, sender: str, report: LoadReport) -> None:
         self._reports_by_name[sender] = (read_clock(), report)
--- a/src/bronzepost/_internal/gateway/registry.py
+++ b/src/bronzepost/_internal/gateway/registry.py
@@ -28,6 +28,11 @@
 RETURN_GRACE_SECONDS: Final = 2.5
 
 
+CONFIGURATION: Final = 'configuration'
+SERVERS: Final = 'servers'
+_FEEDS: Final = (CONFIGURATION, SERVERS)
+
+
 class Registry(Protocol):
     """Where routes are published and backend servers register."""
 
@@ -55,28 +60,32 @@
         """Follow ``registry`` into ``directory``."""
         self._registry = registry
         self._directory = directory
-        self._lost_at: float | None = None
-        self._regained_at = 0.0
+        self._lost_at_by_feed: dict[str, float] = {}
+        self._servers_back_at = 0.0
 
     @property
     def is_lost(self) -> bool:
-        """Return whether the last read failed."""
-        return self._lost_at is not None
+        """Return whether nothing can be read; one feed may fail alone."""
+        return len(self._lost_at_by_feed) == len(_FEEDS)
 
     def start(self) -> None:
         """Start the greenlets that read."""
-        gevent.spawn(self._follow, self._read_configuration, 0)
-        gevent.spawn(self._follow, self._read_servers, SERVERS_POLL_SECONDS)
-
-    def _follow(self, read: Callable[[], None], pause_seconds: float) -> None:
+        gevent.spawn(self._follow, CONFIGURATION, self._read_configuration, 0)
+        gevent.spawn(
+            self._follow, SERVERS, self._read_servers, SERVERS_POLL_SECONDS
+        )
+
+    def _follow(
+        self, feed: str, read: Callable[[], None], pause_seconds: float
+    ) -> None:
         while True:
             try:
                 read()
             except LogServiceError as error:
-                self._note_lost(error)
+                self._note_lost(feed, error)
                 gevent.sleep(RETRY_SECONDS)
             else:
-                self._note_answer()
+                self._note_answer(feed)
                 gevent.sleep(pause_seconds)
 
     def _read_configuration(self) -> None:
@@ -86,7 +95,8 @@
 
     def _read_servers(self) -> None:
         servers = list(self._registry.read_servers())
-        if read_clock() < self._regained_at + RETURN_GRACE_SECONDS:
+        self._note_answer(SERVERS)
+        if read_clock() < self._servers_back_at + RETURN_GRACE_SECONDS:
             registered = {server.server_id for server in servers}
             servers.extend(
                 server
@@ -95,16 +105,20 @@
             )
         self._directory.put_servers(servers)
 
-    def _note_lost(self, error: LogServiceError) -> None:
-        if self._lost_at is None:
-            self._lost_at = read_clock()
-            emit(LogEvent.STORE_LOST, error=error)
+    def _note_lost(self, feed: str, error: LogServiceError) -> None:
+        if feed not in self._lost_at_by_feed:
+            self._lost_at_by_feed[feed] = read_clock()
+            emit(LogEvent.STORE_LOST, feed=feed, error=error)
 
-    def _note_answer(self) -> None:
-        if self._lost_at is None:
+    def _note_answer(self, feed: str) -> None:
+        lost_at = self._lost_at_by_feed.pop(feed, None)
+        if lost_at is None:
             return
         now = read_clock()
-        seconds = round(now - self._lost_at, 3)
-        self._lost_at = None
-        self._regained_at = now
-        emit(LogEvent.STORE_REGAINED, away_seconds=seconds)
+        if feed == SERVERS:
+            self._servers_back_at = now
+        emit(
+            LogEvent.STORE_REGAINED,
+            feed=feed,
+            away_seconds=round(now - lost_at, 3),
+        )
--- a/src/bronzepost/_internal/node/messages.py
+++ b/src/bronzepost/_internal/node/messages.py
@@ -59,7 +59,8 @@
     """Ask the home of a program for the tokens of one turn.
 
     ``lines`` are the parts of the prompt that one server may have in its
-    cache, the most specific first.
+    cache, the most specific first. The home may grant tokens without the
+    store only if ``may_be_provisional``.
     """
 
     call_id: int
@@ -68,6 +69,7 @@
     budget: int
     tokens: int
     lines: tuple[str, ...]
+    may_be_provisional: bool
 
 
 class TokensReserved(
@@ -98,19 +100,25 @@
 class HoldAllowance(
     msgspec.Struct, frozen=True, kw_only=True, tag='hold_allowance'
 ):
-    """Ask for a copy of an allowance that the store could not take."""
+    """Ask for a copy of an allowance that the store could not take.
+
+    ``tokens`` is all that the holder has of the program in this way, ``most``
+    the size of one turn.
+    """
 
     call_id: int
     program_id: str
     budget: int
     holder: str
     tokens: int
+    most: int
 
 
 class Held(msgspec.Struct, frozen=True, kw_only=True, tag='held'):
-    """Say that a copy is held."""
+    """Say that a copy is held, or that it contradicts another one."""
 
     call_id: int
+    is_held: bool = True
 
 
 class HoldTurn(msgspec.Struct, frozen=True, kw_only=True, tag='hold_turn'):
