Stop a request whose caller has left

Cause: the call that interrupts a request had one argument too many, so each close of a caller raised a TypeError in the loop and the request went on at its backend server.

--- a/src/bronzepost/_internal/gateway/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/caller_connections.py
@@ -182,7 +182,7 @@
         with contextlib.suppress(OSError):
             if self._sock.recv(1, socket.MSG_PEEK):
                 return
-        gevent.kill(serving, CallerGoneError('closed by the caller'), False)
+        serving.kill(CallerGoneError('closed by the caller'), block=False)
 
     def _read_request(self) -> HttpRequest | None:
         reader = self._reader
