--- a/src/bronzepost/_internal/core/gateway/route_table.py
+++ b/src/bronzepost/_internal/core/gateway/route_table.py
@@ -53,9 +53,6 @@
     return route.services[-1][0]
 
 
-
-
-
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
 
--- a/src/bronzepost/_internal/gateway/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/backend_connections.py
@@ -30,7 +30,6 @@
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout=(\d+)')
 
 
-
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class BackendConnection:
     """An open connection on which one request at a time is served."""
--- a/src/bronzepost/_internal/gateway/budget_partition.py
+++ b/src/bronzepost/_internal/gateway/budget_partition.py
@@ -180,7 +180,9 @@
             )
         except (AppendConflictError, AmbiguousAppendError) as error:
             emit(
-                LogEvent.ALLOWANCE_REREAD, partition=self._partition, error=error
+                LogEvent.ALLOWANCE_REREAD,
+                partition=self._partition,
+                error=error,
             )
             self._end_offset = None
             return False
--- a/src/bronzepost/_internal/gateway/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/caller_connections.py
@@ -225,9 +225,7 @@
 
     def _refuse(self, status: HTTPStatus, error: ProtocolError) -> None:
         emit(LogEvent.REQUEST_UNREADABLE, error=error, status=status.value)
-        answer = CallerAnswer(
-            sock=self._sock, is_http11=True, keep_alive=False
-        )
+        answer = CallerAnswer(sock=self._sock, is_http11=True, keep_alive=False)
         refusal = RefusedError(
             error.message, code='bad_request', status=status, step=error.step
         )
--- a/src/bronzepost/_internal/gateway/turn_keeper.py
+++ b/src/bronzepost/_internal/gateway/turn_keeper.py
@@ -255,9 +255,7 @@
     def _drop_stored(self, turn_ids: Iterable[str]) -> None:
         by_partition: dict[int, list[KeyedRecord]] = {}
         for turn_id in turn_ids:
-            records = by_partition.setdefault(
-                self._find_partition(turn_id), []
-            )
+            records = by_partition.setdefault(self._find_partition(turn_id), [])
             records.append(KeyedRecord(key=turn_id, content=b''))
         for partition, records in by_partition.items():
             try:
