Go on through outages of the store and planned restarts

A VM without news from the store asks another one for routes and servers, and is named to callers only once it has routes. A home that stops being the first in order hands its accounts to the one that is, and a home that knows all that the store has may grant up to the budget, with copies on two other VMs.

Ruled out: larger grants by a home that does not know the partition.

--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -6,13 +6,12 @@
 the allowances of all VMs together stay within the budget whichever VM takes
 itself for the home, and what a lost VM had not spent counts as spent.
 
-While the store is away, a home may grant itself one further part that only
-other VMs hold a copy of.
+While the store is away, a home may grant itself further parts that only other
+VMs hold a copy of. A home that is replaced hands its accounts to the next one.
 """
 
 import dataclasses
 from collections.abc import Mapping
-from types import MappingProxyType
 from typing import Final
 
 # The part of a budget that one append grants. A program uses a quarter of its
@@ -20,12 +19,6 @@
 # program at most this part.
 ALLOWANCE_SHARE: Final = 0.25
 
-_NONE: Final[Mapping[str, int]] = MappingProxyType({})
-
-
-def _no_tokens() -> Mapping[str, int]:
-    return _NONE
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ProgramAccount:
@@ -33,20 +26,22 @@
 
     ``granted_by_holder`` holds what the store says, by the boot of the VM that
     was granted it. ``provisional_by_holder`` was granted without the store.
-    ``spent`` and ``reserved_by_request`` are those of this VM.
+    ``spent`` and ``reserved_by_request`` are those of this VM, which may also
+    spend what was granted to the ``adopted`` holders that it replaced.
     """
 
     program_id: str
     budget: int
     granted_by_holder: Mapping[str, int] = dataclasses.field(
-        default_factory=_no_tokens
+        default_factory=dict
     )
     provisional_by_holder: Mapping[str, int] = dataclasses.field(
-        default_factory=_no_tokens
+        default_factory=dict
     )
     reserved_by_request: Mapping[str, int] = dataclasses.field(
-        default_factory=_no_tokens
+        default_factory=dict
     )
+    adopted: frozenset[str] = frozenset()
     spent: int = 0
     touched_at: float = 0.0
 
@@ -59,10 +54,23 @@
 
     def count_available(self, holder: str) -> int:
         """Return what a VM may still reserve from its own allowances."""
-        own = self.granted_by_holder.get(holder, 0)
-        own += self.provisional_by_holder.get(holder, 0)
+        own = sum(
+            allowances.get(name, 0)
+            for allowances in (
+                self.granted_by_holder,
+                self.provisional_by_holder,
+            )
+            for name in self.adopted | {holder}
+        )
         return own - self.spent - sum(self.reserved_by_request.values())
 
+    def has_allowance(self, holder: str) -> bool:
+        """Return whether a VM holds any allowance of the program."""
+        names = self.adopted | {holder}
+        return not names.isdisjoint(
+            self.granted_by_holder.keys() | self.provisional_by_holder.keys()
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Reserved:
@@ -122,14 +130,18 @@
     )
 
 
-def is_provisional_bounded(account: ProgramAccount, *, most: int) -> bool:
-    """Return whether the allowances that the store lacks are few enough.
+def find_provisional_bound(
+    account: ProgramAccount, *, most: int, is_synced: bool
+) -> int:
+    """Return how much all VMs may grant of a program without the store.
 
-    Together they stay within one share of the budget, or within one turn, of
-    which ``most`` is the size.
+    A home that has read the partition or got it handed over knows all that
+    was granted, and may go on to the end of the budget. Another one stays
+    within one share of it, or within one turn, of which ``most`` is the size.
     """
-    provisional = sum(account.provisional_by_holder.values())
-    return provisional <= max(int(account.budget * ALLOWANCE_SHARE), most)
+    if is_synced:
+        return account.budget - sum(account.granted_by_holder.values())
+    return max(int(account.budget * ALLOWANCE_SHARE), most)
 
 
 def grant_provisionally(
@@ -152,7 +164,7 @@
     for holder, tokens in account.provisional_by_holder.items():
         granted[holder] = granted.get(holder, 0) + tokens
     return dataclasses.replace(
-        account, granted_by_holder=granted, provisional_by_holder=_NONE
+        account, granted_by_holder=granted, provisional_by_holder={}
     )
 
 
@@ -206,3 +218,25 @@
         account,
         provisional_by_holder={**account.provisional_by_holder, holder: held},
     )
+
+
+def adopt_account(
+    account: ProgramAccount | None, handed: ProgramAccount, *, former: str
+) -> ProgramAccount:
+    """Return the account of a home that replaces the holder ``former``."""
+    adopted = handed.adopted | {former}
+    if account is None:
+        return dataclasses.replace(handed, adopted=adopted)
+    merged = merge_stored(account, handed)
+    provisional = {
+        **merged.provisional_by_holder,
+        **handed.provisional_by_holder,
+    }
+    reserved = {**account.reserved_by_request, **handed.reserved_by_request}
+    return dataclasses.replace(
+        merged,
+        provisional_by_holder=provisional,
+        reserved_by_request=reserved,
+        adopted=account.adopted | adopted,
+        spent=account.spent + handed.spent,
+    )
--- a/src/bronzepost/_internal/gateway/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/budget_keeper.py
@@ -3,20 +3,24 @@
 import dataclasses
 import functools
 from http import HTTPStatus
-from typing import Final
+from typing import Any, Final
 
 import gevent
+import msgspec
 
 from bronzepost._internal.core.gateway import budgets
+from bronzepost._internal.core.gateway.budgets import ProgramAccount
 from bronzepost._internal.core.gateway.entities import CallRequest
 from bronzepost._internal.exceptions import RefusedError
 from bronzepost._internal.gateway.budget_partition import BudgetPartition
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.homes import PeerReports, partition_of_key
 from bronzepost._internal.gateway.keyed_store import KeyedStore
+from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peer_calls import PeerCalls
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.messages import (
+    HandOver,
     Held,
     HoldAllowance,
     ReserveTokens,
@@ -78,6 +82,7 @@
         self._fleet = fleet
         self._reports = reports
         self._calls = calls
+        self._is_leaving = False
         self._partitions = [
             BudgetPartition(
                 store=store, partition=number, holder=fleet.own_boot
@@ -87,10 +92,17 @@
         fleet.subscribe(ReserveTokens, self._take_question)
         fleet.subscribe(SettleTokens, self._take_settlement)
         fleet.subscribe(HoldAllowance, self._take_copy)
+        fleet.subscribe(HandOver, self._take_accounts)
 
     def start(self) -> None:
         """Start the upkeep of the accounts."""
-        gevent.spawn(self._keep_up)
+        start_loop(self._keep_up, FLUSH_SECONDS)
+        start_loop(self._drop_untouched, DROP_SECONDS)
+
+    def leave(self) -> None:
+        """Hand all accounts to the VMs that are their homes from now on."""
+        self._is_leaving = True
+        self._hand_over()
 
     def reserve(self, call: CallRequest) -> Reservation:
         """Reserve the most that a turn can generate.
@@ -169,6 +181,8 @@
         return TokensReserved(call_id=0, verdict=UNSURE)
 
     def _decide(self, question: ReserveTokens) -> TokensReserved:
+        if self._is_leaving:
+            return TokensReserved(call_id=question.call_id, verdict=UNSURE)
         partition = self._find_partition(question.program_id)
         return TokensReserved(
             call_id=question.call_id,
@@ -184,7 +198,7 @@
             )
             decision = budgets.reserve_tokens(
                 account,
-                holder=self._fleet.own_boot,
+                holder=partition.holder,
                 request_id=question.request_id,
                 tokens=question.tokens,
             )
@@ -210,17 +224,27 @@
             return False
         account = partition.find_account(question.program_id, question.budget)
         # A share of the budget would use up what may be granted this way.
-        available = account.count_available(self._fleet.own_boot)
+        holder = partition.holder
+        available = account.count_available(holder)
         tokens = max(question.tokens - available, 0)
-        holder = self._fleet.own_boot
+        bound = budgets.find_provisional_bound(
+            account, most=question.tokens, is_synced=partition.is_synced
+        )
         account = budgets.grant_provisionally(
             account, holder=holder, tokens=tokens
         )
-        if not budgets.is_provisional_bounded(account, most=question.tokens):
+        if sum(account.provisional_by_holder.values()) > bound:
             return False
         partition.put_account(account)
-        total = account.provisional_by_holder[holder]
-        is_held = self._send_copies(question, total)
+        copy = HoldAllowance(
+            call_id=0,
+            program_id=question.program_id,
+            budget=question.budget,
+            holder=holder,
+            tokens=account.provisional_by_holder[holder],
+            bound=bound,
+        )
+        is_held = self._send_copies(copy)
         emit(
             LogEvent.ALLOWANCE_PROVISIONAL,
             request=question.request_id,
@@ -230,43 +254,84 @@
         )
         return is_held
 
-    def _send_copies(self, question: ReserveTokens, total: int) -> bool:
+    def _send_copies(self, copy: HoldAllowance) -> bool:
         others = [
             name
-            for name in self._rank(question.program_id)
+            for name in self._rank(copy.program_id)
             if name != self._fleet.own_name
         ]
-        make_message = functools.partial(
-            HoldAllowance,
-            program_id=question.program_id,
-            budget=question.budget,
-            holder=self._fleet.own_boot,
-            tokens=total,
-            most=question.tokens,
-        )
         asked = [
-            gevent.spawn(
-                self._calls.ask,
-                name,
-                lambda number: make_message(call_id=number),
-            )
+            gevent.spawn(self._send_copy, name, copy)
             for name in others[:COPIES]
         ]
         gevent.joinall(asked)
         answers = [done.value for done in asked if done.value is not None]
         return bool(answers) and all(answer.is_held for answer in answers)
 
+    def _send_copy(self, name: str, copy: HoldAllowance) -> Any:
+        return self._calls.ask(
+            name,
+            lambda number: msgspec.structs.replace(copy, call_id=number),
+        )
+
     def _take_question(self, sender: str, question: ReserveTokens) -> None:
         gevent.spawn(self._answer_question, sender, question)
 
     def _answer_question(self, sender: str, question: ReserveTokens) -> None:
         self._fleet.send(sender, self._decide(question))
 
-    def _take_settlement(self, _sender: str, message: SettleTokens) -> None:
+    def _take_accounts(self, sender: str, message: HandOver) -> None:
+        partition = self._partitions[message.partition]
+        accounts = msgspec.msgpack.decode(
+            message.content, type=list[ProgramAccount]
+        )
+        partition.adopt(accounts, former=message.former)
+        partition.is_synced = partition.is_synced or message.is_synced
+        emit(
+            LogEvent.ACCOUNTS_ADOPTED,
+            partition=message.partition,
+            peer=sender,
+            programs=len(accounts),
+            is_synced=message.is_synced,
+        )
+
+    def _hand_over(self) -> None:
+        for number, partition in enumerate(self._partitions):
+            ranked = self._reports.rank_homes(f'budgets-{number}')
+            others = [name for name in ranked if name != self._fleet.own_name]
+            is_home = ranked[:1] == (self._fleet.own_name,)
+            if others and (self._is_leaving or not is_home):
+                self._give_accounts(number, partition, others[0])
+
+    def _give_accounts(
+        self, number: int, partition: BudgetPartition, home: str
+    ) -> None:
+        former = partition.holder
+        accounts = partition.give_up()
+        if not accounts:
+            return
+        message = HandOver(
+            partition=number,
+            former=former,
+            is_synced=partition.is_synced,
+            content=msgspec.msgpack.encode(accounts),
+        )
+        is_sent = self._fleet.send(home, message)
+        emit(
+            LogEvent.ACCOUNTS_HANDED_OVER,
+            partition=number,
+            peer=home,
+            programs=len(accounts),
+            is_sent=is_sent,
+        )
+
+    def _take_settlement(self, sender: str, message: SettleTokens) -> None:
         partition = self._find_partition(message.program_id)
         partition.note_server(message.line, message.server_id)
         account = partition.accounts_by_program.get(message.program_id)
-        if account is not None:
+        if account is None:
+            self._forward_settlement(sender, message)
+        else:
             partition.put_account(
                 budgets.settle_tokens(
                     account,
@@ -282,23 +347,28 @@
             account, holder=copy.holder, tokens=copy.tokens
         )
         # Refused if this VM knows of another one's provisional allowance.
-        is_held = budgets.is_provisional_bounded(account, most=copy.most)
+        held_tokens = sum(account.provisional_by_holder.values())
+        is_held = held_tokens <= copy.bound
         if is_held:
             partition.put_account(account)
         held = Held(call_id=copy.call_id, is_held=is_held)
         self._fleet.send(sender, held)
 
+    def _forward_settlement(self, sender: str, message: SettleTokens) -> None:
+        # Forwarded once: a message from another home is not sent back.
+        home = self._rank(message.program_id)[:1]
+        if home and home[0] not in {sender, self._fleet.own_name}:
+            self._fleet.send(home[0], message)
+
     def _keep_up(self) -> None:
-        next_drop = read_clock() + DROP_SECONDS
-        while True:
-            gevent.sleep(FLUSH_SECONDS)
-            now = read_clock()
-            for partition in self._partitions:
-                partition.flush()
-                if now >= next_drop:
-                    partition.drop_untouched(now - REMEMBERED_SECONDS)
-            if now >= next_drop:
-                next_drop = now + DROP_SECONDS
+        self._hand_over()
+        for partition in self._partitions:
+            partition.flush()
+
+    def _drop_untouched(self) -> None:
+        oldest = read_clock() - REMEMBERED_SECONDS
+        for partition in self._partitions:
+            partition.drop_untouched(oldest)
 
 
 def refuse_spent(home: str) -> RefusedError:
--- a/src/bronzepost/_internal/gateway/budget_partition.py
+++ b/src/bronzepost/_internal/gateway/budget_partition.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Mapping, Sequence, Set
+from collections.abc import Iterable, Mapping, Sequence, Set
 from typing import Final
 
 import gevent
@@ -47,9 +47,12 @@
     ) -> None:
         """Keep accounts for the VM whose boot is ``holder``."""
         self.accounts_by_program: dict[str, ProgramAccount] = {}
+        self.is_synced = False
+        self.holder = holder
+        self._boot = holder
+        self._handed_over = 0
         self._store = store
         self._partition = partition
-        self._holder = holder
         self._end_offset: int | None = None
         self._wanted_by_program: dict[str, int] = {}
         self._dropped: set[str] = set()
@@ -68,6 +71,33 @@
         """Replace an account."""
         self.accounts_by_program[account.program_id] = account
 
+    def give_up(self) -> list[ProgramAccount]:
+        """Return the accounts that this VM has allowances of, and drop them.
+
+        From then on the VM grants under another name, since it no longer
+        knows what is spent of the allowances under this one.
+        """
+        given = [
+            account
+            for account in self.accounts_by_program.values()
+            if account.has_allowance(self.holder)
+        ]
+        for account in given:
+            self.accounts_by_program.pop(account.program_id)
+        if given:
+            self._handed_over += 1
+            self.holder = f'{self._boot}.{self._handed_over}'
+        return given
+
+    def adopt(self, accounts: Iterable[ProgramAccount], *, former: str) -> None:
+        """Take the accounts of a home that this VM replaces."""
+        for handed in accounts:
+            known = self.accounts_by_program.get(handed.program_id)
+            adopted = budgets.adopt_account(known, handed, former=former)
+            self.put_account(
+                dataclasses.replace(adopted, touched_at=read_clock())
+            )
+
     def find_server(self, lines: Sequence[str]) -> str:
         """Return the server that the first known line ran on last."""
         for line in lines:
@@ -108,7 +138,8 @@
             self._write_and_wait(0)
 
     def _is_unstored(self, account: ProgramAccount) -> bool:
-        return account.provisional_by_holder.get(self._holder, 0) > 0
+        names = account.adopted | {self.holder}
+        return not names.isdisjoint(account.provisional_by_holder)
 
     def _write_and_wait(self, seconds: float) -> bool:
         done = AsyncResult()
@@ -201,10 +232,9 @@
             tokens = min(tokens, max(grantable, 0))
             if tokens:
                 granted = budgets.grant_allowance(
-                    granted, holder=self._holder, tokens=tokens
+                    granted, holder=self.holder, tokens=tokens
                 )
-            own = account.provisional_by_holder.get(self._holder, 0)
-            if tokens or own:
+            if tokens or self._is_unstored(account):
                 changed[program_id] = granted
         return changed
 
@@ -221,6 +251,7 @@
                 known = self.accounts_by_program.get(stored.program_id)
                 self.put_account(budgets.merge_stored(known, stored))
         self._end_offset = found.end_offset
+        self.is_synced = True
 
 
 def encode_account(account: ProgramAccount) -> bytes:
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -34,6 +34,11 @@
         self._avoided_until_by_id: dict[str, float] = {}
         self._misplaced_by_id: dict[str, BackendServer] = {}
 
+    @property
+    def version(self) -> int:
+        """Return the version of the routes in force, 0 without any."""
+        return self.configuration.version if self.configuration else 0
+
     def read_limits(self) -> CallerLimits:
         """Return what callers may send now."""
         if self.configuration is None:
@@ -51,7 +56,6 @@
             LogEvent.ROUTES_IN_FORCE,
             version=configuration.version,
             routes=len(configuration.routes),
-            kinds=sorted(map(_describe_route, configuration.routes)),
         )
 
     def put_servers(self, servers: Iterable[BackendServer]) -> None:
@@ -115,7 +119,3 @@
             peer=new.address,
             born=new.born,
         )
-
-
-def _describe_route(route):
-    return f'{route.kind} {route.services} x{route.attempts} {route.timeout_seconds:g} s hist={route.keeps_history} res={route.is_resumable} rank={route.rank} {route.path_prefix}'
--- a/src/bronzepost/_internal/gateway/fleet.py
+++ b/src/bronzepost/_internal/gateway/fleet.py
@@ -6,10 +6,9 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-import gevent
-
 from bronzepost._internal.core import membership
 from bronzepost._internal.exceptions import ProtocolError
+from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.messages import MessageCodec, PeerMessage
@@ -66,7 +65,7 @@
             SettingsError: if the peer address cannot be listened on.
         """
         self._transport.start()
-        gevent.spawn(self._tick)
+        start_loop(self._tick, TICK_SECONDS)
 
     def leave(self) -> None:
         """Tell the others that this process stops."""
@@ -110,9 +109,7 @@
         self._transport.send(peer_address, message)
 
     def _tick(self) -> None:
-        while True:
-            self._put(membership.Tick(at=read_clock()))
-            gevent.sleep(TICK_SECONDS)
+        self._put(membership.Tick(at=read_clock()))
 
     def _put(self, event: membership.MembershipEvent) -> None:
         for action in membership.apply_event(self._members, event):
--- a/src/bronzepost/_internal/gateway/homes.py
+++ b/src/bronzepost/_internal/gateway/homes.py
@@ -5,12 +5,12 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-import gevent
 import xxhash
 
 from bronzepost._internal.core.rendezvous import rank_members
 from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.fleet import Fleet
+from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.registry import RegistryFollower
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.messages import LoadReport
@@ -45,7 +45,7 @@
 
     def start(self) -> None:
         """Start to send reports."""
-        gevent.spawn(self._send_reports)
+        start_loop(self._send_reports, REPORT_SECONDS)
 
     @property
     def has_store(self) -> bool:
@@ -62,6 +62,20 @@
         ranked = rank_members(names, key)
         return tuple(sorted(ranked, key=self._is_silent))
 
+    def is_ready(self, name: str) -> bool:
+        """Return whether a member has reported that it can serve callers."""
+        if name == self._fleet.own_name:
+            return self._directory.configuration is not None
+        known = self._reports_by_name.get(name)
+        return known is not None and known[1].is_ready
+
+    def list_helpers(self) -> list[str]:
+        """Return the members that have routes, the best informed first."""
+        ready = [
+            name for name in self._fleet.list_others() if self.is_ready(name)
+        ]
+        return sorted(ready, key=self._rate_helper)
+
     def put_store_first(self, names: Sequence[str]) -> list[str]:
         """Return members with those last that the store does not answer."""
         return sorted(names, key=self._lacks_store)
@@ -94,22 +108,26 @@
         known = self._reports_by_name.get(name)
         return known is not None and not known[1].has_store
 
+    def _rate_helper(self, name: str) -> tuple[bool, int]:
+        _, report = self._reports_by_name[name]
+        return not report.has_store, -report.version
+
     def _take(self, sender: str, report: LoadReport) -> None:
         self._reports_by_name[sender] = (read_clock(), report)
 
     def _send_reports(self) -> None:
-        while True:
-            gevent.sleep(REPORT_SECONDS)
-            in_flight = self._directory.in_flight_by_id
-            report = LoadReport(
-                in_flight={key: n for key, n in in_flight.items() if n},
-                has_store=self.has_store,
-            )
-            names = list(self._fleet.list_others())
-            if len(names) > REPORT_PEERS:
-                names = random.sample(names, REPORT_PEERS)  # noqa: S311
-            for name in names:
-                self._fleet.send(name, report)
+        in_flight = self._directory.in_flight_by_id
+        report = LoadReport(
+            in_flight={key: count for key, count in in_flight.items() if count},
+            has_store=self.has_store,
+            is_ready=self._directory.configuration is not None,
+            version=self._directory.version,
+        )
+        names = list(self._fleet.list_others())
+        if len(names) > REPORT_PEERS:
+            names = random.sample(names, REPORT_PEERS)  # noqa: S311
+        for name in names:
+            self._fleet.send(name, report)
 
 
 def partition_of_key(key: str, partitions: int) -> int:
--- a/src/bronzepost/_internal/gateway/peer_calls.py
+++ b/src/bronzepost/_internal/gateway/peer_calls.py
@@ -11,6 +11,7 @@
 from bronzepost._internal.node.messages import (
     Held,
     PeerMessage,
+    Snapshot,
     TokensReserved,
     TurnsFound,
 )
@@ -19,7 +20,7 @@
 # longer is paused or gone, and the next one is asked.
 ANSWER_SECONDS: Final = 0.15
 
-_ANSWERS: Final = (Held, TokensReserved, TurnsFound)
+_ANSWERS: Final = (Held, Snapshot, TokensReserved, TurnsFound)
 
 MakeMessage = Callable[[int], PeerMessage]
 
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -18,10 +18,12 @@
 from bronzepost._internal.gateway.header_names import HeaderNames
 from bronzepost._internal.gateway.homes import PeerReports
 from bronzepost._internal.gateway.keyed_store import KeyedStore
+from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peer_calls import PeerCalls
 from bronzepost._internal.gateway.program_state import ProgramState
 from bronzepost._internal.gateway.registry import Registry, RegistryFollower
 from bronzepost._internal.gateway.settings import GatewaySettings
+from bronzepost._internal.gateway.snapshots import SnapshotExchange
 from bronzepost._internal.gateway.turn_keeper import TurnKeeper
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
@@ -33,7 +35,7 @@
 # The kill comes after the grace period; the process ends a little before it.
 STOP_MARGIN_SECONDS: Final = 0.5
 _POLL_SECONDS: Final = 0.05
-_UPKEEP_SECONDS: Final = 1.0
+UPKEEP_SECONDS: Final = 1.0
 
 
 class Gateway:
@@ -67,6 +69,13 @@
         self.turns = TurnKeeper(
             fleet=self.fleet, reports=self.reports, calls=calls, store=store
         )
+        self.snapshots = SnapshotExchange(
+            fleet=self.fleet,
+            reports=self.reports,
+            calls=calls,
+            directory=self.directory,
+            follower=self.follower,
+        )
         self.forwarder = Forwarder(
             directory=self.directory,
             reports=self.reports,
@@ -94,7 +103,11 @@
 
         A process that stops is not listed.
         """
-        members = self.fleet.list_serving()
+        members = [
+            member
+            for member in self.fleet.list_serving()
+            if self.reports.is_ready(member.name)
+        ]
         ordered = sorted(
             members,
             key=lambda member: member.availability_zone != availability_zone,
@@ -113,8 +126,9 @@
         self.reports.start()
         self.budgets.start()
         self.turns.start()
+        self.snapshots.start()
         self.callers.start()
-        gevent.spawn(self._keep_up)
+        start_loop(self._keep_up, UPKEEP_SECONDS)
         emit(LogEvent.NODE_STARTED, address=self.settings.caller_address)
 
     def wait(self) -> None:
@@ -127,6 +141,7 @@
             return
         emit(LogEvent.DRAIN_STARTED)
         self.callers.drain()
+        self.budgets.leave()
         self.fleet.leave()
         gevent.spawn(self._finish)
 
@@ -141,9 +156,7 @@
         self._stopped.set()
 
     def _keep_up(self) -> None:
-        while True:
-            gevent.sleep(_UPKEEP_SECONDS)
-            self.pool.close_idle(read_clock())
+        self.pool.close_idle(read_clock())
 
 
 def run_gateway(gateway: Gateway, reload: Callable[[], None]) -> int:
--- a/src/bronzepost/_internal/gateway/registry.py
+++ b/src/bronzepost/_internal/gateway/registry.py
@@ -11,6 +11,7 @@
 )
 from bronzepost._internal.exceptions import LogServiceError
 from bronzepost._internal.gateway.directory import Directory
+from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -68,25 +69,36 @@
         """Return whether nothing can be read; one feed may fail alone."""
         return len(self._lost_at_by_feed) == len(_FEEDS)
 
+    @property
+    def needs_help(self) -> bool:
+        """Return whether another VM may know more than this one."""
+        has_routes = self._directory.configuration is not None
+        return bool(self._lost_at_by_feed) or not has_routes
+
+    @property
+    def lacks_servers(self) -> bool:
+        """Return whether the list of servers cannot be read now."""
+        return SERVERS in self._lost_at_by_feed
+
     def start(self) -> None:
         """Start the greenlets that read."""
-        gevent.spawn(self._follow, CONFIGURATION, self._read_configuration, 0)
-        gevent.spawn(
-            self._follow, SERVERS, self._read_servers, SERVERS_POLL_SECONDS
-        )
-
-    def _follow(
-        self, feed: str, read: Callable[[], None], pause_seconds: float
-    ) -> None:
-        while True:
-            try:
-                read()
-            except LogServiceError as error:
-                self._note_lost(feed, error)
-                gevent.sleep(RETRY_SECONDS)
-            else:
-                self._note_answer(feed)
-                gevent.sleep(pause_seconds)
+        start_loop(self._follow_configuration, 0)
+        start_loop(self._follow_servers, SERVERS_POLL_SECONDS)
+
+    def _follow_configuration(self) -> None:
+        self._follow(CONFIGURATION, self._read_configuration)
+
+    def _follow_servers(self) -> None:
+        self._follow(SERVERS, self._read_servers)
+
+    def _follow(self, feed: str, read: Callable[[], None]) -> None:
+        try:
+            read()
+        except LogServiceError as error:
+            self._note_lost(feed, error)
+            gevent.sleep(RETRY_SECONDS)
+        else:
+            self._note_answer(feed)
 
     def _read_configuration(self) -> None:
         configuration = self._registry.wait_for_configuration(WAIT_SECONDS)
--- a/src/bronzepost/_internal/gateway/turn_keeper.py
+++ b/src/bronzepost/_internal/gateway/turn_keeper.py
@@ -20,6 +20,7 @@
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.homes import PeerReports, partition_of_key
 from bronzepost._internal.gateway.keyed_store import KeyedRecord, KeyedStore
+from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peer_calls import PeerCalls
 from bronzepost._internal.node.messages import (
     FindTurns,
@@ -71,7 +72,7 @@
 
     def start(self) -> None:
         """Start the upkeep of the turns."""
-        gevent.spawn(self._keep_up)
+        start_loop(self._keep_up, UPKEEP_SECONDS)
 
     def find_chain(self, call: CallRequest) -> tuple[str, ...]:
         """Return the ids of the turns before this one, all at hand.
@@ -233,13 +234,11 @@
                 self.turns_by_id.setdefault(turn.turn_id, turn)
 
     def _keep_up(self) -> None:
-        while True:
-            gevent.sleep(UPKEEP_SECONDS)
-            if self._reports.has_store:
-                Pool(READERS).map(
-                    self._store_turn, tuple(self._unstored_by_id.values())
-                )
-            self._drop_ended()
+        if self._reports.has_store:
+            Pool(READERS).map(
+                self._store_turn, tuple(self._unstored_by_id.values())
+            )
+        self._drop_ended()
 
     def _drop_ended(self) -> None:
         oldest = time.time() - RETENTION_MARGIN_SECONDS
--- a/src/bronzepost/_internal/node/messages.py
+++ b/src/bronzepost/_internal/node/messages.py
@@ -102,8 +102,8 @@
 ):
     """Ask for a copy of an allowance that the store could not take.
 
-    ``tokens`` is all that the holder has of the program in this way, ``most``
-    the size of one turn.
+    ``tokens`` is all that the holder has of the program in this way, and
+    ``bound`` what all VMs together may have.
     """
 
     call_id: int
@@ -111,7 +111,7 @@
     budget: int
     holder: str
     tokens: int
-    most: int
+    bound: int
 
 
 class Held(msgspec.Struct, frozen=True, kw_only=True, tag='held'):
@@ -147,11 +147,45 @@
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag='load_report'):
     """What a gateway has sent to backend servers and not had answered.
 
-    ``has_store`` tells whether the store answers it.
+    ``has_store`` tells whether the store answers it, ``is_ready`` whether it
+    can serve callers, ``version`` which routes it has in force.
     """
 
     in_flight: dict[str, int]
     has_store: bool
+    is_ready: bool
+    version: int
+
+
+class AskSnapshot(
+    msgspec.Struct, frozen=True, kw_only=True, tag='ask_snapshot'
+):
+    """Ask for the routes in force and the backend servers."""
+
+    call_id: int
+
+
+class Snapshot(msgspec.Struct, frozen=True, kw_only=True, tag='snapshot'):
+    """Answer to ``AskSnapshot``; empty from a VM that has no routes itself.
+
+    The servers are current if ``has_store``, otherwise the last known.
+    """
+
+    call_id: int
+    content: bytes
+    has_store: bool
+
+
+class HandOver(msgspec.Struct, frozen=True, kw_only=True, tag='hand_over'):
+    """Give the accounts of a partition to the VM that is their home now.
+
+    ``is_synced`` tells whether they are all that the store has.
+    """
+
+    partition: int
+    former: str
+    is_synced: bool
+    content: bytes
 
 
 PeerMessage = (
@@ -171,6 +205,9 @@
     | FindTurns
     | TurnsFound
     | LoadReport
+    | AskSnapshot
+    | Snapshot
+    | HandOver
 )
 
 
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -155,6 +155,9 @@
     HOME_SILENT = 8020, WARNING, 'The home of a program did not answer.'
     TURN_NOT_STORED = 8021, WARNING, 'The store did not take a turn yet.'
     TURN_NOT_DURABLE = 8022, ERROR, 'An answer left while one VM has its turn.'
+    ACCOUNTS_ADOPTED = 8024, INFO, 'This VM is the home of more programs now.'
+    ACCOUNTS_HANDED_OVER = 8025, INFO, 'Another VM is the home of programs now.'
+    SNAPSHOT_TAKEN = 8026, INFO, 'Routes or servers came from another VM.'
     TURN_NOT_FOUND = 8023, WARNING, 'A turn to continue from was not found.'
 
     def __init__(self, number: int, level: Level, description: str) -> None:
