Hedge idempotent requests, and keep accounts when homes change

BUDGET broke once, because a home that handed its accounts over kept the end of the partition, so it granted again from an empty account; accounts also went to a home that the store did not answer.

An idempotent request goes to a second server once the latency that its route aims at has passed, within the route's attempts and a budget of a tenth of the calls. A home that hands over reads the partition again before it grants, and hands over to the first VM that the store answers. A connection with bytes to read is not closed, and nothing is read after the close.

--- a/src/bronzepost/_internal/gateway/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/budget_keeper.py
@@ -298,22 +298,24 @@
     def _hand_over(self) -> None:
         for number, partition in enumerate(self._partitions):
             ranked = self._reports.rank_homes(f'budgets-{number}')
-            others = [name for name in ranked if name != self._fleet.own_name]
-            is_home = ranked[:1] == (self._fleet.own_name,)
-            if others and (self._is_leaving or not is_home):
-                self._give_accounts(number, partition, others[0])
+            homes = self._reports.put_store_first(ranked)
+            if self._is_leaving:
+                homes = [name for name in homes if name != self._fleet.own_name]
+            if homes and homes[0] != self._fleet.own_name:
+                self._give_accounts(number, partition, homes[0])
 
     def _give_accounts(
         self, number: int, partition: BudgetPartition, home: str
     ) -> None:
         former = partition.holder
+        is_synced = partition.is_synced
         accounts = partition.give_up()
         if not accounts:
             return
         message = HandOver(
             partition=number,
             former=former,
-            is_synced=partition.is_synced,
+            is_synced=is_synced,
             content=msgspec.msgpack.encode(accounts),
         )
         is_sent = self._fleet.send(home, message)
--- a/src/bronzepost/_internal/gateway/budget_partition.py
+++ b/src/bronzepost/_internal/gateway/budget_partition.py
@@ -86,6 +86,9 @@
             self.accounts_by_program.pop(account.program_id)
         if given:
             self._handed_over += 1
+            # What the store has is no longer known here without a read.
+            self._end_offset = None
+            self.is_synced = False
             self.holder = f'{self._boot}.{self._handed_over}'
         return given
 
--- a/src/bronzepost/_internal/gateway/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/caller_connections.py
@@ -136,6 +136,7 @@
     ) -> None:
         """Serve an accepted connection within the limits."""
         self.is_idle = True
+        self._is_closed = False
         self._sock = sock
         self._server = server
         self._limits = limits
@@ -153,11 +154,25 @@
                 return
 
     def close_idle(self) -> None:
-        """Close the connection if no request is under way."""
-        if self.is_idle and self._reader.is_between_requests:
+        """Close the connection if no request is under way or has arrived."""
+        is_waiting = self.is_idle and self._reader.is_between_requests
+        if is_waiting and not self._has_bytes():
+            # Bytes that arrive from now on are not read any more, so that no
+            # request is passed on that would get no answer.
+            self._is_closed = True
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
+    def _has_bytes(self) -> bool:
+        timeout = self._sock.gettimeout()
+        self._sock.settimeout(0)
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+        finally:
+            self._sock.settimeout(timeout)
+
     def _answer(self, request: HttpRequest) -> bool:
         self.is_idle = False
         answer = CallerAnswer(
@@ -217,6 +232,8 @@
             return False
         finally:
             self._sock.settimeout(None)
+        if self._is_closed:
+            return False
         if received:
             self._reader.feed(received)
         if self._reader.expects_continue:
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -1,109 +1,56 @@
 """Forward requests to backend servers, again where that is allowed."""
 
-import dataclasses
 import random
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from http import HTTPStatus
-from typing import Final
 
 import gevent
 
 from bronzepost._internal.core.gateway.entities import (
     BackendServer,
     CallRequest,
-    Route,
     RouteKind,
 )
-from bronzepost._internal.core.gateway.placement import (
-    PlacementView,
-    choose_server,
-)
 from bronzepost._internal.core.gateway.route_table import choose_service
+from bronzepost._internal.core.retry_budget import RetryBudget
 from bronzepost._internal.exceptions import (
-    BackendServerError,
     ExchangeError,
     RefusedError,
     RunState,
 )
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
-from bronzepost._internal.gateway.backend_exchange import BackendExchange
 from bronzepost._internal.gateway.caller_connections import (
     CallerAnswer,
     CallerGoneError,
 )
+from bronzepost._internal.gateway.delivery import (
+    deliver_stream,
+    deliver_whole,
+)
 from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.event_stream import EventSplitter
-from bronzepost._internal.gateway.header_names import (
-    HeaderNames,
-    Headers,
-    drop_headers,
-    find_header,
-    strip_connection_headers,
+from bronzepost._internal.gateway.header_names import Headers
+from bronzepost._internal.gateway.hedging import HedgedRun
+from bronzepost._internal.gateway.http_messages import HttpRequest
+from bronzepost._internal.gateway.pending_call import (
+    DeadlinePassedError,
+    NotRunError,
+    PendingCall,
 )
-from bronzepost._internal.gateway.homes import PeerReports
-from bronzepost._internal.gateway.http_messages import (
-    AnswerHead,
-    HttpRequest,
-    encode_head,
+from bronzepost._internal.gateway.program_state import ProgramState
+from bronzepost._internal.gateway.refusals import (
+    refuse_broken,
+    refuse_late,
+    refuse_no_route,
+    refuse_no_server,
+    refuse_starting,
 )
-from bronzepost._internal.gateway.program_state import OpenTurn, ProgramState
+from bronzepost._internal.gateway.server_calls import ServerCalls
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
-MILLISECONDS: Final = 1000
-# Sent with a refusal when nothing better is known.
-RETRY_AFTER_SECONDS: Final = 0.25
-# A caller that starts up before the first configuration comes back after it.
-STARTING_RETRY_SECONDS: Final = 0.5
-# A request is not sent any more when less time is left than a round trip to
-# another availability zone takes.
-LEAST_SECONDS: Final = 0.01
-# An answer up to this size is held until it is complete, so that one that
-# breaks off can be fetched again from another server.
-HELD_BODY_BYTES: Final = 262144
-_SALT_BITS: Final = 32
-
 DecodeCall = Callable[[Headers], CallRequest]
 
 
-class NotRunError(BackendServerError):
-    """A backend server did not run the request, so it may be sent again."""
-
-
-class DeadlinePassedError(Exception):
-    """The request has used its time."""
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PendingCall:
-    """A request under way, with what became of it so far.
-
-    ``runs`` counts the servers on which it may have run.
-    """
-
-    request: HttpRequest
-    call: CallRequest
-    route: Route
-    service: str
-    body: bytes
-    started_at: float
-    ends_at: float
-    answer: CallerAnswer
-    runs: int = 0
-    sends: int = 0
-    server_id: str = ''
-    passed_over: set[str] = dataclasses.field(default_factory=set)
-    events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
-    turn: OpenTurn | None = None
-
-    @property
-    def remaining_seconds(self) -> float:
-        """Return the time that is left."""
-        return self.ends_at - read_clock()
-
-
 class Forwarder:
     """Take requests from callers and answer them from backend servers."""
 
@@ -111,21 +58,16 @@
         self,
         *,
         directory: Directory,
-        reports: PeerReports,
         programs: ProgramState,
-        pool: ConnectionPool,
-        names: HeaderNames,
+        servers: ServerCalls,
         decode_call: DecodeCall,
-        availability_zone: str,
     ) -> None:
         """Keep the parts that a request needs."""
         self._directory = directory
-        self._reports = reports
         self._programs = programs
-        self._pool = pool
-        self._names = names
+        self._servers = servers
         self._decode_call = decode_call
-        self._availability_zone = availability_zone
+        self._retries = RetryBudget()
 
     def handle(self, request: HttpRequest, answer: CallerAnswer) -> None:
         """Answer one request."""
@@ -205,103 +147,36 @@
         return service.engine.tokens_per_event
 
     def _run(self, pending: PendingCall) -> None:
-        while True:
-            server = self._choose(pending)
+        if pending.route.kind is RouteKind.IDEMPOTENT:
+            hedged = HedgedRun(
+                pending=pending,
+                servers=self._servers,
+                retries=self._retries,
+                note_failure=self._note_failure,
+            )
+            hedged.run()
+            return
+        while not pending.answer.is_complete:
+            server = self._servers.choose(pending)
+            if server is None:
+                raise refuse_no_server(pending)
             try:
-                self._send_to(pending, server)
+                self._run_at(pending, server)
             except NotRunError as error:
-                self._note_not_run(pending, server, error)
+                self._note_failure(pending, server, error)
             except ExchangeError as error:
-                self._note_broken(pending, server, error)
-            else:
-                self._directory.report_success(server)
-                return
-
-    def _choose(self, pending: PendingCall) -> BackendServer:
-        if pending.remaining_seconds < LEAST_SECONDS:
-            raise DeadlinePassedError
-        servers = [
-            server
-            for server in self._directory.list_servers(pending.service)
-            if server.server_id not in pending.passed_over
-        ]
-        view = PlacementView(
-            availability_zone=self._availability_zone,
-            in_flight=self._reports.sum_in_flight(),
-            home=pending.turn.reservation.server_id if pending.turn else '',
-            avoided=self._directory.list_avoided(),
-            salt=random.getrandbits(_SALT_BITS),
-        )
-        server = choose_server(servers, view)
-        if server is None:
-            raise refuse_no_server(pending)
-        return server
-
-    def _send_to(self, pending: PendingCall, server: BackendServer) -> None:
-        pending.server_id = server.server_id
-        pending.sends += 1
-        step = f'forward {pending.call.request_id}'
-        with self._count_in_flight(server):
-            connection = self._pool.acquire(server.address, step=step)
-            exchange = BackendExchange(
-                pool=self._pool,
-                connection=connection,
-                request_id=pending.call.request_id.encode('latin-1'),
-                id_header=self._names.request_id,
-                step=step,
-            )
-            with exchange:
-                exchange.send(self._encode_head(pending, server), pending.body)
-                head = exchange.read_head()
-                self._check_run(head, server, step)
-                self._deliver(pending, exchange, head)
-
-    @contextmanager
-    def _count_in_flight(self, server: BackendServer) -> Iterator[None]:
-        in_flight = self._directory.in_flight_by_id
-        in_flight[server.server_id] += 1
-        try:
-            yield
-        finally:
-            in_flight[server.server_id] -= 1
-
-    def _check_run(
-        self, head: AnswerHead, server: BackendServer, step: str
-    ) -> None:
-        is_misplaced = head.status == HTTPStatus.MISDIRECTED_REQUEST
-        if is_misplaced:
-            self._directory.report_misplaced(server)
-        if is_misplaced or find_header(head.headers, self._names.not_run):
-            raise NotRunError(
-                f'status {head.status}', step=step, peer=server.address
-            )
+                self._note_failure(pending, server, error)
+                check_repeatable(pending, error)
 
-    def _deliver(
-        self, pending: PendingCall, exchange: BackendExchange, head: AnswerHead
-    ) -> None:
+    def _run_at(self, pending: PendingCall, server: BackendServer) -> None:
         is_stream = pending.route.kind is RouteKind.STREAM
-        if is_stream and head.status == HTTPStatus.OK:
-            self._deliver_stream(pending, exchange, head)
-        else:
-            deliver_whole(pending, exchange, head)
-
-    def _deliver_stream(
-        self, pending: PendingCall, exchange: BackendExchange, head: AnswerHead
-    ) -> None:
-        """Pass on the events of a stream as they arrive, each as a whole.
+        with self._servers.exchange(pending, server) as (exchange, head):
+            if is_stream and head.status == HTTPStatus.OK:
+                deliver_stream(pending, exchange, head, self._keep_turn)
+            else:
+                deliver_whole(pending.answer, exchange, head)
 
-        A stream that breaks off in an event can then go on after the last
-        whole one at another server.
-        """
-        head = drop_length(head)
-        pending.events.drop_rest()
-        for block in exchange.read_blocks():
-            whole = pending.events.feed(block)
-            if whole:
-                pending.answer.ensure_started(head)
-                pending.answer.write(whole)
-        pending.answer.ensure_started(head)
-        pending.answer.write(pending.events.take_rest())
+    def _keep_turn(self, pending: PendingCall) -> None:
         if pending.turn is not None:
             self._programs.keep_turn(
                 pending.turn,
@@ -309,65 +184,22 @@
                 pending.request.body,
                 pending.events,
             )
-        pending.answer.finish()
-
-    def _encode_head(
-        self, pending: PendingCall, server: BackendServer
-    ) -> bytes:
-        names = self._names
-        request = pending.request
-        headers = strip_connection_headers(request.headers)
-        replaced = {
-            names.deadline,
-            names.expected_server,
-            b'content-length',
-            b'expect',
-        }
-        if pending.events.last_id:
-            replaced.add(names.resume_after)
-        headers = drop_headers(headers, names.reserved | replaced)
-        remaining = max(int(pending.remaining_seconds * MILLISECONDS), 1)
-        own: Headers = (
-            (names.deadline, b'%d' % remaining),
-            (names.expected_server, server.server_id.encode('latin-1')),
-        )
-        if pending.events.last_id:
-            own = (*own, (names.resume_after, pending.events.last_id))
-        if pending.body or request.method not in _BODILESS_METHODS:
-            length = b'%d' % len(pending.body)
-            own = (*own, (b'Content-Length', length))
-        line = b'%b %b HTTP/1.1' % (request.method, request.target)
-        return encode_head(line, headers + own)
-
-    def _note_not_run(
-        self, pending: PendingCall, server: BackendServer, error: NotRunError
-    ) -> None:
-        pending.passed_over.add(server.server_id)
-        emit(
-            LogEvent.REQUEST_NOT_RUN,
-            request=pending.call.request_id,
-            server=server.server_id,
-            error=error,
-        )
 
-    def _note_broken(
-        self, pending: PendingCall, server: BackendServer, error: ExchangeError
+    def _note_failure(
+        self, pending: PendingCall, server: BackendServer, error: Exception
     ) -> None:
-        self._directory.report_failure(server)
         pending.passed_over.add(server.server_id)
+        event = LogEvent.REQUEST_NOT_RUN
+        if isinstance(error, ExchangeError):
+            self._directory.report_failure(server)
+            event = LogEvent.EXCHANGE_BROKEN
         emit(
-            LogEvent.EXCHANGE_BROKEN,
+            event,
             request=pending.call.request_id,
             server=server.server_id,
-            was_sent=error.was_sent,
+            was_sent=getattr(error, 'was_sent', False),
             error=error,
         )
-        if not error.was_sent:
-            return
-        pending.runs += 1
-        route = pending.route
-        if not route.is_repeatable or pending.runs >= route.attempts:
-            raise refuse_broken(error)
 
     def _end_late(self, pending: PendingCall) -> None:
         run = RunState.UNKNOWN if pending.sends else RunState.NOT_RUN
@@ -409,85 +241,15 @@
         )
 
 
-_BODILESS_METHODS: Final = frozenset((b'GET', b'HEAD', b'DELETE', b'OPTIONS'))
-
+def check_repeatable(pending: PendingCall, error: ExchangeError) -> None:
+    """Count a send that broke off, and refuse the request if it was the last.
 
-def drop_length(head: AnswerHead) -> AnswerHead:
-    """Return the head of a stream whose length another server may change."""
-    headers = drop_headers(head.headers, (b'content-length',))
-    return dataclasses.replace(head, headers=headers, length=None)
-
-
-def deliver_whole(
-    pending: PendingCall, exchange: BackendExchange, head: AnswerHead
-) -> None:
-    """Pass on an answer once it is complete, or while it comes if large."""
-    held = b''
-    blocks = exchange.read_blocks()
-    for block in blocks:
-        held += block
-        if len(held) > HELD_BODY_BYTES:
-            pending.answer.start(head)
-            pending.answer.write(held)
-            for later in blocks:
-                pending.answer.write(later)
-            pending.answer.finish()
-            return
-    pending.answer.send_whole(head, held)
-
-
-def refuse_starting() -> RefusedError:
-    """Return the refusal of a VM that has no configuration yet."""
-    return RefusedError(
-        'no configuration has arrived yet',
-        code='starting',
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-        step='find route',
-        retry_after_seconds=STARTING_RETRY_SECONDS,
-    )
-
-
-def refuse_no_route() -> RefusedError:
-    """Return the refusal of a path that no route covers."""
-    return RefusedError(
-        'no route for this host and path',
-        code='no_route',
-        status=HTTPStatus.NOT_FOUND,
-        step='find route',
-    )
-
-
-def refuse_no_server(pending: PendingCall) -> RefusedError:
-    """Return the refusal when no backend server took the request."""
-    if pending.runs:
-        return refuse_late(RunState.UNKNOWN)
-    return RefusedError(
-        f'no backend server of {pending.service} takes the request',
-        code='no_server',
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-        step='choose backend server',
-        retry_after_seconds=RETRY_AFTER_SECONDS,
-    )
-
-
-def refuse_broken(error: ExchangeError) -> RefusedError:
-    """Return the answer to a request whose run broke off."""
-    return RefusedError(
-        error.message,
-        code='answer_broken',
-        status=HTTPStatus.BAD_GATEWAY,
-        step=error.step,
-        peer=error.peer,
-        run=RunState.UNKNOWN,
-    )
-
-
-def refuse_late(run: RunState) -> RefusedError:
-    """Return the answer to a request that has used its time."""
-    return RefusedError(
-        'the request has used its time',
-        code='deadline_passed',
-        status=HTTPStatus.GATEWAY_TIMEOUT,
-        step='wait for the answer',
-        run=run,
-    )
+    Raises:
+        RefusedError: if the request may have run and must not run again.
+    """
+    if not error.was_sent:
+        return
+    pending.runs += 1
+    route = pending.route
+    if not route.is_repeatable or pending.runs >= route.attempts:
+        raise refuse_broken(error)
--- a/src/bronzepost/_internal/gateway/homes.py
+++ b/src/bronzepost/_internal/gateway/homes.py
@@ -41,6 +41,7 @@
         self._follower = follower
         self._started_at = read_clock()
         self._reports_by_name: dict[str, tuple[float, LoadReport]] = {}
+        self._peer_in_flight: Counter[str] = Counter()
         fleet.subscribe(LoadReport, self._take)
 
     def start(self) -> None:
@@ -86,12 +87,15 @@
 
     def sum_in_flight(self) -> Mapping[str, float]:
         """Return the requests in flight of all VMs by backend server."""
-        total: Counter[str] = Counter(self._directory.in_flight_by_id)
+        return self._peer_in_flight + self._directory.in_flight_by_id
+
+    def _add_up_peers(self) -> None:
         oldest = read_clock() - STALE_SECONDS
+        total: Counter[str] = Counter()
         for at, report in self._reports_by_name.values():
             if at >= oldest:
                 total.update(report.in_flight)
-        return total
+        self._peer_in_flight = total
 
     def _is_silent(self, name: str) -> bool:
         if name == self._fleet.own_name:
@@ -113,9 +117,14 @@
         return not report.has_store, -report.version
 
     def _take(self, sender: str, report: LoadReport) -> None:
+        known = self._reports_by_name.get(sender)
         self._reports_by_name[sender] = (read_clock(), report)
+        if known is not None:
+            self._peer_in_flight.subtract(known[1].in_flight)
+        self._peer_in_flight.update(report.in_flight)
 
     def _send_reports(self) -> None:
+        self._add_up_peers()
         in_flight = self._directory.in_flight_by_id
         report = LoadReport(
             in_flight={key: count for key, count in in_flight.items() if count},
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -22,6 +22,7 @@
 from bronzepost._internal.gateway.peer_calls import PeerCalls
 from bronzepost._internal.gateway.program_state import ProgramState
 from bronzepost._internal.gateway.registry import Registry, RegistryFollower
+from bronzepost._internal.gateway.server_calls import ServerCalls
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.gateway.snapshots import SnapshotExchange
 from bronzepost._internal.gateway.turn_keeper import TurnKeeper
@@ -78,12 +79,15 @@
         )
         self.forwarder = Forwarder(
             directory=self.directory,
-            reports=self.reports,
             programs=ProgramState(budgets=self.budgets, turns=self.turns),
-            pool=pool,
-            names=names,
+            servers=ServerCalls(
+                directory=self.directory,
+                reports=self.reports,
+                pool=pool,
+                names=names,
+                availability_zone=settings.availability_zone,
+            ),
             decode_call=decode_call,
-            availability_zone=settings.availability_zone,
         )
         self.callers = CallerServer(
             address=settings.caller_address,
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -157,6 +157,7 @@
     TURN_NOT_DURABLE = 8022, ERROR, 'An answer left while one VM has its turn.'
     ACCOUNTS_ADOPTED = 8024, INFO, 'This VM is the home of more programs now.'
     ACCOUNTS_HANDED_OVER = 8025, INFO, 'Another VM is the home of programs now.'
+    REQUEST_HEDGED = 8027, INFO, 'A slow request went to a second server too.'
     SNAPSHOT_TAKEN = 8026, INFO, 'Routes or servers came from another VM.'
     TURN_NOT_FOUND = 8023, WARNING, 'A turn to continue from was not found.'
 
