Place requests by speed, batch and prompt to be read

Placement counted requests and valued the server of the line's last turn like a fixed number of them.

The cost of a server is now the time that a turn takes there: the slowdown of the batch for itself and the others, waiting beyond the slots, and reading what the server has not read, which holds up the whole batch, all times the slowness learned from streams. VMs tell each other their load ten times a second while they are few.

--- a/src/bronzepost/_internal/core/gateway/entities.py
+++ b/src/bronzepost/_internal/core/gateway/entities.py
@@ -142,3 +142,8 @@
         """
         own = self.prompt_parts[1:] or self.prompt_parts
         return tuple(part.part_id for part in reversed(own))
+
+    @property
+    def own_tokens(self) -> int:
+        """Return the prompt tokens that other programs do not share."""
+        return sum(part.tokens for part in self.prompt_parts[1:])
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -9,6 +9,11 @@
     CallerLimits,
     GatewayConfiguration,
 )
+from bronzepost._internal.core.gateway.paces import (
+    PaceTable,
+    compare_servers,
+    observe_pace,
+)
 from bronzepost._internal.core.gateway.route_table import RouteTable
 from bronzepost._internal.gateway.backend_connections import ConnectionPool
 from bronzepost._internal.node.clock import read_clock
@@ -33,6 +38,7 @@
         self._pool = pool
         self._avoided_until_by_id: dict[str, float] = {}
         self._misplaced_by_id: dict[str, BackendServer] = {}
+        self._paces = PaceTable(seconds_by_server={})
 
     @property
     def version(self) -> int:
@@ -87,6 +93,25 @@
             server_id for server_id, until in until_by_id.items() if now < until
         )
 
+    def compare_servers(
+        self, servers: Iterable[BackendServer]
+    ) -> dict[str, float]:
+        """Return how much slower servers are than the mean of them."""
+        return compare_servers(
+            self._paces, [server.server_id for server in servers]
+        )
+
+    def report_pace(
+        self, server_id: str, *, seconds_per_event: float, running: float
+    ) -> None:
+        """Learn from a stream how fast a server is."""
+        self._paces = observe_pace(
+            self._paces,
+            server_id=server_id,
+            seconds_per_event=seconds_per_event,
+            running=running,
+        )
+
     def report_failure(self, server: BackendServer) -> None:
         """Avoid a server for a moment."""
         until = read_clock() + AVOID_SECONDS
--- a/src/bronzepost/_internal/gateway/event_stream.py
+++ b/src/bronzepost/_internal/gateway/event_stream.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from bronzepost._internal.node.clock import read_clock
+
 _EVENT_END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
 _DATA_FIELD: Final = b'data:'
@@ -10,7 +12,8 @@
 class EventSplitter:
     """Cut the blocks of an event stream into whole events.
 
-    ``last_id`` is the id of the last whole event, and ``events`` counts them.
+    ``pace`` is the mean time between two events in seconds, 0 before the
+    second event. ``last_id`` is the id of the last whole event, and ``events`` counts them.
     ``data_lines`` holds the data of each whole event, joined by line feeds.
     """
 
@@ -20,6 +23,15 @@
         self.events = 0
         self.data_lines: list[bytes] = []
         self._rest = b''
+        self._first_at = 0.0
+        self._last_at = 0.0
+
+    @property
+    def pace(self) -> float:
+        """Return the mean seconds between two events."""
+        if self.events < 2:
+            return 0
+        return (self._last_at - self._first_at) / (self.events - 1)
 
     def feed(self, block: bytes) -> bytes:
         """Take a block and return the events that it completes."""
@@ -45,6 +57,9 @@
         self._rest = b''
 
     def _note(self, event: bytes) -> None:
+        self._last_at = read_clock()
+        if not self.events:
+            self._first_at = self._last_at
         self.events += 1
         data = []
         for line in event.split(b'\n'):
--- a/src/bronzepost/_internal/gateway/homes.py
+++ b/src/bronzepost/_internal/gateway/homes.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
+import gevent
 import xxhash
 
 from bronzepost._internal.core.rendezvous import rank_members
@@ -15,9 +16,11 @@
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.messages import LoadReport
 
-# Four reports a second let a dispatcher see a burst of the others before it
-# fills a runner, at 40 bytes for each busy backend server.
-REPORT_SECONDS: Final = 0.25
+# Reports let a dispatcher see a burst of the others before it fills a server,
+# at 40 bytes for each busy one. A dozen VMs report ten times a second; more of
+# them report less often, so that a VM takes 120 reports a second at most.
+REPORT_SECONDS: Final = 0.1
+REPORT_VMS: Final = 12
 # A VM that was not heard of for three reports is asked last.
 SILENT_SECONDS: Final = 0.8
 # Reports older than this say nothing about the load of now.
@@ -46,7 +49,12 @@
 
     def start(self) -> None:
         """Start to send reports."""
-        start_loop(self._send_reports, REPORT_SECONDS)
+        start_loop(self._report, 0)
+
+    def _report(self) -> None:
+        self._send_reports()
+        others = min(len(self._fleet.list_others()), REPORT_PEERS)
+        gevent.sleep(REPORT_SECONDS * max(1, others / REPORT_VMS))
 
     @property
     def has_store(self) -> bool:
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -73,6 +73,8 @@
             availability_zone=self._availability_zone,
             in_flight=self._reports.sum_in_flight(),
             home=pending.turn.reservation.server_id if pending.turn else '',
+            own_tokens=pending.call.own_tokens,
+            slowness_by_id=self._directory.compare_servers(servers),
             avoided=self._directory.list_avoided(),
             salt=random.getrandbits(_SALT_BITS),
         )
@@ -104,8 +106,18 @@
                 head = exchange.read_head()
                 self._check_run(head, server, step)
                 yield exchange, head
+                self._note_pace(pending, server)
         self._directory.report_success(server)
 
+    def _note_pace(self, pending: PendingCall, server: BackendServer) -> None:
+        if pending.events.pace:
+            running = self._reports.sum_in_flight().get(server.server_id, 0)
+            self._directory.report_pace(
+                server.server_id,
+                seconds_per_event=pending.events.pace,
+                running=running,
+            )
+
     @contextmanager
     def _count_in_flight(self, server: BackendServer) -> Iterator[None]:
         in_flight = self._directory.in_flight_by_id
