--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -43,7 +43,7 @@
     )
     adopted: frozenset[str] = frozenset()
     spent: int = 0
-    touched_at: float = 0.0
+    touched_at: float = 0
 
     @property
     def granted(self) -> int:
--- a/src/bronzepost/_internal/core/gateway/entities.py
+++ b/src/bronzepost/_internal/core/gateway/entities.py
@@ -49,7 +49,7 @@
     slots: int
     memory_tokens: int
     tokens_per_event: int = 1
-    pin_seconds: float = 0.0
+    pin_seconds: float = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/bronzepost/_internal/core/gateway/placement.py
+++ b/src/bronzepost/_internal/core/gateway/placement.py
@@ -18,7 +18,7 @@
 SLOWDOWN_PER_REQUEST = 0.03
 # Reading 1,000 tokens of a prompt takes 2% of a turn's time on an idle engine
 # (4 to 6 of 190 to 310 ms on both sites) and holds up the whole batch.
-READ_COST_PER_1000_TOKENS = 0.02
+READ_COST_PER_THOUSAND = 0.02
 # A server in another availability zone is a millisecond or two further away.
 ZONE_COST = 0.01
 # A turn brings new input, so this part of its own prompt is what the server of
@@ -83,7 +83,7 @@
     unread = view.own_tokens / _THOUSAND
     if server.server_id == view.home:
         unread *= 1 - KNOWN_SHARE
-    reading = READ_COST_PER_1000_TOKENS * unread * (1 + batch)
+    reading = READ_COST_PER_THOUSAND * unread * (1 + batch)
     slowdown = 2 * SLOWDOWN_PER_REQUEST * batch
     waiting = beyond / slots * (1 + SLOWDOWN_PER_REQUEST * slots)
     return 1 + slowdown + waiting + reading
--- a/src/bronzepost/_internal/core/gateway/route_table.py
+++ b/src/bronzepost/_internal/core/gateway/route_table.py
@@ -45,7 +45,7 @@
     Services are chosen in proportion to their weights.
     """
     total = sum(weight for _, weight in route.services)
-    reached = 0.0
+    reached: float = 0
     for service, weight in route.services:
         reached += weight
         if point * total < reached:
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/accounts.py
@@ -0,0 +1,131 @@
+"""The accounts of one partition of programs, as one VM knows them."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from bronzepost._internal.core.gateway.budgets import (
+    ProgramAccount,
+    adopt_account,
+    confirm_provisional,
+    grant_allowance,
+    merge_stored,
+)
+from bronzepost._internal.node.clock import read_clock
+
+
+class Accounts:
+    """Accounts by program, and the name under which this VM holds allowances.
+
+    ``is_synced`` tells whether they are all that the store has.
+    """
+
+    def __init__(self, *, boot: str) -> None:
+        """Start empty on the VM that ``boot`` names."""
+        self.by_program: dict[str, ProgramAccount] = {}
+        self.is_synced = False
+        self.holder = boot
+        self._boot = boot
+        self._handed_over = 0
+
+    def find(self, program_id: str, budget: int) -> ProgramAccount:
+        """Return the account of a program, a new one if it is unknown."""
+        account = self.by_program.get(program_id)
+        if account is None:
+            account = ProgramAccount(program_id=program_id, budget=budget)
+        return dataclasses.replace(account, touched_at=read_clock())
+
+    def put(self, account: ProgramAccount) -> None:
+        """Replace an account."""
+        self.by_program[account.program_id] = account
+
+    def merge(self, stored: ProgramAccount) -> None:
+        """Take in what the store says of a program."""
+        known = self.by_program.get(stored.program_id)
+        self.put(merge_stored(known, stored))
+
+    def give_up(self) -> list[ProgramAccount]:
+        """Return the accounts that this VM has allowances of, and drop them.
+
+        From then on the VM holds allowances under another name, since it no
+        longer knows what is spent of those under this one.
+        """
+        given = [
+            account
+            for account in self.by_program.values()
+            if account.has_allowance(self.holder)
+        ]
+        for account in given:
+            self.by_program.pop(account.program_id)
+        if given:
+            self._handed_over += 1
+            self.is_synced = False
+            self.holder = f'{self._boot}.{self._handed_over}'
+        return given
+
+    def adopt(self, accounts: Iterable[ProgramAccount], *, former: str) -> None:
+        """Take the accounts of a home that this VM replaces."""
+        for handed in accounts:
+            known = self.by_program.get(handed.program_id)
+            adopted = adopt_account(known, handed, former=former)
+            self.put(dataclasses.replace(adopted, touched_at=read_clock()))
+
+    def is_unstored(self, account: ProgramAccount) -> bool:
+        """Return whether this VM has an allowance that the store lacks."""
+        names = account.adopted | {self.holder}
+        return not names.isdisjoint(account.provisional_by_holder)
+
+    def has_unstored(self) -> bool:
+        """Return whether any account has an allowance that the store lacks."""
+        return any(map(self.is_unstored, self.by_program.values()))
+
+    def list_untouched(self, oldest: float) -> list[str]:
+        """Return the programs that were not heard of since a time."""
+        return [
+            account.program_id
+            for account in self.by_program.values()
+            if account.touched_at < oldest and not self.is_unstored(account)
+        ]
+
+    def grant(
+        self, wanted_by_program: Mapping[str, int]
+    ) -> list[ProgramAccount]:
+        """Return the accounts as they are to be stored, where they change.
+
+        Each program gets what it wants as far as its budget goes, and what
+        was granted without the store is confirmed.
+        """
+        changed = []
+        for program_id, account in self.by_program.items():
+            granted = confirm_provisional(account)
+            grantable = max(granted.budget - granted.granted, 0)
+            tokens = min(wanted_by_program.get(program_id, 0), grantable)
+            if tokens:
+                granted = grant_allowance(
+                    granted, holder=self.holder, tokens=tokens
+                )
+            if tokens or self.is_unstored(account):
+                changed.append(granted)
+        return changed
+
+
+class LineIndex:
+    """The server that each line of turns ran on last."""
+
+    def __init__(self, *, most_lines: int) -> None:
+        """Remember at most so many lines; the oldest are forgotten."""
+        self._most_lines = most_lines
+        self._server_by_line: dict[str, str] = {}
+
+    def find_server(self, lines: Iterable[str]) -> str:
+        """Return the server of the first known line, or an empty text."""
+        known = (self._server_by_line.get(line, '') for line in lines)
+        return next(filter(None, known), '')
+
+    def note_server(self, line: str, server_id: str) -> None:
+        """Remember the server that a line ran on."""
+        if not (line and server_id):
+            return
+        self._server_by_line.pop(line, None)
+        self._server_by_line[line] = server_id
+        if len(self._server_by_line) > self._most_lines:
+            self._server_by_line.pop(next(iter(self._server_by_line)))
--- a/src/bronzepost/_internal/gateway/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/backend_connections.py
@@ -4,11 +4,11 @@
 import contextlib
 import dataclasses
 import re
-import socket as native_socket
+import socket
 from typing import Any, Final
 
 import gevent
-from gevent import socket
+from gevent.socket import socket as open_socket
 
 from bronzepost._internal.exceptions import ExchangeError
 from bronzepost._internal.gateway.header_names import find_header
@@ -137,7 +137,7 @@
 
     def _open(self, address: str, step: str) -> BackendConnection:
         host, _, port = address.rpartition(':')
-        sock = socket.socket()
+        sock = open_socket()
         set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
         try:
             with gevent.Timeout(CONNECT_SECONDS, TimeoutError('timed out')):
@@ -161,9 +161,9 @@
 def set_tcp_options(sock: Any, *, user_timeout_ms: int) -> None:
     """Send small writes at once, and notice a peer that went silent."""
     with contextlib.suppress(OSError):
-        sock.setsockopt(native_socket.IPPROTO_TCP, native_socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(
-            native_socket.IPPROTO_TCP,
-            native_socket.TCP_USER_TIMEOUT,
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
             user_timeout_ms,
         )
--- a/src/bronzepost/_internal/gateway/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/budget_keeper.py
@@ -3,25 +3,22 @@
 import dataclasses
 import functools
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Final
 
-import gevent
-import msgspec
-
-from bronzepost._internal.core.gateway import budgets
-from bronzepost._internal.core.gateway.budgets import ProgramAccount
 from bronzepost._internal.core.gateway.entities import CallRequest
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.gateway.budget_partition import BudgetPartition
 from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.homes import PeerReports, partition_of_key
+from bronzepost._internal.gateway.home import RESERVED, SPENT, UNSURE, Home
 from bronzepost._internal.gateway.keyed_store import KeyedStore
-from bronzepost._internal.gateway.loops import start_loop
+from bronzepost._internal.gateway.loops import start_loop, start_once
 from bronzepost._internal.gateway.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peer_reports import (
+    PeerReports,
+    partition_of_key,
+)
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.messages import (
     HandOver,
-    Held,
     HoldAllowance,
     ReserveTokens,
     SettleTokens,
@@ -30,27 +27,16 @@
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
-RESERVED: Final = 'reserved'
-SPENT: Final = 'spent'
-UNSURE: Final = 'unsure'
-
-# An append takes a few milliseconds. Beyond this the store counts as slow
-# and the home falls back on a provisional allowance.
-GRANT_SECONDS: Final = 0.3
 # Longer than the home's wait for the store and for one copy.
 RESERVE_SECONDS: Final = 0.6
 # Homes that are asked in turn before a turn is refused.
 HOMES_TRIED: Final = 3
-# Other VMs that hold a copy of a provisional allowance.
-COPIES: Final = 2
 # A program is remembered this long after its last turn; programs come back
 # within the time that routes keep their turns, a minute.
 REMEMBERED_SECONDS: Final = 90.0
 FLUSH_SECONDS: Final = 0.5
 DROP_SECONDS: Final = 10.0
 RETRY_AFTER_SECONDS: Final = 0.3
-# Grants, a provisional one, and a second look at what a reload brought.
-_ROUNDS: Final = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -78,14 +64,18 @@
         calls: PeerCalls,
         store: KeyedStore,
     ) -> None:
-        """Keep accounts in ``store``, one partition of programs at a time."""
+        """Keep accounts in ``store``, one home a partition of programs."""
         self._fleet = fleet
         self._reports = reports
         self._calls = calls
         self._is_leaving = False
-        self._partitions = [
-            BudgetPartition(
-                store=store, partition=number, holder=fleet.own_boot
+        self._homes = [
+            Home(
+                number=number,
+                store=store,
+                fleet=fleet,
+                reports=reports,
+                calls=calls,
             )
             for number in range(store.partitions)
         ]
@@ -99,10 +89,15 @@
         start_loop(self._keep_up, FLUSH_SECONDS)
         start_loop(self._drop_untouched, DROP_SECONDS)
 
+    def count_programs(self) -> int:
+        """Return the programs that this VM keeps accounts of."""
+        return sum(len(home.accounts.by_program) for home in self._homes)
+
     def leave(self) -> None:
         """Hand all accounts to the VMs that are their homes from now on."""
         self._is_leaving = True
-        self._hand_over()
+        for home in self._homes:
+            home.hand_over(is_leaving=True)
 
     def reserve(self, call: CallRequest) -> Reservation:
         """Reserve the most that a turn can generate.
@@ -110,21 +105,21 @@
         Raises:
             RefusedError: if the budget is spent, or if no home can tell.
         """
-        ranked = self._rank(call.program_id)
+        ranked = self._find_home(call.program_id).rank()
         homes = self._reports.put_store_first(ranked)[:HOMES_TRIED]
         # Only one VM may grant without the store, or each would grant a part.
-        for home in (*homes, ranked[0]):
-            answer = self._ask_home(home, call, is_first=home == ranked[0])
+        for name in (*homes, ranked[0]):
+            answer = self._ask_home(name, call, is_first=name == ranked[0])
             if answer.verdict == RESERVED:
                 return Reservation(
                     program_id=call.program_id,
                     request_id=call.request_id,
-                    home=home,
+                    home=name,
                     line=call.lines[0] if call.lines else '',
                     server_id=answer.server_id,
                 )
             if answer.verdict == SPENT:
-                raise refuse_spent(home)
+                raise refuse_spent(name)
         raise refuse_unsure()
 
     def settle(
@@ -143,234 +138,82 @@
         else:
             self._fleet.send(reservation.home, message)
 
-    def _rank(self, program_id: str) -> tuple[str, ...]:
-        number = partition_of_key(program_id, len(self._partitions))
-        return self._reports.rank_homes(f'budgets-{number}')
-
-    def _find_partition(self, program_id: str) -> BudgetPartition:
-        number = partition_of_key(program_id, len(self._partitions))
-        return self._partitions[number]
+    def _find_home(self, program_id: str) -> Home:
+        return self._homes[partition_of_key(program_id, len(self._homes))]
 
     def _ask_home(
-        self, home: str, call: CallRequest, *, is_first: bool
+        self, name: str, call: CallRequest, *, is_first: bool
     ) -> TokensReserved:
-        budget = call.budget_tokens or 0
-        question = functools.partial(
+        make_question = functools.partial(
             ReserveTokens,
             program_id=call.program_id,
             request_id=call.request_id,
-            budget=budget,
+            budget=call.budget_tokens or 0,
             tokens=call.output_tokens,
             lines=call.lines,
             may_be_provisional=is_first,
         )
-        if home == self._fleet.own_name:
-            return self._decide(question(call_id=0))
+        if name == self._fleet.own_name:
+            return self._decide(make_question(call_id=0))
         answer: TokensReserved | None = self._calls.ask(
-            home, lambda number: question(call_id=number), RESERVE_SECONDS
+            name,
+            lambda number: make_question(call_id=number),
+            RESERVE_SECONDS,
         )
-        if answer is not None:
-            return answer
-        emit(LogEvent.HOME_SILENT, request=call.request_id, peer=home)
-        self._reports.note_silent(home)
+        if answer is None:
+            self._note_silent(name, call)
+            return TokensReserved(call_id=0, verdict=UNSURE)
+        return answer
+
+    def _note_silent(self, name: str, call: CallRequest) -> None:
+        emit(LogEvent.HOME_SILENT, request=call.request_id, peer=name)
+        self._reports.note_silent(name)
         # The home may have reserved the tokens all the same.
         unused = Reservation(
-            program_id=call.program_id, request_id=call.request_id, home=home
+            program_id=call.program_id, request_id=call.request_id, home=name
         )
         self.settle(unused, 0, '')
-        return TokensReserved(call_id=0, verdict=UNSURE)
 
     def _decide(self, question: ReserveTokens) -> TokensReserved:
         if self._is_leaving:
             return TokensReserved(call_id=question.call_id, verdict=UNSURE)
-        partition = self._find_partition(question.program_id)
+        home = self._find_home(question.program_id)
         return TokensReserved(
             call_id=question.call_id,
-            verdict=self._reserve_here(question),
-            server_id=partition.find_server(question.lines),
-        )
-
-    def _reserve_here(self, question: ReserveTokens) -> str:
-        partition = self._find_partition(question.program_id)
-        for _ in range(_ROUNDS):
-            account = partition.find_account(
-                question.program_id, question.budget
-            )
-            decision = budgets.reserve_tokens(
-                account,
-                holder=partition.holder,
-                request_id=question.request_id,
-                tokens=question.tokens,
-            )
-            if isinstance(decision, budgets.Reserved):
-                partition.put_account(decision.account)
-                return RESERVED
-            partition.put_account(account)
-            if isinstance(decision, budgets.BudgetSpent):
-                return SPENT
-            is_granted = partition.grant(
-                question.program_id,
-                decision.tokens,
-                GRANT_SECONDS if self._reports.has_store else 0,
-            ) or self._grant_provisionally(partition, question)
-            if not is_granted:
-                return UNSURE
-        return UNSURE
-
-    def _grant_provisionally(
-        self, partition: BudgetPartition, question: ReserveTokens
-    ) -> bool:
-        if not question.may_be_provisional:
-            return False
-        account = partition.find_account(question.program_id, question.budget)
-        # A share of the budget would use up what may be granted this way.
-        holder = partition.holder
-        available = account.count_available(holder)
-        tokens = max(question.tokens - available, 0)
-        bound = budgets.find_provisional_bound(
-            account, most=question.tokens, is_synced=partition.is_synced
-        )
-        account = budgets.grant_provisionally(
-            account, holder=holder, tokens=tokens
-        )
-        if sum(account.provisional_by_holder.values()) > bound:
-            return False
-        partition.put_account(account)
-        copy = HoldAllowance(
-            call_id=0,
-            program_id=question.program_id,
-            budget=question.budget,
-            holder=holder,
-            tokens=account.provisional_by_holder[holder],
-            bound=bound,
-        )
-        is_held = self._send_copies(copy)
-        emit(
-            LogEvent.ALLOWANCE_PROVISIONAL,
-            request=question.request_id,
-            program=question.program_id,
-            tokens=tokens,
-            is_held=is_held,
-        )
-        return is_held
-
-    def _send_copies(self, copy: HoldAllowance) -> bool:
-        others = [
-            name
-            for name in self._rank(copy.program_id)
-            if name != self._fleet.own_name
-        ]
-        asked = [
-            gevent.spawn(self._send_copy, name, copy)
-            for name in others[:COPIES]
-        ]
-        gevent.joinall(asked)
-        answers = [done.value for done in asked if done.value is not None]
-        return bool(answers) and all(answer.is_held for answer in answers)
-
-    def _send_copy(self, name: str, copy: HoldAllowance) -> Any:
-        return self._calls.ask(
-            name,
-            lambda number: msgspec.structs.replace(copy, call_id=number),
+            verdict=home.reserve(question),
+            server_id=home.lines.find_server(question.lines),
         )
 
     def _take_question(self, sender: str, question: ReserveTokens) -> None:
-        gevent.spawn(self._answer_question, sender, question)
-
-    def _answer_question(self, sender: str, question: ReserveTokens) -> None:
-        self._fleet.send(sender, self._decide(question))
-
-    def _take_accounts(self, sender: str, message: HandOver) -> None:
-        partition = self._partitions[message.partition]
-        accounts = msgspec.msgpack.decode(
-            message.content, type=list[ProgramAccount]
-        )
-        partition.adopt(accounts, former=message.former)
-        partition.is_synced = partition.is_synced or message.is_synced
-        emit(
-            LogEvent.ACCOUNTS_ADOPTED,
-            partition=message.partition,
-            peer=sender,
-            programs=len(accounts),
-            is_synced=message.is_synced,
-        )
-
-    def _hand_over(self) -> None:
-        for number, partition in enumerate(self._partitions):
-            ranked = self._reports.rank_homes(f'budgets-{number}')
-            homes = self._reports.put_store_first(ranked)
-            if self._is_leaving:
-                homes = [name for name in homes if name != self._fleet.own_name]
-            if homes and homes[0] != self._fleet.own_name:
-                self._give_accounts(number, partition, homes[0])
-
-    def _give_accounts(
-        self, number: int, partition: BudgetPartition, home: str
-    ) -> None:
-        former = partition.holder
-        is_synced = partition.is_synced
-        accounts = partition.give_up()
-        if not accounts:
-            return
-        message = HandOver(
-            partition=number,
-            former=former,
-            is_synced=is_synced,
-            content=msgspec.msgpack.encode(accounts),
-        )
-        is_sent = self._fleet.send(home, message)
-        emit(
-            LogEvent.ACCOUNTS_HANDED_OVER,
-            partition=number,
-            peer=home,
-            programs=len(accounts),
-            is_sent=is_sent,
-        )
+        # A decision may wait for the store, and other messages must not.
+        start_once(lambda: self._fleet.send(sender, self._decide(question)))
 
     def _take_settlement(self, sender: str, message: SettleTokens) -> None:
-        partition = self._find_partition(message.program_id)
-        partition.note_server(message.line, message.server_id)
-        account = partition.accounts_by_program.get(message.program_id)
-        if account is None:
-            self._forward_settlement(sender, message)
-        else:
-            partition.put_account(
-                budgets.settle_tokens(
-                    account,
-                    request_id=message.request_id,
-                    tokens=message.tokens,
-                )
-            )
+        home = self._find_home(message.program_id)
+        if home.settle(message):
+            return
+        # The accounts were handed over. Forwarded once: a message from the
+        # home itself is not sent back.
+        names = home.rank()[:1]
+        if names and names[0] not in {sender, self._fleet.own_name}:
+            self._fleet.send(names[0], message)
 
     def _take_copy(self, sender: str, copy: HoldAllowance) -> None:
-        partition = self._find_partition(copy.program_id)
-        account = partition.find_account(copy.program_id, copy.budget)
-        account = budgets.hold_copy(
-            account, holder=copy.holder, tokens=copy.tokens
-        )
-        # Refused if this VM knows of another one's provisional allowance.
-        held_tokens = sum(account.provisional_by_holder.values())
-        is_held = held_tokens <= copy.bound
-        if is_held:
-            partition.put_account(account)
-        held = Held(call_id=copy.call_id, is_held=is_held)
-        self._fleet.send(sender, held)
+        home = self._find_home(copy.program_id)
+        self._fleet.send(sender, home.take_copy(copy))
 
-    def _forward_settlement(self, sender: str, message: SettleTokens) -> None:
-        # Forwarded once: a message from another home is not sent back.
-        home = self._rank(message.program_id)[:1]
-        if home and home[0] not in {sender, self._fleet.own_name}:
-            self._fleet.send(home[0], message)
+    def _take_accounts(self, sender: str, message: HandOver) -> None:
+        self._homes[message.partition].take_over(sender, message)
 
     def _keep_up(self) -> None:
-        self._hand_over()
-        for partition in self._partitions:
-            partition.flush()
+        for home in self._homes:
+            home.hand_over(is_leaving=self._is_leaving)
+            home.writer.flush()
 
     def _drop_untouched(self) -> None:
         oldest = read_clock() - REMEMBERED_SECONDS
-        for partition in self._partitions:
-            partition.drop_untouched(oldest)
+        for home in self._homes:
+            home.writer.drop_untouched(oldest)
 
 
 def refuse_spent(home: str) -> RefusedError:
--- a/src/bronzepost/_internal/gateway/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/caller_connections.py
@@ -1,12 +1,12 @@
 """Connections of callers: requests in, answers out."""
 
 import contextlib
-from collections.abc import Callable
+import socket
+from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import Any, Final
 
 import gevent
-from gevent import socket
 from gevent.server import StreamServer
 
 from bronzepost._internal.core.gateway.entities import CallerLimits
@@ -35,7 +35,7 @@
 # The event mask of libev for a descriptor that can be read.
 _READABLE: Final = 1
 
-HandleRequest = Callable[[HttpRequest, 'CallerAnswer'], None]
+AnswerRequest = Callable[[HttpRequest, 'CallerAnswer'], None]
 ReadLimits = Callable[[], CallerLimits]
 
 
@@ -180,16 +180,18 @@
             is_http11=request.is_http11,
             keep_alive=request.keep_alive and not self._server.is_draining,
         )
-        watcher = gevent.get_hub().loop.io(self._sock.fileno(), _READABLE)
-        watcher.start(self._look_for_close, watcher, gevent.getcurrent())
-        try:
-            self._server.handle(request, answer)
-        finally:
-            watcher.stop()
-            watcher.close()
-            self.is_idle = True
+        with self._watch_caller():
+            self._server.answer(request, answer)
+        self.is_idle = True
         return answer.is_complete and answer.keep_alive
 
+    @contextlib.contextmanager
+    def _watch_caller(self) -> Iterator[None]:
+        watcher = gevent.get_hub().loop.io(self._sock.fileno(), _READABLE)
+        with contextlib.closing(watcher):
+            watcher.start(self._look_for_close, watcher, gevent.getcurrent())
+            yield
+
     def _look_for_close(self, watcher: Any, serving: Any) -> None:
         # Runs in the hub, where nothing may wait. The next request of a
         # caller that does not wait for its answer is left in the socket.
@@ -214,11 +216,21 @@
         return reader.requests.popleft()
 
     def _read_more(self) -> bool:
+        received = self._receive()
+        if self._is_closed or not received:
+            return False
+        self._reader.feed(received)
+        if self._reader.expects_continue:
+            self._sock.sendall(b'HTTP/1.1 100 Continue\r\n\r\n')
+        return True
+
+    def _receive(self) -> bytes:
         is_between = self._reader.is_between_requests
         seconds = self._limits.header_seconds
         if is_between:
             seconds = self._limits.idle_seconds
         self._sock.settimeout(seconds)
+        received = b''
         try:
             received = self._sock.recv(_READ_BYTES)
         except TimeoutError:
@@ -227,18 +239,11 @@
                     f'the request is incomplete after {seconds:g} s',
                     step='read request',
                 ) from None
-            return False
         except OSError:
-            return False
+            self._is_closed = True
         finally:
             self._sock.settimeout(None)
-        if self._is_closed:
-            return False
-        if received:
-            self._reader.feed(received)
-        if self._reader.expects_continue:
-            self._sock.sendall(b'HTTP/1.1 100 Continue\r\n\r\n')
-        return bool(received)
+        return received
 
     def _refuse(self, status: HTTPStatus, error: ProtocolError) -> None:
         emit(LogEvent.REQUEST_UNREADABLE, error=error, status=status.value)
@@ -253,11 +258,11 @@
     """Listen for callers and hand their requests to a handler."""
 
     def __init__(
-        self, *, address: str, handle: HandleRequest, read_limits: ReadLimits
+        self, *, address: str, answer: AnswerRequest, read_limits: ReadLimits
     ) -> None:
         """Prepare to listen on ``IP:PORT``; ``start`` binds the address."""
         host, _, port = address.rpartition(':')
-        self.handle = handle
+        self.answer = answer
         self.is_draining = False
         self._read_limits = read_limits
         self._connections: set[CallerConnection] = set()
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -69,10 +69,8 @@
         current = {server.server_id: server for server in servers}
         for server_id, server in current.items():
             self._log_change(self.servers_by_id.get(server_id), server)
-        for server_id in self.servers_by_id.keys() - current.keys():
-            server = self.servers_by_id[server_id]
-            self._pool.close_address(server.address)
-            emit(LogEvent.SERVER_GONE, server=server_id, service=server.service)
+        for gone_id in self.servers_by_id.keys() - current.keys():
+            self._forget_server(self.servers_by_id[gone_id])
         self.servers_by_id = current
 
     def list_servers(self, service: str) -> list[BackendServer]:
@@ -129,6 +127,14 @@
         self._misplaced_by_id[server.server_id] = server
         self._pool.close_address(server.address)
 
+    def _forget_server(self, server: BackendServer) -> None:
+        self._pool.close_address(server.address)
+        emit(
+            LogEvent.SERVER_GONE,
+            server=server.server_id,
+            service=server.service,
+        )
+
     def _log_change(
         self, old: BackendServer | None, new: BackendServer
     ) -> None:
--- a/src/bronzepost/_internal/gateway/event_stream.py
+++ b/src/bronzepost/_internal/gateway/event_stream.py
@@ -23,8 +23,8 @@
         self.events = 0
         self.data_lines: list[bytes] = []
         self._rest = b''
-        self._first_at = 0.0
-        self._last_at = 0.0
+        self._first_at: float = 0
+        self._last_at: float = 0
 
     @property
     def pace(self) -> float:
@@ -41,7 +41,8 @@
             self._rest = content
             return b''
         end += len(_EVENT_END)
-        whole, self._rest = content[:end], content[end:]
+        whole = content[:end]
+        self._rest = content[end:]
         for event in whole.split(_EVENT_END):
             if event.strip():
                 self._note(event)
@@ -49,7 +50,8 @@
 
     def take_rest(self) -> bytes:
         """Return the bytes after the last whole event."""
-        rest, self._rest = self._rest, b''
+        rest = self._rest
+        self._rest = b''
         return rest
 
     def drop_rest(self) -> None:
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -46,6 +46,7 @@
 from bronzepost._internal.gateway.server_calls import ServerCalls
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.exposition import METRICS
 from bronzepost._internal.telemetry.logs import emit
 
 DecodeCall = Callable[[Headers], CallRequest]
@@ -69,13 +70,12 @@
         self._decode_call = decode_call
         self._retries = RetryBudget()
 
-    def handle(self, request: HttpRequest, answer: CallerAnswer) -> None:
+    def answer(self, request: HttpRequest, answer: CallerAnswer) -> None:
         """Answer one request."""
         started_at = read_clock()
         call = self._decode_call(request.headers)
         try:
-            pending = self._accept(request, call, answer, started_at)
-            self._serve(pending)
+            self._serve(self._accept(request, call, answer, started_at))
         except RefusedError as error:
             self._refuse(call, answer, error, started_at)
 
@@ -170,6 +170,13 @@
 
     def _run_at(self, pending: PendingCall, server: BackendServer) -> None:
         is_stream = pending.route.kind is RouteKind.STREAM
+        if pending.events.last_id:
+            emit(
+                LogEvent.STREAM_CONTINUED,
+                request=pending.call.request_id,
+                server=server.server_id,
+                events=pending.events.events,
+            )
         with self._servers.exchange(pending, server) as (exchange, head):
             if is_stream and head.status == HTTPStatus.OK:
                 deliver_stream(pending, exchange, head, self._keep_turn)
@@ -193,6 +200,9 @@
         if isinstance(error, ExchangeError):
             self._directory.report_failure(server)
             event = LogEvent.EXCHANGE_BROKEN
+        METRICS.failures.labels(
+            server=server.server_id, reason=event.event_name
+        ).inc()
         emit(
             event,
             request=pending.call.request_id,
@@ -216,6 +226,7 @@
         # An answer that has begun ends with its connection, before its end.
         if not answer.is_started:
             answer.refuse(error)
+        METRICS.refusals.labels(code=error.code, run=error.run.value).inc()
         emit(
             LogEvent.REQUEST_REFUSED,
             request=call.request_id,
@@ -228,6 +239,10 @@
 
     def _log_done(self, pending: PendingCall, outcome: str) -> None:
         call = pending.call
+        seconds = read_clock() - pending.started_at
+        kind = pending.route.kind.value
+        METRICS.requests.labels(kind=kind, outcome=outcome).inc()
+        METRICS.seconds.labels(kind=kind).observe(seconds)
         emit(
             LogEvent.REQUEST_DONE,
             request=call.request_id,
@@ -237,7 +252,7 @@
             sends=pending.sends,
             status=pending.answer.status,
             outcome=outcome,
-            seconds=round(read_clock() - pending.started_at, 4),
+            seconds=round(seconds, 4),
         )
 
 
--- a/src/bronzepost/_internal/gateway/hedging.py
+++ b/src/bronzepost/_internal/gateway/hedging.py
@@ -5,6 +5,7 @@
 operator aims at, the request is sent to a second server; both may run it.
 """
 
+import contextlib
 import dataclasses
 from collections.abc import Callable
 from typing import Any, Final
@@ -68,10 +69,9 @@
             RefusedError: if no server answers.
         """
         self._retries.add_call()
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(gevent.killall, self._running, block=False)
             self._deliver_first()
-        finally:
-            gevent.killall(self._running, block=False)
 
     def _deliver_first(self) -> None:
         self._start()
--- a/src/bronzepost/_internal/gateway/loops.py
+++ b/src/bronzepost/_internal/gateway/loops.py
@@ -25,3 +25,8 @@
         except Exception as error:  # noqa: BLE001
             emit(LogEvent.GREENLET_FAILED, error=error, step=step.__qualname__)
         gevent.sleep(seconds)
+
+
+def start_once(task: Callable[[], object]) -> Any:
+    """Start a greenlet for one task and return it; gevent logs its errors."""
+    return gevent.spawn(task)
--- a/src/bronzepost/_internal/gateway/peer_calls.py
+++ b/src/bronzepost/_internal/gateway/peer_calls.py
@@ -1,5 +1,6 @@
 """Questions to other gateway processes, and their answers."""
 
+import contextlib
 import itertools
 from collections.abc import Callable
 from typing import Any, Final
@@ -47,10 +48,9 @@
         ``make_message`` gets the number that the answer has to repeat.
         """
         number, waiting = self._open()
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._waiting_by_number.pop, number, None)
             return self._wait(name, make_message(number), waiting, seconds)
-        finally:
-            self._waiting_by_number.pop(number, None)
 
     def _open(self) -> tuple[int, AsyncResult]:
         number = next(self._numbers)
--- a/src/bronzepost/_internal/gateway/homes.py
+++ b/src/bronzepost/_internal/gateway/peer_reports.py
@@ -47,20 +47,15 @@
         self._peer_in_flight: Counter[str] = Counter()
         fleet.subscribe(LoadReport, self._take)
 
-    def start(self) -> None:
-        """Start to send reports."""
-        start_loop(self._report, 0)
-
-    def _report(self) -> None:
-        self._send_reports()
-        others = min(len(self._fleet.list_others()), REPORT_PEERS)
-        gevent.sleep(REPORT_SECONDS * max(1, others / REPORT_VMS))
-
     @property
     def has_store(self) -> bool:
         """Return whether the store answers this VM."""
         return not self._follower.is_lost
 
+    def start(self) -> None:
+        """Start to send reports."""
+        start_loop(self._report, 0)
+
     def rank_homes(self, key: str) -> tuple[str, ...]:
         """Return the members in the order in which they are asked for a key.
 
@@ -97,6 +92,11 @@
         """Return the requests in flight of all VMs by backend server."""
         return self._peer_in_flight + self._directory.in_flight_by_id
 
+    def _report(self) -> None:
+        self._send_reports()
+        others = min(len(self._fleet.list_others()), REPORT_PEERS)
+        gevent.sleep(REPORT_SECONDS * max(1, others / REPORT_VMS))
+
     def _add_up_peers(self) -> None:
         oldest = read_clock() - STALE_SECONDS
         total: Counter[str] = Counter()
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -16,10 +16,10 @@
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.forwarding import DecodeCall, Forwarder
 from bronzepost._internal.gateway.header_names import HeaderNames
-from bronzepost._internal.gateway.homes import PeerReports
 from bronzepost._internal.gateway.keyed_store import KeyedStore
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peer_reports import PeerReports
 from bronzepost._internal.gateway.program_state import ProgramState
 from bronzepost._internal.gateway.registry import Registry, RegistryFollower
 from bronzepost._internal.gateway.server_calls import ServerCalls
@@ -91,7 +91,7 @@
         )
         self.callers = CallerServer(
             address=settings.caller_address,
-            handle=self.forwarder.handle,
+            answer=self.forwarder.answer,
             read_limits=self.directory.read_limits,
         )
         self._stopped = Event()
@@ -118,6 +118,20 @@
         )
         return [member.caller_address for member in ordered]
 
+    def list_states(self) -> dict[str, float]:
+        """Return what the VM believes now, by name."""
+        directory = self.directory
+        return {
+            'routes_version': directory.version,
+            'backend_servers': len(directory.servers_by_id),
+            'members': len(self.fleet.list_serving()),
+            'store_away': float(self.follower.is_lost),
+            'requests_under_way': self.callers.count_busy(),
+            'programs_held': self.budgets.count_programs(),
+            'turns_held': len(self.turns.turns_by_id),
+            'server_connections_opened': self.pool.opened,
+        }
+
     def start(self) -> None:
         """Open the addresses.
 
@@ -125,13 +139,17 @@
             OSError: if an address cannot be bound.
             SettingsError: if the peer address cannot be listened on.
         """
-        self.follower.start()
-        self.fleet.start()
-        self.reports.start()
-        self.budgets.start()
-        self.turns.start()
-        self.snapshots.start()
-        self.callers.start()
+        parts = (
+            self.follower,
+            self.fleet,
+            self.reports,
+            self.budgets,
+            self.turns,
+            self.snapshots,
+            self.callers,
+        )
+        for part in parts:
+            part.start()
         start_loop(self._keep_up, UPKEEP_SECONDS)
         emit(LogEvent.NODE_STARTED, address=self.settings.caller_address)
 
--- a/src/bronzepost/_internal/gateway/registry.py
+++ b/src/bronzepost/_internal/gateway/registry.py
@@ -62,7 +62,7 @@
         self._registry = registry
         self._directory = directory
         self._lost_at_by_feed: dict[str, float] = {}
-        self._servers_back_at = 0.0
+        self._servers_back_at: float = 0
 
     @property
     def is_lost(self) -> bool:
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -21,8 +21,8 @@
     find_header,
     strip_connection_headers,
 )
-from bronzepost._internal.gateway.homes import PeerReports
 from bronzepost._internal.gateway.http_messages import AnswerHead, encode_head
+from bronzepost._internal.gateway.peer_reports import PeerReports
 from bronzepost._internal.gateway.pending_call import (
     DeadlinePassedError,
     NotRunError,
--- a/src/bronzepost/_internal/gateway/settings.py
+++ b/src/bronzepost/_internal/gateway/settings.py
@@ -19,6 +19,7 @@
     readiness_address: str
     directory_address: str
     peer_address: str
+    metrics_address: str
     store_address: str
     store_partitions: int
     seeds: tuple[str, ...] = ()
--- a/src/bronzepost/_internal/gateway/snapshots.py
+++ b/src/bronzepost/_internal/gateway/snapshots.py
@@ -11,9 +11,9 @@
 )
 from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.homes import PeerReports
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peer_reports import PeerReports
 from bronzepost._internal.gateway.registry import RegistryFollower
 from bronzepost._internal.node.messages import AskSnapshot, Snapshot
 from bronzepost._internal.telemetry.events import LogEvent
@@ -62,14 +62,16 @@
             self._ask()
 
     def _ask(self) -> None:
-        for name in self._reports.list_helpers()[:1]:
-            answer = self._calls.ask(
-                name,
-                lambda number: AskSnapshot(call_id=number),
-                ANSWER_SECONDS,
-            )
-            if answer is not None and answer.content:
-                self._put(name, answer)
+        helpers = self._reports.list_helpers()
+        if not helpers:
+            return
+        answer = self._calls.ask(
+            helpers[0],
+            lambda number: AskSnapshot(call_id=number),
+            ANSWER_SECONDS,
+        )
+        if answer is not None and answer.content:
+            self._put(helpers[0], answer)
 
     def _put(self, name: str, answer: Snapshot) -> None:
         copy = msgspec.msgpack.decode(answer.content, type=DirectoryCopy)
--- a/src/bronzepost/_internal/gateway/turn_keeper.py
+++ b/src/bronzepost/_internal/gateway/turn_keeper.py
@@ -1,13 +1,11 @@
 """Keep the turns of programs, and find those that a turn continues from."""
 
-import functools
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Final
 
 import gevent
-import msgspec
 from gevent.pool import Pool
 
 from bronzepost._internal.core.gateway.entities import CallRequest
@@ -16,12 +14,19 @@
     list_chain,
     list_missing,
 )
-from bronzepost._internal.exceptions import LogServiceError, RefusedError
+from bronzepost._internal.exceptions import RefusedError
 from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.homes import PeerReports, partition_of_key
-from bronzepost._internal.gateway.keyed_store import KeyedRecord, KeyedStore
+from bronzepost._internal.gateway.keyed_store import KeyedStore
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peer_reports import PeerReports
+from bronzepost._internal.gateway.turn_copies import TurnCopies
+from bronzepost._internal.gateway.turn_store import (
+    CALLS_AT_ONCE,
+    TurnStore,
+    decode_turn,
+    encode_turn,
+)
 from bronzepost._internal.node.messages import (
     FindTurns,
     Held,
@@ -31,17 +36,9 @@
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
-TOPIC: Final = 'keyed.turns'
 # An append takes a few milliseconds; an answer waits this long for it, and
 # then for a copy on another VM alone.
 STORE_SECONDS: Final = 0.4
-# Other VMs that hold a copy of each turn.
-COPIES: Final = 1
-COPIES_WITHOUT_STORE: Final = 2
-# Turns read from the store at the same time for one chain.
-READERS: Final = 4
-# Other VMs that are asked for a turn while the store is away.
-ASKED_WITHOUT_STORE: Final = 24
 UPKEEP_SECONDS: Final = 1.0
 # A turn may be asked for until its retention ends; clocks of VMs differ.
 RETENTION_MARGIN_SECONDS: Final = 5.0
@@ -63,10 +60,14 @@
         self.turns_by_id: dict[str, Turn] = {}
         self._fleet = fleet
         self._reports = reports
-        self._calls = calls
-        self._store = store
+        self._store = TurnStore(store=store)
+        self._copies = TurnCopies(
+            fleet=fleet,
+            reports=reports,
+            calls=calls,
+            partitions=store.partitions,
+        )
         self._unstored_by_id: dict[str, Turn] = {}
-        self._own_ids: set[str] = set()
         fleet.subscribe(HoldTurn, self._take_copy)
         fleet.subscribe(FindTurns, self._take_question)
 
@@ -83,12 +84,9 @@
         previous = call.previous_turn
         if not previous:
             return ()
-        sources = (self._ask_home, self._read_store, self._ask_others)
-        for search in sources:
-            missing = self._list_missing(previous)
-            if not missing:
-                return list_chain(self.turns_by_id[previous])
-            search(call, missing)
+        for search in (self._ask_home, self._read_store, self._ask_others):
+            if self._list_missing(previous):
+                search(call)
         if self._list_missing(previous):
             emit(
                 LogEvent.TURN_NOT_FOUND,
@@ -104,7 +102,7 @@
         """Keep a turn; return whether the loss of this VM would not lose it."""
         self.turns_by_id[turn.turn_id] = turn
         self._unstored_by_id[turn.turn_id] = turn
-        copying = gevent.spawn(self._send_copies, turn, program_id)
+        copying = gevent.spawn(self._copies.send, turn, program_id)
         storing = gevent.spawn(self._store_turn, turn)
         storing.join(timeout=STORE_SECONDS)
         if storing.value:
@@ -118,91 +116,28 @@
             return [previous]
         return list_missing(turn.ancestors, self.turns_by_id)
 
-    def _rank_others(self, program_id: str) -> list[str]:
-        number = partition_of_key(program_id, self._store.partitions)
-        ranked = self._reports.rank_homes(f'budgets-{number}')
-        return [name for name in ranked if name != self._fleet.own_name]
-
-    def _ask_home(self, call: CallRequest, missing: Sequence[str]) -> None:
-        others = self._rank_others(call.program_id)
-        self._ask_member(missing, others[0] if others else '')
+    def _ask_home(self, call: CallRequest) -> None:
+        missing = self._list_missing(call.previous_turn)
+        self._take_contents(self._copies.ask_home(missing, call.program_id))
 
-    def _ask_others(self, _call: CallRequest, missing: Sequence[str]) -> None:
-        if self._reports.has_store:
+    def _read_store(self, call: CallRequest) -> None:
+        if not self._reports.has_store:
             return
-        others = self._fleet.list_others()[:ASKED_WITHOUT_STORE]
-        Pool().map(functools.partial(self._ask_member, missing), others)
-
-    def _ask_member(self, missing: Sequence[str], name: str) -> None:
-        if not name:
-            return
-        answer = self._calls.ask(
-            name,
-            lambda number: FindTurns(call_id=number, turn_ids=tuple(missing)),
-        )
-        if answer is not None:
-            self._take_contents(answer.contents)
-
-    def _read_store(self, call: CallRequest, missing: Sequence[str]) -> None:
-        self._read_turns(missing)
         # The ancestors are known once the turn itself has been read.
-        self._read_turns(self._list_missing(call.previous_turn))
+        for _ in range(2):
+            missing = self._list_missing(call.previous_turn)
+            self._take_contents(self._store.read(missing))
 
-    def _read_turns(self, turn_ids: Sequence[str]) -> None:
-        if self._reports.has_store:
-            Pool(READERS).map(self._read_turn, turn_ids)
-
-    def _read_turn(self, turn_id: str) -> None:
-        try:
-            record = self._store.find_record(
-                TOPIC, self._find_partition(turn_id), turn_id
-            )
-        except LogServiceError as error:
-            emit(LogEvent.STORE_LOST, error=error, turn=turn_id)
-            return
-        if record is not None:
-            self._take_contents((record.content,))
-
-    def _find_partition(self, turn_id: str) -> int:
-        return partition_of_key(turn_id, self._store.partitions)
+    def _ask_others(self, call: CallRequest) -> None:
+        if not self._reports.has_store:
+            missing = self._list_missing(call.previous_turn)
+            self._take_contents(self._copies.ask_all(missing))
 
     def _store_turn(self, turn: Turn) -> bool:
-        content = encode_turn(turn)
-        record = KeyedRecord(key=turn.turn_id, content=content)
-        try:
-            self._store.append_keyed(
-                TOPIC, self._find_partition(turn.turn_id), [record]
-            )
-        except LogServiceError as error:
-            emit(LogEvent.TURN_NOT_STORED, turn=turn.turn_id, error=error)
-            return False
-        self._unstored_by_id.pop(turn.turn_id, None)
-        self._own_ids.add(turn.turn_id)
-        return True
-
-    def _send_copies(self, turn: Turn, program_id: str) -> bool:
-        copies = COPIES if self._reports.has_store else COPIES_WITHOUT_STORE
-        others = self._rank_others(program_id)[:copies]
-        content = encode_turn(turn)
-        asked = [
-            gevent.spawn(self._send_copy, name, turn.turn_id, content)
-            for name in others
-        ]
-        # One copy is enough for the answer; the others still arrive.
-        return any(done.value for done in gevent.iwait(asked))
-
-    def _send_copy(self, name: str, turn_id: str, content: bytes) -> bool:
-        is_stored = self._reports.has_store
-        answer = self._calls.ask(
-            name,
-            lambda number: HoldTurn(
-                call_id=number,
-                turn_id=turn_id,
-                content=content,
-                is_stored=is_stored,
-            ),
-        )
-        return answer is not None
+        is_stored = self._store.write(turn)
+        if is_stored:
+            self._unstored_by_id.pop(turn.turn_id, None)
+        return is_stored
 
     def _take_copy(self, sender: str, copy: HoldTurn) -> None:
         self._take_contents((copy.content,))
@@ -214,33 +149,27 @@
         self._fleet.send(sender, Held(call_id=copy.call_id))
 
     def _take_question(self, sender: str, question: FindTurns) -> None:
-        wanted: dict[str, None] = {}
-        for turn_id in question.turn_ids:
-            turn = self.turns_by_id.get(turn_id)
-            if turn is not None:
-                wanted.update(dict.fromkeys(list_chain(turn)))
-        found = [
-            encode_turn(self.turns_by_id[turn_id])
-            for turn_id in wanted
+        chains = (
+            list_chain(self.turns_by_id[turn_id])
+            for turn_id in question.turn_ids
             if turn_id in self.turns_by_id
-        ]
-        answer = TurnsFound(call_id=question.call_id, contents=tuple(found))
+        )
+        wanted = dict.fromkeys(name for chain in chains for name in chain)
+        known = filter(None, map(self.turns_by_id.get, wanted))
+        answer = TurnsFound(
+            call_id=question.call_id, contents=tuple(map(encode_turn, known))
+        )
         self._fleet.send(sender, answer)
 
     def _take_contents(self, contents: Iterable[bytes]) -> None:
-        for content in contents:
-            turn = decode_turn(content)
+        for turn in map(decode_turn, contents):
             if turn is not None:
                 self.turns_by_id.setdefault(turn.turn_id, turn)
 
     def _keep_up(self) -> None:
         if self._reports.has_store:
-            Pool(READERS).map(
-                self._store_turn, tuple(self._unstored_by_id.values())
-            )
-        self._drop_ended()
-
-    def _drop_ended(self) -> None:
+            unstored = tuple(self._unstored_by_id.values())
+            Pool(CALLS_AT_ONCE).map(self._store_turn, unstored)
         oldest = time.time() - RETENTION_MARGIN_SECONDS
         ended = [
             turn.turn_id
@@ -249,51 +178,7 @@
         ]
         for turn_id in ended:
             self.turns_by_id.pop(turn_id)
-        self._drop_stored(self._own_ids.intersection(ended))
-
-    def _drop_stored(self, turn_ids: Iterable[str]) -> None:
-        by_partition: dict[int, list[KeyedRecord]] = {}
-        for turn_id in turn_ids:
-            records = by_partition.setdefault(self._find_partition(turn_id), [])
-            records.append(KeyedRecord(key=turn_id, content=b''))
-        for partition, records in by_partition.items():
-            try:
-                self._store.append_keyed(TOPIC, partition, records)
-            except LogServiceError as error:
-                emit(LogEvent.TURN_NOT_STORED, partition=partition, error=error)
-                return
-            self._own_ids.difference_update(record.key for record in records)
-
-
-class _StoredTurn(msgspec.Struct, frozen=True, array_like=True):
-    turn_id: str
-    ancestors: tuple[str, ...]
-    prompt: bytes
-    answer: bytes
-    ends_at: float
-
-
-def encode_turn(turn: Turn) -> bytes:
-    """Return the bytes of a turn for the store and for other VMs."""
-    return msgspec.msgpack.encode(
-        _StoredTurn(
-            turn_id=turn.turn_id,
-            ancestors=turn.ancestors,
-            prompt=turn.prompt,
-            answer=turn.answer,
-            ends_at=turn.ends_at,
-        )
-    )
-
-
-def decode_turn(content: bytes) -> Turn | None:
-    """Return a turn; one that cannot be read is logged."""
-    try:
-        stored: Any = msgspec.msgpack.decode(content, type=_StoredTurn)
-    except msgspec.DecodeError as error:
-        emit(LogEvent.RECORD_UNREADABLE, error=error)
-        return None
-    return Turn(**msgspec.structs.asdict(stored))
+        self._store.remove(ended)
 
 
 def refuse_unknown_turn() -> RefusedError:
--- a/src/bronzepost/_internal/node/messages.py
+++ b/src/bronzepost/_internal/node/messages.py
@@ -188,7 +188,7 @@
     content: bytes
 
 
-PeerMessage = (
+NodeMessage = (
     Ping
     | Ack
     | PingRequest
@@ -196,7 +196,10 @@
     | ConfigurationRequest
     | MirrorRecords
     | MirrorAck
-    | ReserveTokens
+)
+
+GatewayMessage = (
+    ReserveTokens
     | TokensReserved
     | SettleTokens
     | HoldAllowance
@@ -210,6 +213,8 @@
     | HandOver
 )
 
+PeerMessage = NodeMessage | GatewayMessage
+
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A message and what is needed to refuse a copy of it.
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -158,6 +158,12 @@
     ACCOUNTS_ADOPTED = 8024, INFO, 'This VM is the home of more programs now.'
     ACCOUNTS_HANDED_OVER = 8025, INFO, 'Another VM is the home of programs now.'
     REQUEST_HEDGED = 8027, INFO, 'A slow request went to a second server too.'
+    LOGS_LEFT_OUT = 8028, WARNING, 'Lines were left out to bound the volume.'
+    TURN_NOT_READ = (
+        8029,
+        WARNING,
+        'The store did not tell whether it has a turn.',
+    )
     SNAPSHOT_TAKEN = 8026, INFO, 'Routes or servers came from another VM.'
     TURN_NOT_FOUND = 8023, WARNING, 'A turn to continue from was not found.'
 
--- /dev/null
+++ b/tests/builders_gateway.py
@@ -0,0 +1,139 @@
+"""Test data of the gateway, and a keyed store in memory."""
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from bronzepost._internal.core.gateway.budgets import ProgramAccount
+from bronzepost._internal.core.gateway.entities import (
+    BackendServer,
+    CallRequest,
+    PromptPart,
+    Route,
+    RouteKind,
+)
+from bronzepost._internal.exceptions import (
+    AmbiguousAppendError,
+    LogRefusedError,
+)
+from bronzepost._internal.gateway.keyed_store import (
+    AppendConflictError,
+    KeyedPartition,
+    KeyedRecord,
+)
+
+BUDGET = 1000
+
+
+def make_route(**changes: Any) -> Route:
+    """Return a streaming route of one service."""
+    fields: dict[str, Any] = {
+        'name': 'r-1',
+        'host': 'desk.example',
+        'path_prefix': '/chat/',
+        'kind': RouteKind.STREAM,
+        'services': (('engines', 1.0),),
+        'timeout_seconds': 4.0,
+    }
+    return Route(**{**fields, **changes})
+
+
+def make_server(server_id: str, **changes: Any) -> BackendServer:
+    """Return a server with 24 slots in hall-a."""
+    fields: dict[str, Any] = {
+        'server_id': server_id,
+        'service': 'engines',
+        'address': '127.0.0.1:1',
+        'availability_zone': 'hall-a',
+        'slots': 24,
+    }
+    return BackendServer(**{**fields, **changes})
+
+
+def make_turn_call(**changes: Any) -> CallRequest:
+    """Return what a turn of a program says of itself."""
+    fields: dict[str, Any] = {
+        'request_id': 'q-1',
+        'program_id': 'p-1',
+        'line_id': 'l-1',
+        'deadline_seconds': 3.0,
+        'budget_tokens': BUDGET,
+        'output_tokens': 100,
+        'prompt_parts': (
+            PromptPart(part_id='shared', tokens=12600),
+            PromptPart(part_id='own', tokens=2000),
+        ),
+    }
+    return CallRequest(**{**fields, **changes})
+
+
+def make_account(**changes: Any) -> ProgramAccount:
+    """Return an account of a program with a budget of 1,000 tokens."""
+    fields: dict[str, Any] = {'program_id': 'p-1', 'budget': BUDGET}
+    return ProgramAccount(**{**fields, **changes})
+
+
+class MemoryStore:
+    """A keyed store with the failures of the platform's.
+
+    ``is_down`` refuses all calls. ``loses_answers`` carries appends out and
+    then reports that there was no answer.
+    """
+
+    def __init__(self, *, partitions: int = 1) -> None:
+        """Start empty."""
+        self.partitions = partitions
+        self.is_down = False
+        self.loses_answers = False
+        self.appends = 0
+        self._records: dict[tuple[str, int], list[KeyedRecord]] = {}
+
+    def read_partition(self, topic: str, partition: int) -> KeyedPartition:
+        """Return the newest record of each key."""
+        self._check()
+        records = self._records.get((topic, partition), [])
+        newest = {record.key: record for record in records}
+        return KeyedPartition(
+            records=tuple(rec for rec in newest.values() if rec.content),
+            end_offset=len(records),
+        )
+
+    def find_record(
+        self, topic: str, partition: int, key: str
+    ) -> KeyedRecord | None:
+        """Return the newest record of a key."""
+        found = self.read_partition(topic, partition).records
+        return next((record for record in found if record.key == key), None)
+
+    def append_keyed(
+        self,
+        topic: str,
+        partition: int,
+        records: Sequence[KeyedRecord],
+        *,
+        expected_end: int | None = None,
+    ) -> int:
+        """Append records if the partition ends where it is expected to."""
+        self._check()
+        stored = self._records.setdefault((topic, partition), [])
+        if expected_end not in {None, len(stored)}:
+            raise AppendConflictError('it ends elsewhere', step='append')
+        stored.extend(records)
+        self.appends += 1
+        if self.loses_answers:
+            raise AmbiguousAppendError('no answer', step='append')
+        return len(stored)
+
+    def list_keys(self, topic: str) -> set[str]:
+        """Return the keys that a topic has."""
+        found: Iterable[KeyedRecord] = (
+            record
+            for partition in range(self.partitions)
+            for record in self.read_partition(topic, partition).records
+        )
+        return {record.key for record in found}
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise LogRefusedError(
+                'down', step='call', peer='', retry_after_seconds=1
+            )
--- /dev/null
+++ b/tests/builders_gateway_servers.py
@@ -0,0 +1,245 @@
+"""A backend server that follows a script, and a gateway in front of it."""
+
+import dataclasses
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import gevent
+from gevent.server import StreamServer
+from gevent.socket import create_connection
+from gevent.socket import socket as open_socket
+
+from bronzepost._internal.core.gateway.entities import (
+    BackendServer,
+    CallerLimits,
+    CallRequest,
+    GatewayConfiguration,
+    Route,
+)
+from bronzepost._internal.gateway.backend_connections import ConnectionPool
+from bronzepost._internal.gateway.caller_connections import CallerServer
+from bronzepost._internal.gateway.directory import Directory
+from bronzepost._internal.gateway.forwarding import Forwarder
+from bronzepost._internal.gateway.header_names import (
+    HeaderNames,
+    Headers,
+    find_header,
+)
+from bronzepost._internal.gateway.http_messages import (
+    AnswerReader,
+    HttpRequest,
+    RequestReader,
+)
+from bronzepost._internal.gateway.server_calls import ServerCalls
+from tests.builders_gateway import make_server
+
+READ_BYTES = 65536
+CALLER_SECONDS = 5.0
+LIMITS = CallerLimits(header_seconds=0.3, idle_seconds=2.0)
+NAMES = HeaderNames(reserved=frozenset((b'bronzepost-hold',)))
+
+Script = Callable[[Any, HttpRequest], bool]
+
+
+class ScriptedServer:
+    """Calls a script with the socket and each request that arrives.
+
+    The connection stays open while the script returns true.
+    """
+
+    def __init__(self, *, script: Script) -> None:
+        """Listen on a free port of the loopback interface."""
+        self.requests: list[HttpRequest] = []
+        self.connections = 0
+        self._script = script
+        self._early_answer = b''
+        self._server = StreamServer(('127.0.0.1', 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Return the address that the server listens on."""
+        return f'127.0.0.1:{self._server.server_port}'
+
+    def answer_early(self, content: bytes) -> None:
+        """Answer at the first byte of a request and read no more of it."""
+        self._early_answer = content
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    def _serve(self, sock: Any, _address: Any) -> None:
+        self.connections += 1
+        if self._early_answer:
+            sock.recv(1)
+            sock.sendall(self._early_answer)
+            gevent.sleep(CALLER_SECONDS)
+            return
+        reader = RequestReader(header_bytes=65536, body_bytes=1048576)
+        while True:
+            received = sock.recv(READ_BYTES)
+            if not received:
+                return
+            reader.feed(received)
+            while reader.requests:
+                request = reader.requests.popleft()
+                self.requests.append(request)
+                if not self._script(sock, request):
+                    sock.close()
+                    return
+
+
+def answer_with(content: bytes, *, stays_open: bool = True) -> Script:
+    """Return a script that sends the same bytes to each request."""
+
+    def script(sock: Any, _request: HttpRequest) -> bool:
+        sock.sendall(content)
+        return stays_open
+
+    return script
+
+
+def stay_silent(_sock: Any, _request: HttpRequest) -> bool:
+    """Run a request and never answer it."""
+    gevent.sleep(CALLER_SECONDS)
+    return False
+
+
+def make_answer(
+    body: bytes, *headers: bytes, status: bytes = b'200 OK'
+) -> bytes:
+    """Return the bytes of an answer with a length."""
+    lines = [
+        b'HTTP/1.1 %b' % status,
+        b'Content-Length: %d' % len(body),
+        *headers,
+        b'',
+        body,
+    ]
+    return b'\r\n'.join(lines)
+
+
+def decode_test_call(headers: Headers) -> CallRequest:
+    """Return what the headers of the product say of a request."""
+    request_id = find_header(headers, NAMES.request_id) or b''
+    return CallRequest(request_id=request_id.decode())
+
+
+class NoPeers:
+    """What a gateway without other processes knows of their load."""
+
+    def sum_in_flight(self) -> dict[str, float]:
+        """Return no requests in flight."""
+        return {}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TestGateway:
+    """A gateway that listens for callers on the loopback interface."""
+
+    __test__ = False
+
+    server: CallerServer
+    directory: Directory
+    address: tuple[str, int]
+
+    def call(self, content: bytes) -> 'CallerSocket':
+        """Open a connection and send bytes."""
+        caller = CallerSocket(address=self.address)
+        caller.sock.sendall(content)
+        return caller
+
+
+class CallerSocket:
+    """A caller's connection."""
+
+    def __init__(self, *, address: tuple[str, int]) -> None:
+        """Connect to a gateway."""
+        self.sock = create_connection(address)
+        self.sock.settimeout(CALLER_SECONDS)
+
+    def read_answer(self) -> AnswerReader:
+        """Return the next answer, complete or broken off."""
+        reader = AnswerReader()
+        while not reader.is_complete:
+            received = self.sock.recv(READ_BYTES)
+            if not received:
+                reader.feed_end()
+                return reader
+            reader.feed(received)
+        return reader
+
+
+def make_request(
+    *headers: bytes, method: bytes = b'GET', body: bytes = b''
+) -> bytes:
+    """Return the bytes of a request to the route of the tests."""
+    lines = [
+        b'%b /chat/x HTTP/1.1' % method,
+        b'Host: desk.example',
+        b'Bronzepost-Request: q-1',
+        b'Content-Length: %d' % len(body),
+        *headers,
+        b'',
+        body,
+    ]
+    return b'\r\n'.join(lines)
+
+
+@contextmanager
+def open_gateway(
+    route: Route, *backends: ScriptedServer
+) -> Iterator[TestGateway]:
+    """Run a gateway with one route, in front of scripted servers."""
+    pool = ConnectionPool()
+    directory = Directory(pool=pool)
+    directory.put_configuration(
+        GatewayConfiguration(
+            version=1, routes=(route,), services_by_name={}, limits=LIMITS
+        )
+    )
+    directory.put_servers([
+        _register(number, backend) for number, backend in enumerate(backends)
+    ])
+    forwarder = Forwarder(
+        directory=directory,
+        programs=None,  # type: ignore[arg-type]
+        servers=ServerCalls(
+            directory=directory,
+            reports=NoPeers(),  # type: ignore[arg-type]
+            pool=pool,
+            names=NAMES,
+            availability_zone='hall-a',
+        ),
+        decode_call=decode_test_call,
+    )
+    port = _find_port()
+    server = CallerServer(
+        address=f'127.0.0.1:{port}',
+        answer=forwarder.answer,
+        read_limits=directory.read_limits,
+    )
+    server.start()
+    yield TestGateway(
+        server=server, directory=directory, address=('127.0.0.1', port)
+    )
+    server.stop()
+    for backend in backends:
+        backend.close()
+
+
+def _register(number: int, backend: ScriptedServer) -> BackendServer:
+    # Servers further away come later, so tests know which one is asked first.
+    zone = 'hall-a' if number == 0 else 'hall-b'
+    return make_server(
+        f's-{number}', address=backend.address, availability_zone=zone
+    )
+
+
+def _find_port() -> int:
+    with open_socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port: int = probe.getsockname()[1]
+        return port
--- /dev/null
+++ b/tests/platform/builders_platform.py
@@ -0,0 +1,100 @@
+"""Documents of the platform, as its pages show them."""
+
+from typing import Any
+
+import msgspec
+
+HOST = 'ficu95.example'
+TOKENS_PER_EVENT = 25
+
+
+def make_settings(**changes: Any) -> bytes:
+    """Return a settings file of the platform."""
+    fields: dict[str, Any] = {
+        'nodeName': 'edge-hall-a-1',
+        'role': 'gateway',
+        'ip': '127.0.0.1',
+        'zone': 'hall-a',
+        'region': 'pl-central',
+        'listen': {
+            'front': '127.0.0.1:8149',
+            'readiness': '127.0.0.1:8141',
+            'control': '127.0.0.1:8144',
+            'directory': '127.0.0.1:8143',
+        },
+        'portRange': [7380, 7395],
+        'seedNodes': ['127.0.0.2:8144'],
+        'platform': {'address': '127.0.0.1:8142', 'parts': 2},
+        'contractParams': {'gracePeriodS': 8},
+        'unknownField': [1],
+    }
+    return msgspec.json.encode({**fields, **changes})
+
+
+def make_configuration(version: int = 7) -> dict[str, Any]:
+    """Return a configuration with one route of each kind."""
+    return {
+        'version': version,
+        'routes': [
+            {
+                'name': 'r-chat',
+                'host': HOST,
+                'pathPrefix': '/chat/',
+                'routeType': 'streaming',
+                'timeoutMs': 3000,
+                'targetLatencyMs': 200,
+                'priority': 0,
+                'upstream': 'engines',
+                'attempts': 2,
+                'retainHistory': True,
+                'retentionS': 60.0,
+                'resumable': False,
+            },
+            {
+                'name': 'r-look',
+                'host': HOST,
+                'pathPrefix': '/look/',
+                'routeType': 'idempotent',
+                'timeoutMs': 1200,
+                'weightedUpstreams': [
+                    {'upstream': 'desks', 'weight': 90},
+                    {'upstream': 'desks2', 'weight': 10},
+                ],
+            },
+        ],
+        'upstreams': [
+            {
+                'name': 'engines',
+                'maxConnections': 250,
+                'inferenceEngine': {
+                    'slotCount': 32,
+                    'kvCapacityTokens': 1022409,
+                    'tokensPerEvent': TOKENS_PER_EVENT,
+                    'pinMs': 4000.0,
+                },
+            },
+            {'name': 'desks', 'maxConnections': 110},
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 4194304,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+    }
+
+
+def make_entry(**changes: Any) -> dict[str, Any]:
+    """Return the entry of a runner."""
+    fields: dict[str, Any] = {
+        'upstream': 'engines',
+        'address': '127.0.0.1:8080',
+        'zone': 'hall-a',
+        'version': 'v1',
+        'slotCount': 32,
+        'state': 'ready',
+        'coldRemainingMs': 0,
+        'seq': 4,
+        'born': 1780000000000,
+    }
+    return {**fields, **changes}
--- /dev/null
+++ b/tests/platform/standin_store.py
@@ -0,0 +1,145 @@
+"""Stand-in of the platform's store and its runners, in the test's process."""
+
+import base64
+import struct
+from typing import Any
+from urllib.parse import parse_qs
+
+import gevent
+import msgspec
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+BOUNDS = struct.Struct('>QQ')
+LENGTH = struct.Struct('>I')
+POLL_SECONDS = 0.02
+
+Place = tuple[str, int]
+Record = tuple[str, bytes]
+
+
+class QuietHandler(WSGIHandler):
+    """Writes no access log."""
+
+    def log_request(self) -> None:
+        """Write nothing."""
+
+
+class StandinStore:
+    """Keyed topics over HTTP, with switches for the store's failures.
+
+    ``is_down`` answers 503 without doing anything. ``loses_appends`` carries
+    appends out and never answers them.
+    """
+
+    def __init__(self) -> None:
+        """Listen on a free port of the loopback interface."""
+        self.is_down = False
+        self.loses_appends = False
+        self.records: dict[Place, list[Record]] = {}
+        self._server = WSGIServer(
+            ('127.0.0.1', 0), self._answer, log=None, handler_class=QuietHandler
+        )
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Return the address that the store listens on."""
+        return f'127.0.0.1:{self._server.server_port}'
+
+    def put(self, topic: str, key: str, body: Any) -> None:
+        """Write a record as the operator or a runner does."""
+        content = body if isinstance(body, bytes) else msgspec.json.encode(body)
+        self.records.setdefault((topic, 0), []).append((key, content))
+
+    def list_keys(self, topic: str) -> set[str]:
+        """Return the keys that a topic has."""
+        newest = {
+            key: content
+            for (name, _), records in self.records.items()
+            if name == topic
+            for key, content in records
+        }
+        return {key for key, content in newest.items() if content}
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    def _answer(self, environ: dict[str, Any], start: Any) -> list[bytes]:
+        query = {
+            name: texts[0]
+            for name, texts in parse_qs(environ['QUERY_STRING']).items()
+        }
+        body = environ['wsgi.input'].read()
+        if self.is_down:
+            start('503 Down', [])
+            return [b'']
+        handlers = {
+            '/api/log-append': self._append,
+            '/api/log-newest': self._newest,
+            '/api/log-read': self._read,
+        }
+        status, content = handlers[environ['PATH_INFO']](query, body)
+        start(status, [('Content-Length', str(len(content)))])
+        return [content]
+
+    def _find(self, query: dict[str, str]) -> list[Record]:
+        place = (query['topicName'], int(query['part']))
+        return self.records.setdefault(place, [])
+
+    def _append(self, query: dict[str, str], body: bytes) -> tuple[str, bytes]:
+        records = self._find(query)
+        if 'at' in query and int(query['at']) != len(records):
+            return '412 No', msgspec.json.encode({'endOffset': len(records)})
+        first = len(records)
+        position = 0
+        while position < len(body):
+            size = LENGTH.unpack_from(body, position)[0]
+            position += LENGTH.size
+            records.append(split_key(body[position : position + size]))
+            position += size
+        if self.loses_appends:
+            gevent.sleep(10)
+        answer = {'logOffset': first, 'endOffset': len(records)}
+        return '200 OK', msgspec.json.encode(answer)
+
+    def _newest(self, query: dict[str, str], _body: bytes) -> tuple[str, bytes]:
+        records = self._find(query)
+        newest = {
+            key: (offset, content)
+            for offset, (key, content) in enumerate(records)
+        }
+        listed = [
+            {
+                'key': key,
+                'value': base64.b64encode(content).decode(),
+                'logOffset': offset,
+            }
+            for key, (offset, content) in sorted(newest.items())
+            if content and key > query.get('after', '')
+        ]
+        answer = {
+            'items': listed,
+            'hasMore': False,
+            'endOffset': len(records),
+        }
+        return '200 OK', msgspec.json.encode(answer)
+
+    def _read(self, query: dict[str, str], _body: bytes) -> tuple[str, bytes]:
+        records = self._find(query)
+        start = int(query['fromRev'])
+        end = int(query['waitTimeoutMs']) / 1000
+        while len(records) <= start and end > 0:
+            gevent.sleep(POLL_SECONDS)
+            end -= POLL_SECONDS
+        blocks = [BOUNDS.pack(len(records), 0)]
+        for key, content in records[start:]:
+            record = bytes((len(key),)) + key.encode() + content
+            blocks.append(LENGTH.pack(len(record)) + record)
+        return '200 OK', b''.join(blocks)
+
+
+def split_key(record: bytes) -> tuple[str, bytes]:
+    """Return the key and the value of a record of a keyed topic."""
+    size = record[0]
+    return record[1 : size + 1].decode(), record[size + 1 :]
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,168 @@
+"""The platform's names are decoded once, and wrong documents do no harm."""
+
+import re
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import testtools
+from bronzepost_platform.headers import decode_call
+from bronzepost_platform.registry import decode_configuration, decode_server
+from bronzepost_platform.settings import decode_settings
+
+from bronzepost._internal.core.gateway.entities import RouteKind
+from bronzepost._internal.exceptions import SettingsError
+from tests.platform.builders_platform import (
+    TOKENS_PER_EVENT,
+    make_configuration,
+    make_entry,
+    make_settings,
+)
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+# Names of the platform's wire that no other part may know.
+WIRE_NAMES = (
+    'Server-Stamp',
+    'Not-Executed',
+    'Expect-Instance',
+    'Token-Usage',
+    'Token-Budget',
+    'Prompt-Prefix',
+    'Finish-Ms',
+    'Deadline-Ms',
+    'log-append',
+    'log-newest',
+    'log-read',
+    'pathPrefix',
+    'routeType',
+    'retainHistory',
+    'kvCapacityTokens',
+    'coldRemainingMs',
+    'keyed.op',
+    'keyed.servers',
+)
+OTHER_FOLDERS = ('src', 'standins', 'benchmarks', 'demo', 'capacity')
+
+
+def has_name(text: str, name: str) -> bool:
+    """Return whether a name occurs, other than as the end of another one."""
+    pattern = rf'(?<![-\w]){re.escape(name)}(?!\w)'
+    return re.search(pattern, text, re.IGNORECASE) is not None
+
+
+class TestHeaders(testtools.TestCase):
+    """What the headers of a request say."""
+
+    def test_turn(self) -> None:
+        call = decode_call((
+            (b'Request-Id', b'q'),
+            (b'Program-Id', b'p'),
+            (b'Session-Id', b's'),
+            (b'Finish-Ms', b'5200'),
+            (b'Token-Budget', b'4600'),
+            (b'Token-Usage', b'1840,575'),
+            (b'Prompt-Prefix', b'5c:800,e4:250'),
+            (b'Deadline-Ms', b'3000'),
+            (b'Previous-Turn', b't'),
+        ))
+        self.assertIs(True, call.is_turn)
+        self.assertEqual(3.0, call.deadline_seconds)
+        self.assertEqual(575, call.output_tokens)
+        self.assertEqual(250, call.own_tokens)
+        self.assertEqual('t', call.previous_turn)
+
+    def test_wrong_values_count_as_none(self) -> None:
+        call = decode_call((
+            (b'Deadline-Ms', b'soon'),
+            (b'Token-Usage', b'-1,x'),
+            (b'Prompt-Prefix', b':,a,b:c'),
+        ))
+        self.assertIsNone(call.deadline_seconds)
+        self.assertEqual((), call.prompt_parts)
+
+
+class TestConfiguration(testtools.TestCase):
+    """What the operator publishes."""
+
+    def test_routes(self) -> None:
+        body = msgspec.json.encode(make_configuration())
+        found = decode_configuration(body)
+        assert found is not None
+        chat, look = found.routes
+        self.assertIs(RouteKind.STREAM, chat.kind)
+        self.assertIs(True, chat.keeps_history)
+        self.assertEqual((('desks', 90.0), ('desks2', 10.0)), look.services)
+        engine = found.services_by_name['engines'].engine
+        assert engine is not None
+        self.assertEqual(TOKENS_PER_EVENT, engine.tokens_per_event)
+
+    def test_unknown_kind_is_refused(self) -> None:
+        document = make_configuration()
+        document['routes'][0]['routeType'] = 'other'
+        body = msgspec.json.encode(document)
+        self.assertIsNone(decode_configuration(body))
+
+    def test_bytes_that_are_no_json_are_refused(self) -> None:
+        self.assertIsNone(decode_configuration(b'\xff\x00'))
+
+
+class TestEntries(testtools.TestCase):
+    """Entries come from other writers too; a wrong one names no server."""
+
+    def decode(self, **changes: Any) -> Any:
+        return decode_server('i-1', msgspec.json.encode(make_entry(**changes)))
+
+    def test_ready_server(self) -> None:
+        server = self.decode()
+        self.assertEqual('engines', server.service)
+        self.assertIs(False, server.is_draining)
+
+    def test_draining_server(self) -> None:
+        self.assertIs(True, self.decode(state='draining').is_draining)
+
+    def test_wrong_entries_are_not_used(self) -> None:
+        wrong: tuple[dict[str, Any], ...] = (
+            {'state': 'sleeping'},
+            {'address': 'no port'},
+            {'address': 7},
+            {'slotCount': 'many'},
+            {'born': 1.5},
+            {'upstream': None},
+        )
+        for changes in wrong:
+            self.assertIsNone(self.decode(**changes))
+
+    def test_missing_fields_and_bytes_are_not_used(self) -> None:
+        for body in (b'{}', b'[]', b'\xff', b''):
+            self.assertIsNone(decode_server('i-1', body))
+
+
+class TestSettings(testtools.TestCase):
+    """The settings file of a process."""
+
+    def test_addresses(self) -> None:
+        settings = decode_settings(make_settings())
+        self.assertEqual('127.0.0.1:7380', settings.peer_address)
+        self.assertEqual(('127.0.0.2:7380',), settings.seeds)
+        self.assertEqual(8.0, settings.grace_seconds)
+
+    def test_wrong_field_is_named(self) -> None:
+        content = make_settings(portRange=['a', 'b'])
+        error = self.assertRaises(SettingsError, decode_settings, content)
+        self.assertIs(True, 'portRange' in str(error))
+
+
+class TestBoundary(testtools.TestCase):
+    """Nothing outside the adapter knows the platform's names."""
+
+    def test_no_wire_name_outside_the_adapter(self) -> None:
+        for folder in OTHER_FOLDERS:
+            for path in (ROOT / folder).rglob('*.py'):
+                text = path.read_text(encoding='utf-8')
+                found = [name for name in WIRE_NAMES if has_name(text, name)]
+                self.assertEqual([], found, path.name)
+
+    def test_adapter_does_not_hide_the_standard_module(self) -> None:
+        """A package in the folder's place breaks libraries."""
+        init_file = ROOT / 'platform' / '__init__.py'
+        self.assertIs(False, init_file.exists())
--- /dev/null
+++ b/tests/platform/test_serving.py
@@ -0,0 +1,218 @@
+"""Gateways as the platform starts them, as processes against stand-ins."""
+
+import os
+import shutil
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import gevent
+import testtools
+from gevent.socket import socket as open_socket
+from gevent.subprocess import DEVNULL, Popen
+
+from bronzepost._internal.gateway.header_names import find_header
+from bronzepost._internal.gateway.http_messages import (
+    AnswerReader,
+    HttpRequest,
+)
+from tests.builders_gateway_servers import CallerSocket, ScriptedServer
+from tests.platform.builders_platform import (
+    HOST,
+    TOKENS_PER_EVENT,
+    make_configuration,
+    make_entry,
+    make_settings,
+)
+from tests.platform.standin_store import StandinStore
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+START_SECONDS = 20.0
+POLL_SECONDS = 0.05
+EVENTS = 2
+
+
+def answer_turn(sock: Any, request: HttpRequest) -> bool:
+    """Answer a turn with two events."""
+    request_id = find_header(request.headers, b'request-id') or b''
+    events = b''.join(
+        b'id: %d\ndata: e%d\n\n' % (number, number)
+        for number in range(1, EVENTS + 1)
+    )
+    sock.sendall(
+        b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Stamp: s\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n'
+        % (request_id, len(events), events)
+    )
+    return True
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free ports of the loopback interface."""
+    probes = [open_socket() for _ in range(count)]
+    for probe in probes:
+        probe.bind(('127.0.0.1', 0))
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
+
+
+class Vm:
+    """A gateway process on a loopback address of its own."""
+
+    def __init__(
+        self, *, test: testtools.TestCase, number: int, store: str
+    ) -> None:
+        """Start the process; it is ended with the test."""
+        ip = f'127.0.0.{number}'
+        front, readiness, directory = find_ports(3)
+        self.front = (ip, front)
+        self.readiness = (ip, readiness)
+        settings = make_settings(
+            nodeName=f'edge-{number}',
+            ip=ip,
+            listen={
+                'front': f'{ip}:{front}',
+                'readiness': f'{ip}:{readiness}',
+                'directory': f'{ip}:{directory}',
+            },
+            seedNodes=['127.0.0.21:1', '127.0.0.22:1'],
+            platform={'address': store, 'parts': 2},
+        )
+        folder = tempfile.mkdtemp()
+        test.addCleanup(shutil.rmtree, folder)
+        path = Path(folder) / 'settings.json'
+        path.write_bytes(settings)
+        self.process = Popen(
+            [sys.executable, str(ROOT / 'platform' / 'serve.py')],
+            env={**os.environ, 'BRONZEPOST_BOOT': str(path)},
+            stdout=DEVNULL,
+        )
+        test.addCleanup(self.process.wait)
+        test.addCleanup(self.process.kill)
+
+    def wait_until_ready(self) -> None:
+        """Return once the process says that it is ready."""
+        request = b'GET /api/readyz HTTP/1.1\r\nHost: a\r\n\r\n'
+        with gevent.Timeout(START_SECONDS):
+            while self._ask(request) != 200:
+                gevent.sleep(POLL_SECONDS)
+
+    def call(self, request_id: str, *headers: str) -> AnswerReader:
+        """Send a turn and return its answer."""
+        lines = [
+            'POST /chat/x HTTP/1.1',
+            f'Host: {HOST}',
+            f'Request-Id: {request_id}',
+            'Token-Usage: 10,50',
+            'Deadline-Ms: 3000',
+            'Content-Length: 3',
+            *headers,
+            '',
+            request_id[:3],
+        ]
+        caller = CallerSocket(address=self.front)
+        caller.sock.sendall('\r\n'.join(lines).encode())
+        return caller.read_answer()
+
+    def _ask(self, request: bytes) -> int:
+        try:
+            caller = CallerSocket(address=self.readiness)
+        except OSError:
+            return 0
+        caller.sock.sendall(request)
+        head = caller.read_answer().head
+        return head.status if head else 0
+
+
+class ServingTests(testtools.TestCase):
+    """Two VMs, a store and one engine."""
+
+    def setUp(self) -> None:
+        """Start the stand-ins and two VMs."""
+        super().setUp()
+        self.store = StandinStore()
+        self.addCleanup(self.store.close)
+        self.engine = ScriptedServer(script=answer_turn)
+        self.addCleanup(self.engine.close)
+        entry = make_entry(address=self.engine.address)
+        self.store.put('keyed.servers', 'i-1', entry)
+        self.store.put('keyed.servers', 'i-bad', b'\xff')
+        self.store.put('keyed.op', 'config', make_configuration())
+        self.vms = [self.start_vm(number) for number in (21, 22)]
+        for vm in self.vms:
+            vm.wait_until_ready()
+        # The VMs hear of each other within a few probes.
+        gevent.sleep(1)
+
+    def start_vm(self, number: int) -> Vm:
+        return Vm(test=self, number=number, store=self.store.address)
+
+    def read_status(self, answer: AnswerReader) -> int:
+        return answer.head.status if answer.head else 0
+
+    def test_turn_continues_on_another_vm(self) -> None:
+        """The engine gets the chain, whichever VM a caller asks."""
+        program = ('Program-Id: p', 'Token-Budget: 1000')
+        first = self.vms[0].call('one', *program)
+        second = self.vms[1].call('two', 'Previous-Turn: one', *program)
+        self.assertIs(True, first.is_complete)
+        self.assertIs(True, second.is_complete)
+        self.assertEqual(b'onee1\ne2\ntwo', self.engine.requests[1].body)
+
+    def test_loop_stops_at_its_budget_on_all_vms(self) -> None:
+        """Each VM would otherwise allow the whole budget."""
+        statuses = [
+            self.read_status(
+                self.vms[number % 2].call(
+                    f'{number}-turn', 'Program-Id: p', 'Token-Budget: 200'
+                )
+            )
+            for number in range(8)
+        ]
+        served = statuses.count(200)
+        tokens = served * EVENTS * TOKENS_PER_EVENT
+        self.assertIs(True, tokens <= 200)
+        self.assertEqual(8 - served, statuses.count(402))
+
+    def test_history_outlives_all_vms(self) -> None:
+        """All VMs lose power at once after a turn was answered."""
+        program = ('Program-Id: p', 'Token-Budget: 1000')
+        self.vms[0].call('one', *program)
+        for vm in self.vms:
+            os.kill(vm.process.pid, signal.SIGKILL)
+            vm.process.wait()
+        vm = self.start_vm(23)
+        vm.wait_until_ready()
+        answer = vm.call(
+            'two', 'Previous-Turn: one', 'Program-Id: q', 'Token-Budget: 500'
+        )
+        self.assertEqual(200, self.read_status(answer))
+        self.assertEqual(b'onee1\ne2\ntwo', self.engine.requests[-1].body)
+
+    def test_outage_of_the_store(self) -> None:
+        """New programs run, and a VM that starts gets routes from another."""
+        self.store.is_down = True
+        gevent.sleep(1)
+        vm = self.start_vm(23)
+        vm.wait_until_ready()
+        program = ('Program-Id: fresh', 'Token-Budget: 1000')
+        first = vm.call('one', *program)
+        self.store.is_down = False
+        self.assertEqual(200, self.read_status(first))
+        with gevent.Timeout(START_SECONDS):
+            while 'one' not in self.store.list_keys('keyed.turns'):
+                gevent.sleep(POLL_SECONDS)
+
+    def test_stop_is_graceful(self) -> None:
+        """Callers are served until the process has gone."""
+        vm = self.vms[0]
+        os.kill(vm.process.pid, signal.SIGTERM)
+        gevent.sleep(0.5)
+        answer = vm.call('one', 'Program-Id: p', 'Token-Budget: 1000')
+        self.assertEqual(200, self.read_status(answer))
+        with gevent.Timeout(START_SECONDS):
+            self.assertEqual(0, vm.process.wait())
--- a/tests/unit/test_catalogues.py
+++ b/tests/unit/test_catalogues.py
@@ -9,6 +9,8 @@
 from bronzepost._internal.telemetry.events import LogEvent
 
 SOURCE = Path(bronzepost.__file__).parent
+# The adapter to the users' platform logs events of the same catalogue.
+ADAPTER = SOURCE.parent.parent / 'platform'
 CATALOGUES = frozenset(('events.py', 'catalogue.py'))
 
 
@@ -20,7 +22,8 @@
         super().setUp()
         self.code = '\n'.join(
             path.read_text(encoding='utf-8')
-            for path in SOURCE.rglob('*.py')
+            for folder in (SOURCE, ADAPTER)
+            for path in folder.rglob('*.py')
             if path.name not in CATALOGUES or path.parent.name != 'telemetry'
         )
 
--- /dev/null
+++ b/tests/unit/test_gateway_budgets.py
@@ -0,0 +1,191 @@
+"""Budgets: no order of grants, losses and handovers overspends one."""
+
+from typing import Any
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.matchers import IsInstance
+
+from bronzepost._internal.core.gateway import budgets
+from bronzepost._internal.gateway.accounts import Accounts
+from bronzepost._internal.gateway.allowance_writer import (
+    TOPIC,
+    AllowanceWriter,
+)
+from tests.builders_gateway import BUDGET, MemoryStore, make_account
+
+TOKENS = 100
+WAIT_SECONDS = 5.0
+PROGRAM = 'p-1'
+
+
+def reserve(account: budgets.ProgramAccount, request_id: str) -> Any:
+    return budgets.reserve_tokens(
+        account, holder='x', request_id=request_id, tokens=TOKENS
+    )
+
+
+class TestRules(testtools.TestCase):
+    """The decisions on one account."""
+
+    def test_repeated_request_reserves_once(self) -> None:
+        account = make_account(granted_by_holder={'x': TOKENS})
+        account = reserve(account, 'q-1').account
+        account = reserve(account, 'q-1').account
+        self.assertEqual(0, account.count_available('x'))
+
+    def test_lost_holder_counts_as_spent(self) -> None:
+        """What a VM that died had not used must not be granted again."""
+        account = make_account(granted_by_holder={'dead': BUDGET})
+        self.assertThat(
+            reserve(account, 'q-1'), IsInstance(budgets.BudgetSpent)
+        )
+
+    def test_unused_part_is_returned(self) -> None:
+        account = make_account(granted_by_holder={'x': TOKENS})
+        account = reserve(account, 'q-1').account
+        account = budgets.settle_tokens(account, request_id='q-1', tokens=30)
+        self.assertEqual(70, account.count_available('x'))
+
+    def test_second_settlement_changes_nothing(self) -> None:
+        account = make_account(granted_by_holder={'x': TOKENS})
+        account = reserve(account, 'q-1').account
+        account = budgets.settle_tokens(account, request_id='q-1', tokens=30)
+        again = budgets.settle_tokens(account, request_id='q-1', tokens=30)
+        self.assertEqual(account, again)
+
+    def test_unsynced_home_grants_one_turn_at_most(self) -> None:
+        bound = budgets.find_provisional_bound(
+            make_account(budget=150), most=TOKENS, is_synced=False
+        )
+        self.assertEqual(TOKENS, bound)
+
+    def test_synced_home_grants_what_is_left(self) -> None:
+        account = make_account(granted_by_holder={'y': 600})
+        bound = budgets.find_provisional_bound(
+            account, most=TOKENS, is_synced=True
+        )
+        self.assertEqual(400, bound)
+
+    def test_stored_allowance_is_no_longer_provisional(self) -> None:
+        account = make_account(provisional_by_holder={'x': 200})
+        stored = make_account(granted_by_holder={'x': 200})
+        merged = budgets.merge_stored(account, stored)
+        self.assertEqual(200, merged.granted)
+
+    def test_adopted_allowance_can_be_spent_once(self) -> None:
+        handed = make_account(granted_by_holder={'y': 300}, spent=100)
+        adopted = budgets.adopt_account(None, handed, former='y')
+        self.assertEqual(200, adopted.count_available('x'))
+
+
+class TestWriter(testtools.TestCase):
+    """Allowances of several VMs in one partition of the store."""
+
+    def setUp(self) -> None:
+        """Start with an empty store."""
+        super().setUp()
+        self.store = MemoryStore()
+
+    def make_vm(self, boot: str) -> tuple[Accounts, AllowanceWriter]:
+        accounts = Accounts(boot=boot)
+        writer = AllowanceWriter(
+            store=self.store, partition=0, accounts=accounts
+        )
+        return accounts, writer
+
+    def grant(self, vm: tuple[Accounts, AllowanceWriter], tokens: int) -> int:
+        accounts, writer = vm
+        accounts.put(accounts.find(PROGRAM, BUDGET))
+        writer.grant(PROGRAM, tokens, WAIT_SECONDS)
+        account = accounts.by_program[PROGRAM]
+        return account.count_available(accounts.holder)
+
+    def test_two_homes_share_one_budget(self) -> None:
+        """Both take themselves for the home of the program."""
+        first, second = self.make_vm('x'), self.make_vm('y')
+        granted = [
+            self.grant(first, 700),
+            self.grant(second, 700),
+            self.grant(first, 700),
+        ]
+        self.assertEqual([700, 300, 700], granted)
+
+    def test_lost_answer_does_not_lose_the_allowance(self) -> None:
+        """The append took effect, but its answer was lost."""
+        vm = self.make_vm('x')
+        self.store.loses_answers = True
+        self.grant(vm, 400)
+        self.store.loses_answers = False
+        stored = self.make_vm('y')
+        self.assertIs(True, self.grant(stored, BUDGET) <= 600)
+
+    def test_refused_append_grants_nothing(self) -> None:
+        vm = self.make_vm('x')
+        self.store.is_down = True
+        self.assertEqual(0, self.grant(vm, 400))
+
+    def test_home_that_handed_over_reads_again(self) -> None:
+        """It granted from an empty account and overwrote the store's."""
+        accounts, writer = self.make_vm('x')
+        self.grant((accounts, writer), 800)
+        accounts.give_up()
+        writer.forget_end()
+        self.assertEqual(200, self.grant((accounts, writer), 800))
+
+    def test_handed_over_account_is_not_spent_twice(self) -> None:
+        first, second = self.make_vm('x'), self.make_vm('y')
+        self.grant(first, 600)
+        former = first[0].holder
+        second[0].adopt(first[0].give_up(), former=former)
+        first[1].forget_end()
+        self.assertEqual(400, self.grant(first, BUDGET))
+        self.assertEqual(600, self.grant(second, BUDGET))
+
+    def test_untouched_program_is_removed(self) -> None:
+        vm = self.make_vm('x')
+        self.grant(vm, 400)
+        vm[1].drop_untouched(vm[0].by_program[PROGRAM].touched_at + 1)
+        vm[1].grant('other', 0, WAIT_SECONDS)
+        self.assertEqual(set(), self.store.list_keys(TOPIC))
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        steps=st.lists(
+            st.tuples(
+                st.sampled_from(('grant', 'lose', 'restart', 'hand over')),
+                st.sampled_from((0, 1, 2)),
+                st.integers(min_value=1, max_value=700),
+            ),
+            max_size=14,
+        )
+    )
+    def test_allowances_stay_within_the_budget(
+        self, steps: list[tuple[str, int, int]]
+    ) -> None:
+        """VMs grant, lose answers, restart and hand over in any order."""
+        self.store = MemoryStore()
+        vms = [self.make_vm(f'vm{number}') for number in range(3)]
+        boots = 3
+        for step, number, tokens in steps:
+            accounts, writer = vms[number]
+            if step == 'restart':
+                vms[number] = self.make_vm(f'vm{boots}')
+                boots += 1
+            elif step == 'hand over':
+                former = accounts.holder
+                given_up = accounts.give_up()
+                writer.forget_end()
+                heir = vms[(number + 1) % 3][0]
+                heir.adopt(given_up, former=former)
+            else:
+                self.store.loses_answers = step == 'lose'
+                self.grant((accounts, writer), tokens)
+                self.store.loses_answers = False
+        available = sum(
+            account.count_available(accounts.holder)
+            for accounts, _ in vms
+            for account in accounts.by_program.values()
+        )
+        self.assertIs(True, available <= BUDGET)
--- /dev/null
+++ b/tests/unit/test_gateway_forwarding.py
@@ -0,0 +1,297 @@
+"""Requests through a gateway, to backend servers that fail in many ways."""
+
+from typing import Any
+
+import gevent
+import testtools
+from testtools.matchers import HasLength, LessThan
+
+from bronzepost._internal.core.gateway.entities import RouteKind
+from bronzepost._internal.gateway.header_names import find_header
+from bronzepost._internal.gateway.http_messages import HttpRequest
+from tests.builders_gateway import make_route
+from tests.builders_gateway_servers import (
+    NAMES,
+    ScriptedServer,
+    answer_with,
+    make_answer,
+    make_request,
+    open_gateway,
+    stay_silent,
+)
+
+FULL = make_answer(b'', b'Bronzepost-Not-Run: 1', status=b'503 Full')
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+def make_chunk(block: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(block), block)
+
+
+def make_event(number: int) -> bytes:
+    return b'id: %d\ndata: e%d\n\n' % (number, number)
+
+
+def send_stream(*numbers: int, is_whole: bool = True) -> Any:
+    """Return a script that sends events, and breaks off unless whole."""
+
+    def script(sock: Any, _request: HttpRequest) -> bool:
+        blocks = [make_chunk(make_event(number)) for number in numbers]
+        end = b'0\r\n\r\n' if is_whole else make_chunk(b'id: 9\nda')
+        sock.sendall(CHUNKED + b''.join(blocks) + end)
+        return is_whole
+
+    return script
+
+
+class TestPlainCalls(testtools.TestCase):
+    """What did not run is sent again; what may have run is not."""
+
+    def route(self, **changes: Any) -> Any:
+        fields: dict[str, Any] = {'kind': RouteKind.NON_IDEMPOTENT}
+        return make_route(**{**fields, **changes})
+
+    def test_answer_is_passed_on(self) -> None:
+        backend = ScriptedServer(
+            script=answer_with(make_answer(b'hello', b'Server-Mark: x'))
+        )
+        with open_gateway(self.route(), backend) as gateway:
+            answer = gateway.call(make_request()).read_answer()
+        assert answer.head is not None
+        self.assertEqual(b'hello', answer.take_blocks())
+        self.assertEqual(b'x', find_header(answer.head.headers, b'server-mark'))
+
+    def test_connection_is_used_again(self) -> None:
+        backend = ScriptedServer(script=answer_with(make_answer(b'a')))
+        with open_gateway(self.route(), backend) as gateway:
+            for _ in range(3):
+                gateway.call(make_request()).read_answer()
+        self.assertEqual(1, backend.connections)
+
+    def test_full_server_is_passed_over(self) -> None:
+        full = ScriptedServer(script=answer_with(FULL))
+        other = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        with open_gateway(self.route(), full, other) as gateway:
+            answer = gateway.call(make_request()).read_answer()
+        self.assertEqual(b'ok', answer.take_blocks())
+
+    def test_all_full_is_refused_as_not_run(self) -> None:
+        full = ScriptedServer(script=answer_with(FULL))
+        with open_gateway(self.route(), full) as gateway:
+            answer = gateway.call(make_request()).read_answer()
+        assert answer.head is not None
+        self.assertEqual(503, answer.head.status)
+        retry_after = find_header(answer.head.headers, b'retry-after')
+        self.assertIs(True, float(retry_after or 0) > 0)
+
+    def test_call_that_may_have_run_is_not_repeated(self) -> None:
+        """A charge would be made twice."""
+        broken = ScriptedServer(script=answer_with(b'', stays_open=False))
+        other = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        with open_gateway(self.route(attempts=2), broken, other) as gateway:
+            answer = gateway.call(make_request(method=b'POST')).read_answer()
+        assert answer.head is not None
+        self.assertEqual(502, answer.head.status)
+        self.assertThat(other.requests, HasLength(0))
+
+    def test_refused_connection_is_tried_elsewhere(self) -> None:
+        gone = ScriptedServer(script=stay_silent)
+        other = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        gone.close()
+        with open_gateway(self.route(), gone, other) as gateway:
+            answer = gateway.call(make_request()).read_answer()
+        self.assertEqual(b'ok', answer.take_blocks())
+
+    def test_server_of_another_service_is_left(self) -> None:
+        """Its address was given to another server."""
+        wrong = ScriptedServer(
+            script=answer_with(make_answer(b'', status=b'421 No'))
+        )
+        other = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        with open_gateway(self.route(), wrong, other) as gateway:
+            for _ in range(3):
+                gateway.call(make_request()).read_answer()
+        self.assertThat(wrong.requests, HasLength(1))
+
+    def test_silent_server_is_answered_for_at_the_timeout(self) -> None:
+        silent = ScriptedServer(script=stay_silent)
+        route = self.route(timeout_seconds=0.2)
+        with open_gateway(route, silent) as gateway:
+            answer = gateway.call(make_request()).read_answer()
+        assert answer.head is not None
+        self.assertEqual(504, answer.head.status)
+
+    def test_reserved_headers_of_a_caller_are_dropped(self) -> None:
+        backend = ScriptedServer(script=answer_with(make_answer(b'')))
+        forged = (b'Bronzepost-Hold: h', b'Bronzepost-Expected-Server: z')
+        with open_gateway(self.route(), backend) as gateway:
+            gateway.call(make_request(*forged)).read_answer()
+        headers = backend.requests[0].headers
+        self.assertIsNone(find_header(headers, b'bronzepost-hold'))
+        self.assertEqual(b's-0', find_header(headers, NAMES.expected_server))
+
+    def test_server_gets_the_time_that_is_left(self) -> None:
+        backend = ScriptedServer(script=answer_with(make_answer(b'')))
+        route = self.route(timeout_seconds=1.5)
+        with open_gateway(route, backend) as gateway:
+            gateway.call(make_request()).read_answer()
+        left = find_header(backend.requests[0].headers, NAMES.deadline)
+        self.assertIs(True, int(left or 0) in range(1000, 1501))
+
+    def test_answer_before_the_body_ends_the_connection(self) -> None:
+        """The rest of a body must not be read as the next request."""
+        backend = ScriptedServer(script=stay_silent)
+        backend.answer_early(make_answer(b'early'))
+        body = b'x' * 4_000_000
+        with open_gateway(self.route(), backend) as gateway:
+            request = make_request(method=b'POST', body=body)
+            for _ in range(2):
+                answer = gateway.call(request).read_answer()
+                self.assertEqual(b'early', answer.take_blocks())
+        self.assertEqual(2, backend.connections)
+
+
+class TestHedges(testtools.TestCase):
+    """An idempotent call does not hang with the server that lost it."""
+
+    def route(self, **changes: Any) -> Any:
+        fields: dict[str, Any] = {
+            'kind': RouteKind.IDEMPOTENT,
+            'attempts': 2,
+            'target_seconds': 0.1,
+        }
+        return make_route(**{**fields, **changes})
+
+    def test_lost_answer_comes_from_a_second_server(self) -> None:
+        silent = ScriptedServer(script=stay_silent)
+        other = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        with open_gateway(self.route(), silent, other) as gateway:
+            answer = gateway.call(make_request()).read_answer()
+        self.assertEqual(b'ok', answer.take_blocks())
+
+    def test_one_attempt_is_not_hedged(self) -> None:
+        silent = ScriptedServer(script=stay_silent)
+        other = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        route = self.route(attempts=1, timeout_seconds=0.4)
+        with open_gateway(route, silent, other) as gateway:
+            answer = gateway.call(make_request()).read_answer()
+        assert answer.head is not None
+        self.assertEqual(504, answer.head.status)
+        self.assertThat(other.requests, HasLength(0))
+
+    def test_broken_answer_is_fetched_again(self) -> None:
+        broken = ScriptedServer(
+            script=answer_with(make_answer(b'half')[:-2], stays_open=False)
+        )
+        other = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        with open_gateway(self.route(), broken, other) as gateway:
+            answer = gateway.call(make_request()).read_answer()
+        self.assertEqual(b'ok', answer.take_blocks())
+
+    def test_second_sends_are_bounded(self) -> None:
+        """A service that hangs must not get all requests twice."""
+        silent = [ScriptedServer(script=stay_silent) for _ in range(2)]
+        route = self.route(timeout_seconds=0.3)
+        with open_gateway(route, *silent) as gateway:
+            callers = [gateway.call(make_request()) for _ in range(20)]
+            for caller in callers:
+                caller.read_answer()
+        sent = sum(len(backend.requests) for backend in silent)
+        self.assertThat(sent, LessThan(28))
+
+
+class TestStreams(testtools.TestCase):
+    """Each event reaches the caller once, and an end means a whole stream."""
+
+    def test_stream_goes_on_at_another_server(self) -> None:
+        broken = ScriptedServer(script=send_stream(1, 2, is_whole=False))
+        other = ScriptedServer(script=send_stream(3, 4))
+        route = make_route(is_resumable=True, attempts=2)
+        with open_gateway(route, broken, other) as gateway:
+            answer = gateway.call(make_request(method=b'POST')).read_answer()
+        whole = b''.join(make_event(number) for number in (1, 2, 3, 4))
+        self.assertEqual(whole, answer.take_blocks())
+        self.assertEqual(
+            b'2', find_header(other.requests[0].headers, b'last-event-id')
+        )
+
+    def test_broken_stream_does_not_look_complete(self) -> None:
+        broken = ScriptedServer(script=send_stream(1, 2, is_whole=False))
+        with open_gateway(make_route(), broken) as gateway:
+            answer = gateway.call(make_request(method=b'POST')).read_answer()
+        self.assertIs(False, answer.is_complete)
+
+    def test_failure_of_a_server_is_passed_on_unchanged(self) -> None:
+        failing = ScriptedServer(
+            script=answer_with(make_answer(b'oops', status=b'500 Oops'))
+        )
+        with open_gateway(make_route(), failing) as gateway:
+            answer = gateway.call(make_request(method=b'POST')).read_answer()
+        assert answer.head is not None
+        self.assertEqual(500, answer.head.status)
+        self.assertEqual(b'oops', answer.take_blocks())
+
+
+class TestCallers(testtools.TestCase):
+    """What callers do to their connections."""
+
+    def test_work_ends_when_the_caller_leaves(self) -> None:
+        """The server would go on for nobody."""
+        ended: list[bool] = []
+
+        def wait_for_close(sock: Any, _request: HttpRequest) -> bool:
+            ended.append(not sock.recv(1))
+            return False
+
+        backend = ScriptedServer(script=wait_for_close)
+        with open_gateway(make_route(), backend) as gateway:
+            caller = gateway.call(make_request(method=b'POST'))
+            gevent.sleep(0.1)
+            caller.sock.close()
+            gevent.sleep(0.3)
+        self.assertEqual([True], ended)
+
+    def test_drain_answers_and_then_closes(self) -> None:
+        backend = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        with open_gateway(make_route(), backend) as gateway:
+            gateway.server.drain()
+            caller = gateway.call(make_request(method=b'POST'))
+            answer = caller.read_answer()
+            self.assertEqual(b'', caller.sock.recv(1))
+        assert answer.head is not None
+        self.assertEqual(b'ok', answer.take_blocks())
+        self.assertIs(False, answer.head.keep_alive)
+
+    def test_request_that_has_arrived_is_served_before_the_close(self) -> None:
+        """It was read after the close, sent on and then cut."""
+        backend = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        with open_gateway(make_route(), backend) as gateway:
+            caller = gateway.call(make_request(method=b'POST'))
+            caller.read_answer()
+            caller.sock.sendall(make_request(method=b'POST'))
+            # The bytes are in the socket before the gateway's loop turns.
+            gateway.server.stop()
+            answer = caller.read_answer()
+        sent = len(backend.requests)
+        answered = 1 + answer.is_complete
+        self.assertEqual(answered, sent)
+
+    def test_incomplete_request_is_refused_in_time(self) -> None:
+        with open_gateway(make_route()) as gateway:
+            answer = gateway.call(b'GET / HT').read_answer()
+        assert answer.head is not None
+        self.assertEqual(400, answer.head.status)
+
+    def test_unknown_path_is_not_found(self) -> None:
+        with open_gateway(make_route(path_prefix='/other/')) as gateway:
+            answer = gateway.call(make_request()).read_answer()
+        assert answer.head is not None
+        self.assertEqual(404, answer.head.status)
+
+    def test_vm_without_routes_does_not_say_not_found(self) -> None:
+        """A 404 would end a program whose route is there."""
+        with open_gateway(make_route()) as gateway:
+            gateway.directory.configuration = None
+            answer = gateway.call(make_request()).read_answer()
+        assert answer.head is not None
+        self.assertEqual(503, answer.head.status)
--- /dev/null
+++ b/tests/unit/test_gateway_messages.py
@@ -0,0 +1,134 @@
+"""HTTP messages: what is passed on, and what is refused as ambiguous."""
+
+import testtools
+from testtools.matchers import HasLength
+
+from bronzepost._internal.exceptions import ProtocolError
+from bronzepost._internal.gateway.event_stream import EventSplitter
+from bronzepost._internal.gateway.header_names import strip_connection_headers
+from bronzepost._internal.gateway.http_messages import (
+    AnswerReader,
+    MessageTooLargeError,
+    RequestReader,
+)
+
+LIMIT = 1000
+OWN = b'HTTP/1.1 200 OK\r\nRequest: q-2\r\nContent-Length: 3\r\n\r\nown'
+LATE = b'HTTP/1.1 200 OK\r\nRequest: q-1\r\nContent-Length: 4\r\n\r\nlate'
+
+
+def read_requests(content: bytes) -> RequestReader:
+    reader = RequestReader(header_bytes=LIMIT, body_bytes=LIMIT)
+    reader.feed(content)
+    return reader
+
+
+class TestRequests(testtools.TestCase):
+    """A request that two readers could split differently is refused."""
+
+    def test_two_lengths_are_refused(self) -> None:
+        content = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+        self.assertRaises(ProtocolError, read_requests, content)
+
+    def test_folded_header_is_refused(self) -> None:
+        content = b'GET / HTTP/1.1\r\nHost: a\r\n b\r\n\r\n'
+        self.assertRaises(ProtocolError, read_requests, content)
+
+    def test_space_before_colon_is_refused(self) -> None:
+        content = b'GET / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc'
+        self.assertRaises(ProtocolError, read_requests, content)
+
+    def test_large_header_is_refused(self) -> None:
+        content = b'GET / HTTP/1.1\r\nPad: %b\r\n\r\n' % (b'x' * LIMIT)
+        error = self.assertRaises(MessageTooLargeError, read_requests, content)
+        self.assertEqual(431, error.status)
+
+    def test_large_chunked_body_is_refused(self) -> None:
+        head = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        chunk = b'%x\r\n%b\r\n' % (LIMIT + 1, b'x' * (LIMIT + 1))
+        error = self.assertRaises(
+            MessageTooLargeError, read_requests, head + chunk
+        )
+        self.assertEqual(413, error.status)
+
+    def test_requests_in_one_segment_stay_apart(self) -> None:
+        """A body must not be read as a part of the next request."""
+        content = b'POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nabGET /b HTTP/1.1\r\n\r\n'
+        first, second = read_requests(content).requests
+        self.assertEqual(b'ab', first.body)
+        self.assertEqual(b'/b', second.target)
+
+    def test_connection_headers_are_dropped(self) -> None:
+        headers = (
+            (b'Connection', b'close, X-Own'),
+            (b'X-Own', b'1'),
+            (b'TE', b'trailers'),
+            (b'Kept', b'2'),
+        )
+        self.assertEqual(((b'Kept', b'2'),), strip_connection_headers(headers))
+
+
+class TestAnswers(testtools.TestCase):
+    """An answer reaches the request that it belongs to, and is whole."""
+
+    def read(self, *blocks: bytes) -> AnswerReader:
+        reader = AnswerReader(id_header=b'request', request_id=b'q-2')
+        for block in blocks:
+            reader.feed(block)
+        return reader
+
+    def test_late_answer_is_skipped(self) -> None:
+        """A second answer to an earlier request came before ours."""
+        reader = self.read(LATE + OWN)
+        self.assertEqual(b'own', reader.take_blocks())
+        self.assertIs(True, reader.is_complete)
+
+    def test_late_answer_alone_is_no_answer(self) -> None:
+        reader = self.read(LATE)
+        self.assertIsNone(reader.head)
+        self.assertIs(False, reader.is_complete)
+
+    def test_surplus_is_noted(self) -> None:
+        """A connection with bytes after an answer must not be used again."""
+        reader = self.read(OWN + LATE)
+        self.assertEqual(b'own', reader.take_blocks())
+        self.assertIs(True, reader.has_surplus)
+
+    def test_surplus_that_is_not_http_is_noted(self) -> None:
+        self.assertIs(True, self.read(OWN, b'garbage').has_surplus)
+
+    def test_answer_without_length_ends_with_its_connection(self) -> None:
+        reader = self.read(b'HTTP/1.1 200 OK\r\n\r\nbody')
+        self.assertIs(False, reader.is_complete)
+        self.assertIs(True, reader.feed_end())
+
+    def test_short_answer_is_not_complete(self) -> None:
+        self.assertIs(False, self.read(OWN[:-1]).feed_end())
+
+    def test_interim_answer_is_skipped(self) -> None:
+        reader = self.read(b'HTTP/1.1 100 Continue\r\n\r\n', OWN)
+        self.assertEqual(b'own', reader.take_blocks())
+
+    def test_bytes_that_are_no_answer_are_refused(self) -> None:
+        self.assertRaises(ProtocolError, self.read, b'\x00\x01\x02')
+
+
+class TestEvents(testtools.TestCase):
+    """A stream can go on elsewhere after the last whole event."""
+
+    def test_event_cut_between_blocks_is_passed_on_whole(self) -> None:
+        splitter = EventSplitter()
+        self.assertEqual(b'', splitter.feed(b'id: 1\ndata: a\n'))
+        whole = splitter.feed(b'\nid: 2\nda')
+        self.assertEqual(b'id: 1\ndata: a\n\n', whole)
+        self.assertEqual(b'1', splitter.last_id)
+
+    def test_broken_event_is_dropped(self) -> None:
+        splitter = EventSplitter()
+        splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
+        splitter.drop_rest()
+        self.assertEqual(
+            b'id: 2\ndata: b\n\n', splitter.feed(b'id: 2\ndata: b\n\n')
+        )
+        self.assertEqual([b'a', b'b'], splitter.data_lines)
+        self.assertThat(splitter.data_lines, HasLength(splitter.events))
