--- a/src/bronzepost/_internal/core/gateway/entities.py
+++ b/src/bronzepost/_internal/core/gateway/entities.py
@@ -17,9 +17,8 @@
 class Route:
     """Requests of one host below one path prefix, and how to handle them.
 
-    Times are in seconds. ``rank`` is the urgency, 0 first. ``attempts`` bounds
-    the backend servers on which one request may run. ``services`` pairs names
-    of services with weights.
+    Times are in seconds. ``attempts`` bounds the backend servers on which one
+    request may run. ``services`` pairs names of services with weights.
     """
 
     name: str
@@ -29,12 +28,10 @@
     services: tuple[tuple[str, float], ...]
     timeout_seconds: float
     target_seconds: float = 1.0
-    rank: int = 5
     attempts: int = 1
     keeps_history: bool = False
     retention_seconds: float = 60.0
     is_resumable: bool = False
-    is_sticky: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -44,12 +41,9 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EngineShape:
-    """Limits of the model engines of a service."""
+    """What the model engines of a service have in common."""
 
-    slots: int
-    memory_tokens: int
     tokens_per_event: int = 1
-    pin_seconds: float = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -57,7 +51,6 @@
     """A service; ``engine`` is absent for a plain one."""
 
     name: str
-    connection_limit: int
     engine: EngineShape | None = None
 
 
@@ -118,15 +111,11 @@
     request_id: str
     deadline_seconds: float | None = None
     program_id: str = ''
-    line_id: str = ''
-    finish_seconds: float | None = None
     budget_tokens: int | None = None
-    prompt_tokens: int = 0
     output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     previous_turn: str = ''
     resume_after: str = ''
-    affinity: str = ''
 
     @property
     def is_turn(self) -> bool:
--- a/src/bronzepost/_internal/core/gateway/paces.py
+++ b/src/bronzepost/_internal/core/gateway/paces.py
@@ -63,3 +63,10 @@
         server_id: min(max(seconds / mean, LEAST_SLOWNESS), MOST_SLOWNESS)
         for server_id, seconds in known.items()
     }
+
+
+def forget_server(table: PaceTable, server_id: str) -> PaceTable:
+    """Return the table without a server that has left."""
+    known = dict(table.seconds_by_server)
+    known.pop(server_id, None)
+    return PaceTable(seconds_by_server=known)
--- a/src/bronzepost/_internal/gateway/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/backend_connections.py
@@ -37,7 +37,6 @@
     sock: Any
     address: str
     usable_until: float
-    is_reused: bool = False
 
     def send(self, content: bytes) -> None:
         """Send all bytes; an ``OSError`` is left to the caller."""
@@ -78,11 +77,6 @@
         self._idle_by_address: dict[
             str, collections.deque[BackendConnection]
         ] = {}
-        self._open_by_address: collections.Counter[str] = collections.Counter()
-
-    def count_open(self, address: str) -> int:
-        """Return the connections to an address, idle ones included."""
-        return self._open_by_address[address]
 
     def acquire(self, address: str, *, step: str) -> BackendConnection:
         """Return an idle connection to an address, or open one.
@@ -95,7 +89,6 @@
             connection = idle.pop()
             is_fresh = read_clock() < connection.usable_until
             if is_fresh and connection.is_silent():
-                connection.is_reused = True
                 return connection
             self.discard(connection)
         return self._open(address, step)
@@ -121,7 +114,6 @@
 
     def discard(self, connection: BackendConnection) -> None:
         """Close a connection, whatever its state."""
-        self._open_by_address[connection.address] -= 1
         connection.close()
 
     def close_idle(self, now: float) -> None:
@@ -154,7 +146,6 @@
             sock.close()
             raise
         self.opened += 1
-        self._open_by_address[address] += 1
         return BackendConnection(sock=sock, address=address, usable_until=0)
 
 
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -12,6 +12,7 @@
 from bronzepost._internal.core.gateway.paces import (
     PaceTable,
     compare_servers,
+    forget_server,
     observe_pace,
 )
 from bronzepost._internal.core.gateway.route_table import RouteTable
@@ -129,6 +130,9 @@
 
     def _forget_server(self, server: BackendServer) -> None:
         self._pool.close_address(server.address)
+        self._avoided_until_by_id.pop(server.server_id, None)
+        self._misplaced_by_id.pop(server.server_id, None)
+        self._paces = forget_server(self._paces, server.server_id)
         emit(
             LogEvent.SERVER_GONE,
             server=server.server_id,
--- a/src/bronzepost/_internal/gateway/header_names.py
+++ b/src/bronzepost/_internal/gateway/header_names.py
@@ -32,12 +32,8 @@
     request_id: bytes = b'bronzepost-request'
     deadline: bytes = b'bronzepost-deadline-ms'
     not_run: bytes = b'bronzepost-not-run'
-    server_id: bytes = b'bronzepost-server'
     expected_server: bytes = b'bronzepost-expected-server'
-    priority: bytes = b'bronzepost-priority'
-    pin: bytes = b'bronzepost-pin-ms'
     resume_after: bytes = b'last-event-id'
-    previous_turn: bytes = b'bronzepost-previous-turn'
     reserved: frozenset[bytes] = frozenset()
 
 
--- a/src/bronzepost/_internal/gateway/turn_keeper.py
+++ b/src/bronzepost/_internal/gateway/turn_keeper.py
@@ -40,6 +40,8 @@
 # then for a copy on another VM alone.
 STORE_SECONDS: Final = 0.4
 UPKEEP_SECONDS: Final = 1.0
+# Turns of VMs that are gone stay this much longer than their retention.
+SWEEP_SECONDS: Final = 60.0
 # A turn may be asked for until its retention ends; clocks of VMs differ.
 RETENTION_MARGIN_SECONDS: Final = 5.0
 RETRY_AFTER_SECONDS: Final = 0.3
@@ -67,6 +69,7 @@
             calls=calls,
             partitions=store.partitions,
         )
+        self._partitions = store.partitions
         self._unstored_by_id: dict[str, Turn] = {}
         fleet.subscribe(HoldTurn, self._take_copy)
         fleet.subscribe(FindTurns, self._take_question)
@@ -74,6 +77,9 @@
     def start(self) -> None:
         """Start the upkeep of the turns."""
         start_loop(self._keep_up, UPKEEP_SECONDS)
+        gevent.spawn_later(
+            SWEEP_SECONDS, start_loop, self._sweep, SWEEP_SECONDS
+        )
 
     def find_chain(self, call: CallRequest) -> tuple[str, ...]:
         """Return the ids of the turns before this one, all at hand.
@@ -180,6 +186,13 @@
             self.turns_by_id.pop(turn_id)
         self._store.remove(ended)
 
+    def _sweep(self) -> None:
+        oldest = time.time() - RETENTION_MARGIN_SECONDS
+        for partition in range(self._partitions):
+            ranked = self._reports.rank_homes(f'budgets-{partition}')
+            if self._reports.has_store and ranked[0] == self._fleet.own_name:
+                self._store.sweep(partition, oldest=oldest)
+
 
 def refuse_unknown_turn() -> RefusedError:
     """Return the refusal of a turn that continues from an unknown one.
--- a/src/bronzepost/_internal/gateway/turn_store.py
+++ b/src/bronzepost/_internal/gateway/turn_store.py
@@ -52,6 +52,25 @@
                     record.key for record in removed
                 )
 
+    def sweep(self, partition: int, *, oldest: float) -> None:
+        """Remove turns of a partition that ended before a Unix time.
+
+        The VM that wrote them may be gone.
+        """
+        try:
+            found = self._store.read_partition(TOPIC, partition)
+        except LogServiceError as error:
+            emit(LogEvent.TURN_NOT_READ, partition=partition, error=error)
+            return
+        turns = (decode_turn(record.content) for record in found.records)
+        ended = [
+            KeyedRecord(key=turn.turn_id, content=b'')
+            for turn in turns
+            if turn is not None and turn.ends_at < oldest
+        ]
+        if ended:
+            self._append(partition, ended)
+
     def _append(self, partition: int, records: list[KeyedRecord]) -> bool:
         try:
             self._store.append_keyed(TOPIC, partition, records)
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -54,7 +54,6 @@
     fields: dict[str, Any] = {
         'request_id': 'q-1',
         'program_id': 'p-1',
-        'line_id': 'l-1',
         'deadline_seconds': 3.0,
         'budget_tokens': BUDGET,
         'output_tokens': 100,
--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -23,7 +23,8 @@
     RouteTable,
     choose_service,
 )
-from tests.builders_gateway import make_route, make_server
+from bronzepost._internal.gateway.turn_store import TOPIC, TurnStore
+from tests.builders_gateway import MemoryStore, make_route, make_server
 
 
 class TestRoutes(testtools.TestCase):
@@ -164,3 +165,23 @@
             )
         slowness = compare_servers(table, ['a', 'b'])
         self.assertThat(slowness['a'] * 2, LessThan(slowness['b']))
+
+
+class TestTurnStore(testtools.TestCase):
+    """Turns leave the store, whoever wrote them."""
+
+    def test_sweep_removes_turns_of_a_vm_that_is_gone(self) -> None:
+        """The store would fill up with them."""
+        store = MemoryStore()
+        lost = TurnStore(store=store)
+        for turn_id, ends_at in (('old', 10.0), ('new', 30.0)):
+            turn = Turn(
+                turn_id=turn_id,
+                ancestors=(),
+                prompt=b'',
+                answer=b'',
+                ends_at=ends_at,
+            )
+            lost.write(turn)
+        TurnStore(store=store).sweep(0, oldest=20)
+        self.assertEqual({'new'}, store.list_keys(TOPIC))
--- /dev/null
+++ b/tests/unit/test_gateway_operations.py
@@ -0,0 +1,174 @@
+"""What keeps a gateway going: logs, the registry, homes that change."""
+
+import os
+from collections.abc import Sequence
+
+import gevent
+import testtools
+
+from bronzepost._internal.core.gateway.entities import (
+    BackendServer,
+    CallerLimits,
+    GatewayConfiguration,
+)
+from bronzepost._internal.exceptions import LogServiceError
+from bronzepost._internal.gateway import registry
+from bronzepost._internal.gateway.backend_connections import ConnectionPool
+from bronzepost._internal.gateway.directory import Directory
+from bronzepost._internal.telemetry.exposition import GatewayMetrics
+from bronzepost._internal.telemetry.output import BoundedOutput
+from tests.builders_gateway import make_route, make_server
+
+LINE = '{"event":"server_up"}\n'
+GOOD_LINE = '{"event":"request_done"}\n'
+
+
+class TestOutput(testtools.TestCase):
+    """Logs are bounded, and never wait for their reader."""
+
+    def open_output(self, bytes_per_second: int) -> tuple[BoundedOutput, int]:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        output = BoundedOutput(
+            descriptor=writer, bytes_per_second=bytes_per_second
+        )
+        return output, reader
+
+    def test_reader_that_stops_does_not_block(self) -> None:
+        """A full pipe stopped the whole loop."""
+        output, _ = self.open_output(10_000_000)
+        with gevent.Timeout(5):
+            for _ in range(100_000):
+                output.write(LINE)
+                output.flush()
+            gevent.sleep(0.01)
+        self.assertTrue(output.left_out > 0)
+
+    def test_good_requests_are_left_out_first(self) -> None:
+        output, reader = self.open_output(1000)
+        for _ in range(60):
+            output.write(GOOD_LINE)
+        output.write(LINE)
+        output.flush()
+        gevent.sleep(0.01)
+        written = os.read(reader, 65536).decode()
+        self.assertIn(LINE.strip(), written)
+        self.assertTrue(output.take_left_out() > 0)
+        self.assertEqual(0, output.left_out)
+
+    def test_print_of_a_logger_is_one_line(self) -> None:
+        output, reader = self.open_output(1000)
+        for text in ('{"a":', '1}', '\n'):
+            output.write(text)
+        output.flush()
+        gevent.sleep(0.01)
+        self.assertEqual(b'{"a":1}\n', os.read(reader, 100))
+
+
+class TestMetrics(testtools.TestCase):
+    """Figures are served as text."""
+
+    def test_refusals_are_counted_by_code(self) -> None:
+        metrics = GatewayMetrics()
+        metrics.refusals.labels(code='no_server', run='not_run').inc()
+        expected = (
+            b'bronzepost_refusals_total{code="no_server",run="not_run"} 1.0'
+        )
+        self.assertIn(expected, metrics.render())
+
+
+class ScriptedRegistry:
+    """A registry whose servers and failures the test sets."""
+
+    def __init__(self) -> None:
+        """Start with one server."""
+        self.servers: list[BackendServer] = [make_server('a')]
+        self.is_down = False
+        self.configuration: GatewayConfiguration | None = None
+
+    def wait_for_configuration(
+        self, seconds: float
+    ) -> GatewayConfiguration | None:
+        """Return nothing new after a moment."""
+        gevent.sleep(0.01)
+        self._check()
+        return self.configuration
+
+    def read_servers(self) -> Sequence[BackendServer]:
+        """Return the servers that are set."""
+        self._check()
+        return tuple(self.servers)
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise LogServiceError('down', step='read')
+
+
+class TestRegistryFollower(testtools.TestCase):
+    """Servers that live are used through an outage of the registry."""
+
+    def setUp(self) -> None:
+        """Follow a registry with quick polls."""
+        super().setUp()
+        self.patch(registry, 'SERVERS_POLL_SECONDS', 0.01)
+        self.patch(registry, 'RETRY_SECONDS', 0.01)
+        self.patch(registry, 'RETURN_GRACE_SECONDS', 0.3)
+        self.registry = ScriptedRegistry()
+        self.directory = Directory(pool=ConnectionPool())
+        self.follower = registry.RegistryFollower(
+            registry=self.registry, directory=self.directory
+        )
+        self.follower.start()
+        gevent.sleep(0.1)
+
+    def list_ids(self) -> list[str]:
+        return [
+            server.server_id
+            for server in self.directory.list_servers('engines')
+        ]
+
+    def test_entries_that_lapsed_are_used_until_they_are_back(self) -> None:
+        """All servers seemed gone right after an outage."""
+        self.registry.is_down = True
+        gevent.sleep(0.1)
+        self.assertTrue(self.follower.is_lost)
+        self.registry.servers = []
+        self.registry.is_down = False
+        gevent.sleep(0.1)
+        self.assertEqual(['a'], self.list_ids())
+        gevent.sleep(0.5)
+        self.assertEqual([], self.list_ids())
+
+    def test_draining_server_gets_no_requests(self) -> None:
+        self.registry.servers = [make_server('a', is_draining=True)]
+        gevent.sleep(0.1)
+        self.assertEqual([], self.list_ids())
+
+
+class TestDirectory(testtools.TestCase):
+    """A configuration never goes back."""
+
+    def make_configuration(self, version: int) -> GatewayConfiguration:
+        return GatewayConfiguration(
+            version=version,
+            routes=(make_route(name=f'v{version}'),),
+            services_by_name={},
+            limits=CallerLimits(),
+        )
+
+    def test_older_version_is_ignored(self) -> None:
+        """A stale read of the store, or another VM's snapshot."""
+        directory = Directory(pool=ConnectionPool())
+        for version in (7, 5, 7):
+            directory.put_configuration(self.make_configuration(version))
+        self.assertEqual(7, directory.version)
+
+    def test_server_at_a_used_address_waits_for_a_new_entry(self) -> None:
+        directory = Directory(pool=ConnectionPool())
+        server = make_server('a')
+        directory.put_servers([server])
+        directory.report_misplaced(server)
+        self.assertEqual([], directory.list_servers('engines'))
+        directory.put_servers([make_server('a', born=2)])
+        self.assertEqual(1, len(directory.list_servers('engines')))
