Judge servers by their own answers, and trust idle connections less

Cause: one good answer made a server that fails two of five requests as good as any other, and servers that answer 5xx or hang until the deadline were not held against them.

Requests that may run only once use connections that were idle for at most a second.

Tests: a grey server, a single failure, one lost answer in forty.

--- a/src/bronzepost/_internal/gateway/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/backend_connections.py
@@ -37,6 +37,7 @@
     sock: Any
     address: str
     usable_until: float
+    idle_since: float = 0
 
     def send(self, content: bytes) -> None:
         """Send all bytes; an ``OSError`` is left to the caller."""
@@ -78,16 +79,29 @@
             str, collections.deque[BackendConnection]
         ] = {}
 
-    def acquire(self, address: str, *, step: str) -> BackendConnection:
+    def acquire(
+        self,
+        address: str,
+        *,
+        step: str,
+        most_idle_seconds: float = DEFAULT_IDLE_SECONDS,
+    ) -> BackendConnection:
         """Return an idle connection to an address, or open one.
 
+        One that has been idle for longer than ``most_idle_seconds`` is not
+        used.
+
         Raises:
             ExchangeError: if none can be opened; the request was not sent.
         """
         idle = self._idle_by_address.get(address)
         while idle:
             connection = idle.pop()
-            is_fresh = read_clock() < connection.usable_until
+            now = read_clock()
+            is_fresh = (
+                now < connection.usable_until
+                and now - connection.idle_since <= most_idle_seconds
+            )
             if is_fresh and connection.is_silent():
                 return connection
             self.discard(connection)
@@ -106,7 +120,8 @@
         match = _KEEP_ALIVE_TIMEOUT.search(hint)
         seconds = float(match.group(1)) if match else DEFAULT_IDLE_SECONDS
         usable = max(seconds - IDLE_MARGIN_SECONDS, seconds / 2)
-        connection.usable_until = read_clock() + usable
+        connection.idle_since = read_clock()
+        connection.usable_until = connection.idle_since + usable
         idle = self._idle_by_address.setdefault(
             connection.address, collections.deque()
         )
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -1,9 +1,9 @@
 """The routes in force and the backend servers that may be used."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
-from typing import Final
+from collections.abc import Iterable
 
+from bronzepost._internal.core.gateway import server_health
 from bronzepost._internal.core.gateway.entities import (
     BackendServer,
     CallerLimits,
@@ -21,11 +21,6 @@
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
-# A server that broke off an answer or refused a connection is passed over for
-# this long while others are there; most outages of one server last longer,
-# and one that was unlucky comes back soon.
-AVOID_SECONDS: Final = 1.0
-
 
 class Directory:
     """Configuration and backend servers, replaced as news arrive."""
@@ -37,7 +32,7 @@
         self.servers_by_id: dict[str, BackendServer] = {}
         self.in_flight_by_id: Counter[str] = Counter()
         self._pool = pool
-        self._avoided_until_by_id: dict[str, float] = {}
+        self._health: server_health.HealthTable = {}
         self._misplaced_by_id: dict[str, BackendServer] = {}
         self._paces = PaceTable(seconds_by_server={})
 
@@ -86,11 +81,7 @@
 
     def list_avoided(self) -> frozenset[str]:
         """Return the ids of servers that failed a moment ago."""
-        now = read_clock()
-        until_by_id: Mapping[str, float] = self._avoided_until_by_id
-        return frozenset(
-            server_id for server_id, until in until_by_id.items() if now < until
-        )
+        return server_health.list_avoided(self._health, at=read_clock())
 
     def compare_servers(
         self, servers: Iterable[BackendServer]
@@ -111,14 +102,17 @@
             running=running,
         )
 
-    def report_failure(self, server: BackendServer) -> None:
-        """Avoid a server for a moment."""
-        until = read_clock() + AVOID_SECONDS
-        self._avoided_until_by_id[server.server_id] = until
+    def report_failure(self, server_id: str) -> None:
+        """Prefer other servers for a while."""
+        self._health = server_health.note_failure(
+            self._health, server_id, at=read_clock()
+        )
 
-    def report_success(self, server: BackendServer) -> None:
-        """Stop avoiding a server."""
-        self._avoided_until_by_id.pop(server.server_id, None)
+    def report_success(self, server_id: str) -> None:
+        """Note a good answer of a server."""
+        self._health = server_health.note_success(
+            self._health, server_id, at=read_clock()
+        )
 
     def report_misplaced(self, server: BackendServer) -> None:
         """Stop using a server whose address belongs to another one.
@@ -130,7 +124,11 @@
 
     def _forget_server(self, server: BackendServer) -> None:
         self._pool.close_address(server.address)
-        self._avoided_until_by_id.pop(server.server_id, None)
+        self._health = {
+            server_id: health
+            for server_id, health in self._health.items()
+            if server_id != server.server_id
+        }
         self._misplaced_by_id.pop(server.server_id, None)
         self._paces = forget_server(self._paces, server.server_id)
         emit(
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -198,7 +198,7 @@
         pending.passed_over.add(server.server_id)
         event = LogEvent.REQUEST_NOT_RUN
         if isinstance(error, ExchangeError):
-            self._directory.report_failure(server)
+            self._directory.report_failure(server.server_id)
             event = LogEvent.EXCHANGE_BROKEN
         METRICS.failures.labels(
             server=server.server_id, reason=event.event_name
@@ -213,6 +213,8 @@
 
     def _end_late(self, pending: PendingCall) -> None:
         run = RunState.UNKNOWN if pending.sends else RunState.NOT_RUN
+        if pending.server_id and not pending.answer.is_started:
+            self._directory.report_failure(pending.server_id)
         error = refuse_late(run)
         self._refuse(pending.call, pending.answer, error, pending.started_at)
 
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from typing import Final
 
-from bronzepost._internal.core.gateway.entities import BackendServer
+from bronzepost._internal.core.gateway.entities import BackendServer, RouteKind
 from bronzepost._internal.core.gateway.placement import (
     PlacementView,
     choose_server,
@@ -33,6 +33,10 @@
 # A request is not sent any more when less time is left than a round trip to
 # another availability zone takes.
 LEAST_SECONDS: Final = 0.01
+# Idle connections that are used for requests that may run only once; the
+# shortest Keep-Alive hints of the deployments are a few seconds.
+TRUSTED_IDLE_SECONDS: Final = 1.0
+MOST_IDLE_SECONDS: Final = 60.0
 _SALT_BITS: Final = 32
 _BODILESS_METHODS: Final = frozenset((b'GET', b'HEAD', b'DELETE', b'OPTIONS'))
 
@@ -96,7 +100,11 @@
         with self._count_in_flight(server):
             exchange = BackendExchange(
                 pool=self._pool,
-                connection=self._pool.acquire(server.address, step=step),
+                connection=self._pool.acquire(
+                    server.address,
+                    step=step,
+                    most_idle_seconds=self._trust_idle(pending),
+                ),
                 request_id=pending.call.request_id.encode('latin-1'),
                 id_header=self._names.request_id,
                 step=step,
@@ -107,7 +115,13 @@
                 self._check_run(head, server, step)
                 yield exchange, head
                 self._note_pace(pending, server)
-        self._directory.report_success(server)
+                self._note_status(head, server)
+
+    def _note_status(self, head: AnswerHead, server: BackendServer) -> None:
+        if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._directory.report_failure(server.server_id)
+        else:
+            self._directory.report_success(server.server_id)
 
     def _note_pace(self, pending: PendingCall, server: BackendServer) -> None:
         if pending.events.pace:
@@ -118,6 +132,13 @@
                 running=running,
             )
 
+    def _trust_idle(self, pending: PendingCall) -> float:
+        # A server may drop an idle connection without notice, and what is
+        # sent on it next may then not be sent again.
+        if pending.route.kind is RouteKind.IDEMPOTENT:
+            return MOST_IDLE_SECONDS
+        return TRUSTED_IDLE_SECONDS
+
     @contextmanager
     def _count_in_flight(self, server: BackendServer) -> Iterator[None]:
         in_flight = self._directory.in_flight_by_id
--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -23,6 +23,12 @@
     RouteTable,
     choose_service,
 )
+from bronzepost._internal.core.gateway.server_health import (
+    HealthTable,
+    list_avoided,
+    note_failure,
+    note_success,
+)
 from bronzepost._internal.gateway.turn_store import TOPIC, TurnStore
 from tests.builders_gateway import MemoryStore, make_route, make_server
 
@@ -167,6 +173,34 @@
         self.assertThat(slowness['a'] * 2, LessThan(slowness['b']))
 
 
+class TestServerHealth(testtools.TestCase):
+    """Servers are judged by their answers, not by what they say."""
+
+    def test_single_failure_is_forgiven_soon(self) -> None:
+        table = note_failure({}, 'a', at=10)
+        self.assertEqual({'a'}, list_avoided(table, at=10.5))
+        self.assertEqual(frozenset(), list_avoided(table, at=11.5))
+
+    def test_grey_server_is_avoided_longer(self) -> None:
+        """It fails two of five requests while its health check is good."""
+        table: HealthTable = {}
+        at: float = 0
+        for fails in (True, False, True, False, False) * 4:
+            at += 0.2
+            note = note_failure if fails else note_success
+            table = note(table, 'a', at=at)
+        self.assertEqual({'a'}, list_avoided(table, at=at + 8))
+
+    def test_rare_failures_do_not_add_up(self) -> None:
+        """One answer in forty is lost on a common bench day."""
+        table: HealthTable = {}
+        for second in range(0, 200, 20):
+            table = note_failure(table, 'a', at=second)
+            for later in range(1, 20):
+                table = note_success(table, 'a', at=second + later)
+        self.assertEqual(frozenset(), list_avoided(table, at=182))
+
+
 class TestTurnStore(testtools.TestCase):
     """Turns leave the store, whoever wrote them."""
 
