Take VMs for silent only after three of their reports

Cause: reports go to 24 others a round, so of 90 VMs each hears of another every 1.5 s on average, and the fixed bound of 0.8 s took most of them for silent.

The bound grows with the expected time between two reports.

--- a/src/bronzepost/_internal/gateway/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peer_reports.py
@@ -22,8 +22,10 @@
 # as many doubled the processor time of a VM.
 REPORT_SECONDS: Final = 0.2
 REPORT_VMS: Final = 12
-# A VM that was not heard of for three reports is asked last.
+# A VM that was not heard of for this long, or for three reports where they
+# come less often, is asked last.
 SILENT_SECONDS: Final = 0.8
+SILENT_REPORTS: Final = 3
 # Reports older than this say nothing about the load of now.
 STALE_SECONDS: Final = 1.5
 # Bounds the messages of a VM; beyond this number each report goes to a random
@@ -107,8 +109,7 @@
 
     def _report(self) -> None:
         self._send_reports()
-        others = min(len(self._fleet.list_others()), REPORT_PEERS)
-        gevent.sleep(REPORT_SECONDS * max(1, others / REPORT_VMS))
+        gevent.sleep(find_report_seconds(len(self._fleet.list_others())))
 
     def _add_up_peers(self) -> None:
         oldest = read_clock() - STALE_SECONDS
@@ -121,11 +122,13 @@
     def _is_silent(self, name: str) -> bool:
         if name == self._fleet.own_name:
             return False
+        others = len(self._fleet.list_others())
+        longest = find_silent_seconds(others)
         now = read_clock()
         known = self._reports_by_name.get(name)
         if known is None:
-            return now - self._started_at > JOIN_GRACE_SECONDS
-        return now - known[0] > SILENT_SECONDS
+            return now - self._started_at > max(JOIN_GRACE_SECONDS, longest)
+        return now - known[0] > longest
 
     def _lacks_store(self, name: str) -> bool:
         if name == self._fleet.own_name:
@@ -156,6 +159,21 @@
             self._fleet.send(name, report)
 
 
+def find_report_seconds(others: int) -> float:
+    """Return the time between two reports of a VM with so many others."""
+    return REPORT_SECONDS * max(1, min(others, REPORT_PEERS) / REPORT_VMS)
+
+
+def find_silent_seconds(others: int) -> float:
+    """Return how long a VM may be silent towards one of so many others.
+
+    With many VMs each report goes to some of them only.
+    """
+    share = max(1, others / REPORT_PEERS)
+    expected = find_report_seconds(others) * share
+    return max(SILENT_SECONDS, SILENT_REPORTS * expected)
+
+
 def partition_of_key(key: str, partitions: int) -> int:
     """Return the partition of the store that a key belongs to."""
     return xxhash.xxh64_intdigest(key.encode()) % partitions
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -15,6 +15,11 @@
 from bronzepost._internal.gateway import registry
 from bronzepost._internal.gateway.backend_connections import ConnectionPool
 from bronzepost._internal.gateway.directory import Directory
+from bronzepost._internal.gateway.peer_reports import (
+    REPORT_PEERS,
+    find_report_seconds,
+    find_silent_seconds,
+)
 from bronzepost._internal.telemetry.exposition import GatewayMetrics
 from bronzepost._internal.telemetry.output import BoundedOutput
 from tests.builders_gateway import make_route, make_server
@@ -172,3 +177,22 @@
         self.assertEqual([], directory.list_servers('engines'))
         directory.put_servers([make_server('a', born=2)])
         self.assertEqual(1, len(directory.list_servers('engines')))
+
+
+class TestReports(testtools.TestCase):
+    """Messages of a VM are bounded, whatever the number of VMs."""
+
+    def test_few_vms_notice_a_silent_one_at_once(self) -> None:
+        self.assertEqual(0.8, find_silent_seconds(12))
+
+    def test_vm_among_many_is_not_silent_between_its_reports(self) -> None:
+        """Of 89 others each hears of a VM every 1.5 s on average."""
+        others = 89
+        rounds = others / REPORT_PEERS
+        expected = find_report_seconds(others) * rounds
+        self.assertTrue(find_silent_seconds(others) >= 3 * expected)
+
+    def test_reports_of_a_vm_are_bounded(self) -> None:
+        for others in (9, 89, 409):
+            sent = min(others, REPORT_PEERS) / find_report_seconds(others)
+            self.assertTrue(sent <= 60)
