Give each question for tokens a reservation of its own

Cause: a home that did not answer in time is told to settle the turn with no tokens, in case it has reserved them. If it has handed its accounts over, it forwards that message, and the next home, which was asked second and reserved tokens for the same request, freed them while the turn ran. The turn's tokens were then spent twice.

Ruled out: settlements from the home itself, which are not forwarded, and questions that are repeated to the same home, which reserve once.

Before: the new test frees 100 of 100 reserved tokens; after: none. The test of the log output closed a descriptor while a greenlet waited for it, and libev aborted the next test in the same process; it now lets the greenlet end first.

Conclusion: a settlement names the reservation of one home and cannot free that of another.

--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -30,7 +30,7 @@
     ``granted_by_holder`` holds what the store says, by the boot of the VM that
     was granted it, and ``claimed_by_holder`` what holders say that they have,
     with what was granted without the store. Both are totals that only grow.
-    ``spent`` and ``reserved_by_request`` are those of this VM, which may also
+    ``spent`` and ``reserved_by_id`` are those of this VM, which may also
     spend what was granted to the ``adopted`` holders that it replaced.
     """
 
@@ -42,9 +42,7 @@
     claimed_by_holder: Mapping[str, int] = dataclasses.field(
         default_factory=dict
     )
-    reserved_by_request: Mapping[str, int] = dataclasses.field(
-        default_factory=dict
-    )
+    reserved_by_id: Mapping[str, int] = dataclasses.field(default_factory=dict)
     adopted: frozenset[str] = frozenset()
     spent: int = 0
     touched_at: float = 0
@@ -70,7 +68,7 @@
     def count_available(self, holder: str) -> int:
         """Return what a VM may still reserve from its own allowances."""
         own = sum(map(self.find_allowance, self.adopted | {holder}))
-        return own - self.spent - sum(self.reserved_by_request.values())
+        return own - self.spent - sum(self.reserved_by_id.values())
 
     def is_unstored(self, holder: str) -> bool:
         """Return whether a VM has an allowance that the store lacks."""
@@ -110,21 +108,21 @@
 
 
 def reserve_tokens(
-    account: ProgramAccount, *, holder: str, request_id: str, tokens: int
+    account: ProgramAccount, *, holder: str, reservation_id: str, tokens: int
 ) -> Decision:
     """Decide on the most that one turn can generate.
 
     >>> account = ProgramAccount(program_id='a', budget=100)
-    >>> reserve_tokens(account, holder='x', request_id='1', tokens=40)
+    >>> reserve_tokens(account, holder='x', reservation_id='1', tokens=40)
     AllowanceNeeded(tokens=40)
     """
-    if request_id in account.reserved_by_request:
+    if reservation_id in account.reserved_by_id:
         return Reserved(account=account)
     available = account.count_available(holder)
     if available >= tokens:
-        reserved = {**account.reserved_by_request, request_id: tokens}
+        reserved = {**account.reserved_by_id, reservation_id: tokens}
         return Reserved(
-            account=dataclasses.replace(account, reserved_by_request=reserved)
+            account=dataclasses.replace(account, reserved_by_id=reserved)
         )
     missing = tokens - available
     grantable = account.budget - account.granted
@@ -180,16 +178,16 @@
 
 
 def settle_tokens(
-    account: ProgramAccount, *, request_id: str, tokens: int
+    account: ProgramAccount, *, reservation_id: str, tokens: int
 ) -> ProgramAccount:
     """Return the account after a turn that generated ``tokens``."""
-    if request_id not in account.reserved_by_request:
+    if reservation_id not in account.reserved_by_id:
         return account
-    reserved = dict(account.reserved_by_request)
-    reserved.pop(request_id)
+    reserved = dict(account.reserved_by_id)
+    reserved.pop(reservation_id)
     return dataclasses.replace(
         account,
-        reserved_by_request=reserved,
+        reserved_by_id=reserved,
         spent=account.spent + tokens,
     )
 
@@ -231,11 +229,11 @@
         return dataclasses.replace(handed, adopted=adopted)
     merged = merge_stored(account, handed)
     claimed = take_larger(account.claimed_by_holder, handed.claimed_by_holder)
-    reserved = {**account.reserved_by_request, **handed.reserved_by_request}
+    reserved = {**account.reserved_by_id, **handed.reserved_by_id}
     return dataclasses.replace(
         merged,
         claimed_by_holder=claimed,
-        reserved_by_request=reserved,
+        reserved_by_id=reserved,
         adopted=account.adopted | adopted,
         spent=account.spent + handed.spent,
     )
--- a/src/bronzepost/_internal/gateway/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/budget_keeper.py
@@ -45,11 +45,13 @@
 class Reservation:
     """Tokens of one turn that a home has reserved.
 
+    ``reservation_id`` differs for each home that was asked, so that what
+    settles an unused reservation cannot settle the one that is used.
     ``server_id`` is the server that the turn's ``line`` ran on last.
     """
 
     program_id: str
-    request_id: str
+    reservation_id: str
     home: str
     line: str = ''
     server_id: str = ''
@@ -111,15 +113,19 @@
         ranked = self._find_home(call.program_id).rank()
         homes = self._reports.put_store_first(ranked)[:HOMES_TRIED]
         # Only one VM may grant without the store, or each would grant a part.
-        for name in (*homes, ranked[0]):
-            answer = self._ask_home(name, call, is_first=name == ranked[0])
+        for number, name in enumerate((*homes, ranked[0])):
+            reservation = Reservation(
+                program_id=call.program_id,
+                reservation_id=f'{call.request_id}/{number}',
+                home=name,
+                line=call.lines[0] if call.lines else '',
+            )
+            answer = self._ask_home(
+                reservation, call, is_first=name == ranked[0]
+            )
             if answer.verdict == RESERVED:
-                return Reservation(
-                    program_id=call.program_id,
-                    request_id=call.request_id,
-                    home=name,
-                    line=call.lines[0] if call.lines else '',
-                    server_id=answer.server_id,
+                return dataclasses.replace(
+                    reservation, server_id=answer.server_id
                 )
             if answer.verdict == SPENT:
                 raise refuse_spent(name)
@@ -131,7 +137,7 @@
         """Return what a turn did not use of its reservation."""
         message = SettleTokens(
             program_id=reservation.program_id,
-            request_id=reservation.request_id,
+            reservation_id=reservation.reservation_id,
             tokens=tokens,
             line=reservation.line,
             server_id=server_id,
@@ -145,36 +151,34 @@
         return self._homes[partition_of_key(program_id, len(self._homes))]
 
     def _ask_home(
-        self, name: str, call: CallRequest, *, is_first: bool
+        self, reservation: Reservation, call: CallRequest, *, is_first: bool
     ) -> TokensReserved:
         make_question = functools.partial(
             ReserveTokens,
             program_id=call.program_id,
             request_id=call.request_id,
+            reservation_id=reservation.reservation_id,
             budget=call.budget_tokens or 0,
             tokens=call.output_tokens,
             lines=call.lines,
             may_be_provisional=is_first,
         )
-        if name == self._fleet.own_name:
+        if reservation.home == self._fleet.own_name:
             return self._decide(make_question(call_id=0))
         answer: TokensReserved | None = self._calls.ask(
-            name,
+            reservation.home,
             lambda number: make_question(call_id=number),
             RESERVE_SECONDS,
         )
         if answer is None:
-            self._note_silent(name, call)
+            self._note_silent(reservation, call)
             return TokensReserved(call_id=0, verdict=UNSURE)
         return answer
 
-    def _note_silent(self, name: str, call: CallRequest) -> None:
-        emit(LogEvent.HOME_SILENT, request=call.request_id, peer=name)
-        self._reports.note_silent(name)
+    def _note_silent(self, unused: Reservation, call: CallRequest) -> None:
+        emit(LogEvent.HOME_SILENT, request=call.request_id, peer=unused.home)
+        self._reports.note_silent(unused.home)
         # The home may have reserved the tokens all the same.
-        unused = Reservation(
-            program_id=call.program_id, request_id=call.request_id, home=name
-        )
         self.settle(unused, 0, '')
 
     def _decide(self, question: ReserveTokens) -> TokensReserved:
--- a/src/bronzepost/_internal/gateway/home.py
+++ b/src/bronzepost/_internal/gateway/home.py
@@ -84,7 +84,7 @@
             decision = rules.reserve_tokens(
                 account,
                 holder=self.accounts.holder,
-                request_id=question.request_id,
+                reservation_id=question.reservation_id,
                 tokens=question.tokens,
             )
             if isinstance(decision, rules.Reserved):
@@ -104,7 +104,9 @@
         if account is None:
             return False
         settled = rules.settle_tokens(
-            account, request_id=message.request_id, tokens=message.tokens
+            account,
+            reservation_id=message.reservation_id,
+            tokens=message.tokens,
         )
         self.accounts.put(settled)
         return True
@@ -213,7 +215,7 @@
         decision = rules.reserve_tokens(
             account,
             holder=self.accounts.holder,
-            request_id=question.request_id,
+            reservation_id=question.reservation_id,
             tokens=question.tokens,
         )
         return isinstance(decision, rules.BudgetSpent)
--- a/src/bronzepost/_internal/node/messages.py
+++ b/src/bronzepost/_internal/node/messages.py
@@ -60,12 +60,14 @@
 
     ``lines`` are the parts of the prompt that one server may have in its
     cache, the most specific first. The home may grant tokens without the
-    store only if ``may_be_provisional``.
+    store only if ``may_be_provisional``. ``reservation_id`` differs each time
+    that a home is asked.
     """
 
     call_id: int
     program_id: str
     request_id: str
+    reservation_id: str
     budget: int
     tokens: int
     lines: tuple[str, ...]
@@ -91,7 +93,7 @@
     """Tell the home of a program how many tokens a turn has generated."""
 
     program_id: str
-    request_id: str
+    reservation_id: str
     tokens: int
     line: str
     server_id: str
--- a/tests/unit/test_gateway_budgets.py
+++ b/tests/unit/test_gateway_budgets.py
@@ -22,7 +22,7 @@
 
 def reserve(account: budgets.ProgramAccount, request_id: str) -> Any:
     return budgets.reserve_tokens(
-        account, holder='x', request_id=request_id, tokens=TOKENS
+        account, holder='x', reservation_id=request_id, tokens=TOKENS
     )
 
 
@@ -45,14 +45,18 @@
     def test_unused_part_is_returned(self) -> None:
         account = make_account(granted_by_holder={'x': TOKENS})
         account = reserve(account, 'q-1').account
-        account = budgets.settle_tokens(account, request_id='q-1', tokens=30)
+        account = budgets.settle_tokens(
+            account, reservation_id='q-1', tokens=30
+        )
         self.assertEqual(70, account.count_available('x'))
 
     def test_second_settlement_changes_nothing(self) -> None:
         account = make_account(granted_by_holder={'x': TOKENS})
         account = reserve(account, 'q-1').account
-        account = budgets.settle_tokens(account, request_id='q-1', tokens=30)
-        again = budgets.settle_tokens(account, request_id='q-1', tokens=30)
+        account = budgets.settle_tokens(
+            account, reservation_id='q-1', tokens=30
+        )
+        again = budgets.settle_tokens(account, reservation_id='q-1', tokens=30)
         self.assertEqual(account, again)
 
     def test_small_budget_gets_one_turn_without_the_store(self) -> None:
--- a/tests/unit/test_gateway_homes.py
+++ b/tests/unit/test_gateway_homes.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from bronzepost._internal.gateway.budget_keeper import BudgetKeeper
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.home import RESERVED, SPENT, UNSURE, Home
 from bronzepost._internal.gateway.peer_calls import PeerCalls
@@ -15,8 +16,10 @@
     HandOver,
     HoldAllowance,
     ReserveTokens,
+    SettleTokens,
+    TokensReserved,
 )
-from tests.builders_gateway import MemoryStore
+from tests.builders_gateway import MemoryStore, make_turn_call
 
 PROGRAM = 'p-1'
 TOKENS = 100
@@ -104,6 +107,7 @@
         'call_id': 1,
         'program_id': PROGRAM,
         'request_id': request_id,
+        'reservation_id': request_id,
         'budget': BUDGET,
         'tokens': TOKENS,
         'lines': (),
@@ -188,3 +192,58 @@
         self.count_reserved('a', turns=1)
         self.network.homes_by_name['a'].hand_over(is_leaving=True)
         self.assertEqual(2, self.count_reserved('b'))
+
+
+@dataclasses.dataclass(kw_only=True)
+class SilentHomeVm(Vm):
+    """A VM that asks home 'a', which does not answer, and then home 'b'.
+
+    Home 'a' has handed its accounts over, so it forwards settlements to 'b',
+    where they arrive late.
+    """
+
+    forwarded: list[SettleTokens] = dataclasses.field(default_factory=list)
+
+    def subscribe(self, message_type: type, receive: Any) -> None:
+        """Take no messages."""
+
+    def note_silent(self, name: str) -> None:
+        """Keep the order as it is."""
+
+    def send(self, name: str, message: Any) -> bool:
+        """Keep what is sent to home 'a'."""
+        assert name == 'a'
+        self.forwarded.append(message)
+        return True
+
+    def ask(self, name: str, make_message: Any, _seconds: float = 0) -> Any:
+        """Ask home 'b'; home 'a' is silent."""
+        message = make_message(1)
+        if name != 'b' or not isinstance(message, ReserveTokens):
+            return None
+        verdict = self.network.homes_by_name['b'].reserve(message)
+        return TokensReserved(call_id=1, verdict=verdict)
+
+
+class TestSilentHome(testtools.TestCase):
+    """A home that does not answer in time is settled with no tokens."""
+
+    def test_forwarded_settlement_keeps_the_reservation(self) -> None:
+        """The settlement for 'a' freed the tokens that 'b' had reserved."""
+        network = Network(store=MemoryStore(), order=('a', 'b'))
+        home = network.add('b')
+        vm = SilentHomeVm(name='c', network=network)
+        keeper = BudgetKeeper(
+            fleet=cast(Fleet, vm),
+            reports=cast(PeerReports, vm),
+            calls=cast(PeerCalls, vm),
+            store=network.store,
+        )
+        keeper.reserve(
+            make_turn_call(budget_tokens=BUDGET, output_tokens=TOKENS)
+        )
+        for message in vm.forwarded:
+            home.settle(message)
+        account = home.accounts.by_program[PROGRAM]
+        holder = home.accounts.holder
+        self.assertEqual(0, account.count_available(holder))
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -33,8 +33,11 @@
 
     def open_output(self, bytes_per_second: int) -> tuple[BoundedOutput, int]:
         reader, writer = os.pipe()
-        self.addCleanup(os.close, reader)
         self.addCleanup(os.close, writer)
+        # The waiting greenlet ends with its reader; a descriptor that is
+        # closed while it is waited for aborts the loop of a later test.
+        self.addCleanup(gevent.sleep, 0.01)
+        self.addCleanup(os.close, reader)
         output = BoundedOutput(
             descriptor=writer, bytes_per_second=bytes_per_second
         )
