Count requests that have arrived before the process ends

Three seconds after SIGTERM the gateway closes its idle connections and leaves those with unread bytes open; it then counted only connections whose request had been read, found none and ended.

Ruled out: the close of idle connections itself, which leaves those with bytes alone, and the grace period, of which 4 s were left.

Before: the new test counts 0 connections at the stop; after: 1, and 0 once the answer is sent.

Conclusion: the process ends when no connection is open.

--- a/src/bronzepost/_internal/gateway/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/caller_connections.py
@@ -282,6 +282,10 @@
         """Return the connections on which a request is under way."""
         return sum(not link.is_idle for link in self._connections)
 
+    def count_open(self) -> int:
+        """Return the open connections, those with unread requests included."""
+        return len(self._connections)
+
     def drain(self) -> None:
         """Close each connection after its next answer."""
         self.is_draining = True
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -173,9 +173,11 @@
         end = started_at + self.settings.grace_seconds - STOP_MARGIN_SECONDS
         gevent.sleep(LINGER_SECONDS)
         self.callers.stop()
-        while self.callers.count_busy() and read_clock() < end:
+        # Idle connections are closed; on the others a request is under way
+        # or has arrived and is not read yet.
+        while self.callers.count_open() and read_clock() < end:
             gevent.sleep(_POLL_SECONDS)
-        emit(LogEvent.DRAIN_FINISHED, busy=self.callers.count_busy())
+        emit(LogEvent.DRAIN_FINISHED, busy=self.callers.count_open())
         self._stopped.set()
 
     def _keep_up(self) -> None:
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -276,6 +276,22 @@
         answered = 1 + answer.is_complete
         self.assertEqual(answered, sent)
 
+    def test_arrived_request_counts_before_it_is_read(self) -> None:
+        """The process counted it as idle and exited while it was sent on."""
+        backend = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        with open_gateway(make_route(), backend) as gateway:
+            caller = gateway.call(make_request(method=b'POST'))
+            caller.read_answer()
+            gateway.server.drain()
+            caller.sock.sendall(make_request(method=b'POST'))
+            gateway.server.stop()
+            open_at_stop = gateway.server.count_open()
+            answer = caller.read_answer()
+            gevent.sleep(0.01)
+            open_after = gateway.server.count_open()
+        self.assertIs(True, answer.is_complete)
+        self.assertEqual((1, 0), (open_at_stop, open_after))
+
     def test_incomplete_request_is_refused_in_time(self) -> None:
         with open_gateway(make_route()) as gateway:
             answer = gateway.call(b'GET / HT').read_answer()
