Log why a home grants no tokens

After: 8030 allowance_refused has the reason, the budget, what is granted and provisional, and how long the store has answered. The test finds no such line before.

Conclusion: a refusal for budget can be explained from the logs of its home.

--- a/src/bronzepost/_internal/gateway/home.py
+++ b/src/bronzepost/_internal/gateway/home.py
@@ -192,6 +192,7 @@
         if self.writer.grant(question.program_id, tokens, seconds):
             return True
         if not question.may_be_provisional:
+            self._log_refusal(question, 'another VM grants without the store')
             return False
         # One at a time, so that the copies add up.
         with self._provisional_lock:
@@ -231,6 +232,7 @@
             account, holder=holder, tokens=tokens
         )
         if not rules.is_within(account, bound=bound):
+            self._log_refusal(question, 'more than may be lost', bound=bound)
             return False
         copy = HoldAllowance(
             call_id=0,
@@ -256,21 +258,37 @@
         )
         return is_held
 
+    def _log_refusal(
+        self, question: ReserveTokens, reason: str, **more: int
+    ) -> None:
+        account = self.accounts.find(question.program_id, question.budget)
+        emit(
+            LogEvent.ALLOWANCE_REFUSED,
+            request=question.request_id,
+            program=question.program_id,
+            reason=reason,
+            tokens=question.tokens,
+            budget=question.budget,
+            granted=account.granted,
+            provisional=account.provisional,
+            available=account.count_available(self.accounts.holder),
+            is_synced=self.accounts.is_synced,
+            store_seconds=round(self._reports.answering_seconds, 3),
+            **more,
+        )
+
     def _send_copies(self, copy: HoldAllowance) -> bool:
         others = [name for name in self.rank() if name != self._fleet.own_name]
+        # A home that does not know what the store has asks all others, since
+        # any of them may know of allowances that contradict its own.
+        copies = COPIES if self.accounts.is_synced else MOST_ASKED
         asked = [
-            gevent.spawn(self._ask, name, copy)
-            for name in others[: self._count_copies()]
+            gevent.spawn(self._ask, name, copy) for name in others[:copies]
         ]
         gevent.joinall(asked)
         answers = [done.value for done in asked if done.value is not None]
         return bool(answers) and all(answer.is_held for answer in answers)
 
-    def _count_copies(self) -> int:
-        # A home that does not know what the store has asks all others, since
-        # any of them may know of allowances that contradict its own.
-        return COPIES if self.accounts.is_synced else MOST_ASKED
-
     def _ask(self, name: str, message: HoldAllowance | FindAllowances) -> Any:
         return self._calls.ask(
             name,
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -164,6 +164,7 @@
         WARNING,
         'The store did not tell whether it has a turn.',
     )
+    ALLOWANCE_REFUSED = 8030, INFO, 'A home may not grant tokens now.'
     SNAPSHOT_TAKEN = 8026, INFO, 'Routes or servers came from another VM.'
     TURN_NOT_FOUND = 8023, WARNING, 'A turn to continue from was not found.'
 
--- a/tests/unit/test_gateway_homes.py
+++ b/tests/unit/test_gateway_homes.py
@@ -5,6 +5,7 @@
 from typing import Any, cast
 
 import testtools
+from structlog.testing import capture_logs
 
 from bronzepost._internal.gateway.budget_keeper import BudgetKeeper
 from bronzepost._internal.gateway.fleet import Fleet
@@ -158,6 +159,17 @@
         question = make_question('q-1', may_be_provisional=False)
         self.assertEqual(UNSURE, home.reserve(question))
 
+    def test_refusal_says_why(self) -> None:
+        """On call, nothing told why a budget could not be checked."""
+        self.store.is_down = True
+        home = self.network.homes_by_name['a']
+        home.reserve(make_question('q-1'))
+        with capture_logs() as lines:
+            home.reserve(make_question('q-2'))
+        refusals = [line for line in lines if line['number'] == 8030]
+        self.assertEqual('more than may be lost', refusals[0]['reason'])
+        self.assertEqual(TOKENS, refusals[0]['provisional'])
+
     def test_restarted_home_in_an_outage_asks_the_others(self) -> None:
         """Each VM of a rolling restart granted a turn of its own."""
         self.count_reserved('a', turns=2)
