Name holders of allowances by VM and start, not by start alone

Its turns had two homes, edge-hall-b-3 and edge-hall-a-4, which had started in the same millisecond (38:.2914 both). A holder was named by the millisecond of its start, so each of the two took the other's allowances in the store for its own and spent them again.

Before: two VMs that start together have one name; the new test fails. After: two names.

Conclusion: a holder's name has the VM's name in it.

--- a/src/bronzepost/_internal/gateway/fleet.py
+++ b/src/bronzepost/_internal/gateway/fleet.py
@@ -40,7 +40,8 @@
             boot=f'{incarnation:x}',
         )
         self.own_name = own.name
-        self.own_boot = own.boot
+        # VMs that are started together may start in the same millisecond.
+        self.own_boot = f'{own.name}/{own.boot}'
         self._receivers_by_type: dict[type, ReceiveMessage] = {}
         self._serving: tuple[membership.Member, ...] | None = None
         self._members = membership.create_tables(
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -1,8 +1,10 @@
 """What keeps a gateway going: logs, the registry, homes that change."""
 
 import os
+import time
 from collections.abc import Sequence
 from typing import Any, cast
+from unittest import mock
 
 import gevent
 import testtools
@@ -24,6 +26,7 @@
     find_report_seconds,
     find_silent_seconds,
 )
+from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.telemetry.exposition import GatewayMetrics
 from bronzepost._internal.telemetry.output import BoundedOutput
 from tests.builders_gateway import make_member, make_route, make_server
@@ -125,6 +128,32 @@
         self.assertIs(reports.rank_homes('a'), reports.rank_homes('a'))
 
 
+class TestFleet(testtools.TestCase):
+    """Names under which VMs hold allowances."""
+
+    def make_fleet(self, name: str) -> Fleet:
+        address = '127.0.0.1:1'
+        settings = GatewaySettings(
+            name=name,
+            availability_zone='hall-a',
+            region='r',
+            caller_address=address,
+            readiness_address=address,
+            directory_address=address,
+            peer_address=address,
+            metrics_address=address,
+            store_address=address,
+            store_partitions=1,
+        )
+        return Fleet(settings=settings)
+
+    def test_vms_that_start_together_differ(self) -> None:
+        """Two VMs spent the same allowance, each as if it were its own."""
+        with mock.patch.object(time, 'time', lambda: 1_780_000_000.25):
+            boots = {self.make_fleet(name).own_boot for name in ('a', 'b')}
+        self.assertEqual(2, len(boots))
+
+
 class TestMetrics(testtools.TestCase):
     """Figures are served as text."""
 
