Send reports to VMs that leave

Cause: a VM that drains got no more reports, took all others for silent one by one and asked other homes than they did.

Ruled out: the ranking, which is the same at all VMs, and lost members.

Before: the new test finds no report to a VM that leaves; after: one.

Conclusion: a VM that drains ranks homes as the others do until it ends.

--- a/src/bronzepost/_internal/gateway/fleet.py
+++ b/src/bronzepost/_internal/gateway/fleet.py
@@ -120,6 +120,14 @@
             if member.name != self.own_name
         )
 
+    def list_listeners(self) -> tuple[str, ...]:
+        """Return the names of the others that run, those that leave too."""
+        return tuple(
+            member.name
+            for member in membership.live_members(self._members)
+            if member.name != self.own_name
+        )
+
     def reconnect(self, peer_address: str) -> None:
         """Replace a silent connection."""
         emit(LogEvent.PEER_SOCKET_REOPENED, peer=peer_address)
--- a/src/bronzepost/_internal/gateway/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peer_reports.py
@@ -65,6 +65,23 @@
         """Start to send reports."""
         start_loop(self._report, 0)
 
+    def send(self) -> None:
+        """Send a report to the others now."""
+        self._add_up_peers()
+        in_flight = self._directory.in_flight_by_id
+        report = LoadReport(
+            in_flight={key: count for key, count in in_flight.items() if count},
+            has_store=self.has_store,
+            is_ready=self._directory.configuration is not None,
+            version=self._directory.version,
+        )
+        # A VM that leaves still asks homes for the turns that it serves.
+        names = list(self._fleet.list_listeners())
+        if len(names) > REPORT_PEERS:
+            names = random.sample(names, REPORT_PEERS)  # noqa: S311
+        for name in names:
+            self._fleet.send(name, report)
+
     def rank_homes(self, key: str) -> tuple[str, ...]:
         """Return the members in the order in which they are asked for a key.
 
@@ -111,7 +128,7 @@
         return self._peer_in_flight + self._directory.in_flight_by_id
 
     def _report(self) -> None:
-        self._send_reports()
+        self.send()
         gevent.sleep(find_report_seconds(len(self._fleet.list_others())))
 
     def _add_up_peers(self) -> None:
@@ -147,21 +164,6 @@
             self._peer_in_flight.subtract(known[1].in_flight)
         self._peer_in_flight.update(report.in_flight)
 
-    def _send_reports(self) -> None:
-        self._add_up_peers()
-        in_flight = self._directory.in_flight_by_id
-        report = LoadReport(
-            in_flight={key: count for key, count in in_flight.items() if count},
-            has_store=self.has_store,
-            is_ready=self._directory.configuration is not None,
-            version=self._directory.version,
-        )
-        names = list(self._fleet.list_others())
-        if len(names) > REPORT_PEERS:
-            names = random.sample(names, REPORT_PEERS)  # noqa: S311
-        for name in names:
-            self._fleet.send(name, report)
-
 
 def find_report_seconds(others: int) -> float:
     """Return the time between two reports of a VM with so many others."""
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -82,12 +82,13 @@
 
 
 class CountingFleet:
-    """A fleet of many VMs that counts how often its members are listed."""
+    """A fleet of many VMs that notes listings and receivers of messages."""
 
     def __init__(self, *, members: int) -> None:
         """Start as the first of so many VMs."""
         self.own_name = 'vm-0'
         self.listings = 0
+        self.receivers: list[str] = []
         self._members = tuple(
             make_member(f'vm-{number}') for number in range(members)
         )
@@ -95,6 +96,15 @@
     def subscribe(self, message_type: type, receive: Any) -> None:
         """Take no messages."""
 
+    def send(self, name: str, message: Any) -> bool:
+        """Note the receiver."""
+        self.receivers.append(name)
+        return True
+
+    def list_listeners(self) -> tuple[str, ...]:
+        """Return the others, and one that leaves."""
+        return (*self.list_others(), 'leaving')
+
     def list_serving(self) -> tuple[Member, ...]:
         """Return all members."""
         self.listings += 1
@@ -105,6 +115,12 @@
         return tuple(member.name for member in self.list_serving()[1:])
 
 
+class StoreState:
+    """A follower of a store that answers."""
+
+    is_lost = False
+
+
 class TestRanking(testtools.TestCase):
     """The order of homes, which each turn asks for."""
 
@@ -112,7 +128,7 @@
         return PeerReports(
             fleet=cast(Fleet, fleet),
             directory=Directory(pool=ConnectionPool()),
-            follower=cast(registry.RegistryFollower, None),
+            follower=cast(registry.RegistryFollower, StoreState()),
         )
 
     def test_ranking_lists_the_members_once(self) -> None:
@@ -122,6 +138,12 @@
         self.assertEqual(90, len(ranked))
         self.assertEqual(1, fleet.listings)
 
+    def test_vm_that_leaves_is_told_of_the_others(self) -> None:
+        """It took all others for silent and asked other homes than they."""
+        fleet = CountingFleet(members=2)
+        self.make_reports(fleet).send()
+        self.assertEqual(['vm-1', 'leaving'], fleet.receivers)
+
     def test_ranking_is_the_same_for_the_same_members(self) -> None:
         fleet = CountingFleet(members=5)
         reports = self.make_reports(fleet)
