Add a fault soak of real gateway processes

It checks from what callers and servers saw: whole answers, at most one run, refusals that say not run, histories, budgets, no work for leaving servers, configuration never back, nothing stranded, no process that ends by itself.

Ruled out: clock jumps, which need a preloaded library.

--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -28,13 +28,14 @@
     """Keyed topics over HTTP, with switches for the store's failures.
 
     ``is_down`` answers 503 without doing anything. ``loses_appends`` carries
-    appends out and never answers them.
+    appends out and never answers them. Answers take ``delay_seconds``.
     """
 
     def __init__(self) -> None:
         """Listen on a free port of the loopback interface."""
         self.is_down = False
         self.loses_appends = False
+        self.delay_seconds: float = 0
         self.records: dict[Place, list[Record]] = {}
         self._server = WSGIServer(
             ('127.0.0.1', 0), self._answer, log=None, handler_class=QuietHandler
@@ -71,6 +72,7 @@
             for name, texts in parse_qs(environ['QUERY_STRING']).items()
         }
         body = environ['wsgi.input'].read()
+        gevent.sleep(self.delay_seconds)
         if self.is_down:
             start('503 Down', [])
             return [b'']
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run real gateway processes under random faults and check the promises."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,12 @@
+"""Entry point of ``python -m tests.soak``."""
+
+import sys
+
+from gevent import monkey
+
+# Sockets and subprocesses have to be patched before any other import.
+monkey.patch_all()
+
+from tests.soak.command import main  # noqa: E402
+
+sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/soak/command.py
@@ -0,0 +1,75 @@
+"""The command line of the soak."""
+
+import contextlib
+import dataclasses
+import random
+import shutil
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+import msgspec
+
+from tests.soak.faults import FaultSeries
+from tests.soak.world import World
+
+SECONDS_A_MINUTE = 60
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Soak:
+    """Run gateways under random faults and check the promises.
+
+    Times of processes differ from run to run, so a seed repeats the faults
+    and not every outcome.
+    """
+
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    minutes: Annotated[float, cappa.Arg(long=True)] = 1.0
+    vms: Annotated[int, cappa.Arg(long=True)] = 3
+    callers: Annotated[int, cappa.Arg(long=True)] = 8
+
+
+def run_soak(options: Soak) -> dict[str, Any]:
+    """Run one soak and return its report; logs of a failed one are kept."""
+    folder = Path(tempfile.mkdtemp(prefix=f'soak-{options.seed}-'))
+    world = World(vms=options.vms, folder=folder)
+    series = FaultSeries(world=world, chance=random.Random(options.seed))
+    started_at = time.monotonic()
+    with contextlib.closing(world):
+        world.start()
+        world.start_callers(options.callers)
+        series.run(options.minutes * SECONDS_A_MINUTE)
+        world.finish()
+        violations = world.seen.find_violations()
+    statuses = Counter(attempt.status for attempt in world.seen.attempts)
+    report = {
+        'seed': options.seed,
+        'seconds': round(time.monotonic() - started_at, 1),
+        'faults': dict(sorted(series.counts.items())),
+        'requests': len(world.seen.attempts),
+        'answers': {
+            str(code): count for code, count in sorted(statuses.items())
+        },
+        'violations': violations,
+    }
+    if violations:
+        report['logs'] = str(folder)
+        report['again'] = (
+            f'scripts/soak --seed {options.seed} --minutes {options.minutes}'
+            f' --vms {options.vms} --callers {options.callers}'
+        )
+    else:
+        shutil.rmtree(folder)
+    return report
+
+
+def main(arguments: list[str]) -> int:
+    """Run one soak, print its report and return 1 for violations."""
+    options = cappa.parse(Soak, argv=arguments)
+    report = run_soak(options)
+    print(msgspec.json.encode(report).decode())  # noqa: T201, WPS421
+    return 1 if report['violations'] else 0
--- /dev/null
+++ b/tests/soak/links.py
@@ -0,0 +1,102 @@
+"""A loopback proxy whose connections can be made to fail."""
+
+import contextlib
+import enum
+import random
+import socket
+from typing import Any, Final
+
+import gevent
+from gevent.server import StreamServer
+from gevent.socket import create_connection
+
+READ_BYTES: Final = 65536
+# Longer than any pause of a link, so that a silent link stays silent.
+CONNECT_SECONDS: Final = 5.0
+POLL_SECONDS: Final = 0.02
+
+
+class LinkState(enum.StrEnum):
+    """What happens to the bytes of a link."""
+
+    GOOD = 'good'
+    SLOW = 'slow'
+    SILENT = 'silent'
+    ONE_WAY = 'one_way'
+
+
+class Link:
+    """Forwards connections to a target address, as its state says.
+
+    A silent link keeps its connections open and holds all bytes back; a link
+    cut one way holds back those of the target. Bytes that were held back
+    arrive when the link is good again.
+    """
+
+    def __init__(self, *, target: str) -> None:
+        """Listen on a free port of the loopback interface."""
+        self.target = target
+        self.state = LinkState.GOOD
+        self.delay_seconds = 0.05
+        self._sockets: set[Any] = set()
+        self._server = StreamServer(('127.0.0.1', 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Return the address that stands for the target."""
+        return f'127.0.0.1:{self._server.server_port}'
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for sock in tuple(self._sockets):
+            with contextlib.suppress(OSError):
+                linger = b'\1\0\0\0\0\0\0\0'
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                sock.shutdown(socket.SHUT_RDWR)
+                sock.close()
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        self._server.stop()
+        self.reset()
+
+    def _serve(self, near: Any, _address: Any) -> None:
+        host, _, port = self.target.rpartition(':')
+        try:
+            far = create_connection((host, int(port)), CONNECT_SECONDS)
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        pair = {near, far}
+        self._sockets |= pair
+        upwards = gevent.spawn(self._pump, near, far, is_answer=False)
+        self._pump(far, near, is_answer=True)
+        upwards.join()
+        self._sockets -= pair
+        near.close()
+        far.close()
+
+    def _pump(self, source: Any, sink: Any, *, is_answer: bool) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                block = source.recv(READ_BYTES)
+                self._hold(is_answer=is_answer)
+                if not block:
+                    break
+                sink.sendall(block)
+        with contextlib.suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
+
+    def _hold(self, *, is_answer: bool) -> None:
+        while self._is_held(is_answer=is_answer):
+            gevent.sleep(POLL_SECONDS)
+        if self.state is LinkState.SLOW:
+            spread = random.random()  # noqa: S311 - not for secrets
+            gevent.sleep(self.delay_seconds * spread)
+
+    def _is_held(self, *, is_answer: bool) -> bool:
+        if self.state is LinkState.ONE_WAY:
+            return is_answer
+        return self.state is LinkState.SILENT
--- /dev/null
+++ b/tests/soak/vms.py
@@ -0,0 +1,173 @@
+"""Gateway processes of a soak, each with links of its own."""
+
+import os
+import signal
+import sys
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any, Final
+
+import gevent
+from gevent.lock import BoundedSemaphore
+from gevent.socket import socket as open_socket
+from gevent.subprocess import Popen
+
+from tests.builders_gateway_servers import CallerSocket
+from tests.platform.builders_platform import make_settings
+from tests.soak.links import Link
+
+ROOT: Final = Path(__file__).resolve().parent.parent.parent
+READY_SECONDS: Final = 30.0
+STOP_SECONDS: Final = 15.0
+POLL_SECONDS: Final = 0.05
+FIRST_PEER_PORT: Final = 7380
+
+
+class Vm:
+    """One gateway process, which may be started again under its name.
+
+    Callers reach it through ``link``, and it reaches the store through
+    ``store_link``.
+    """
+
+    def __init__(
+        self, *, number: int, network: str, store: str, folder: Path
+    ) -> None:
+        """Prepare the addresses; ``network`` has the first three numbers."""
+        self.name = f'edge-{number}'
+        self.boot = ''
+        self.is_wanted = False
+        self.found: list[str] = []
+        self._ip = f'{network}.{number}'
+        self._network = network
+        self._folder = folder
+        self._starts = 0
+        self._pauses = 0
+        self._start_lock = BoundedSemaphore(1)
+        self._process: Any = None
+        front, readiness, directory = find_ports(self._ip, 3)
+        self._ports = {
+            'front': f'{self._ip}:{front}',
+            'readiness': f'{self._ip}:{readiness}',
+            'directory': f'{self._ip}:{directory}',
+        }
+        self.link = Link(target=self._ports['front'])
+        self.store_link = Link(target=store)
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process runs, paused or not."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process if it does not run."""
+        # Two faults may end together, and the start of a process waits.
+        with self._start_lock:
+            if not self.is_running:
+                self._start_process()
+
+    def wait_until_ready(self) -> None:
+        """Return once the process says that it is ready.
+
+        Raises:
+            Timeout: if it is not ready in time.
+        """
+        with gevent.Timeout(READY_SECONDS):
+            while not self._ask_ready():
+                gevent.sleep(POLL_SECONDS)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.is_wanted = False
+        if self.is_running:
+            self._process.kill()
+            self._process.wait()
+
+    def stop(self) -> None:
+        """Ask the process to stop, and wait until it has."""
+        self.is_wanted = False
+        process, boot = self._process, self.boot
+        if not self.is_running:
+            return
+        self.resume()
+        process.terminate()
+        pauses = -1
+        # The time that a process is frozen does not count.
+        while process.poll() is None and pauses != self._pauses:
+            pauses = self._pauses
+            with gevent.Timeout(STOP_SECONDS, False):
+                process.wait()
+        if process.poll() is None:
+            self.found.append(f'{boot} does not stop')
+            process.kill()
+            process.wait()
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self._pauses += 1
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        self._signal(signal.SIGCONT)
+
+    def check(self) -> None:
+        """Note a process that ended by itself."""
+        if self.is_wanted and not self.is_running:
+            code = self._process.returncode
+            self.found.append(f'{self.boot} ended by itself: {code}')
+            self.is_wanted = False
+
+    def close(self) -> None:
+        """End the process and close its links."""
+        self.kill()
+        self.link.close()
+        self.store_link.close()
+
+    def _start_process(self) -> None:
+        self._starts += 1
+        self.boot = f'{self.name}/{self._starts}'
+        settings = make_settings(
+            nodeName=self.name,
+            ip=self._ip,
+            listen=self._ports,
+            seedNodes=[f'{self._network}.{number}:1' for number in (21, 22)],
+            platform={'address': self.store_link.address, 'parts': 2},
+            portRange=[FIRST_PEER_PORT, FIRST_PEER_PORT + 9],
+        )
+        path = self._folder / f'{self.name}.json'
+        path.write_bytes(settings)
+        log_path = self._folder / f'{self.name}.{self._starts}.log'
+        with log_path.open('wb') as log:
+            self._process = Popen(
+                [sys.executable, str(ROOT / 'platform' / 'serve.py')],
+                env={**os.environ, 'BRONZEPOST_BOOT': str(path)},
+                stdout=log,
+                stderr=log,
+            )
+        self.is_wanted = True
+
+    def _signal(self, number: int) -> None:
+        if self.is_running:
+            self._process.send_signal(number)
+
+    def _ask_ready(self) -> bool:
+        host, _, port = self._ports['readiness'].rpartition(':')
+        try:
+            caller = CallerSocket(address=(host, int(port)))
+        except OSError:
+            return False
+        caller.sock.sendall(b'GET /api/readyz HTTP/1.1\r\nHost: a\r\n\r\n')
+        head = caller.read_answer().head
+        return head is not None and head.status == HTTPStatus.OK
+
+
+def find_ports(address: str, count: int) -> list[int]:
+    """Return free ports of an address."""
+    probes = [open_socket() for _ in range(count)]
+    for probe in probes:
+        probe.bind((address, 0))
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
