Add bronzepost explain, the story of one request from log files

Cause: on call there are only logs; the lines about one request had to be searched in the files of all VMs and put in order by hand, and clocks differ.

The command collects the lines with the request's id, adds what the VMs involved lost or learned in the five seconds before (store, accounts, routes, the servers it was sent to), and moves clocks: what other VMs did for a request lies between its start and its end at the VM that took it.

Ruled out: aligning clocks by membership messages, whose sends are not logged.

--- a/src/bronzepost/_internal/cli/main.py
+++ b/src/bronzepost/_internal/cli/main.py
@@ -10,6 +10,7 @@
 from bronzepost._internal.cli.commands.config import ConfigCommand
 from bronzepost._internal.cli.commands.drain import DrainCommand
 from bronzepost._internal.cli.commands.endpoints import EndpointsCommand
+from bronzepost._internal.cli.commands.explain import ExplainCommand
 from bronzepost._internal.cli.commands.programs import ProgramsCommand
 from bronzepost._internal.cli.commands.replay import ReplayCommand
 from bronzepost._internal.cli.commands.runners import RunnersCommand
@@ -44,6 +45,7 @@
         | DrainCommand
         | StatusCommand
         | ReplayCommand
+        | ExplainCommand
         | VersionCommand
     ]
 
