--- a/src/bronzepost/_internal/gateway/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/budget_keeper.py
@@ -11,6 +11,14 @@
 from bronzepost._internal.gateway.home import RESERVED, SPENT, UNSURE, Home
 from bronzepost._internal.gateway.keyed_store import KeyedStore
 from bronzepost._internal.gateway.loops import start_loop, start_once
+from bronzepost._internal.gateway.messages import (
+    FindAllowances,
+    HandOver,
+    HoldAllowance,
+    ReserveTokens,
+    SettleTokens,
+    TokensReserved,
+)
 from bronzepost._internal.gateway.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peer_reports import (
     PeerReports,
@@ -18,13 +26,7 @@
 )
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.messages import (
-    FindAllowances,
-    HandOver,
-    HoldAllowance,
     PeerMessage,
-    ReserveTokens,
-    SettleTokens,
-    TokensReserved,
 )
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/gateway/fleet.py
+++ b/src/bronzepost/_internal/gateway/fleet.py
@@ -11,7 +11,10 @@
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.messages import MessageCodec, PeerMessage
+from bronzepost._internal.node.messages import (
+    MessageCodec,
+    PeerMessage,
+)
 from bronzepost._internal.node.peers import PeerTransport
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/gateway/home.py
+++ b/src/bronzepost/_internal/gateway/home.py
@@ -13,9 +13,7 @@
 from bronzepost._internal.gateway.allowance_writer import AllowanceWriter
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.keyed_store import KeyedStore
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.node.messages import (
+from bronzepost._internal.gateway.messages import (
     AllowancesFound,
     FindAllowances,
     HandOver,
@@ -24,6 +22,8 @@
     ReserveTokens,
     SettleTokens,
 )
+from bronzepost._internal.gateway.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peer_reports import PeerReports
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/gateway/peer_calls.py
+++ b/src/bronzepost/_internal/gateway/peer_calls.py
@@ -9,14 +9,16 @@
 from gevent.timeout import Timeout
 
 from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.node.messages import (
+from bronzepost._internal.gateway.messages import (
     AllowancesFound,
     Held,
-    PeerMessage,
     Snapshot,
     TokensReserved,
     TurnsFound,
 )
+from bronzepost._internal.node.messages import (
+    PeerMessage,
+)
 
 # A peer in the same region answers in a few milliseconds. One that takes
 # longer is paused or gone, and the next one is asked.
--- a/src/bronzepost/_internal/gateway/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peer_reports.py
@@ -12,9 +12,11 @@
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.member_ranking import MemberRanking
+from bronzepost._internal.gateway.messages import (
+    LoadReport,
+)
 from bronzepost._internal.gateway.registry import RegistryFollower
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.messages import LoadReport
 
 # Reports let a dispatcher see a burst of the others before it fills a server,
 # at 40 bytes for each busy one. A dozen VMs report five times a second; more of
--- a/src/bronzepost/_internal/gateway/snapshots.py
+++ b/src/bronzepost/_internal/gateway/snapshots.py
@@ -12,10 +12,13 @@
 from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.loops import start_loop
+from bronzepost._internal.gateway.messages import (
+    AskSnapshot,
+    Snapshot,
+)
 from bronzepost._internal.gateway.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peer_reports import PeerReports
 from bronzepost._internal.gateway.registry import RegistryFollower
-from bronzepost._internal.node.messages import AskSnapshot, Snapshot
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/gateway/turn_copies.py
+++ b/src/bronzepost/_internal/gateway/turn_copies.py
@@ -10,13 +10,16 @@
 
 from bronzepost._internal.core.gateway.histories import Turn
 from bronzepost._internal.gateway.fleet import Fleet
+from bronzepost._internal.gateway.messages import (
+    FindTurns,
+    HoldTurn,
+)
 from bronzepost._internal.gateway.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peer_reports import (
     PeerReports,
     partition_of_key,
 )
 from bronzepost._internal.gateway.turn_store import encode_turn
-from bronzepost._internal.node.messages import FindTurns, HoldTurn
 
 # Other VMs that hold a copy of each turn.
 COPIES: Final = 1
--- a/src/bronzepost/_internal/gateway/turn_keeper.py
+++ b/src/bronzepost/_internal/gateway/turn_keeper.py
@@ -18,6 +18,12 @@
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.keyed_store import KeyedStore
 from bronzepost._internal.gateway.loops import start_loop, start_once
+from bronzepost._internal.gateway.messages import (
+    FindTurns,
+    Held,
+    HoldTurn,
+    TurnsFound,
+)
 from bronzepost._internal.gateway.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peer_reports import PeerReports
 from bronzepost._internal.gateway.turn_copies import TurnCopies
@@ -27,12 +33,6 @@
     decode_turn,
     encode_turn,
 )
-from bronzepost._internal.node.messages import (
-    FindTurns,
-    Held,
-    HoldTurn,
-    TurnsFound,
-)
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/node/messages.py
+++ b/src/bronzepost/_internal/node/messages.py
@@ -19,6 +19,7 @@
 )
 from bronzepost._internal.core.membership import Ack, Ping, PingRequest
 from bronzepost._internal.exceptions import ProtocolError
+from bronzepost._internal.gateway.messages import GatewayMessage
 
 # The tree of 2,700 workspaces with all settings takes about 3 MB.
 DEFAULT_LIMIT_BYTES = 4_194_304
@@ -53,163 +54,6 @@
     record_ids: tuple[str, ...]
 
 
-class ReserveTokens(
-    msgspec.Struct, frozen=True, kw_only=True, tag='reserve_tokens'
-):
-    """Ask the home of a program for the tokens of one turn.
-
-    ``lines`` are the parts of the prompt that one server may have in its
-    cache, the most specific first. The home may grant tokens without the
-    store only if ``may_be_provisional``. ``reservation_id`` differs each time
-    that a home is asked. ``is_first`` tells that the program has no turns
-    before this one.
-    """
-
-    call_id: int
-    program_id: str
-    request_id: str
-    reservation_id: str
-    budget: int
-    tokens: int
-    lines: tuple[str, ...]
-    may_be_provisional: bool
-    is_first: bool
-
-
-class TokensReserved(
-    msgspec.Struct, frozen=True, kw_only=True, tag='tokens_reserved'
-):
-    """Answer to ``ReserveTokens``; the verdict is reserved, spent or unsure.
-
-    ``server_id`` names the server that the lines ran on last, if known.
-    """
-
-    call_id: int
-    verdict: str
-    server_id: str = ''
-
-
-class SettleTokens(
-    msgspec.Struct, frozen=True, kw_only=True, tag='settle_tokens'
-):
-    """Tell the home of a program how many tokens a turn has generated."""
-
-    program_id: str
-    reservation_id: str
-    tokens: int
-    line: str
-    server_id: str
-
-
-class HoldAllowance(
-    msgspec.Struct, frozen=True, kw_only=True, tag='hold_allowance'
-):
-    """Ask for a copy of an allowance that the store could not take.
-
-    ``tokens`` is all that the holder has of the program, and ``bound`` what
-    all VMs together may have without the store.
-    """
-
-    call_id: int
-    program_id: str
-    budget: int
-    holder: str
-    tokens: int
-    bound: int
-
-
-class Held(msgspec.Struct, frozen=True, kw_only=True, tag='held'):
-    """Say that a copy is held, or that it contradicts another one."""
-
-    call_id: int
-    is_held: bool = True
-
-
-class FindAllowances(
-    msgspec.Struct, frozen=True, kw_only=True, tag='find_allowances'
-):
-    """Ask what holders of a program's allowances say that they have."""
-
-    call_id: int
-    program_id: str
-
-
-class AllowancesFound(
-    msgspec.Struct, frozen=True, kw_only=True, tag='allowances_found'
-):
-    """Answer to ``FindAllowances``, by holder."""
-
-    call_id: int
-    tokens_by_holder: dict[str, int]
-
-
-class HoldTurn(msgspec.Struct, frozen=True, kw_only=True, tag='hold_turn'):
-    """Ask for a copy of a turn; it is also in the store if ``is_stored``."""
-
-    call_id: int
-    turn_id: str
-    content: bytes
-    is_stored: bool
-
-
-class FindTurns(msgspec.Struct, frozen=True, kw_only=True, tag='find_turns'):
-    """Ask for turns by their ids."""
-
-    call_id: int
-    turn_ids: tuple[str, ...]
-
-
-class TurnsFound(msgspec.Struct, frozen=True, kw_only=True, tag='turns_found'):
-    """The turns that are at hand of those that were asked for."""
-
-    call_id: int
-    contents: tuple[bytes, ...]
-
-
-class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag='load_report'):
-    """What a gateway has sent to backend servers and not had answered.
-
-    ``has_store`` tells whether the store answers it, ``is_ready`` whether it
-    can serve callers, ``version`` which routes it has in force.
-    """
-
-    in_flight: dict[str, int]
-    has_store: bool
-    is_ready: bool
-    version: int
-
-
-class AskSnapshot(
-    msgspec.Struct, frozen=True, kw_only=True, tag='ask_snapshot'
-):
-    """Ask for the routes in force and the backend servers."""
-
-    call_id: int
-
-
-class Snapshot(msgspec.Struct, frozen=True, kw_only=True, tag='snapshot'):
-    """Answer to ``AskSnapshot``; empty from a VM that has no routes itself.
-
-    The servers are current if ``has_store``, otherwise the last known.
-    """
-
-    call_id: int
-    content: bytes
-    has_store: bool
-
-
-class HandOver(msgspec.Struct, frozen=True, kw_only=True, tag='hand_over'):
-    """Give the accounts of a partition to the VM that is their home now.
-
-    ``is_synced`` tells whether they are all that the store has.
-    """
-
-    partition: int
-    former: str
-    is_synced: bool
-    content: bytes
-
-
 NodeMessage = (
     Ping
     | Ack
@@ -220,23 +64,6 @@
     | MirrorAck
 )
 
-GatewayMessage = (
-    ReserveTokens
-    | TokensReserved
-    | SettleTokens
-    | HoldAllowance
-    | Held
-    | FindAllowances
-    | AllowancesFound
-    | HoldTurn
-    | FindTurns
-    | TurnsFound
-    | LoadReport
-    | AskSnapshot
-    | Snapshot
-    | HandOver
-)
-
 PeerMessage = NodeMessage | GatewayMessage
 
 
--- a/tests/unit/test_gateway_homes.py
+++ b/tests/unit/test_gateway_homes.py
@@ -10,9 +10,7 @@
 from bronzepost._internal.gateway.budget_keeper import BudgetKeeper
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.home import RESERVED, SPENT, UNSURE, Home
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.node.messages import (
+from bronzepost._internal.gateway.messages import (
     FindAllowances,
     HandOver,
     HoldAllowance,
@@ -20,6 +18,8 @@
     SettleTokens,
     TokensReserved,
 )
+from bronzepost._internal.gateway.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peer_reports import PeerReports
 from tests.builders_gateway import MemoryStore, make_turn_call
 
 PROGRAM = 'p-1'
--- a/tests/unit/test_gateway_turns.py
+++ b/tests/unit/test_gateway_turns.py
@@ -9,11 +9,15 @@
 
 from bronzepost._internal.core.gateway.histories import Turn
 from bronzepost._internal.gateway.fleet import Fleet
+from bronzepost._internal.gateway.messages import (
+    Held,
+    HoldTurn,
+    TurnsFound,
+)
 from bronzepost._internal.gateway.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peer_reports import PeerReports
 from bronzepost._internal.gateway.turn_keeper import TurnKeeper
 from bronzepost._internal.gateway.turn_store import TOPIC
-from bronzepost._internal.node.messages import Held, HoldTurn, TurnsFound
 from tests.builders_gateway import MemoryStore, make_turn_call
 
 WAIT_SECONDS = 0.05
