Leave one turn to programs that go on after a loss of all VMs

Such a program is new but its turn is not a first one, so half of its budget, or all of a budget of one turn, counted as spent by a run before the loss.

Change: what is assumed to be forgotten is one turn less. A budget may be exceeded by one turn, so one loss in an outage stays covered.

Ruled out: telling new programs from old ones by their prompt, which has the turns before in both cases.

Before: the new test gets 402; after: the turn is reserved. The replay of losses used one id for two requests and now gives each its own.

--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -159,8 +159,8 @@
 
     All of it is forgotten if the VMs that hold it lose power in the outage.
     ``most`` is the size of a turn, and at least one may run. After such a loss
-    it is one turn, by which a budget may be exceeded, since another loss in
-    the same outage cannot be told from the first.
+    it is one turn, since another loss in the same outage cannot be told from
+    the first.
     """
     forgotten = account.find_unstored(FORGOTTEN)
     if forgotten:
@@ -178,12 +178,15 @@
 ) -> ProgramAccount:
     """Return the account with what a loss of all VMs may have forgotten.
 
-    It counts as granted and spent.
+    It counts as granted and spent. One turn of it is left out: a budget may
+    be exceeded by as much, and a new program that goes on from a turn of
+    before cannot be told from an old one, so it has to get its first turn.
     """
     tokens = 0
     if is_after_loss:
         bound = find_provisional_bound(account, most=most)
-        tokens = min(bound, max(account.budget - account.granted, 0))
+        room = max(account.budget - account.granted, 0)
+        tokens = min(max(bound - most, 0), room)
     return hold_copy(account, holder=FORGOTTEN, tokens=tokens)
 
 
--- a/tests/unit/test_gateway_homes.py
+++ b/tests/unit/test_gateway_homes.py
@@ -1,6 +1,7 @@
 """The home of programs without the store: what other VMs know counts."""
 
 import dataclasses
+import itertools
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -25,6 +26,8 @@
 PROGRAM = 'p-1'
 TOKENS = 100
 BUDGET = 300
+# A request that is repeated reserves once, so each has an id of its own.
+NUMBERS = itertools.count(1)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -140,10 +143,8 @@
     ) -> int:
         home = self.network.homes_by_name[name]
         verdicts = [
-            home.reserve(
-                make_question(f'{name}-{turn}-{id(home)}', is_first=is_first)
-            )
-            for turn in range(turns)
+            home.reserve(make_question(f'q-{next(NUMBERS)}', is_first=is_first))
+            for _ in range(turns)
         ]
         return verdicts.count(RESERVED)
 
@@ -212,6 +213,13 @@
         self.lose_all()
         self.assertEqual(BUDGET // TOKENS, self.count_reserved('a'))
 
+    def test_program_that_goes_on_after_a_loss_gets_its_turn(self) -> None:
+        """A budget of one turn counted as spent, and 402 is final."""
+        self.lose_all()
+        home = self.network.homes_by_name['a']
+        question = make_question('q-1', budget=TOKENS, is_first=False)
+        self.assertEqual(RESERVED, home.reserve(question))
+
     def test_any_vm_that_is_left_knows_what_was_granted(self) -> None:
         """Copies on two VMs were lost with the home and those two."""
         self.network.order = ('a', 'b', 'c', 'd', 'e')
