Tell other VMs which shared prompt parts are in use

Cause: how many engines keep a part follows from the parts in use, and each VM knew only those of its own requests. On the association's grown site a VM sees five turns a second, so until it had seen most of the 16 parts it spread each of them over more engines, and parts that are asked for seldom came and went.

Ruled out: passing on what other VMs reported, which would keep parts for ever.

--- a/src/bronzepost/_internal/core/gateway/shared_parts.py
+++ b/src/bronzepost/_internal/core/gateway/shared_parts.py
@@ -6,7 +6,8 @@
 engines as their memory allows, and requests go to those. A copy must pay for
 the memory it takes, as in NashDB (Marcus et al., SIGMOD 2018).
 
-All VMs rank the engines of a part alike, so the choice needs no messages.
+All VMs rank the engines of a part alike, so a VM only has to know which parts
+are in use, its own and those that the others report.
 """
 
 from collections.abc import Iterable, Mapping
@@ -17,7 +18,7 @@
 
 # The part of an engine's memory that shared parts may take. A batch of running
 # requests and the lines of paused programs need the rest.
-SHARED_MEMORY_SHARE: Final = 0.25
+SHARED_MEMORY_SHARE: Final = 0.15
 # A part that was not asked for at a VM for this long is not in use; programs
 # last up to 20 s.
 IN_USE_SECONDS: Final = 20.0
@@ -26,14 +27,24 @@
 PartTable = Mapping[str, tuple[int, float]]
 
 
-def note_use(table: PartTable, part: PromptPart, *, at: float) -> PartTable:
-    """Return the parts in use after one more request with a part."""
+def note_uses(
+    table: PartTable, parts: Iterable[PromptPart], *, at: float
+) -> PartTable:
+    """Return the parts in use after requests with some parts."""
     oldest = at - IN_USE_SECONDS
     kept = {key: use for key, use in table.items() if use[1] >= oldest}
-    kept[part.part_id] = (part.tokens, at)
+    kept.update((part.part_id, (part.tokens, at)) for part in parts)
     return kept
 
 
+def list_tokens(table: PartTable, *, at: float) -> dict[str, int]:
+    """Return the tokens of each part that is in use at a time."""
+    oldest = at - IN_USE_SECONDS
+    return {
+        key: tokens for key, (tokens, last) in table.items() if last >= oldest
+    }
+
+
 def count_copies(table: PartTable, *, engines: int, memory_tokens: int) -> int:
     """Return on how many engines each part in use is kept.
 
@@ -41,7 +52,7 @@
 
     >>> parts = {'a': (600, 0.0), 'b': (400, 0.0)}
     >>> count_copies(parts, engines=10, memory_tokens=1000)
-    2
+    1
     """
     room = SHARED_MEMORY_SHARE * memory_tokens
     needed = sum(tokens for tokens, _ in table.values())
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -3,12 +3,11 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from bronzepost._internal.core.gateway import server_health, shared_parts
+from bronzepost._internal.core.gateway import server_health
 from bronzepost._internal.core.gateway.entities import (
     BackendServer,
     CallerLimits,
     GatewayConfiguration,
-    PromptPart,
 )
 from bronzepost._internal.core.gateway.paces import (
     PaceTable,
@@ -18,6 +17,7 @@
 )
 from bronzepost._internal.core.gateway.route_table import RouteTable
 from bronzepost._internal.gateway.backend_connections import ConnectionPool
+from bronzepost._internal.gateway.parts_in_use import PartsInUse
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -32,11 +32,11 @@
         self.routes = RouteTable(routes_by_host={})
         self.servers_by_id: dict[str, BackendServer] = {}
         self.in_flight_by_id: Counter[str] = Counter()
+        self.prompt_parts = PartsInUse()
         self._pool = pool
         self._health: server_health.HealthTable = {}
         self._misplaced_by_id: dict[str, BackendServer] = {}
         self._paces = PaceTable(seconds_by_server={})
-        self._parts: shared_parts.PartTable = {}
 
     @property
     def version(self) -> int:
@@ -93,20 +93,14 @@
             self._paces, [server.server_id for server in servers]
         )
 
-    def choose_holders(
-        self, service_name: str, part: PromptPart
-    ) -> frozenset[str]:
-        """Return the servers that are to keep a shared part of prompts."""
-        self._parts = shared_parts.note_use(self._parts, part, at=read_clock())
-        server_ids = [
-            server.server_id for server in self.list_servers(service_name)
-        ]
-        copies = shared_parts.count_copies(
-            self._parts,
-            engines=len(server_ids),
-            memory_tokens=self._find_memory(service_name),
-        )
-        return shared_parts.choose_holders(server_ids, part.part_id, copies)
+    def find_memory(self, service_name: str) -> int:
+        """Return the tokens that an engine of a service holds, 0 if unknown."""
+        if self.configuration is None:
+            return 0
+        service = self.configuration.services_by_name.get(service_name)
+        if service is None or service.engine is None:
+            return 0
+        return service.engine.memory_tokens
 
     def report_pace(
         self, server_id: str, *, seconds_per_event: float, running: float
@@ -139,14 +133,6 @@
         self._misplaced_by_id[server.server_id] = server
         self._pool.close_address(server.address)
 
-    def _find_memory(self, service_name: str) -> int:
-        if self.configuration is None:
-            return 0
-        service = self.configuration.services_by_name.get(service_name)
-        if service is None or service.engine is None:
-            return 0
-        return service.engine.memory_tokens
-
     def _forget_server(self, server: BackendServer) -> None:
         self._pool.close_address(server.address)
         self._health = {
--- a/src/bronzepost/_internal/gateway/messages.py
+++ b/src/bronzepost/_internal/gateway/messages.py
@@ -121,12 +121,14 @@
 
     ``has_store`` tells whether the store answers it, ``is_ready`` whether it
     can serve callers, ``version`` which routes it has in force.
+    ``tokens_by_part`` has the shared prompt parts that its callers use.
     """
 
     in_flight: dict[str, int]
     has_store: bool
     is_ready: bool
     version: int
+    tokens_by_part: dict[str, int] = {}
 
 
 class AskSnapshot(
--- a/src/bronzepost/_internal/gateway/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peer_reports.py
@@ -76,6 +76,7 @@
             has_store=self.has_store,
             is_ready=self._directory.configuration is not None,
             version=self._directory.version,
+            tokens_by_part=self._directory.prompt_parts.list_own(),
         )
         # A VM that leaves still asks homes for the turns that it serves.
         names = list(self._fleet.list_listeners())
@@ -165,6 +166,8 @@
         if known is not None:
             self._peer_in_flight.subtract(known[1].in_flight)
         self._peer_in_flight.update(report.in_flight)
+        if report.tokens_by_part:
+            self._directory.prompt_parts.report(report.tokens_by_part)
 
 
 def find_report_seconds(others: int) -> float:
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -129,7 +129,12 @@
     ) -> frozenset[str]:
         if part is None:
             return frozenset()
-        return self._directory.choose_holders(pending.service, part)
+        servers = self._directory.list_servers(pending.service)
+        return self._directory.prompt_parts.choose_holders(
+            part,
+            (server.server_id for server in servers),
+            self._directory.find_memory(pending.service),
+        )
 
     def _note_status(self, head: AnswerHead, server: BackendServer) -> None:
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
--- a/tests/unit/test_gateway_shared_parts.py
+++ b/tests/unit/test_gateway_shared_parts.py
@@ -18,6 +18,7 @@
     PlacementView,
     choose_server,
 )
+from bronzepost._internal.gateway.parts_in_use import PartsInUse
 from tests.builders_gateway import make_server
 
 ENGINES = 24
@@ -70,7 +71,7 @@
             in_flight[heapq.heappop(ends)[1]] -= 1
         number = chance.choices(range(PARTS), weights)[0]
         part = PromptPart(part_id=f'part-{number}', tokens=SHARED_TOKENS)
-        parts = shared_parts.note_use(parts, part, at=at)
+        parts = shared_parts.note_uses(parts, (part,), at=at)
         copies = shared_parts.count_copies(
             parts, engines=ENGINES, memory_tokens=MEMORY_TOKENS
         )
@@ -123,9 +124,21 @@
     def test_part_out_of_use_is_forgotten(self) -> None:
         """Parts of ended programs took the memory of those in use."""
         part = PromptPart(part_id='b', tokens=1)
-        parts = shared_parts.note_use({'a': (1, 0)}, part, at=60)
+        parts = shared_parts.note_uses({'a': (1, 0)}, (part,), at=60)
         self.assertEqual(['b'], list(parts))
 
+    def test_parts_of_other_vms_count(self) -> None:
+        """A VM that had seen few parts used all engines for each of them."""
+        names = [f'i-{number}' for number in range(10)]
+        part = PromptPart(part_id='a', tokens=100)
+        other = PromptPart(part_id='b', tokens=900)
+        here, there = PartsInUse(), PartsInUse()
+        before = here.choose_holders(part, names, 1000)
+        there.choose_holders(other, names, 1000)
+        here.report(there.list_own())
+        after = here.choose_holders(part, names, 1000)
+        self.assertEqual((10, 1), (len(before), len(after)))
+
     def test_engine_that_keeps_the_part_is_preferred(self) -> None:
         view = PlacementView(
             availability_zone='hall-a',
