Give the age of the fleet when nobody serves any more

Cause: found by reading the diff: the last VM that leaves lists no member that serves, and the age of the oldest of none raised an error in a turn that was still under way.

Ruled out: an empty list in all other cases, since a VM that does not leave lists itself.

Before: the new test raises ValueError; after: the VM's own age.

Conclusion: no change where any VM serves.

--- a/src/bronzepost/_internal/gateway/fleet.py
+++ b/src/bronzepost/_internal/gateway/fleet.py
@@ -44,6 +44,7 @@
             incarnation=incarnation,
             boot=f'{incarnation:x}',
         )
+        self._own = own
         self.own_name = own.name
         # VMs that are started together may start in the same millisecond.
         self.own_boot = f'{own.name}/{own.boot}'
@@ -110,8 +111,10 @@
     @property
     def age_seconds(self) -> float:
         """Return for how long the oldest member has run, by its own clock."""
+        # The last VM that leaves has nobody who serves.
+        boots = [member.boot for member in self.list_serving()]
         oldest = min(
-            int(member.boot, _BOOT_BASE) for member in self.list_serving()
+            int(boot, _BOOT_BASE) for boot in (boots or (self._own.boot,))
         )
         return time.time() - oldest / _MILLISECONDS
 
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -169,6 +169,13 @@
         )
         return Fleet(settings=settings)
 
+    def test_last_vm_that_leaves_has_an_age(self) -> None:
+        """Turns that it still served failed for want of a member."""
+        fleet = self.make_fleet('a')
+        fleet.leave()
+        self.assertEqual((), fleet.list_serving())
+        self.assertTrue(fleet.age_seconds < 60)
+
     def test_vms_that_start_together_differ(self) -> None:
         """Two VMs spent the same allowance, each as if it were its own."""
         with mock.patch.object(time, 'time', lambda: 1_780_000_000.25):
