--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -21,6 +21,7 @@
 from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.peer_reports import (
+    MISSED_CHANCE,
     REPORT_PEERS,
     PeerReports,
     find_report_seconds,
@@ -309,7 +310,7 @@
         for others in (25, 89, 409):
             reports = find_silent_seconds(others) / find_report_seconds(others)
             missed = (1 - REPORT_PEERS / others) ** reports
-            self.assertTrue(missed <= 0.0001)
+            self.assertTrue(missed <= MISSED_CHANCE)
 
     def test_reports_of_a_vm_are_bounded(self) -> None:
         for others in (9, 89, 409):
