Log the framing of answers and where streams ended

Cause: lines 8002 of the broken-off streams did not tell whether the answer ended with its length, its last chunk or its connection, nor whether it ended inside an event, so the three hypotheses could not be told apart.

Change: 8002 has framing and trailing_bytes.

--- a/src/bronzepost/_internal/gateway/event_stream.py
+++ b/src/bronzepost/_internal/gateway/event_stream.py
@@ -14,7 +14,8 @@
 
     ``event_count`` is the number of complete events, ``last_id`` the id of the
     last one. ``event_data`` holds the data of each, with its lines joined by
-    line feeds. The first event was complete at ``first_at``, in monotonic
+    line feeds. ``trailing_bytes`` is the number of bytes after the last complete
+    event when the stream ended. The first event was complete at ``first_at``, in monotonic
     seconds.
     """
 
@@ -23,6 +24,7 @@
         self.last_id = b''
         self.event_count = 0
         self.event_data: list[bytes] = []
+        self.trailing_bytes = 0
         self._partial_event = b''
         self.first_at: float = 0
         self._last_at: float = 0
@@ -52,6 +54,7 @@
     def pop_partial_event(self) -> bytes:
         """Return and remove the bytes after the last complete event."""
         partial_event = self._partial_event
+        self.trailing_bytes = len(partial_event)
         self._partial_event = b''
         return partial_event
 
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -269,6 +269,8 @@
             home=pending.turn.reservation.home if pending.turn else None,
             sends=pending.sends,
             status=pending.answer.status,
+            framing=pending.framing,
+            trailing_bytes=pending.events.trailing_bytes,
             outcome=outcome,
             opened=pending.opened_seconds,
             first_event=pending.first_event_seconds,
--- a/src/bronzepost/_internal/gateway/http_messages.py
+++ b/src/bronzepost/_internal/gateway/http_messages.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import enum
 from http import HTTPStatus
 from typing import Final
 
@@ -42,6 +43,14 @@
         return (find_header(self.headers, b'host') or b'').decode('latin-1')
 
 
+class Framing(enum.StrEnum):
+    """What tells the end of a body (RFC 9112, section 6.3)."""
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CONNECTION = 'connection'
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AnswerHead:
     """Status line and headers of an answer.
@@ -57,6 +66,13 @@
     is_chunked: bool
     keep_alive: bool
 
+    @property
+    def framing(self) -> Framing:
+        """Return what tells the end of the body."""
+        if self.is_chunked:
+            return Framing.CHUNKED
+        return Framing.CONNECTION if self.length is None else Framing.LENGTH
+
 
 class MessageTooLargeError(ProtocolError):
     """A request exceeds the size limits."""
--- a/src/bronzepost/_internal/gateway/pending_call.py
+++ b/src/bronzepost/_internal/gateway/pending_call.py
@@ -6,7 +6,7 @@
 from bronzepost._internal.exceptions import BackendServerError
 from bronzepost._internal.gateway.caller_connections import CallerAnswer
 from bronzepost._internal.gateway.event_stream import EventSplitter
-from bronzepost._internal.gateway.http_messages import HttpRequest
+from bronzepost._internal.gateway.http_messages import Framing, HttpRequest
 from bronzepost._internal.gateway.program_state import OpenTurn
 from bronzepost._internal.node.clock import read_clock
 
@@ -28,7 +28,7 @@
     ``excluded_ids`` are not chosen again: they did not run the request or their
     answer broke off. ``server_id`` is the last server that was chosen. At
     ``opened_at`` the request could be forwarded: a turn then has its history
-    and its tokens.
+    and its tokens. ``framing`` is that of the last answer of a server.
     """
 
     request: HttpRequest
@@ -43,6 +43,7 @@
     sends: int = 0
     opened_at: float = 0
     server_id: str = ''
+    framing: Framing | None = None
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     turn: OpenTurn | None = None
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -140,6 +140,7 @@
             with exchange:
                 exchange.send(self._encode_head(pending, server), pending.body)
                 head = exchange.read_head()
+                pending.framing = head.framing
                 self._check_was_run(head, server, step)
                 yield exchange, head
                 self._record_latency(pending, server)
