Add failing tests of streams that end inside an event

Change: a scripted server ends its stream inside an event, once with its connection and once with its last chunk.

Result: both fail on this code: the answer is complete with the partial event in it, and no other server continues the stream. A stream that ends with its connection after whole events passes, as it should.

--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -22,6 +22,8 @@
 
 FULL = make_answer(b'', b'Bronzepost-Not-Run: 1', status=b'503 Full')
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+UNTIL_CLOSE = b'HTTP/1.1 200 OK\r\n\r\n'
+PARTIAL_EVENT = b'id: 9\nda'
 
 
 def make_chunk(block: bytes) -> bytes:
@@ -37,13 +39,25 @@
 
     def script(sock: Any, _request: HttpRequest) -> bool:
         blocks = [make_chunk(make_event(number)) for number in numbers]
-        end = b'0\r\n\r\n' if is_complete else make_chunk(b'id: 9\nda')
+        end = b'0\r\n\r\n' if is_complete else make_chunk(PARTIAL_EVENT)
         sock.sendall(CHUNKED + b''.join(blocks) + end)
         return is_complete
 
     return script
 
 
+def send_unframed(*numbers: int, tail: bytes = b'') -> Any:
+    """Return a script that ends a stream with its connection."""
+    events = b''.join(make_event(number) for number in numbers)
+    return answer_with(UNTIL_CLOSE + events + tail, stays_open=False)
+
+
+def send_chunked_end(*numbers: int, tail: bytes) -> Any:
+    """Return a script that ends the chunks after ``tail``."""
+    blocks = b''.join(make_event(number) for number in numbers) + tail
+    return answer_with(CHUNKED + make_chunk(blocks) + make_chunk(b''))
+
+
 class TestNonIdempotentRequests(testtools.TestCase):
     """A request is sent to another server only if it has not run."""
 
@@ -228,6 +242,39 @@
             answer = gateway.call(make_request(method=b'POST')).read_answer()
         self.assertIs(False, answer.is_complete)
 
+    def test_stream_that_ends_with_its_connection_is_complete(self) -> None:
+        backend = ScriptedServer(script=send_unframed(1, 2))
+        with open_gateway(make_route(), backend) as gateway:
+            answer = gateway.call(make_request(method=b'POST')).read_answer()
+        self.assertEqual(make_event(1) + make_event(2), answer.pop_body())
+        self.assertIs(True, answer.is_complete)
+
+    def test_stream_that_ends_inside_an_event_does_not_look_complete(
+        self,
+    ) -> None:
+        """Guard against a server's crash that reads as the end of its answer."""
+        for script in (
+            send_unframed(1, 2, tail=PARTIAL_EVENT),
+            send_chunked_end(1, 2, tail=PARTIAL_EVENT),
+        ):
+            broken = ScriptedServer(script=script)
+            with open_gateway(make_route(), broken) as gateway:
+                caller = gateway.call(make_request(method=b'POST'))
+                answer = caller.read_answer()
+            self.assertIs(False, answer.is_complete)
+            self.assertEqual(make_event(1) + make_event(2), answer.pop_body())
+
+    def test_stream_that_ends_inside_an_event_is_continued(self) -> None:
+        """Guard against a resumable stream that is given up half-way."""
+        broken = ScriptedServer(script=send_unframed(1, 2, tail=PARTIAL_EVENT))
+        other = ScriptedServer(script=send_unframed(3, 4))
+        route = make_route(is_resumable=True, attempts=2)
+        with open_gateway(route, broken, other) as gateway:
+            answer = gateway.call(make_request(method=b'POST')).read_answer()
+        events = b''.join(make_event(number) for number in (1, 2, 3, 4))
+        self.assertEqual(events, answer.pop_body())
+        self.assertIs(True, answer.is_complete)
+
     def test_error_answer_of_a_server_is_forwarded(self) -> None:
         failing = ScriptedServer(
             script=answer_with(make_answer(b'oops', status=b'500 Oops'))
