Treat a stream that ends inside an event as broken off

Cause: an answer with neither a length nor chunks ends with its connection, and a server that crashes closes it in order. deliver_stream took every end of the answer for the end of the stream and sent the partial event with its own last chunk. A turn cut in this way also went into the history of its program.

Change: a stream that ends inside an event is a broken exchange, however it is framed: it continues at another server if the route allows, and otherwise the caller's answer breaks off. CRLF ends lines of events too; a stream with such lines would now always count as broken.

Three tests of the ends of callers' connections had a streaming server answer ok, which is an event that never ends. They send one event now and check the same.

The end of an event is the only sign that such an answer has, so checking it there covers every framing.

--- a/src/bronzepost/_internal/gateway/backend_exchange.py
+++ b/src/bronzepost/_internal/gateway/backend_exchange.py
@@ -103,6 +103,14 @@
             if block:
                 yield block
 
+    def break_off(self, reason: str) -> ExchangeError:
+        """Return an error for an answer whose content is not whole.
+
+        The connection is not used again.
+        """
+        self.answer.has_surplus = True
+        return self._build_error(ValueError(reason))
+
     def _receive(self) -> None:
         try:
             received = self._connection.receive()
--- a/src/bronzepost/_internal/gateway/delivery.py
+++ b/src/bronzepost/_internal/gateway/delivery.py
@@ -44,6 +44,9 @@
     If the stream breaks off within an event, another server can continue it
     after the last complete one. ``save_turn`` is called before the end of the
     answer is sent.
+
+    Raises:
+        ExchangeError: if the stream breaks off, or ends inside an event.
     """
     head = drop_length(head)
     answer = pending.answer
@@ -53,6 +56,10 @@
         if complete_events:
             answer.ensure_started(head)
             answer.write(complete_events)
+    # The connection or the last chunk may end a stream that its server has not
+    # finished.
+    if pending.events.is_inside_event:
+        raise exchange.break_off('the stream ends inside an event')
     answer.ensure_started(head)
     answer.write(pending.events.pop_partial_event())
     save_turn(pending)
--- a/src/bronzepost/_internal/gateway/event_stream.py
+++ b/src/bronzepost/_internal/gateway/event_stream.py
@@ -1,10 +1,13 @@
 """Split a stream of server-sent events into complete events."""
 
+import re
 from typing import Final
 
 from bronzepost._internal.node.clock import read_clock
 
-_EVENT_END: Final = b'\n\n'
+# An empty line ends an event; lines end with LF or CRLF (HTML, section 9.2.5).
+_EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
+_COMMENT: Final = b':'
 _ID_FIELD: Final = b'id:'
 _DATA_FIELD: Final = b'data:'
 
@@ -15,8 +18,8 @@
     ``event_count`` is the number of complete events, ``last_id`` the id of the
     last one. ``event_data`` holds the data of each, with its lines joined by
     line feeds. ``trailing_bytes`` is the number of bytes after the last complete
-    event when the stream ended. The first event was complete at ``first_at``, in monotonic
-    seconds.
+    event when the stream ended or broke off. The first event was complete at
+    ``first_at``, in monotonic seconds.
     """
 
     def __init__(self) -> None:
@@ -39,17 +42,25 @@
     def feed(self, block: bytes) -> bytes:
         """Add a block and return the bytes of the events that it completes."""
         received = self._partial_event + block
-        end = received.rfind(_EVENT_END)
-        if end < 0:
-            self._partial_event = received
-            return b''
-        end += len(_EVENT_END)
-        complete = received[:end]
-        self._partial_event = received[end:]
-        for event in complete.split(_EVENT_END):
+        start = 0
+        for match in _EVENT_END.finditer(received):
+            event = received[start : match.start()]
+            start = match.end()
             if event.strip():
                 self._record_event(event)
-        return complete
+        self._partial_event = received[start:]
+        return received[:start]
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun that is not complete.
+
+        Comments and empty lines belong to no event.
+        """
+        return any(
+            line and not line.startswith(_COMMENT)
+            for line in self._partial_event.splitlines()
+        )
 
     def pop_partial_event(self) -> bytes:
         """Return and remove the bytes after the last complete event."""
@@ -60,7 +71,7 @@
 
     def drop_partial_event(self) -> None:
         """Discard the bytes after the last complete event."""
-        self._partial_event = b''
+        self.pop_partial_event()
 
     def _record_event(self, event: bytes) -> None:
         self._last_at = read_clock()
@@ -68,7 +79,7 @@
             self.first_at = self._last_at
         self.event_count += 1
         data = []
-        for line in event.split(b'\n'):
+        for line in event.splitlines():
             if line.startswith(_ID_FIELD):
                 self.last_id = line[len(_ID_FIELD) :].strip()
             elif line.startswith(_DATA_FIELD):
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -308,19 +308,19 @@
         self.assertEqual([True], ended)
 
     def test_draining_gateway_closes_connections_after_an_answer(self) -> None:
-        backend = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        backend = ScriptedServer(script=answer_with(make_answer(make_event(1))))
         with open_gateway(make_route(), backend) as gateway:
             gateway.server.drain()
             caller = gateway.call(make_request(method=b'POST'))
             answer = caller.read_answer()
             self.assertEqual(b'', caller.sock.recv(1))
         assert answer.head is not None
-        self.assertEqual(b'ok', answer.pop_body())
+        self.assertEqual(make_event(1), answer.pop_body())
         self.assertIs(False, answer.head.keep_alive)
 
     def test_request_that_arrived_before_the_stop_is_answered(self) -> None:
         """Guard against forwarding it after its connection was closed."""
-        backend = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        backend = ScriptedServer(script=answer_with(make_answer(make_event(1))))
         with open_gateway(make_route(), backend) as gateway:
             caller = gateway.call(make_request(method=b'POST'))
             caller.read_answer()
@@ -334,7 +334,7 @@
 
     def test_connection_with_an_unread_request_counts_as_open(self) -> None:
         """Guard against a process that exits while it forwards the request."""
-        backend = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        backend = ScriptedServer(script=answer_with(make_answer(make_event(1))))
         with open_gateway(make_route(), backend) as gateway:
             caller = gateway.call(make_request(method=b'POST'))
             caller.read_answer()
