Do not write a server's error into a stream that has begun

When a stream broke off and the second server answered with an error status, deliver_answer wrote its status line and body among the events: the caller read bytes that are no answer.

Change: such an answer is a broken exchange, like a stream that ends early; the caller's answer breaks off, or a further server continues it.

Result: test_error_of_the_second_server_is_not_written_into_the_stream failed with 'Invalid character in chunk size' and passes.

--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -193,6 +193,8 @@
         with self._servers.open_exchange(pending, server) as (exchange, head):
             if is_stream and head.status == HTTPStatus.OK:
                 deliver_stream(pending, exchange, head, self._save_turn)
+            elif pending.answer.is_started:
+                raise exchange.break_off(f'status {head.status}')
             else:
                 deliver_answer(pending.answer, exchange, head)
 
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -275,6 +275,20 @@
         self.assertEqual(events, answer.pop_body())
         self.assertIs(True, answer.is_complete)
 
+    def test_error_of_the_second_server_is_not_written_into_the_stream(
+        self,
+    ) -> None:
+        """Guard against a status line among the events of a stream."""
+        broken = ScriptedServer(script=send_stream(1, 2, is_complete=False))
+        failing = ScriptedServer(
+            script=answer_with(make_answer(b'oops', status=b'500 Oops'))
+        )
+        route = make_route(is_resumable=True, attempts=2)
+        with open_gateway(route, broken, failing) as gateway:
+            answer = gateway.call(make_request(method=b'POST')).read_answer()
+        self.assertEqual(make_event(1) + make_event(2), answer.pop_body())
+        self.assertIs(False, answer.is_complete)
+
     def test_error_answer_of_a_server_is_forwarded(self) -> None:
         failing = ScriptedServer(
             script=answer_with(make_answer(b'oops', status=b'500 Oops'))
