Bound the bytes that a server may send without an answer

Cause: a server in trouble may send without end, in a head or in a body. Headers, late answers, extensions and trailers of chunks and events were collected without a limit, and an idempotent answer was collected whole before it was sent.

Change: an exchange breaks off after 256 KiB that are no part of the answer, or in one event. An idempotent answer above 256 KiB is passed on as it arrives, like others.

--- a/src/bronzepost/_internal/gateway/delivery.py
+++ b/src/bronzepost/_internal/gateway/delivery.py
@@ -1,7 +1,7 @@
 """Send answers of backend servers to callers."""
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from bronzepost._internal.gateway.backend_exchange import BackendExchange
@@ -13,6 +13,8 @@
 # An answer up to this size is buffered until it is complete, so that a caller
 # does not get a part of an answer that breaks off.
 MAX_BUFFERED_BODY_BYTES: Final = 262144
+# A larger event is taken for bytes without end. Events have a few tokens.
+MAX_EVENT_BYTES: Final = 262144
 
 
 def deliver_answer(
@@ -24,15 +26,25 @@
     for block in blocks:
         buffered += block
         if len(buffered) > MAX_BUFFERED_BODY_BYTES:
-            answer.start(head)
-            answer.write(buffered)
-            for remaining_block in blocks:
-                answer.write(remaining_block)
-            answer.finish()
+            deliver_blocks(answer, head, buffered, blocks)
             return
     answer.send_whole(head, buffered)
 
 
+def deliver_blocks(
+    answer: CallerAnswer,
+    head: AnswerHead,
+    buffered: bytes,
+    blocks: Iterable[bytes],
+) -> None:
+    """Send an answer that has begun to arrive, and the rest as it arrives."""
+    answer.start(head)
+    answer.write(buffered)
+    for block in blocks:
+        answer.write(block)
+    answer.finish()
+
+
 def deliver_stream(
     pending: PendingCall,
     exchange: BackendExchange,
@@ -56,6 +68,10 @@
         if complete_events:
             answer.ensure_started(head)
             answer.write(complete_events)
+        if pending.events.partial_bytes > MAX_EVENT_BYTES:
+            raise exchange.break_off(
+                f'an event has more than {MAX_EVENT_BYTES} bytes'
+            )
     # The connection or the last chunk may end a stream that its server has not
     # finished.
     if pending.events.is_inside_event:
--- a/src/bronzepost/_internal/gateway/event_stream.py
+++ b/src/bronzepost/_internal/gateway/event_stream.py
@@ -51,6 +51,11 @@
         self._partial_event = received[start:]
         return received[:start]
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the event that is not complete yet."""
+        return len(self._partial_event)
+
     @property
     def is_inside_event(self) -> bool:
         """Return whether an event has begun that is not complete.
--- a/src/bronzepost/_internal/gateway/hedging.py
+++ b/src/bronzepost/_internal/gateway/hedging.py
@@ -16,6 +16,12 @@
 from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.core.retry_budget import RetryBudget
 from bronzepost._internal.exceptions import ExchangeError
+from bronzepost._internal.gateway.backend_exchange import BackendExchange
+from bronzepost._internal.gateway.caller_connections import CallerGoneError
+from bronzepost._internal.gateway.delivery import (
+    MAX_BUFFERED_BODY_BYTES,
+    deliver_blocks,
+)
 from bronzepost._internal.gateway.http_messages import AnswerHead
 from bronzepost._internal.gateway.pending_call import NotRunError, PendingCall
 from bronzepost._internal.gateway.refusals import (
@@ -35,11 +41,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptResult:
-    """The answer of one server; ``error`` is set if there is none."""
+    """The answer of one server; ``error`` is set if there is none.
+
+    A large answer has been delivered while it arrived.
+    """
 
     server: BackendServer
     head: AnswerHead | None = None
     body: bytes = b''
+    is_delivered: bool = False
     error: Exception | None = None
 
 
@@ -65,6 +75,8 @@
         self._record_failure = record_failure
         self._results: Queue = Queue()
         self._attempts: list[Any] = []
+        # The server whose large answer is being passed on.
+        self._delivering: BackendServer | None = None
 
     def run(self) -> None:
         """Send the request, with hedges and retries; deliver the first answer.
@@ -81,13 +93,23 @@
         self._start_attempt()
         while True:  # noqa: WPS457 - ends with an answer or a refusal
             result = self._wait_for_result()
-            if result.head is not None:
+            if result.is_delivered:
+                return
+            if result.head is not None and self._delivering is None:
                 self._pending.server_id = result.server.server_id
                 self._pending.answer.send_whole(result.head, result.body)
                 return
+            if isinstance(result.error, CallerGoneError):
+                raise result.error
             if result.error is not None:
                 self._record_failure(self._pending, result.server, result.error)
-                self._retry_or_refuse(result.error)
+                self._handle_failure(result.server, result.error)
+
+    def _handle_failure(self, server: BackendServer, error: Exception) -> None:
+        if self._delivering is None:
+            self._retry_or_refuse(error)
+        elif self._delivering is server and isinstance(error, ExchangeError):
+            raise refuse_broken_answer(error)
 
     def _retry_or_refuse(self, error: Exception) -> None:
         was_sent = isinstance(error, ExchangeError) and error.was_sent
@@ -124,7 +146,10 @@
             )
 
     def _may_start_attempt(self) -> bool:
-        return self._pending.runs < self._pending.route.attempts
+        is_undecided = self._delivering is None
+        return (
+            is_undecided and self._pending.runs < self._pending.route.attempts
+        )
 
     def _start_attempt(self) -> bool:
         server = self._servers.choose(self._pending)
@@ -142,11 +167,23 @@
     def _run_attempt(self, server: BackendServer) -> None:
         try:
             with self._servers.open_exchange(self._pending, server) as opened:
-                exchange, head = opened
-                body = b''.join(exchange.read_blocks())
-        except (ExchangeError, NotRunError) as error:
-            self._results.put(AttemptResult(server=server, error=error))
-        else:
-            self._results.put(
-                AttemptResult(server=server, head=head, body=body)
-            )
+                result = self._read_answer(server, *opened)
+        except (ExchangeError, NotRunError, CallerGoneError) as error:
+            result = AttemptResult(server=server, error=error)
+        self._results.put(result)
+
+    def _read_answer(
+        self, server: BackendServer, exchange: BackendExchange, head: AnswerHead
+    ) -> AttemptResult:
+        buffered = b''
+        blocks = exchange.read_blocks()
+        for block in blocks:
+            buffered += block
+            if len(buffered) > MAX_BUFFERED_BODY_BYTES:
+                if self._delivering is not None:
+                    return AttemptResult(server=server)
+                self._delivering = server
+                self._pending.server_id = server.server_id
+                deliver_blocks(self._pending.answer, head, buffered, blocks)
+                return AttemptResult(server=server, is_delivered=True)
+        return AttemptResult(server=server, head=head, body=buffered)
--- a/src/bronzepost/_internal/gateway/http_messages.py
+++ b/src/bronzepost/_internal/gateway/http_messages.py
@@ -17,6 +17,9 @@
 from bronzepost._internal.gateway.header_names import Headers, find_header
 
 CRLF: Final = b'\r\n'
+# Bytes that a server may send without a part of the answer: headers, interim
+# answers, late answers to earlier requests, extensions and trailers of chunks.
+MAX_OVERHEAD_BYTES: Final = 262144
 _MIN_FINAL_STATUS: Final = 200
 # Colon, space and CRLF of a header line.
 _HEADER_OVERHEAD_BYTES: Final = 4
@@ -201,6 +204,7 @@
         self.is_complete = False
         self.has_surplus = False
         self._is_skipping = False
+        self._overhead_bytes = 0
         self._expected_id = (id_header, request_id)
         self._parser = httptools.HttpResponseParser(self)
         self._blocks: list[bytes] = []
@@ -212,8 +216,10 @@
         Bytes after a complete answer only set ``has_surplus``.
 
         Raises:
-            ProtocolError: if the bytes are not HTTP/1.1.
+            ProtocolError: if the bytes are not HTTP/1.1, or if too many bytes
+                arrive that are no part of the answer.
         """
+        self._overhead_bytes += len(received)
         try:
             self._parser.feed_data(received)
         except (
@@ -223,6 +229,12 @@
             if not self.is_complete:
                 raise ProtocolError(str(error), step='read answer') from error
             self.has_surplus = True
+        is_too_much = self._overhead_bytes > MAX_OVERHEAD_BYTES
+        if is_too_much and not self.is_complete:
+            raise ProtocolError(
+                f'{self._overhead_bytes} bytes without a part of the answer',
+                step='read answer',
+            )
 
     def feed_eof(self) -> bool:
         """Handle a closed connection; return whether the answer is complete.
@@ -282,6 +294,7 @@
     def on_body(self, block: bytes) -> None:
         """Add a block of the body."""
         if not (self.is_complete or self._is_skipping):
+            self._overhead_bytes = 0
             self._blocks.append(block)
 
     def on_message_complete(self) -> None:
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -1,8 +1,9 @@
 """A gateway for tests, and backend servers whose answers a test scripts."""
 
 import dataclasses
+import itertools
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import gevent
@@ -91,6 +92,27 @@
                     return
 
 
+class Endless:
+    """Send a block again and again until the other side closes."""
+
+    def __init__(self, *, start: bytes, block: bytes) -> None:
+        """Send ``start`` first."""
+        self.sent_bytes = 0
+        self._start = start
+        self._block = block
+
+    def send(self, sock: Any, _request: HttpRequest) -> bool:
+        """Script of a ``ScriptedServer``."""
+        with suppress(OSError):
+            for block in itertools.chain(
+                (self._start,), itertools.repeat(self._block)
+            ):
+                sock.sendall(block)
+                self.sent_bytes += len(block)
+                gevent.sleep(0)
+        return False
+
+
 def answer_with(content: bytes, *, stays_open: bool = True) -> Script:
     """Return a script that answers each request with the same bytes."""
 
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -8,10 +8,12 @@
 
 from bronzepost._internal.core.gateway.entities import RouteKind
 from bronzepost._internal.gateway.header_names import find_header
-from bronzepost._internal.gateway.http_messages import HttpRequest
+from bronzepost._internal.gateway.http_messages import AnswerReader, HttpRequest
+from bronzepost._internal.node.clock import read_clock
 from tests.builders_gateway import make_route
 from tests.builders_gateway_servers import (
     NAMES,
+    Endless,
     ScriptedServer,
     answer_with,
     make_answer,
@@ -23,6 +25,10 @@
 FULL = make_answer(b'', b'Bronzepost-Not-Run: 1', status=b'503 Full')
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 UNTIL_CLOSE = b'HTTP/1.1 200 OK\r\n\r\n'
+# Above the limits of the gateway and what the sockets of a connection buffer.
+MAX_ENDLESS_BYTES = 16_000_000
+# Far below the timeout of the routes: such an answer is given up at once.
+MAX_ENDLESS_SECONDS = 2.0
 PARTIAL_EVENT = b'id: 9\nda'
 
 
@@ -300,6 +306,76 @@
         self.assertEqual(b'oops', answer.pop_body())
 
 
+class TestBytesWithoutEnd(testtools.TestCase):
+    """A server that sends without end uses bounded memory and time."""
+
+    def call(self, endless: Endless, **route_changes: Any) -> AnswerReader:
+        backend = ScriptedServer(script=endless.send)
+        route = make_route(timeout_seconds=5.0, **route_changes)
+        with open_gateway(route, backend) as gateway:
+            started_at = read_clock()
+            caller = gateway.call(make_request(method=b'POST'))
+            answer = caller.read_answer()
+            seconds = read_clock() - started_at
+        self.assertThat(seconds, LessThan(MAX_ENDLESS_SECONDS))
+        self.assertThat(endless.sent_bytes, LessThan(MAX_ENDLESS_BYTES))
+        return answer
+
+    def test_head_without_end(self) -> None:
+        """Guard against a header that grows until the process is killed."""
+        for start in (
+            b'HTTP/1.1 200 OK\r\nNoise: ',
+            b'%b1;n=' % CHUNKED,
+            b'%b0\r\nNoise: ' % CHUNKED,
+        ):
+            endless = Endless(start=start, block=b'x' * 4096)
+            answer = self.call(endless)
+            assert answer.head is not None
+            self.assertEqual(502, answer.head.status)
+
+    def test_late_answers_without_end(self) -> None:
+        """Guard against answers to other requests that never stop."""
+        late = make_answer(b'late', b'Bronzepost-Request: q-0')
+        endless = Endless(start=b'', block=late * 64)
+        answer = self.call(endless, kind=RouteKind.NON_IDEMPOTENT)
+        assert answer.head is not None
+        self.assertEqual(502, answer.head.status)
+
+    def test_event_without_end(self) -> None:
+        endless = Endless(
+            start=b'%b%bdata: ' % (UNTIL_CLOSE, make_event(1)),
+            block=b'x' * 4096,
+        )
+        answer = self.call(endless)
+        self.assertIs(False, answer.is_complete)
+        self.assertEqual(make_event(1), answer.pop_body())
+
+    def test_idempotent_body_without_end_is_not_collected(self) -> None:
+        """Guard against a body that is buffered whole before it is sent."""
+        endless = Endless(start=UNTIL_CLOSE, block=b'x' * 4096)
+        backend = ScriptedServer(script=endless.send)
+        route = make_route(kind=RouteKind.IDEMPOTENT, timeout_seconds=1.0)
+        with open_gateway(route, backend) as gateway:
+            caller = gateway.call(make_request())
+            gevent.sleep(0.5)
+            # The caller does not read, so the server cannot send on.
+            sent_bytes = endless.sent_bytes
+            gevent.sleep(0.2)
+            self.assertEqual(sent_bytes, endless.sent_bytes)
+            answer = caller.read_answer()
+        self.assertIs(False, answer.is_complete)
+
+    def test_large_idempotent_answer_is_passed_on(self) -> None:
+        body = b'x' * 1_000_000
+        backend = ScriptedServer(script=answer_with(make_answer(body)))
+        with open_gateway(
+            make_route(kind=RouteKind.IDEMPOTENT), backend
+        ) as gateway:
+            answer = gateway.call(make_request()).read_answer()
+        self.assertEqual(body, answer.pop_body())
+        self.assertIs(True, answer.is_complete)
+
+
 class TestCallers(testtools.TestCase):
     """Connections of callers, closed by them or by a gateway that stops."""
 
