Reset answers without a length also if the VM is killed

An answer to an HTTP/1.0 caller ends with its connection. The reset that marks a broken one was set when the request ended, so a VM that was killed midway closed in order, and the answer looked complete.

Change: the reset is set when such an answer begins, and taken back at its end.

--- a/src/bronzepost/_internal/gateway/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/caller_connections.py
@@ -39,6 +39,7 @@
 # SO_LINGER, enabled with a timeout of 0 s: closing the socket discards unsent
 # data and sends a reset.
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+_NO_RESET_ON_CLOSE: Final = struct.pack('ii', 0, 0)
 
 AnswerRequest = Callable[[HttpRequest, 'CallerAnswer'], None]
 ReadLimits = Callable[[], CallerLimits]
@@ -82,6 +83,9 @@
         elif head.length is None:
             self.keep_alive = False
             self._ends_with_close = True
+            # An orderly close would look like the end of the answer, also if
+            # this process is killed.
+            self._set_linger(_RESET_ON_CLOSE)
         self._write_head(head.status, head.reason, headers)
 
     def ensure_started(self, head: AnswerHead) -> None:
@@ -98,6 +102,8 @@
         """End the answer."""
         if self._is_chunked:
             self._send(encode_chunk(b''))
+        if self._ends_with_close:
+            self._set_linger(_NO_RESET_ON_CLOSE)
         self.is_complete = True
 
     def send_whole(self, head: AnswerHead, body: bytes) -> None:
@@ -112,17 +118,6 @@
         self._write_head(head.status, head.reason, headers, body)
         self.is_complete = True
 
-    def abort_if_incomplete(self) -> None:
-        """Reset the connection at its close if the answer is incomplete.
-
-        This is needed only if the answer ends with the connection: an orderly
-        close would look like its end.
-        """
-        if self._ends_with_close and not self.is_complete:
-            self._sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
-
     def refuse(self, error: RefusedError) -> None:
         """Write a refusal by the gateway."""
         body = encode_refusal(error)
@@ -146,6 +141,12 @@
         first_line = b'HTTP/1.1 %d %b' % (status, reason)
         self._send(encode_head(first_line, headers) + body)
 
+    def _set_linger(self, linger: bytes) -> None:
+        try:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+
     def _send(self, content: bytes) -> None:
         try:
             self._sock.sendall(content)
@@ -207,7 +208,6 @@
         )
         with self._watch_caller():
             self._server.answer(request, answer)
-        answer.abort_if_incomplete()
         self.is_idle = True
         return answer.is_complete and answer.keep_alive
 
--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -312,6 +312,23 @@
         Without a length, a complete answer ends when its connection closes.
         """
         self.store.is_down = True
+        caller = self.call_without_length()
+        self.assertRaises(ConnectionResetError, read_to_end, caller.sock)
+
+    def test_killed_vm_resets_an_answer_without_length(self) -> None:
+        """Guard against a kill that reads as the end of the answer."""
+        self.store.is_down = True
+        caller = self.call_without_length()
+        self.assertIn(b'200 OK', caller.sock.recv(READ_BYTES))
+        os.kill(self.vms[0].process.pid, signal.SIGKILL)
+        self.assertRaises(ConnectionResetError, read_to_end, caller.sock)
+
+    def test_complete_answer_without_length_closes_in_order(self) -> None:
+        caller = self.call_without_length()
+        self.assertIn(b'data: e2', read_to_end(caller.sock))
+
+    def call_without_length(self) -> CallerSocket:
+        """Send a turn with HTTP/1.0, whose answer ends with the connection."""
         caller = CallerSocket(address=self.vms[0].front)
         lines = (
             'POST /chat/x HTTP/1.0',
@@ -326,7 +343,7 @@
             'one',
         )
         caller.sock.sendall('\r\n'.join(lines).encode())
-        self.assertRaises(ConnectionResetError, read_to_end, caller.sock)
+        return caller
 
     def test_turn_of_a_complete_answer_is_in_a_slow_store(self) -> None:
         """Guard against an answer that ends before the store has its turn."""
