--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,6 +1,7 @@
 """Tests of decoding the platform's headers and documents, also invalid ones."""
 
 import re
+import struct
 from pathlib import Path
 from typing import Any
 
@@ -10,9 +11,13 @@
 from bronzepost_platform.registry import decode_configuration
 from bronzepost_platform.server_list import decode_server
 from bronzepost_platform.settings import decode_settings
+from bronzepost_platform.store import StoreClient
 
 from bronzepost._internal.core.gateway.entities import RouteKind
-from bronzepost._internal.exceptions import SettingsError
+from bronzepost._internal.exceptions import LogServiceError, SettingsError
+from bronzepost._internal.gateway.backend_connections import ConnectionPool
+from bronzepost._internal.gateway.http_call import HttpService
+from tests.builders_gateway_servers import ScriptedServer, answer_with
 from tests.platform.builders_platform import (
     TOKENS_PER_EVENT,
     make_configuration,
@@ -42,6 +47,10 @@
     'keyed.op',
     'keyed.servers',
 )
+# The end and the first retained offset, then records of two bytes and of one.
+TWO_RECORDS = struct.pack('>QQI2sI1s', 5, 0, 2, b'ab', 1, b'c')
+RECORD_ENDS = (16, 22)
+UNTIL_CLOSE = b'HTTP/1.1 200 OK\r\n\r\n'
 FOLDERS_OUTSIDE_ADAPTER = ('src', 'standins', 'benchmarks', 'demo', 'capacity')
 
 
@@ -169,3 +178,30 @@
         """Guard against libraries that import the folder by mistake."""
         init_file = ROOT / 'platform' / '__init__.py'
         self.assertIs(False, init_file.exists())
+
+
+class TestReads(testtools.TestCase):
+    """Answers of the store to reads."""
+
+    def read(self, body: bytes) -> Any:
+        server = ScriptedServer(
+            script=answer_with(UNTIL_CLOSE + body, stays_open=False)
+        )
+        self.addCleanup(server.close)
+        service = HttpService(
+            address=server.address, pool=ConnectionPool(), timeout_seconds=2.0
+        )
+        client = StoreClient(service=service, partitions=1)
+        return client.read_records('op', 0, start=3, wait_seconds=0)
+
+    def test_records_have_their_offsets(self) -> None:
+        self.assertEqual([(3, b'ab'), (4, b'c')], self.read(TWO_RECORDS))
+
+    def test_cut_answer_is_an_error(self) -> None:
+        """Guard against a cut configuration that replaces the one in force.
+
+        An answer without a length may end with its connection.
+        """
+        sizes = set(range(len(TWO_RECORDS))).difference(RECORD_ENDS)
+        for size in sorted(sizes):
+            self.assertRaises(LogServiceError, self.read, TWO_RECORDS[:size])
