Log the software version of servers and what a stream resumes

Cause: lines 8002 and 8006 of the streams that changed version did not tell which version ran them, nor whether a caller had taken a stream up again, so continuation in one answer could not be told from a new try.

Change: the version of a server's software is decoded from its entry and is in 8002, 8006 and 8009; 8002 has resumes and resume_after.

Result: tests of the adapter and of forwarding pass.

--- a/src/bronzepost/_internal/core/gateway/entities.py
+++ b/src/bronzepost/_internal/core/gateway/entities.py
@@ -93,7 +93,9 @@
     """A backend server as its registry entry describes it.
 
     ``born`` is the Unix time of its start in milliseconds. A server that
-    restarts may keep its identifier, but has lost its state.
+    restarts may keep its identifier, but has lost its state. ``version`` is that
+    of its software; what two versions write into one stream does not fit
+    together.
     """
 
     server_id: str
@@ -103,6 +105,7 @@
     slots: int
     is_draining: bool = False
     born: int = 0
+    version: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -121,7 +124,8 @@
     output of all turns of the program together, ``max_output_tokens`` that of
     this turn. ``previous_turn`` is the request id of the turn that this one
     continues, ``resume_after`` the id of the last stream event that the caller
-    has received. Empty strings stand for headers that were not sent.
+    has received. ``resumed_request`` is the id of the request that brought the
+    first event of that stream. Empty strings stand for headers that were not sent.
     """
 
     request_id: str
@@ -132,6 +136,7 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     previous_turn: str = ''
     resume_after: str = ''
+    resumed_request: str = ''
 
     @property
     def is_turn(self) -> bool:
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -138,4 +138,5 @@
             service=new.service,
             peer=new.address,
             born=new.born,
+            version=new.version,
         )
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -188,6 +188,7 @@
                 LogEvent.STREAM_CONTINUED,
                 request=pending.call.request_id,
                 server=server.server_id,
+                version=server.version,
                 events=pending.events.event_count,
             )
         with self._servers.open_exchange(pending, server) as (exchange, head):
@@ -267,6 +268,9 @@
             program=call.program_id,
             route=pending.route.name,
             server=pending.server_id,
+            version=pending.server_version or None,
+            resumes=call.resumed_request or None,
+            resume_after=call.resume_after or None,
             previous_server=find_previous_server(pending) or None,
             home=pending.turn.reservation.home if pending.turn else None,
             sends=pending.sends,
--- a/src/bronzepost/_internal/gateway/pending_call.py
+++ b/src/bronzepost/_internal/gateway/pending_call.py
@@ -26,7 +26,8 @@
     ``deadline_at`` is in monotonic seconds. ``sends`` counts the attempts to
     send the request, ``runs`` the servers on which it may have run. Servers in
     ``excluded_ids`` are not chosen again: they did not run the request or their
-    answer broke off. ``server_id`` is the last server that was chosen. At
+    answer broke off. ``server_id`` is the last server that was chosen, and
+    ``server_version`` the version of its software. At
     ``opened_at`` the request could be forwarded: a turn then has its history
     and its tokens. ``framing`` is that of the last answer of a server.
     """
@@ -43,6 +44,7 @@
     sends: int = 0
     opened_at: float = 0
     server_id: str = ''
+    server_version: str = ''
     framing: Framing | None = None
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -123,6 +123,7 @@
             ExchangeError: if the server does not answer.
         """
         pending.server_id = server.server_id
+        pending.server_version = server.version
         pending.sends += 1
         step = f'forward {pending.call.request_id}'
         with self._count_in_flight(server):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -81,6 +81,15 @@
         self.assertEqual(250, call.unshared_tokens)
         self.assertEqual('t', call.previous_turn)
 
+    def test_headers_of_a_resumed_stream(self) -> None:
+        call = decode_call((
+            (b'Request-Id', b'q2'),
+            (b'Resumes', b'q1'),
+            (b'Last-Event-Id', b'7'),
+        ))
+        self.assertEqual('q1', call.resumed_request)
+        self.assertEqual('7', call.resume_after)
+
     def test_invalid_values_are_ignored(self) -> None:
         call = decode_call((
             (b'Deadline-Ms', b'soon'),
@@ -136,6 +145,7 @@
             {'address': 'no port'},
             {'address': 7},
             {'slotCount': 'many'},
+            {'version': 2},
             {'born': 1.5},
             {'upstream': None},
         )
