--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -49,8 +49,9 @@
     The connection is closed if the script returns false.
     """
 
-    def __init__(self, *, script: Script) -> None:
-        """Listen on a free port of the loopback interface."""
+    def __init__(self, *, script: Script, version: str = 'v1') -> None:
+        """Listen on a free port; ``version`` is that of the software."""
+        self.version = version
         self.requests: list[HttpRequest] = []
         self.connections = 0
         self._script = script
@@ -259,7 +260,10 @@
     # The first server is in the zone of the gateway and is chosen first.
     zone = 'hall-a' if number == 0 else 'hall-b'
     return make_server(
-        f's-{number}', address=backend.address, availability_zone=zone
+        f's-{number}',
+        address=backend.address,
+        availability_zone=zone,
+        version=backend.version,
     )
 
 
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -242,6 +242,37 @@
             b'2', find_header(other.requests[0].headers, b'last-event-id')
         )
 
+    def test_stream_does_not_go_on_at_another_version(self) -> None:
+        """Guard against one answer with events of two software versions."""
+        broken = ScriptedServer(script=send_stream(1, 2, is_complete=False))
+        newer = ScriptedServer(script=send_stream(3, 4), version='v2')
+        route = make_route(is_resumable=True, attempts=3)
+        with open_gateway(route, broken, newer) as gateway:
+            answer = gateway.call(make_request(method=b'POST')).read_answer()
+        self.assertEqual(make_event(1) + make_event(2), answer.pop_body())
+        self.assertIs(False, answer.is_complete)
+        self.assertThat(newer.requests, HasLength(0))
+
+    def test_stream_goes_on_at_its_version(self) -> None:
+        broken = ScriptedServer(script=send_stream(1, 2, is_complete=False))
+        newer = ScriptedServer(script=send_stream(3, 4), version='v2')
+        same = ScriptedServer(script=send_stream(3, 4))
+        route = make_route(is_resumable=True, attempts=3)
+        with open_gateway(route, broken, newer, same) as gateway:
+            answer = gateway.call(make_request(method=b'POST')).read_answer()
+        self.assertIs(True, answer.is_complete)
+        self.assertThat(newer.requests, HasLength(0))
+        self.assertThat(same.requests, HasLength(1))
+
+    def test_stream_without_events_may_begin_at_another_version(self) -> None:
+        """Guard against a version that binds before any event was sent."""
+        broken = ScriptedServer(script=send_stream(is_complete=False))
+        newer = ScriptedServer(script=send_stream(1, 2), version='v2')
+        route = make_route(is_resumable=True, attempts=2)
+        with open_gateway(route, broken, newer) as gateway:
+            answer = gateway.call(make_request(method=b'POST')).read_answer()
+        self.assertIs(True, answer.is_complete)
+
     def test_broken_stream_does_not_look_complete(self) -> None:
         broken = ScriptedServer(script=send_stream(1, 2, is_complete=False))
         with open_gateway(make_route(), broken) as gateway:
