Keep streams at the software version that began them

Cause: neither the continuation of a broken stream nor the placement of a stream that its caller takes up looked at the version of servers. The VM that a caller turns to did not know where its stream began.

Change: a stream is bound to the version of the server that sent its first event. Before that event is passed on, three other VMs are told, unless the service has had one version only for as long as streams last; then each VM knows it from its list of servers. A caller that takes a stream up is served at that version, and refused with 503 at once if no VM knows it or no server of it is left.

Ways not taken: a record of each stream in the store (a call for each stream, and none while it is away); a choice of the version by a hash of the request (VMs see versions come and go at different times).

--- /dev/null
+++ b/src/bronzepost/_internal/core/gateway/seen_versions.py
@@ -0,0 +1,64 @@
+"""Tell whether a service has had servers of one software version only.
+
+A stream may go on only at a server of the version that began it. While a service
+has a single version, and had no other for as long as streams last, this is the
+version of every stream.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Final
+
+from bronzepost._internal.core.gateway.entities import BackendServer
+
+# Longer than the deadlines of streams, which are a few seconds.
+STREAM_SECONDS: Final = 20.0
+# If the list of servers is older, other VMs may know versions that are not in it.
+# It is read about twice a second.
+MAX_LIST_AGE_SECONDS: Final = 2.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class SeenVersions:
+    """The versions of each service, with the time at which each was last seen.
+
+    The list of servers has been read without a gap since ``watched_since``, and
+    last at ``read_at``, both in monotonic seconds.
+    """
+
+    watched_since: float = 0
+    read_at: float = 0
+    seen_at_by_service: dict[str, dict[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def record_versions(
+    seen: SeenVersions, servers: Iterable[BackendServer], *, at: float
+) -> None:
+    """Record the servers of a list that was read at a time."""
+    if at - seen.read_at > MAX_LIST_AGE_SECONDS:
+        seen.watched_since = at
+    seen.read_at = at
+    for server in servers:
+        seen_at = seen.seen_at_by_service.setdefault(server.service, {})
+        seen_at[server.version] = at
+
+
+def find_only_version(
+    seen: SeenVersions, service: str, *, at: float
+) -> str | None:
+    """Return the one version of all streams that may be under way.
+
+    None if there may be streams of several versions, or of one that this VM has
+    not seen.
+    """
+    is_current = at - seen.read_at <= MAX_LIST_AGE_SECONDS
+    if not is_current or at - seen.watched_since < STREAM_SECONDS:
+        return None
+    recent = [
+        version
+        for version, seen_at in seen.seen_at_by_service.get(service, {}).items()
+        if at - seen_at < STREAM_SECONDS
+    ]
+    return recent[0] if len(recent) == 1 else None
--- a/src/bronzepost/_internal/gateway/delivery.py
+++ b/src/bronzepost/_internal/gateway/delivery.py
@@ -49,13 +49,15 @@
     pending: PendingCall,
     exchange: BackendExchange,
     head: AnswerHead,
+    *,
+    begin_stream: Callable[[PendingCall], None],
     save_turn: Callable[[PendingCall], None],
 ) -> None:
     """Send the events of a stream as they arrive, complete ones only.
 
     If the stream breaks off within an event, another server can continue it
-    after the last complete one. ``save_turn`` is called before the end of the
-    answer is sent.
+    after the last complete one. ``begin_stream`` is called before the first event
+    is sent, and ``save_turn`` before the end of the answer.
 
     Raises:
         ExchangeError: if the stream breaks off, or ends inside an event.
@@ -66,6 +68,8 @@
     for block in exchange.read_blocks():
         complete_events = pending.events.feed(block)
         if complete_events:
+            if not answer.is_started:
+                begin_stream(pending)
             answer.ensure_started(head)
             answer.write(complete_events)
         if pending.events.partial_bytes > MAX_EVENT_BYTES:
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -9,9 +9,15 @@
     GatewayConfiguration,
 )
 from bronzepost._internal.core.gateway.route_table import RouteTable
+from bronzepost._internal.core.gateway.seen_versions import (
+    SeenVersions,
+    find_only_version,
+    record_versions,
+)
 from bronzepost._internal.gateway.backend_connections import ConnectionPool
 from bronzepost._internal.gateway.parts_in_use import PartsInUse
 from bronzepost._internal.gateway.server_ratings import ServerRatings
+from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
@@ -28,6 +34,7 @@
         self.prompt_parts = PartsInUse()
         self.ratings = ServerRatings()
         self._pool = pool
+        self._seen_versions = SeenVersions()
         self._misplaced_by_id: dict[str, BackendServer] = {}
         # Cached until a server changes.
         self._servers_by_service: dict[str, tuple[BackendServer, ...]] = {}
@@ -59,6 +66,7 @@
     def put_servers(self, servers: Iterable[BackendServer]) -> None:
         """Replace all servers by those that are registered now."""
         current = {server.server_id: server for server in servers}
+        record_versions(self._seen_versions, current.values(), at=read_clock())
         for server_id, server in current.items():
             self._log_change(self.servers_by_id.get(server_id), server)
         for gone_id in self.servers_by_id.keys() - current.keys():
@@ -89,6 +97,30 @@
             return None
         return server
 
+    def find_only_version(self, service: str) -> str | None:
+        """Return the version of all streams of a service, None if unsure."""
+        return find_only_version(self._seen_versions, service, at=read_clock())
+
+    def find_listed_version(self, service: str) -> str | None:
+        """Return the version of all servers of a service, None if they differ.
+
+        Servers that are leaving count too.
+        """
+        versions = {
+            server.version
+            for server in self.servers_by_id.values()
+            if server.service == service
+        }
+        return versions.pop() if len(versions) == 1 else None
+
+    def list_other_versions(self, service: str, version: str) -> frozenset[str]:
+        """Return the ids of a service's servers that have another version."""
+        return frozenset(
+            server.server_id
+            for server in self.list_servers(service)
+            if server.version != version
+        )
+
     def find_memory_tokens(self, service_name: str) -> int:
         """Return the KV cache tokens of a service's engine, 0 if unknown."""
         if self.configuration is None:
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -42,11 +42,13 @@
     refuse_no_route,
     refuse_no_server,
     refuse_starting,
+    refuse_unknown_stream,
 )
 from bronzepost._internal.gateway.server_calls import (
     ServerCalls,
     find_previous_server,
 )
+from bronzepost._internal.gateway.stream_versions import StreamVersions
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.exposition import METRICS
@@ -63,6 +65,7 @@
         *,
         directory: Directory,
         programs: ProgramState,
+        streams: StreamVersions,
         servers: ServerCalls,
         decode_call: DecodeCall,
     ) -> None:
@@ -72,6 +75,7 @@
         """
         self._directory = directory
         self._programs = programs
+        self._streams = streams
         self._servers = servers
         self._decode_call = decode_call
         self._retries = RetryBudget()
@@ -121,6 +125,7 @@
         )
         try:
             with timeout:
+                self._bind_resumed_stream(pending)
                 self._open_turn(pending)
                 pending.opened_at = read_clock()
                 self._forward(pending)
@@ -193,12 +198,45 @@
             )
         with self._servers.open_exchange(pending, server) as (exchange, head):
             if is_stream and head.status == HTTPStatus.OK:
-                deliver_stream(pending, exchange, head, self._save_turn)
+                deliver_stream(
+                    pending,
+                    exchange,
+                    head,
+                    begin_stream=self._begin_stream,
+                    save_turn=self._save_turn,
+                )
             elif pending.answer.is_started:
                 raise exchange.break_off(f'status {head.status}')
             else:
                 deliver_answer(pending.answer, exchange, head)
 
+    def _bind_resumed_stream(self, pending: PendingCall) -> None:
+        """Keep a stream that a caller takes up at the version that began it.
+
+        Raises:
+            RefusedError: if no VM knows the stream, or if its route has moved to
+                another service.
+        """
+        call = pending.call
+        if not (pending.route.is_resumable and call.resume_after):
+            return
+        stream = self._streams.find(call.resumed_request, pending.service)
+        services = {service for service, _ in pending.route.services}
+        if stream is None or stream.service not in services:
+            raise refuse_unknown_stream()
+        pending.service = stream.service
+        pending.stream_version = stream.version
+
+    def _begin_stream(self, pending: PendingCall) -> None:
+        if pending.route.is_resumable:
+            pending.stream_version = pending.server_version
+            self._streams.begin(
+                pending.call.resumed_request or pending.call.request_id,
+                service=pending.service,
+                version=pending.server_version,
+                remaining_seconds=pending.remaining_seconds,
+            )
+
     def _save_turn(self, pending: PendingCall) -> None:
         if pending.turn is not None:
             self._programs.save_turn(
--- a/src/bronzepost/_internal/gateway/messages.py
+++ b/src/bronzepost/_internal/gateway/messages.py
@@ -151,6 +151,39 @@
     contents: tuple[bytes, ...]
 
 
+class ReplicateStream(
+    msgspec.Struct, frozen=True, kw_only=True, tag='replicate_stream'
+):
+    """Tell a peer which software version of a service began a stream.
+
+    ``request_id`` is that of the request which brought its first event. The
+    peer forgets the stream after ``expires_seconds``.
+    """
+
+    request_id: str
+    service: str
+    version: str
+    expires_seconds: float
+
+
+class FindStream(msgspec.Struct, frozen=True, kw_only=True, tag='find_stream'):
+    """Ask a peer which software version began a stream."""
+
+    call_id: int
+    request_id: str
+
+
+class StreamFound(
+    msgspec.Struct, frozen=True, kw_only=True, tag='stream_found'
+):
+    """Answer to ``FindStream``; ``is_known`` is false for other streams."""
+
+    call_id: int
+    is_known: bool
+    service: str = ''
+    version: str = ''
+
+
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag='load_report'):
     """The load and the state of a gateway process.
 
@@ -211,10 +244,17 @@
     | HandOver
 )
 _TurnMessage = ReplicateTurn | StoreTurn | TurnStored | FindTurns | TurnsFound
+_StreamMessage = ReplicateStream | FindStream | StreamFound
 _StateMessage = LoadReport | SnapshotRequest | Snapshot
 
 GatewayMessage = (
-    Ping | Ack | PingRequest | _BudgetMessage | _TurnMessage | _StateMessage
+    Ping
+    | Ack
+    | PingRequest
+    | _BudgetMessage
+    | _TurnMessage
+    | _StreamMessage
+    | _StateMessage
 )
 
 
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -25,6 +25,7 @@
 from bronzepost._internal.gateway.server_calls import ServerCalls
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.gateway.snapshots import SnapshotExchange
+from bronzepost._internal.gateway.stream_versions import StreamVersions
 from bronzepost._internal.gateway.turn_keeper import TurnKeeper
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
@@ -78,9 +79,16 @@
             directory=self.directory,
             follower=self.follower,
         )
+        self.streams = StreamVersions(
+            fleet=self.fleet,
+            reports=self.reports,
+            calls=calls,
+            directory=self.directory,
+        )
         self.forwarder = Forwarder(
             directory=self.directory,
             programs=ProgramState(budgets=self.budgets, turns=self.turns),
+            streams=self.streams,
             servers=ServerCalls(
                 directory=self.directory,
                 reports=self.reports,
@@ -131,6 +139,7 @@
             'requests_under_way': self.callers.count_busy(),
             'programs_held': self.budgets.count_programs(),
             'turns_held': len(self.turns.turns_by_id),
+            'streams_known': self.streams.count(),
             'server_connections_opened': self.pool.opened_count,
             'peer_messages_sent': self.fleet.counts.sent,
             'peer_messages_dropped': self.fleet.counts.dropped,
@@ -150,6 +159,7 @@
             self.reports,
             self.budgets,
             self.turns,
+            self.streams,
             self.snapshots,
             self.callers,
         )
--- a/src/bronzepost/_internal/gateway/refusals.py
+++ b/src/bronzepost/_internal/gateway/refusals.py
@@ -50,6 +50,20 @@
     )
 
 
+def refuse_unknown_stream() -> RefusedError:
+    """Return the error for a stream that may not go on at any server.
+
+    Its caller can send the request again from its start.
+    """
+    return RefusedError(
+        'the version of the servers that began the stream is not known',
+        code='stream_unknown',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='find stream',
+        retry_after_seconds=DEFAULT_RETRY_AFTER_SECONDS,
+    )
+
+
 def refuse_broken_answer(error: ExchangeError) -> RefusedError:
     """Return the error if the answer of a backend server broke off."""
     return RefusedError(
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -1,7 +1,7 @@
 """Choose backend servers for requests and exchange messages with them."""
 
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Sequence, Set
 from contextlib import contextmanager
 from http import HTTPStatus
 from typing import Final
@@ -153,20 +153,29 @@
         servers: Sequence[BackendServer],
         holders: Holders,
     ) -> Sequence[BackendServer]:
+        excluded_ids = self._list_excluded(pending)
         candidates = choose_candidates(
             servers,
             holders=holders.engines,
             avoided_ids=self._directory.ratings.list_avoided(),
-            excluded_ids=pending.excluded_ids,
+            excluded_ids=excluded_ids,
             key=pending.call.program_id or pending.call.request_id,
         )
         previous = self._directory.find_serving(
             pending.service, find_previous_server(pending)
         )
-        if previous is None or previous.server_id in pending.excluded_ids:
+        if previous is None or previous.server_id in excluded_ids:
             return candidates
         return (previous, *candidates)
 
+    def _list_excluded(self, pending: PendingCall) -> Set[str]:
+        if pending.stream_version is None:
+            return pending.excluded_ids
+        others = self._directory.list_other_versions(
+            pending.service, pending.stream_version
+        )
+        return pending.excluded_ids | others
+
     def _choose_holders(
         self, pending: PendingCall, servers: Sequence[BackendServer]
     ) -> Holders:
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -160,6 +160,16 @@
         return 0
 
 
+class NoPeerStreams:
+    """The streams of a gateway without peers; it knows none that resumes."""
+
+    def begin(self, request_id: str, **stream: Any) -> None:
+        """Record nothing."""
+
+    def find(self, _request_id: str, _service: str) -> None:
+        """Return no stream."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TestGateway:
     """A running gateway that listens on the loopback interface."""
@@ -231,6 +241,7 @@
     forwarder = Forwarder(
         directory=directory,
         programs=None,  # type: ignore[arg-type]
+        streams=NoPeerStreams(),  # type: ignore[arg-type]
         servers=ServerCalls(
             directory=directory,
             reports=NoPeerReports(),  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/unit/test_gateway_stream_versions.py
@@ -0,0 +1,159 @@
+"""Tests of the software versions that streams are bound to."""
+
+from typing import Final
+from unittest import mock
+
+import testtools
+from testtools.matchers import HasLength
+
+from bronzepost._internal.core.gateway.seen_versions import (
+    MAX_LIST_AGE_SECONDS,
+    STREAM_SECONDS,
+    SeenVersions,
+    find_only_version,
+    record_versions,
+)
+from bronzepost._internal.gateway.messages import ReplicateStream
+from bronzepost._internal.gateway.stream_versions import COPIES_PER_STREAM
+from tests.builders_gateway import make_server
+from tests.builders_streams import make_vms
+
+START: Final = 1000.0
+POLL_SECONDS: Final = 0.4
+SERVICE: Final = 'engines'
+
+
+def read_lists(
+    seen: SeenVersions, *versions: str, start: float, seconds: float
+) -> float:
+    """Record lists with servers of some versions; return the time after."""
+    at = start
+    while at < start + seconds:
+        at += POLL_SECONDS
+        servers = [make_server(name, version=name) for name in versions]
+        record_versions(seen, servers, at=at)
+    return at
+
+
+class TestSeenVersions(testtools.TestCase):
+    """A VM knows when all streams have one version."""
+
+    def test_only_version(self) -> None:
+        seen = SeenVersions()
+        at = read_lists(seen, 'v1', start=START, seconds=STREAM_SECONDS + 1)
+        self.assertEqual('v1', find_only_version(seen, SERVICE, at=at))
+
+    def test_vm_that_has_just_started_is_not_certain(self) -> None:
+        """Guard against streams of a version that was gone by the start."""
+        seen = SeenVersions()
+        at = read_lists(seen, 'v1', start=START, seconds=STREAM_SECONDS / 2)
+        self.assertIsNone(find_only_version(seen, SERVICE, at=at))
+
+    def test_version_counts_until_its_streams_have_ended(self) -> None:
+        seen = SeenVersions()
+        at = read_lists(seen, 'v1', start=START, seconds=STREAM_SECONDS)
+        at = read_lists(seen, 'v1', 'v2', start=at, seconds=1)
+        self.assertIsNone(find_only_version(seen, SERVICE, at=at))
+        at = read_lists(seen, 'v2', start=at, seconds=STREAM_SECONDS - 1)
+        self.assertIsNone(find_only_version(seen, SERVICE, at=at))
+        at = read_lists(seen, 'v2', start=at, seconds=2)
+        self.assertEqual('v2', find_only_version(seen, SERVICE, at=at))
+
+    def test_old_list_is_not_certain(self) -> None:
+        """Guard against versions that came while the store was away."""
+        seen = SeenVersions()
+        at = read_lists(seen, 'v1', start=START, seconds=STREAM_SECONDS + 1)
+        at += MAX_LIST_AGE_SECONDS + 1
+        self.assertIsNone(find_only_version(seen, SERVICE, at=at))
+        at = read_lists(seen, 'v1', start=at, seconds=1)
+        self.assertIsNone(find_only_version(seen, SERVICE, at=at))
+
+
+class TestStreamVersions(testtools.TestCase):
+    """Each VM finds the version of a stream that began at another one."""
+
+    def setUp(self) -> None:
+        """Start VMs whose clock the test sets."""
+        super().setUp()
+        self.now = START
+        for module in ('directory', 'stream_versions'):
+            patch = mock.patch(
+                f'bronzepost._internal.gateway.{module}.read_clock',
+                self.read_clock,
+            )
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.vms = make_vms(6)
+
+    def read_clock(self) -> float:
+        return self.now
+
+    def read_lists(self, *versions: str, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += POLL_SECONDS
+            for vm in self.vms.values():
+                vm.list_servers(*versions)
+
+    def begin(self, name: str, request_id: str = 'q-1') -> None:
+        self.vms[name].streams.begin(
+            request_id, service=SERVICE, version='v1', remaining_seconds=3
+        )
+
+    def find(self, name: str, request_id: str = 'q-1') -> str | None:
+        stream = self.vms[name].streams.find(request_id, SERVICE)
+        return stream.version if stream else None
+
+    def test_every_vm_finds_a_stream(self) -> None:
+        self.read_lists('v1', 'v2', seconds=1)
+        self.begin('a')
+        self.assertEqual({'v1'}, {self.find(name) for name in self.vms})
+
+    def test_stream_outlives_its_vm_and_some_copies(self) -> None:
+        """Guard against a stream that only the VM which is lost knows."""
+        self.read_lists('v1', 'v2', seconds=1)
+        self.begin('a')
+        for name in 'abc'[:COPIES_PER_STREAM]:
+            self.vms.pop(name)
+        self.assertEqual('v1', self.find('f'))
+
+    def test_no_copies_are_sent_for_a_single_version(self) -> None:
+        """Guard against messages that grow with the requests."""
+        self.read_lists('v1', seconds=STREAM_SECONDS + 1)
+        self.begin('a')
+        self.assertEqual([], self.vms['a'].sent)
+        self.vms.pop('a')
+        self.assertEqual('v1', self.find('b'))
+
+    def test_copies_are_sent_once_a_second_version_appears(self) -> None:
+        """Guard against streams that began just before a release."""
+        self.read_lists('v1', seconds=STREAM_SECONDS + 1)
+        self.begin('a')
+        self.read_lists('v1', 'v2', seconds=1)
+        self.vms['a'].streams.refresh()
+        sent = self.vms['a'].sent
+        self.assertEqual({ReplicateStream}, set(sent))
+        self.assertThat(sent, HasLength(COPIES_PER_STREAM))
+        self.vms.pop('a')
+        self.assertEqual('v1', self.find('f'))
+
+    def test_stream_that_no_vm_knows(self) -> None:
+        self.read_lists('v1', 'v2', seconds=1)
+        self.assertIsNone(self.find('a'))
+
+    def test_caller_that_does_not_name_its_stream(self) -> None:
+        """Guard against guessing among several versions."""
+        self.read_lists('v1', seconds=1)
+        self.assertEqual('v1', self.find('a', request_id=''))
+        self.read_lists('v1', 'v2', seconds=1)
+        self.assertIsNone(self.find('a', request_id=''))
+
+    def test_streams_are_forgotten(self) -> None:
+        """Guard against a table that grows with every stream."""
+        self.read_lists('v1', 'v2', seconds=1)
+        self.begin('a')
+        self.now += STREAM_SECONDS + 4
+        self.read_lists('v1', 'v2', seconds=1)
+        for vm in self.vms.values():
+            vm.streams.refresh()
+            self.assertEqual(0, vm.streams.count())
