Stop using a server whose answer says that it is leaving

The list of servers may be late, and an entry may lapse and come back.

Change: an answer with the header takes its server out of the choice at once, for the life of the server, whatever its entry says. The answer of another server at its address (421) does not count.

--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -36,6 +36,9 @@
         self._pool = pool
         self._seen_versions = SeenVersions()
         self._misplaced_by_id: dict[str, BackendServer] = {}
+        # Id and start of servers that are leaving. They stay here when their
+        # entries go, since an entry may come back while the server still runs.
+        self._leaving: set[tuple[str, int]] = set()
         # Cached until a server changes.
         self._servers_by_service: dict[str, tuple[BackendServer, ...]] = {}
 
@@ -139,10 +142,33 @@
         self._servers_by_service = {}
         self._pool.close_address(server.address)
 
+    def report_leaving(self, server: BackendServer) -> None:
+        """Stop using a server whose answer says that it is leaving.
+
+        Its entry may say so later or never. A server that starts again under
+        the same id is used.
+        """
+        incarnation = (server.server_id, server.born)
+        if incarnation in self._leaving:
+            return
+        self._leaving.add(incarnation)
+        self._servers_by_service = {}
+        self._pool.close_address(server.address)
+        emit(
+            LogEvent.SERVER_LEAVING,
+            server=server.server_id,
+            service=server.service,
+            peer=server.address,
+            born=server.born,
+            version=server.version,
+            source='answer',
+        )
+
     def _is_serving(self, server: BackendServer, service: str) -> bool:
         return (
             server.service == service
             and not server.is_draining
+            and (server.server_id, server.born) not in self._leaving
             and self._misplaced_by_id.get(server.server_id) != server
         )
 
@@ -171,4 +197,5 @@
             peer=new.address,
             born=new.born,
             version=new.version,
+            source='registry',
         )
--- a/src/bronzepost/_internal/gateway/header_names.py
+++ b/src/bronzepost/_internal/gateway/header_names.py
@@ -26,6 +26,7 @@
 
     A deployment may use other names than these defaults. ``reserved`` headers
     are dropped from requests of callers, since only the gateway may set them.
+    Servers that are leaving have ``leaving`` in all their answers.
     """
 
     request_id: bytes = b'bronzepost-request'
@@ -33,6 +34,7 @@
     not_run: bytes = b'bronzepost-not-run'
     expected_server: bytes = b'bronzepost-expected-server'
     resume_after: bytes = b'last-event-id'
+    leaving: bytes = b'bronzepost-server-leaving'
     reserved: frozenset[bytes] = frozenset()
 
 
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -248,7 +248,10 @@
     ) -> None:
         is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
         if is_misdirected:
+            # Another server answers, so its other headers say nothing of this one.
             self._directory.report_misplaced(server)
+        elif find_header(head.headers, self._names.leaving):
+            self._directory.report_leaving(server)
         if is_misdirected or find_header(head.headers, self._names.not_run):
             raise NotRunError(
                 f'status {head.status}', step=step, peer=server.address
--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -272,6 +272,19 @@
         self.assertIs(True, second.is_complete)
         self.assertEqual(b'onee1\ne2\ntwo', self.engine.requests[-1].body)
 
+    def test_leaving_server_gets_no_new_request(self) -> None:
+        """Guard against a server that leaves while its entry says ready."""
+        self.engine.answer_early(
+            b'HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\n'
+            b'Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n'
+        )
+        program = ('Program-Id: p', 'Token-Budget: 1000')
+        first = self.vms[0].send_turn('one', *program)
+        second = self.vms[0].send_turn('two', *program)
+        self.assertEqual(200, self.read_status(first))
+        self.assertEqual(503, self.read_status(second))
+        self.assertEqual(1, self.engine.connections)
+
     def test_stopping_vm_serves_callers(self) -> None:
         """Guard against refused callers before the process has ended."""
         vm = self.vms[0]
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -1,5 +1,6 @@
 """Tests of forwarding to backend servers that fail in different ways."""
 
+import dataclasses
 from typing import Any
 
 import gevent
@@ -15,6 +16,7 @@
     NAMES,
     Endless,
     ScriptedServer,
+    TestGateway,
     answer_with,
     make_answer,
     make_request,
@@ -22,6 +24,7 @@
     stay_silent,
 )
 
+LEAVING = b'Bronzepost-Server-Leaving: 1'
 FULL = make_answer(b'', b'Bronzepost-Not-Run: 1', status=b'503 Full')
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 UNTIL_CLOSE = b'HTTP/1.1 200 OK\r\n\r\n'
@@ -176,6 +179,72 @@
         self.assertEqual(2, backend.connections)
 
 
+class TestLeavingServers(testtools.TestCase):
+    """A server whose answer says that it is leaving gets no new requests."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.leaving = ScriptedServer(
+            script=answer_with(make_answer(b'a', LEAVING))
+        )
+        self.route = make_route(kind=RouteKind.NON_IDEMPOTENT)
+
+    def call(self, gateway: TestGateway) -> int:
+        answer = gateway.call(make_request(method=b'POST')).read_answer()
+        assert answer.head is not None
+        return answer.head.status
+
+    def test_other_servers_are_used(self) -> None:
+        """Guard against requests that arrive after the server has stopped."""
+        other = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        with open_gateway(self.route, self.leaving, other) as gateway:
+            statuses = {self.call(gateway) for _ in range(5)}
+        self.assertEqual({200}, statuses)
+        self.assertThat(self.leaving.requests, HasLength(1))
+
+    def test_answer_of_a_server_that_did_not_run_the_request(self) -> None:
+        full = make_answer(
+            b'', LEAVING, b'Bronzepost-Not-Run: 1', status=b'503 Full'
+        )
+        leaving = ScriptedServer(script=answer_with(full))
+        other = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        with open_gateway(self.route, leaving, other) as gateway:
+            statuses = {self.call(gateway) for _ in range(5)}
+        self.assertEqual({200}, statuses)
+        self.assertThat(leaving.requests, HasLength(1))
+
+    def test_entry_that_returns_does_not_bring_the_server_back(self) -> None:
+        """Guard against a list that is older than the server's answer."""
+        with open_gateway(self.route, self.leaving) as gateway:
+            self.call(gateway)
+            entries = list(gateway.directory.servers_by_id.values())
+            gateway.directory.put_servers([])
+            gateway.directory.put_servers(entries)
+            self.assertEqual(503, self.call(gateway))
+        self.assertThat(self.leaving.requests, HasLength(1))
+
+    def test_server_that_starts_again_is_used(self) -> None:
+        with open_gateway(self.route, self.leaving) as gateway:
+            self.call(gateway)
+            gateway.directory.put_servers([
+                dataclasses.replace(server, born=server.born + 1)
+                for server in gateway.directory.servers_by_id.values()
+            ])
+            self.assertEqual(200, self.call(gateway))
+
+    def test_header_of_another_server_at_the_address(self) -> None:
+        """Guard against giving up a server because of the one before it."""
+        misdirected = make_answer(b'', LEAVING, status=b'421 No')
+        wrong = ScriptedServer(script=answer_with(misdirected))
+        with open_gateway(self.route, wrong) as gateway:
+            self.call(gateway)
+            server = gateway.directory.servers_by_id['s-0']
+            moved = dataclasses.replace(server, slots=server.slots + 1)
+            gateway.directory.put_servers([moved])
+            self.call(gateway)
+        self.assertThat(wrong.requests, HasLength(2))
+
+
 class TestHedging(testtools.TestCase):
     """An idempotent request is sent to a second server after a delay."""
 
