Play resumed streams, versions and leaving servers in the soak

Cause: no engine of the soak ended an answer without a length or chunks, broke off inside an event, changed its version or said that it leaves, no caller took a stream up, and every request had a connection of its own.

Releases replace them by other versions under new ids; a leaving server still has a ready entry. Callers take streams up, keep connections open, and check pieces, versions and requests after Server-Leaving. Links pass resets on as resets.

--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -81,7 +81,7 @@
             return
         reader = RequestReader(header_bytes=65536, body_bytes=1048576)
         while True:
-            received = sock.recv(READ_BYTES)
+            received = self._receive(sock)
             if not received:
                 return
             reader.feed(received)
@@ -92,6 +92,13 @@
                     sock.close()
                     return
 
+    def _receive(self, sock: Any) -> bytes:
+        # A gateway resets connections with unread bytes.
+        with suppress(OSError):
+            received: bytes = sock.recv(READ_BYTES)
+            return received
+        return b''
+
 
 class Endless:
     """Send a block again and again until the other side closes."""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,19 +3,26 @@
 import contextlib
 import itertools
 import random
+import time
 from http import HTTPStatus
 from typing import Any, Final
 
 import gevent
 
+from bronzepost._internal.exceptions import ProtocolError
 from bronzepost._internal.gateway.header_names import find_header
 from bronzepost._internal.gateway.http_messages import AnswerReader
 from tests.builders_gateway_servers import CallerSocket
 from tests.platform.builders_platform import HOST, TOKENS_PER_EVENT
-from tests.soak.backends import MAX_EVENTS
-from tests.soak.observations import Attempt, Observations
+from tests.soak.backends import MAX_EVENTS, STREAM_PATH
+from tests.soak.observations import (
+    Attempt,
+    Observations,
+    StreamRecord,
+)
 from tests.soak.vms import Vm
 
+MAX_STREAM_EVENTS: Final = 12
 TURN_TOKENS: Final = MAX_EVENTS * TOKENS_PER_EVENT
 MAX_TRIES: Final = 3
 # Turns that the budget of an endless program covers.
@@ -33,6 +40,7 @@
         """Send to random ``vms`` and record in ``observations``."""
         self._vms = vms
         self._observations = observations
+        self._idle_by_boot: dict[str, list[CallerSocket]] = {}
 
     def call(
         self,
@@ -47,6 +55,8 @@
         attempt = Attempt(
             request_id=f'q-{next(_ID_NUMBERS)}',
             boot=target_vm.boot,
+            pauses=target_vm.pauses,
+            sent_at=time.monotonic(),
             **{'expected': body, **fields},
         )
         lines = [
@@ -62,11 +72,26 @@
         self._observations.record_attempt(attempt)
         request = '\r\n'.join(lines).encode() + body
         finished_attempt = finish_attempt(
-            attempt, send_request(target_vm, request)
+            attempt, self._send_request(target_vm, request)
         )
         self._observations.record_attempt(finished_attempt)
         return finished_attempt
 
+    def _send_request(self, vm: Vm, request: bytes) -> AnswerReader:
+        """Send a request and return the part of the answer that arrived.
+
+        Connections are kept open and used again until the other side closes.
+        """
+        reader = AnswerReader()
+        idle = self._idle_by_boot.setdefault(vm.boot, [])
+        with contextlib.suppress(OSError, gevent.Timeout, ProtocolError):
+            with gevent.Timeout(ANSWER_TIMEOUT_SECONDS):
+                caller = idle.pop() if idle else open_connection(vm)
+                exchange(reader, caller, request)
+                if is_kept_open(reader):
+                    idle.append(caller)
+        return reader
+
     def call_tool(self) -> Attempt:
         """Call a plain service by an idempotent or non-idempotent route."""
         kind = random.choice(('look', 'book'))  # noqa: S311
@@ -154,17 +179,81 @@
         self._previous_turn = attempt.request_id
 
 
-def send_request(vm: Vm, request: bytes) -> AnswerReader:
-    """Send a request and return the part of the answer that arrived."""
-    reader = AnswerReader()
-    with contextlib.suppress(OSError, gevent.Timeout):
-        with gevent.Timeout(ANSWER_TIMEOUT_SECONDS):
-            host, _, port = vm.link.address.rpartition(':')
-            caller = CallerSocket(address=(host, int(port)))
-            with contextlib.closing(caller.sock):
-                caller.sock.sendall(request)
-                read_answer(reader, caller)
-    return reader
+class Stream:
+    """A stream that its caller takes up again when it breaks off."""
+
+    def __init__(self, *, caller: Caller, observations: Observations) -> None:
+        """Prepare a stream of a random length."""
+        self._caller = caller
+        self._observations = observations
+        self._text = f's{next(_ID_NUMBERS)}'
+        self._count = random.randint(1, MAX_STREAM_EVENTS)
+        self._first_request = ''
+        self._events: list[str] = []
+
+    def run(self) -> None:
+        """Send the request until the stream is complete or tries run out."""
+        for _ in range(MAX_TRIES):
+            attempt = self._send()
+            if attempt.status == HTTPStatus.OK:
+                self._add_events(attempt)
+            if attempt.status == HTTPStatus.OK and attempt.is_complete:
+                self._record(is_complete=True)
+                return
+            gevent.sleep(random.random() * PAUSE_SECONDS)  # noqa: S311
+        self._record(is_complete=False)
+
+    def _send(self) -> Attempt:
+        headers = []
+        if self._events:
+            headers = [
+                f'Resumes: {self._first_request}',
+                f'Last-Event-Id: {len(self._events)}',
+            ]
+        body = f'{self._text} {self._count}'.encode()
+        return self._caller.call(STREAM_PATH, body, *headers, kind='stream')
+
+    def _add_events(self, attempt: Attempt) -> None:
+        *whole_events, _ = attempt.body.decode().split('\n\n')
+        if whole_events and not self._events:
+            self._first_request = attempt.request_id
+        self._events.extend(
+            event.partition('data: ')[2] for event in whole_events
+        )
+
+    def _record(self, *, is_complete: bool) -> None:
+        self._observations.streams.append(
+            StreamRecord(
+                text=self._text,
+                count=self._count,
+                events=tuple(self._events),
+                is_complete=is_complete,
+            )
+        )
+
+
+def exchange(
+    reader: AnswerReader, caller: CallerSocket, request: bytes
+) -> None:
+    """Send a request and read its answer; close the connection unless kept."""
+    with contextlib.ExitStack() as stack:
+        stack.callback(caller.sock.close)
+        caller.sock.sendall(request)
+        read_answer(reader, caller)
+        if is_kept_open(reader):
+            stack.pop_all()
+
+
+def open_connection(vm: Vm) -> CallerSocket:
+    """Connect to a VM through its link."""
+    host, _, port = vm.link.address.rpartition(':')
+    return CallerSocket(address=(host, int(port)))
+
+
+def is_kept_open(answer: AnswerReader) -> bool:
+    """Return whether the connection of an answer can be used again."""
+    head = answer.head
+    return answer.is_complete and head is not None and head.keep_alive
 
 
 def read_answer(reader: AnswerReader, caller: CallerSocket) -> None:
@@ -182,6 +271,7 @@
     if answer.head is None:
         return attempt
     stamp = find_header(answer.head.headers, b'server-stamp')
+    is_leaving = find_header(answer.head.headers, b'server-leaving') is not None
     return Attempt(
         request_id=attempt.request_id,
         kind=attempt.kind,
@@ -192,4 +282,8 @@
         body=answer.pop_body(),
         is_complete=answer.is_complete,
         is_from_server=stamp is not None,
+        pauses=attempt.pauses,
+        sent_at=attempt.sent_at,
+        ended_at=time.monotonic(),
+        leaving_id=stamp.decode() if stamp and is_leaving else '',
     )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 
 import gevent
 
+from tests.soak.backends import VERSIONS
 from tests.soak.links import LinkState
 from tests.soak.world import World
 
@@ -144,6 +145,27 @@
     setattr(backend, failure, False)  # noqa: B010
 
 
+def release(world: World, rng: random.Random) -> None:
+    """Replace the engines one after the other, some by another version."""
+    for backend in world.backends:
+        if backend.service == 'engines':
+            world.restart_backend(backend, rng.choice(VERSIONS))
+            gevent.sleep(rng.random())
+
+
+def leave_server(world: World, rng: random.Random) -> None:
+    """Let a backend server say that it leaves, and then start again.
+
+    Its entry says that it is ready all the while.
+    """
+    backend = rng.choice(world.backends)
+    server_id = backend.server_id
+    backend.leaves = True
+    wait_randomly(rng)
+    if backend.server_id == server_id:
+        world.restart_backend(backend, backend.version)
+
+
 def lapse_entry(world: World, rng: random.Random) -> None:
     """Remove a backend server from the server list for a while."""
     backend = rng.choice(world.backends)
@@ -174,6 +196,8 @@
         harm_server_link,
         reset_links,
         harm_server,
+        release,
+        leave_server,
         lapse_entry,
         change_configuration,
     )
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -4,6 +4,7 @@
 import enum
 import random
 import socket
+import struct
 from typing import Any, Final
 
 import gevent
@@ -14,6 +15,8 @@
 # Only limits connecting to the target; held bytes wait without a time limit.
 CONNECT_TIMEOUT_SECONDS: Final = 5.0
 POLL_SECONDS: Final = 0.02
+# SO_LINGER, enabled with a timeout of 0 s.
+_RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 
 
 class LinkState(enum.StrEnum):
@@ -50,11 +53,7 @@
     def reset(self) -> None:
         """Reset all connections."""
         for sock in tuple(self._sockets):
-            with contextlib.suppress(OSError):
-                linger = b'\1\0\0\0\0\0\0\0'
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                sock.shutdown(socket.SHUT_RDWR)
-                sock.close()
+            reset_socket(sock)
 
     def close(self) -> None:
         """Stop listening and close all connections."""
@@ -83,16 +82,21 @@
         upstream.close()
 
     def _pump(self, source: Any, sink: Any, *, is_answer: bool) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                block = source.recv(READ_BYTES)
-                self._delay_block(is_answer=is_answer)
-                if not block:
-                    break
-                sink.sendall(block)
+        try:
+            self._forward(source, sink, is_answer=is_answer)
+        except OSError:
+            # An orderly close would end an answer that has no length.
+            reset_socket(sink)
+            return
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
 
+    def _forward(self, source: Any, sink: Any, *, is_answer: bool) -> None:
+        while block := source.recv(READ_BYTES):
+            self._delay_block(is_answer=is_answer)
+            sink.sendall(block)
+        self._delay_block(is_answer=is_answer)
+
     def _delay_block(self, *, is_answer: bool) -> None:
         while self._is_held(is_answer=is_answer):
             gevent.sleep(POLL_SECONDS)
@@ -104,3 +108,10 @@
         if self.state is LinkState.ONE_WAY:
             return is_answer
         return self.state is LinkState.SILENT
+
+
+def reset_socket(sock: Any) -> None:
+    """Close a socket with a reset, which discards unsent data."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        sock.close()
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -19,7 +19,13 @@
 
 
 # Kinds of idempotent requests, which the gateway may send to a second server.
-REPEATABLE: Final = frozenset(('look', 'probe'))
+# They may also go on with a stream there.
+REPEATABLE: Final = frozenset(('look', 'probe', 'stream'))
+# A VM sends no request that came later than this to a server that has said that
+# it is leaving.
+DRAIN_SECONDS: Final = 2.0
+# By rule, so many streams may hold events of two versions.
+MAX_MIXED_STREAMS: Final = 2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,7 +33,9 @@
     """One request of a caller and how it ended.
 
     ``expected`` is the body that a backend server has to receive. ``boot``
-    identifies the process of the VM. Status 0 means that no answer came.
+    identifies the process of the VM, and ``pauses`` how often it was frozen.
+    Status 0 means that no answer came. ``leaving_id`` is the id of the server, if
+    it said that it is leaving. Times are in monotonic seconds.
     """
 
     request_id: str
@@ -39,6 +47,10 @@
     is_complete: bool = False
     is_from_server: bool = False
     boot: str = ''
+    pauses: int = 0
+    sent_at: float = 0
+    ended_at: float = 0
+    leaving_id: str = ''
 
     @property
     def events(self) -> int:
@@ -59,6 +71,35 @@
     answer: bytes
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StreamRecord:
+    """What a caller got of one stream in all its tries.
+
+    The text of each event is ``text``, the version of the server and its number,
+    from 1 to ``count``, separated by hyphens.
+    """
+
+    text: str
+    count: int
+    events: tuple[str, ...]
+    is_complete: bool
+
+    @property
+    def versions(self) -> frozenset[str]:
+        """Return the versions that wrote the events."""
+        return frozenset(event.split('-')[1] for event in self.events)
+
+    def check(self) -> Iterator[str]:
+        """Yield the violations of this stream by itself."""
+        numbers = [int(event.split('-')[2]) for event in self.events]
+        if any(event.split('-')[0] != self.text for event in self.events):
+            yield f'events of another stream: {self}'
+        if numbers != list(range(1, len(numbers) + 1)):
+            yield f'events missing or twice: {self}'
+        if self.is_complete and len(numbers) != self.count:
+            yield f'complete before its last event: {self}'
+
+
 @dataclasses.dataclass(kw_only=True)
 class Observations:
     """All attempts and runs of a soak.
@@ -71,6 +112,7 @@
     runs_by_id: dict[str, list[Run]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
     )
+    streams: list[StreamRecord] = dataclasses.field(default_factory=list)
     budgets_by_program: dict[str, int] = dataclasses.field(default_factory=dict)
     turn_tokens: int = 0
     violations: list[str] = dataclasses.field(default_factory=list)
@@ -95,6 +137,8 @@
             *self._check_answers(),
             *self._check_runs(),
             *self._check_budgets(),
+            *self._check_streams(),
+            *self._check_leaving(),
         ]
 
     def _check_answers(self) -> Iterator[str]:
@@ -120,6 +164,26 @@
             if any(run.body != attempt.expected for run in runs):
                 yield f'run with another body: {request_id}'
 
+    def _check_streams(self) -> Iterator[str]:
+        for stream in self.streams:
+            yield from stream.check()
+        mixed = [stream for stream in self.streams if len(stream.versions) > 1]
+        if len(mixed) > MAX_MIXED_STREAMS:
+            yield f'streams of two versions: {mixed}'
+
+    def _check_leaving(self) -> Iterator[str]:
+        told_by_server: dict[tuple[str, str], Attempt] = {}
+        for attempt in sorted(self.attempts, key=_get_end):
+            if attempt.leaving_id:
+                key = (attempt.boot, attempt.leaving_id)
+                told_by_server.setdefault(key, attempt)
+        for runs in self.runs_by_id.values():
+            for run in runs:
+                attempt = self.attempts_by_id[run.request_id]
+                told = told_by_server.get((attempt.boot, run.server_id))
+                if told and is_late_for(told, attempt):
+                    yield f'{run.server_id} is leaving and ran {run.request_id}'
+
     def _check_budgets(self) -> Iterator[str]:
         delivered: collections.Counter[str] = collections.Counter()
         for attempt in self.attempts:
@@ -137,7 +201,23 @@
     whole_answers = [run.answer for run in runs]
     if not attempt.is_from_server:
         yield f'success without a server: {attempt.request_id}'
+    if attempt.kind == 'stream':
+        return
     if attempt.is_complete and attempt.body not in whole_answers:
         yield f'complete answer differs from the run: {attempt.request_id}'
     if not any(answer.startswith(attempt.body) for answer in whole_answers):
         yield f'answer of another request: {attempt.request_id}'
+
+
+def _get_end(attempt: Attempt) -> float:
+    return attempt.ended_at
+
+
+def is_late_for(told: Attempt, attempt: Attempt) -> bool:
+    """Return whether an attempt must not reach a server that is leaving.
+
+    ``told`` is the first answer of that server which says so. A VM that has been
+    frozen since then is excused.
+    """
+    is_excused = attempt.pauses != told.pauses
+    return not is_excused and attempt.sent_at > told.ended_at + DRAIN_SECONDS
--- a/tests/soak/vms.py
+++ b/tests/soak/vms.py
@@ -42,7 +42,7 @@
         self._network = network
         self._folder = folder
         self._starts = 0
-        self._pauses = 0
+        self.pauses = 0
         self._start_lock = BoundedSemaphore(1)
         self._process: Any = None
         front, readiness, directory = find_free_ports(self._ip, 3)
@@ -93,8 +93,8 @@
         process.terminate()
         pauses = -1
         # A pause restarts the timeout, since a frozen process cannot stop.
-        while process.poll() is None and pauses != self._pauses:
-            pauses = self._pauses
+        while process.poll() is None and pauses != self.pauses:
+            pauses = self.pauses
             with gevent.Timeout(STOP_TIMEOUT_SECONDS, False):
                 process.wait()
         if process.poll() is None:
@@ -104,7 +104,7 @@
 
     def pause(self) -> None:
         """Freeze the process with SIGSTOP."""
-        self._pauses += 1
+        self.pauses += 1
         self._signal(signal.SIGSTOP)
 
     def resume(self) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,6 +1,7 @@
 """The VMs, store, backend servers and callers of one soak."""
 
 import os
+import random
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final
@@ -14,7 +15,13 @@
 )
 from tests.platform.standin_store import StandinStore
 from tests.soak.backends import Backend
-from tests.soak.callers import TURN_TOKENS, Caller, Program
+from tests.soak.callers import (
+    PAUSE_SECONDS,
+    TURN_TOKENS,
+    Caller,
+    Program,
+    Stream,
+)
 from tests.soak.observations import Observations
 from tests.soak.vms import Vm
 
@@ -43,7 +50,7 @@
         self.store = StandinStore()
         self.backends = [
             Backend(
-                server_id=f'i-{service}-{number}',
+                name=f'i-{service}-{number}',
                 service=service,
                 observations=self.observations,
             )
@@ -100,6 +107,13 @@
         ]
         configuration['routes'] = [
             configuration['routes'][0],
+            {
+                **configuration['routes'][0],
+                'name': 'r-ask',
+                'pathPrefix': '/ask/',
+                'retainHistory': False,
+                'resumable': True,
+            },
             {
                 **plain_route,
                 'name': 'r-look',
@@ -129,10 +143,17 @@
         entry = make_entry(
             upstream=backend.service,
             address=backend.link.address,
+            version=backend.version,
             state=state,
         )
         self.store.put('keyed.servers', backend.server_id, entry)
 
+    def restart_backend(self, backend: Backend, version: str) -> None:
+        """Replace a backend server by one of a version, with another id."""
+        self.remove_entry(backend)
+        backend.restart(version)
+        self.put_entry(backend)
+
     def remove_entry(self, backend: Backend) -> None:
         """Remove a backend server from the server list."""
         self.store.put('keyed.servers', backend.server_id, b'')
@@ -144,6 +165,7 @@
             self._callers.append(
                 gevent.spawn(self._run_programs, is_loop=is_loop)
             )
+            self._callers.append(gevent.spawn(self._run_streams))
         self._callers.append(gevent.spawn(self._probe_vms))
 
     def finish(self) -> None:
@@ -179,6 +201,11 @@
         while True:  # noqa: WPS457 - killed at the end
             self._make_program(is_loop=is_loop).run()
 
+    def _run_streams(self) -> None:
+        while True:  # noqa: WPS457 - killed at the end
+            Stream(caller=self.caller, observations=self.observations).run()
+            gevent.sleep(random.random() * PAUSE_SECONDS)  # noqa: S311
+
     def _probe_vms(self) -> None:
         """Check that no process loses a route that it has served."""
         while True:  # noqa: WPS457 - killed at the end
