--- a/src/bronzepost/_internal/gateway/stream_versions.py
+++ b/src/bronzepost/_internal/gateway/stream_versions.py
@@ -29,7 +29,7 @@
 )
 from bronzepost._internal.node.clock import read_clock
 
-# Two copies are lost with the first VM less often than streams break off.
+# A stream stays known if its VM and two others are lost together.
 COPIES_PER_STREAM: Final = 3
 # Peers that are asked for a stream, those with copies first.
 MAX_PEERS_ASKED: Final = 24
