Log servers in one place

Cause: a server that is leaving was logged with the same fields in two places.

Change: one function logs them; a comment says what a late large answer is.

Result: tests of the gateway and the adapter pass; no change in behaviour.

--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -71,7 +71,7 @@
         current = {server.server_id: server for server in servers}
         record_versions(self._seen_versions, current.values(), at=read_clock())
         for server_id, server in current.items():
-            self._log_change(self.servers_by_id.get(server_id), server)
+            _log_change(self.servers_by_id.get(server_id), server)
         for gone_id in self.servers_by_id.keys() - current.keys():
             self._remove_server(self.servers_by_id[gone_id])
         if current != self.servers_by_id:
@@ -154,15 +154,7 @@
         self._leaving.add(incarnation)
         self._servers_by_service = {}
         self._pool.close_address(server.address)
-        emit(
-            LogEvent.SERVER_LEAVING,
-            server=server.server_id,
-            service=server.service,
-            peer=server.address,
-            born=server.born,
-            version=server.version,
-            source='answer',
-        )
+        _log_server(LogEvent.SERVER_LEAVING, server, source='answer')
 
     def _is_serving(self, server: BackendServer, service: str) -> bool:
         return (
@@ -182,20 +174,21 @@
             service=server.service,
         )
 
-    def _log_change(
-        self, old: BackendServer | None, new: BackendServer
-    ) -> None:
-        if old == new:
-            return
-        event = LogEvent.SERVER_UP
-        if new.is_draining:
-            event = LogEvent.SERVER_LEAVING
-        emit(
-            event,
-            server=new.server_id,
-            service=new.service,
-            peer=new.address,
-            born=new.born,
-            version=new.version,
-            source='registry',
-        )
+
+def _log_change(old: BackendServer | None, new: BackendServer) -> None:
+    if old == new:
+        return
+    event = LogEvent.SERVER_LEAVING if new.is_draining else LogEvent.SERVER_UP
+    _log_server(event, new, source='registry')
+
+
+def _log_server(event: LogEvent, server: BackendServer, *, source: str) -> None:
+    emit(
+        event,
+        server=server.server_id,
+        service=server.service,
+        peer=server.address,
+        born=server.born,
+        version=server.version,
+        source=source,
+    )
--- a/src/bronzepost/_internal/gateway/hedging.py
+++ b/src/bronzepost/_internal/gateway/hedging.py
@@ -43,7 +43,8 @@
 class AttemptResult:
     """The answer of one server; ``error`` is set if there is none.
 
-    A large answer has been delivered while it arrived.
+    A large answer ``is_delivered`` while it arrives. One that arrives while
+    another is being delivered has neither a head nor an error.
     """
 
     server: BackendServer
