Let the soak check leaving servers beside unknown runs

Cause: the check of requests to leaving servers looked up each run's request, so a run without a request would have ended the report with a KeyError.

Change: such runs are left to the check that reports them.

--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -177,12 +177,13 @@
             if attempt.leaving_id:
                 key = (attempt.boot, attempt.leaving_id)
                 told_by_server.setdefault(key, attempt)
-        for runs in self.runs_by_id.values():
+        for request_id, runs in self.runs_by_id.items():
+            sent = self.attempts_by_id.get(request_id)
+            boot = sent.boot if sent else ''
             for run in runs:
-                attempt = self.attempts_by_id[run.request_id]
-                told = told_by_server.get((attempt.boot, run.server_id))
-                if told and is_late_for(told, attempt):
-                    yield f'{run.server_id} is leaving and ran {run.request_id}'
+                told = told_by_server.get((boot, run.server_id))
+                if sent and told and is_late_for(told, sent):
+                    yield f'{run.server_id} is leaving and ran {request_id}'
 
     def _check_budgets(self) -> Iterator[str]:
         delivered: collections.Counter[str] = collections.Counter()
