Wait for the streams of a test before their VM is killed

Cause: the tests of streams on another VM killed the first VM half a second after the requests were sent; on a busy machine not all had reached an engine by then.

Change: they wait until all run, then for the first events.

--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -16,7 +16,11 @@
 )
 from tests.builders_gateway_servers import ScriptedServer
 from tests.platform.builders_platform import make_configuration, make_entry
-from tests.platform.gateway_vm import Vm
+from tests.platform.gateway_vm import (
+    POLL_INTERVAL_SECONDS,
+    START_TIMEOUT_SECONDS,
+    Vm,
+)
 from tests.platform.standin_store import StandinStore
 
 VM_COUNT = 3
@@ -25,6 +29,8 @@
 STREAM_COUNT = 12
 # Longer than a VM reads the list of servers again.
 LIST_SECONDS = 1.0
+# By then the first event of a stream that runs has reached its caller.
+FIRST_EVENT_SECONDS = 0.5
 HEAD = (
     b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Stamp: s\r\n'
     b'Transfer-Encoding: chunked\r\n\r\n%b'
@@ -92,11 +98,19 @@
             gevent.spawn(self.vms[0].send_turn, request_id)
             for request_id in request_ids
         ]
-        gevent.sleep(0.5)
+        with gevent.Timeout(START_TIMEOUT_SECONDS):
+            while self.count_runs() < STREAM_COUNT:
+                gevent.sleep(POLL_INTERVAL_SECONDS)
+        gevent.sleep(FIRST_EVENT_SECONDS)
         os.kill(self.vms[0].process.pid, signal.SIGKILL)
         gevent.joinall(calls)
         return request_ids
 
+    def count_runs(self) -> int:
+        return sum(
+            len(engine.requests) for engine in self.engines_by_version.values()
+        )
+
     def find_version(self, request_id: str) -> str:
         """Return the version of the engine that ran a request, or nothing."""
         for version, engine in self.engines_by_version.items():
