--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -314,6 +314,7 @@
             sends=pending.sends,
             status=pending.answer.status,
             framing=pending.framing,
+            server_limit=pending.server_limit or None,
             trailing_bytes=pending.events.trailing_bytes,
             outcome=outcome,
             opened=pending.opened_seconds,
--- a/src/bronzepost/_internal/gateway/header_names.py
+++ b/src/bronzepost/_internal/gateway/header_names.py
@@ -26,7 +26,9 @@
 
     A deployment may use other names than these defaults. ``reserved`` headers
     are dropped from requests of callers, since only the gateway may set them.
-    Servers that are leaving have ``leaving`` in all their answers.
+    Servers that are leaving have ``leaving`` in all their answers, and those that
+    limit their requests have ``limit``: the requests a second that they take from
+    all VMs together, as a decimal number.
     """
 
     request_id: bytes = b'bronzepost-request'
@@ -35,6 +37,7 @@
     expected_server: bytes = b'bronzepost-expected-server'
     resume_after: bytes = b'last-event-id'
     leaving: bytes = b'bronzepost-server-leaving'
+    limit: bytes = b'bronzepost-server-limit'
     reserved: frozenset[bytes] = frozenset()
 
 
--- a/src/bronzepost/_internal/gateway/pending_call.py
+++ b/src/bronzepost/_internal/gateway/pending_call.py
@@ -29,7 +29,8 @@
     answer broke off. ``server_id`` is the last server that was chosen, and
     ``server_version`` the version of its software. At
     ``opened_at`` the request could be forwarded: a turn then has its history
-    and its tokens. ``framing`` is that of the last answer of a server. A stream
+    and its tokens. ``framing`` is that of the last answer of a server, and
+    ``server_limit`` the limit that it named, as the server wrote it. A stream
     goes on only at servers of ``stream_version``, the version that began it.
     """
 
@@ -47,6 +48,7 @@
     server_id: str = ''
     server_version: str = ''
     framing: Framing | None = None
+    server_limit: str = ''
     stream_version: str | None = None
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -36,6 +36,7 @@
     NotRunError,
     PendingCall,
 )
+from bronzepost._internal.telemetry.exposition import METRICS
 
 MILLISECONDS_PER_SECOND: Final = 1000
 # A request is not sent if less time is left: a round trip to another
@@ -125,6 +126,7 @@
         pending.server_id = server.server_id
         pending.server_version = server.version
         pending.sends += 1
+        METRICS.server_sends.labels(server=server.server_id).inc()
         step = f'forward {pending.call.request_id}'
         with self._count_in_flight(server):
             exchange = BackendExchange(
@@ -142,6 +144,7 @@
                 exchange.send(self._encode_head(pending, server), pending.body)
                 head = exchange.read_head()
                 pending.framing = head.framing
+                pending.server_limit = self._read_limit(head)
                 self._check_was_run(head, server, step)
                 yield exchange, head
                 self._record_latency(pending, server)
@@ -243,6 +246,10 @@
         finally:
             in_flight[server.server_id] -= 1
 
+    def _read_limit(self, head: AnswerHead) -> str:
+        limit = find_header(head.headers, self._names.limit) or b''
+        return limit.decode('latin-1')
+
     def _check_was_run(
         self, head: AnswerHead, server: BackendServer, step: str
     ) -> None:
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -55,6 +55,12 @@
             ('server', 'reason'),
             CounterOrGauge,
         )
+        self.server_sends = MetricFamily(
+            'bronzepost_server_sends',
+            'Requests sent to a backend server, each attempt by itself.',
+            ('server',),
+            CounterOrGauge,
+        )
         self.store_calls = MetricFamily(
             'bronzepost_store_calls',
             'Calls to the store by what they do and how they ended.',
@@ -78,6 +84,7 @@
             self.requests,
             self.refusals,
             self.server_failures,
+            self.server_sends,
             self.store_calls,
             logs_left_out,
         )
