--- a/src/bronzepost/_internal/core/gateway/placement.py
+++ b/src/bronzepost/_internal/core/gateway/placement.py
@@ -48,6 +48,7 @@
     ``holder_ids`` are expected to have cached, and of ``unshared_tokens``.
     ``answer_tokens`` is the mean length of answers of the service.
     ``latency_ratio_by_id`` is above 1 for servers that are slower than the mean.
+    ``slots_by_id`` has the requests that servers with a limit can run at a time.
     To servers in ``connected_ids`` there is an idle connection. Servers in
     ``avoided_ids`` are used only if there is no other. ``salt`` varies the
     choice among servers of equal cost.
@@ -63,6 +64,7 @@
     latency_ratio_by_id: Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
+    slots_by_id: Mapping[str, float] = dataclasses.field(default_factory=dict)
     salt: int = 0
     avoided_ids: frozenset[str] = frozenset()
     connected_ids: frozenset[str] = frozenset()
@@ -110,7 +112,7 @@
     Each running request slows the new one down and is slowed down by it, so it
     counts twice. A request without a free slot waits for another one to end.
     """
-    slots = max(server.slots, 1)
+    slots = max(context.slots_by_id.get(server.server_id, server.slots), 1)
     running = context.in_flight.get(server.server_id, 0)
     excess = max(running + 1 - slots, 0)
     batch = min(running, slots)
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -16,6 +16,7 @@
 )
 from bronzepost._internal.gateway.backend_connections import ConnectionPool
 from bronzepost._internal.gateway.parts_in_use import PartsInUse
+from bronzepost._internal.gateway.server_limits import ServerLimits
 from bronzepost._internal.gateway.server_ratings import ServerRatings
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
@@ -33,6 +34,7 @@
         self.in_flight_by_id: Counter[str] = Counter()
         self.prompt_parts = PartsInUse()
         self.ratings = ServerRatings()
+        self.limits = ServerLimits()
         self._pool = pool
         self._seen_versions = SeenVersions()
         self._misplaced_by_id: dict[str, BackendServer] = {}
--- a/src/bronzepost/_internal/gateway/fleet.py
+++ b/src/bronzepost/_internal/gateway/fleet.py
@@ -9,6 +9,7 @@
 from bronzepost._internal.core import membership
 from bronzepost._internal.exceptions import ProtocolError
 from bronzepost._internal.gateway.loops import start_loop
+from bronzepost._internal.gateway.lost_members import LostMembers
 from bronzepost._internal.gateway.messages import GatewayCodec, GatewayMessage
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.node.clock import read_clock
@@ -50,6 +51,7 @@
         self._serving: tuple[membership.Member, ...] | None = None
         self._serving_peers: tuple[str, ...] | None = None
         self._live_peers: tuple[str, ...] | None = None
+        self.lost_members = LostMembers()
         self._members = membership.create_tables(
             own,
             at=read_clock(),
@@ -200,6 +202,7 @@
 @carry_out.register
 def _(action: membership.MemberChanged, fleet: Fleet) -> None:
     fleet.reset_member_lists()
+    fleet.lost_members.record(action)
     if action.name != fleet.own_name:
         event = _EVENTS_BY_STATE.get(str(action.current or ''))
         if event is not None:
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -44,10 +44,8 @@
     refuse_starting,
     refuse_unknown_stream,
 )
-from bronzepost._internal.gateway.server_calls import (
-    ServerCalls,
-    find_previous_server,
-)
+from bronzepost._internal.gateway.server_calls import ServerCalls
+from bronzepost._internal.gateway.server_placement import find_previous_server
 from bronzepost._internal.gateway.stream_versions import StreamVersions
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
--- a/src/bronzepost/_internal/gateway/header_names.py
+++ b/src/bronzepost/_internal/gateway/header_names.py
@@ -52,6 +52,11 @@
     return None
 
 
+def find_headers(headers: Headers, name: bytes) -> list[bytes]:
+    """Return all values of a header; ``name`` is in lower case."""
+    return [value for header, value in headers if header.lower() == name]
+
+
 def drop_headers(headers: Headers, names: Iterable[bytes]) -> Headers:
     """Return the headers except those with the given lower-case names."""
     dropped = frozenset(names)
--- a/src/bronzepost/_internal/gateway/messages.py
+++ b/src/bronzepost/_internal/gateway/messages.py
@@ -184,6 +184,48 @@
     version: str = ''
 
 
+class NamedLimit(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The limit of a backend server, in requests a second of all VMs.
+
+    An answer of the server has named or, if ``is_ended``, no longer named it
+    ``age_seconds`` ago.
+    """
+
+    rate: float
+    age_seconds: float
+    is_ended: bool = False
+
+
+class RequestPermit(
+    msgspec.Struct, frozen=True, kw_only=True, tag='request_permit'
+):
+    """Ask the owner of a server's limit for a turn of one request.
+
+    ``limit`` is what the sender knows of it. The turn has to come within
+    ``max_wait_seconds``.
+    """
+
+    call_id: int
+    server_id: str
+    limit: NamedLimit
+    max_wait_seconds: float
+
+
+class PermitDecided(
+    msgspec.Struct, frozen=True, kw_only=True, tag='permit_decided'
+):
+    """Answer to ``RequestPermit``.
+
+    The request may be sent after ``wait_seconds`` if it ``is_granted``, otherwise
+    the sender may ask again then. A VM that is not the owner decides nothing.
+    """
+
+    call_id: int
+    is_owner: bool
+    is_granted: bool = False
+    wait_seconds: float = 0
+
+
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag='load_report'):
     """The load and the state of a gateway process.
 
@@ -191,7 +233,8 @@
     ``has_store`` is set if the store answers it, and ``is_ready`` if it can
     serve callers. ``version`` is that of its routes in force, and
     ``uses_by_part`` has the tokens of the shared prompt parts that its callers
-    use, and the recent uses of each.
+    use, and the recent uses of each. ``limits_by_id`` has the limits of backend
+    servers that their answers have named to this process lately.
     """
 
     in_flight: dict[str, int]
@@ -199,6 +242,7 @@
     is_ready: bool
     version: int
     uses_by_part: dict[str, tuple[int, float]] = {}
+    limits_by_id: dict[str, NamedLimit] = {}
 
 
 class SnapshotRequest(
@@ -245,6 +289,7 @@
 )
 _TurnMessage = ReplicateTurn | StoreTurn | TurnStored | FindTurns | TurnsFound
 _StreamMessage = ReplicateStream | FindStream | StreamFound
+_PermitMessage = RequestPermit | PermitDecided
 _StateMessage = LoadReport | SnapshotRequest | Snapshot
 
 GatewayMessage = (
@@ -254,6 +299,7 @@
     | _BudgetMessage
     | _TurnMessage
     | _StreamMessage
+    | _PermitMessage
     | _StateMessage
 )
 
--- a/src/bronzepost/_internal/gateway/peer_calls.py
+++ b/src/bronzepost/_internal/gateway/peer_calls.py
@@ -14,6 +14,7 @@
     AllowanceReplicated,
     AllowancesFound,
     GatewayMessage,
+    PermitDecided,
     Snapshot,
     StreamFound,
     TokensReserved,
@@ -32,6 +33,7 @@
 _ANSWERS: Final = (
     AllowancesFound,
     AllowanceReplicated,
+    PermitDecided,
     Snapshot,
     StreamFound,
     TokensReserved,
--- a/src/bronzepost/_internal/gateway/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peer_reports.py
@@ -31,7 +31,7 @@
         self._fleet = fleet
         self._directory = directory
         self._follower = follower
-        self._received = ReceivedReports(own_name=fleet.own_name)
+        self.received = ReceivedReports(own_name=fleet.own_name)
         self._ranking = MemberRanking()
         self._rounds = ReportRounds()
         fleet.subscribe(LoadReport, self._receive)
@@ -52,7 +52,7 @@
 
     def send(self) -> None:
         """Send a report to the peers whose turn it is."""
-        self._received.recount_in_flight()
+        self.received.recount_in_flight()
         in_flight = self._directory.in_flight_by_id
         report = LoadReport(
             in_flight={key: count for key, count in in_flight.items() if count},
@@ -60,6 +60,7 @@
             is_ready=self._directory.configuration is not None,
             version=self._directory.version,
             uses_by_part=self._directory.prompt_parts.list_own(),
+            limits_by_id=dict(self._directory.limits.list_own()),
         )
         # Leaving VMs get reports too: they still choose homes for the turns
         # that they serve.
@@ -74,7 +75,7 @@
         so get nearly the same order.
         """
         ranked = self._ranking.rank(self._fleet.list_serving(), key)
-        silent = self._received.list_silent(ranked)
+        silent = self.received.list_silent(ranked)
         if not silent:
             return ranked
         return tuple(sorted(ranked, key=silent.__contains__))
@@ -88,7 +89,7 @@
         ranked = self._ranking.rank(self._fleet.list_serving(), key)
         cutoff = find_silence_cutoff(ranked)
         for name in ranked:
-            if self.lacks_store(name) or self._received.is_silent(name, cutoff):
+            if self.lacks_store(name) or self.received.is_silent(name, cutoff):
                 continue
             return name
         return next(iter(self.sort_by_store_access(self.rank_homes(key))), '')
@@ -97,7 +98,7 @@
         """Return whether a member has reported that it can serve callers."""
         if name == self._fleet.own_name:
             return self._directory.configuration is not None
-        report = self._received.find(name)
+        report = self.received.find(name)
         return report is not None and report.is_ready
 
     def list_snapshot_sources(self) -> list[str]:
@@ -107,7 +108,7 @@
         routes.
         """
         found = {
-            name: self._received.find(name)
+            name: self.received.find(name)
             for name in self._fleet.list_serving_peers()
         }
         ready = {
@@ -128,12 +129,12 @@
         """Return whether a member has reported that it lost the store."""
         if name == self._fleet.own_name:
             return not self.has_store
-        report = self._received.find(name)
+        report = self.received.find(name)
         return report is not None and not report.has_store
 
     def mark_silent(self, name: str) -> None:
         """Treat a member as silent until its next report."""
-        self._received.forget(name)
+        self.received.forget(name)
 
     @property
     def max_age_seconds(self) -> float:
@@ -142,7 +143,7 @@
 
     def count_in_flight(self, server_id: str) -> int:
         """Return the requests in flight of all VMs at a backend server."""
-        reported = self._received.in_flight[server_id]
+        reported = self.received.in_flight[server_id]
         return max(reported, 0) + self._directory.in_flight_by_id[server_id]
 
     def _report(self) -> None:
@@ -152,8 +153,10 @@
         )
 
     def _receive(self, sender: str, report: LoadReport) -> None:
-        self._received.put(sender, report)
+        self.received.put(sender, report)
         self._directory.prompt_parts.put_reported(sender, report.uses_by_part)
+        for server_id, limit in report.limits_by_id.items():
+            self._directory.limits.receive(server_id, limit, sender)
 
 
 def partition_of_key(key: str, partitions: int) -> int:
--- a/src/bronzepost/_internal/gateway/pending_call.py
+++ b/src/bronzepost/_internal/gateway/pending_call.py
@@ -30,7 +30,9 @@
     ``server_version`` the version of its software. At
     ``opened_at`` the request could be forwarded: a turn then has its history
     and its tokens. ``framing`` is that of the last answer of a server, and
-    ``server_limit`` the limit that it named, as the server wrote it. A stream
+    ``server_limit`` the limit that it named, as the server wrote it. After
+    ``limited_seconds`` the limits of the servers may admit the request; None if
+    no limit keeps it from being sent. A stream
     goes on only at servers of ``stream_version``, the version that began it.
     """
 
@@ -49,6 +51,7 @@
     server_version: str = ''
     framing: Framing | None = None
     server_limit: str = ''
+    limited_seconds: float | None = None
     stream_version: str | None = None
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -23,6 +23,8 @@
 from bronzepost._internal.gateway.program_state import ProgramState
 from bronzepost._internal.gateway.registry import Registry, RegistryFollower
 from bronzepost._internal.gateway.server_calls import ServerCalls
+from bronzepost._internal.gateway.server_permits import ServerPermits
+from bronzepost._internal.gateway.server_placement import ServerPlacement
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.gateway.snapshots import SnapshotExchange
 from bronzepost._internal.gateway.stream_versions import StreamVersions
@@ -92,10 +94,21 @@
             servers=ServerCalls(
                 directory=self.directory,
                 reports=self.reports,
+                placement=ServerPlacement(
+                    directory=self.directory,
+                    reports=self.reports,
+                    pool=pool,
+                    vm_name=settings.name,
+                    availability_zone=settings.availability_zone,
+                ),
+                permits=ServerPermits(
+                    fleet=self.fleet,
+                    reports=self.reports,
+                    calls=calls,
+                    directory=self.directory,
+                ),
                 pool=pool,
                 names=names,
-                vm_name=settings.name,
-                availability_zone=settings.availability_zone,
             ),
             decode_call=decode_call,
         )
@@ -134,6 +147,7 @@
         return {
             'routes_version': directory.version,
             'backend_servers': len(directory.servers_by_id),
+            'servers_limited': directory.limits.count(),
             'members': len(self.fleet.list_serving()),
             'store_away': float(self.follower.is_store_lost),
             'requests_under_way': self.callers.count_busy(),
--- a/src/bronzepost/_internal/gateway/refusals.py
+++ b/src/bronzepost/_internal/gateway/refusals.py
@@ -1,5 +1,6 @@
 """Errors with which the gateway refuses requests."""
 
+import random
 from http import HTTPStatus
 from typing import Final
 
@@ -41,6 +42,8 @@
     """Return the error if no backend server is left for a request."""
     if pending.runs:
         return refuse_deadline_passed(RunState.UNKNOWN)
+    if pending.limited_seconds is not None:
+        return refuse_limited(pending.service, pending.limited_seconds)
     return RefusedError(
         f'no backend server of {pending.service} takes the request',
         code='no_server',
@@ -50,6 +53,23 @@
     )
 
 
+def refuse_limited(service: str, wait_seconds: float) -> RefusedError:
+    """Return the error if the limits of all servers keep a request out.
+
+    Callers are told different times, up to twice the time to wait.
+    """
+    spread = 1 + random.random()  # noqa: S311
+    return RefusedError(
+        f'the servers of {service} limit their requests',
+        code='server_limited',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='choose backend server',
+        retry_after_seconds=max(
+            wait_seconds * spread, DEFAULT_RETRY_AFTER_SECONDS * spread
+        ),
+    )
+
+
 def refuse_unknown_stream() -> RefusedError:
     """Return the error for a stream that may not go on at any server.
 
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -1,23 +1,12 @@
 """Choose backend servers for requests and exchange messages with them."""
 
-import random
-from collections.abc import Iterator, Sequence, Set
+from collections.abc import Iterator
 from contextlib import contextmanager
 from http import HTTPStatus
 from typing import Final
 
-from bronzepost._internal.core.gateway.candidates import (
-    choose_candidates,
-    choose_subset,
-)
-from bronzepost._internal.core.gateway.entities import (
-    BackendServer,
-    RouteKind,
-)
-from bronzepost._internal.core.gateway.placement import (
-    PlacementContext,
-    choose_server,
-)
+from bronzepost._internal.core.gateway.entities import BackendServer
+from bronzepost._internal.core.gateway.request_pace import SPARE_SECONDS
 from bronzepost._internal.gateway.backend_connections import ConnectionPool
 from bronzepost._internal.gateway.backend_exchange import BackendExchange
 from bronzepost._internal.gateway.directory import Directory
@@ -26,30 +15,29 @@
     Headers,
     drop_headers,
     find_header,
+    find_headers,
     strip_connection_headers,
 )
 from bronzepost._internal.gateway.http_messages import AnswerHead, encode_head
-from bronzepost._internal.gateway.parts_in_use import Holders
 from bronzepost._internal.gateway.peer_reports import PeerReports
 from bronzepost._internal.gateway.pending_call import (
     DeadlinePassedError,
     NotRunError,
     PendingCall,
 )
+from bronzepost._internal.gateway.server_permits import ServerPermits
+from bronzepost._internal.gateway.server_placement import (
+    ServerPlacement,
+    find_max_idle_seconds,
+    find_previous_server,
+)
+from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.exposition import METRICS
 
 MILLISECONDS_PER_SECOND: Final = 1000
 # A request is not sent if less time is left: a round trip to another
 # availability zone takes as long.
 MIN_REMAINING_SECONDS: Final = 0.01
-# For how long a connection that is used again may have been idle. A server may
-# close an idle connection without notice; it is then not known whether a
-# request sent on it has run. Requests that may run only once use connections
-# that are idle for less than the shortest Keep-Alive timeouts, which are a few
-# seconds.
-MAX_IDLE_SECONDS_NON_IDEMPOTENT: Final = 1.0
-MAX_IDLE_SECONDS_IDEMPOTENT: Final = 60.0
-_SALT_BITS: Final = 32
 _BODILESS_METHODS: Final = frozenset((b'GET', b'HEAD', b'DELETE', b'OPTIONS'))
 
 
@@ -61,57 +49,45 @@
         *,
         directory: Directory,
         reports: PeerReports,
+        placement: ServerPlacement,
+        permits: ServerPermits,
         pool: ConnectionPool,
         names: HeaderNames,
-        vm_name: str,
-        availability_zone: str,
     ) -> None:
-        """Choose among the servers of ``directory`` by load and distance."""
+        """Choose servers by ``placement``, and send to them with ``permits``."""
         self._directory = directory
         self._reports = reports
+        self._placement = placement
+        self._permits = permits
         self._pool = pool
         self._names = names
-        self._vm_name = vm_name
-        self._availability_zone = availability_zone
-        # Cached until a server of the service changes.
-        self._subset_by_service: dict[str, Holders] = {}
 
     def choose(self, pending: PendingCall) -> BackendServer | None:
         """Return the server for a request, or None if there is none.
 
+        If the server has a limit, the request has its turn then. All requests to
+        servers pass here.
+
         Raises:
             DeadlinePassedError: if too little time is left to send it.
         """
         if pending.remaining_seconds < MIN_REMAINING_SECONDS:
             raise DeadlinePassedError
-        servers = self._directory.list_servers(pending.service)
-        holders = self._choose_holders(pending, servers)
-        candidates = self._list_candidates(pending, servers, holders)
-        shared_part = pending.call.shared_part
-        context = PlacementContext(
-            availability_zone=self._availability_zone,
-            in_flight={
-                server.server_id: self._reports.count_in_flight(
-                    server.server_id
-                )
-                for server in candidates
-            },
-            previous_server_id=find_previous_server(pending),
-            unshared_tokens=pending.call.unshared_tokens,
-            shared_tokens=shared_part.tokens if shared_part else 0,
-            answer_tokens=self._directory.ratings.find_answer_tokens(
-                pending.service
-            ),
-            holder_ids=holders.server_ids,
-            latency_ratio_by_id=self._directory.ratings.compute_latency_ratios(
-                candidates
-            ),
-            avoided_ids=self._directory.ratings.list_avoided(),
-            connected_ids=self._list_connected(pending, candidates),
-            report_age_seconds=self._reports.max_age_seconds,
-            salt=random.getrandbits(_SALT_BITS),
-        )
-        return choose_server(candidates, context)
+        denied_ids: set[str] = set()
+        while True:  # noqa: WPS457 - each server is denied once
+            blocked_ids = self._permits.list_blocked() - {
+                find_previous_server(pending)
+            }
+            server = self._placement.choose(
+                pending, avoided_ids=blocked_ids, excluded_ids=denied_ids
+            )
+            if server is None or server.server_id in blocked_ids:
+                return self._choose_limited(pending)
+            if self._permits.acquire(
+                server.server_id, find_patience(pending, server)
+            ):
+                return server
+            denied_ids.add(server.server_id)
 
     @contextmanager
     def open_exchange(
@@ -128,13 +104,14 @@
         pending.sends += 1
         METRICS.server_sends.labels(server=server.server_id).inc()
         step = f'forward {pending.call.request_id}'
+        started_at = read_clock()
         with self._count_in_flight(server):
             exchange = BackendExchange(
                 pool=self._pool,
                 connection=self._pool.acquire(
                     server.address,
                     step=step,
-                    max_idle_seconds=self._find_max_idle_seconds(pending),
+                    max_idle_seconds=find_max_idle_seconds(pending),
                 ),
                 request_id=pending.call.request_id.encode('latin-1'),
                 id_header=self._names.request_id,
@@ -147,73 +124,30 @@
                 pending.server_limit = self._read_limit(head)
                 self._check_was_run(head, server, step)
                 yield exchange, head
+                self._directory.ratings.report_exchange(
+                    server.service, read_clock() - started_at
+                )
                 self._record_latency(pending, server)
                 self._record_status(head, server)
 
-    def _list_candidates(
-        self,
-        pending: PendingCall,
-        servers: Sequence[BackendServer],
-        holders: Holders,
-    ) -> Sequence[BackendServer]:
-        excluded_ids = self._list_excluded(pending)
-        candidates = choose_candidates(
-            servers,
-            holders=holders.engines,
-            avoided_ids=self._directory.ratings.list_avoided(),
-            excluded_ids=excluded_ids,
-            key=pending.call.program_id or pending.call.request_id,
-        )
-        previous = self._directory.find_serving(
-            pending.service, find_previous_server(pending)
-        )
-        if previous is None or previous.server_id in excluded_ids:
-            return candidates
-        return (previous, *candidates)
-
-    def _list_excluded(self, pending: PendingCall) -> Set[str]:
-        if pending.stream_version is None:
-            return pending.excluded_ids
-        others = self._directory.list_other_versions(
-            pending.service, pending.stream_version
-        )
-        return pending.excluded_ids | others
-
-    def _choose_holders(
-        self, pending: PendingCall, servers: Sequence[BackendServer]
-    ) -> Holders:
-        shared_part = pending.call.shared_part
-        if shared_part is None:
-            return self._choose_subset(pending.service, servers)
-        return self._directory.prompt_parts.choose_holders(
-            shared_part,
-            servers,
-            self._directory.find_memory_tokens(pending.service),
-        )
-
-    def _choose_subset(
-        self, service: str, servers: Sequence[BackendServer]
-    ) -> Holders:
-        known = self._subset_by_service.get(service)
-        if known is None or known.servers is not servers:
-            subset = choose_subset(
-                servers,
-                vm_name=self._vm_name,
-                availability_zone=self._availability_zone,
+    def _choose_limited(self, pending: PendingCall) -> BackendServer | None:
+        """Return the server at which a request has its turn soon, if any."""
+        patience = find_target_wait(pending)
+        denied_ids: set[str] = set()
+        while True:  # noqa: WPS457 - each server is denied once
+            server = self._placement.choose(
+                pending, avoided_ids=frozenset(), excluded_ids=denied_ids
             )
-            known = Holders(engines=subset, servers=servers)
-            self._subset_by_service[service] = known
-        return known
-
-    def _list_connected(
-        self, pending: PendingCall, candidates: Sequence[BackendServer]
-    ) -> frozenset[str]:
-        max_idle_seconds = self._find_max_idle_seconds(pending)
-        return frozenset(
-            server.server_id
-            for server in candidates
-            if self._pool.has_idle(server.address, max_idle_seconds)
-        )
+            if server is None:
+                pending.limited_seconds = min(
+                    map(self._permits.find_wait, denied_ids), default=None
+                )
+                return None
+            server_id = server.server_id
+            is_soon = self._permits.find_wait(server_id) <= patience
+            if is_soon and self._permits.acquire(server_id, patience):
+                return server
+            denied_ids.add(server_id)
 
     def _record_status(self, head: AnswerHead, server: BackendServer) -> None:
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -232,11 +166,6 @@
                 running=running,
             )
 
-    def _find_max_idle_seconds(self, pending: PendingCall) -> float:
-        if pending.route.kind is RouteKind.IDEMPOTENT:
-            return MAX_IDLE_SECONDS_IDEMPOTENT
-        return MAX_IDLE_SECONDS_NON_IDEMPOTENT
-
     @contextmanager
     def _count_in_flight(self, server: BackendServer) -> Iterator[None]:
         in_flight = self._directory.in_flight_by_id
@@ -257,13 +186,20 @@
         if is_misdirected:
             # Another server answers, so its other headers say nothing of this one.
             self._directory.report_misplaced(server)
-        elif find_header(head.headers, self._names.leaving):
-            self._directory.report_leaving(server)
+        else:
+            self._record_headers(head, server)
         if is_misdirected or find_header(head.headers, self._names.not_run):
             raise NotRunError(
                 f'status {head.status}', step=step, peer=server.address
             )
 
+    def _record_headers(self, head: AnswerHead, server: BackendServer) -> None:
+        self._directory.limits.record_answer(
+            server.server_id, find_headers(head.headers, self._names.limit)
+        )
+        if find_header(head.headers, self._names.leaving):
+            self._directory.report_leaving(server)
+
     def _encode_head(
         self, pending: PendingCall, server: BackendServer
     ) -> bytes:
@@ -297,6 +233,26 @@
 _REPLACED_HEADERS: Final = frozenset((b'content-length', b'expect'))
 
 
-def find_previous_server(pending: PendingCall) -> str:
-    """Return the server of the previous turn of the branch, if it is known."""
-    return pending.turn.reservation.server_id if pending.turn else ''
+def find_patience(pending: PendingCall, server: BackendServer) -> float:
+    """Return the seconds for which a request may wait for its turn at a server.
+
+    Branches that stay at the engine that has cached their prompt wait, rather
+    than have it read again at another one. For others there has to be a turn to
+    spare.
+    """
+    if server.server_id == find_previous_server(pending):
+        return find_target_wait(pending)
+    return -SPARE_SECONDS
+
+
+def find_target_wait(pending: PendingCall) -> float:
+    """Return the seconds until the latency that operators aim for.
+
+    A stream that has begun is broken off without a server, so it has as long
+    once more.
+    """
+    target_seconds = pending.route.target_seconds
+    if pending.events.event_count:
+        return target_seconds
+    elapsed_seconds = read_clock() - pending.started_at
+    return max(target_seconds - elapsed_seconds, 0)
--- a/src/bronzepost/_internal/gateway/server_ratings.py
+++ b/src/bronzepost/_internal/gateway/server_ratings.py
@@ -1,6 +1,7 @@
 """How backend servers have answered this VM: failures, latency, lengths."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from bronzepost._internal.core.gateway import answer_lengths, server_health
 from bronzepost._internal.core.gateway.entities import BackendServer
@@ -12,6 +13,9 @@
 )
 from bronzepost._internal.node.clock import read_clock
 
+# Weight of a new sample in the mean time of a request.
+EXCHANGE_SMOOTHING_FACTOR: Final = 0.05
+
 
 class ServerRatings:
     """Rate backend servers by their answers."""
@@ -21,6 +25,7 @@
         self._health: server_health.HealthTable = {}
         self._latencies = LatencyTable(seconds_by_server={})
         self._answer_lengths: answer_lengths.AnswerLengthTable = {}
+        self._exchange_seconds_by_service: dict[str, float] = {}
 
     def list_avoided(self) -> frozenset[str]:
         """Return the ids of servers to avoid because of recent failures."""
@@ -61,6 +66,17 @@
             self._answer_lengths, service, tokens=tokens
         )
 
+    def find_exchange_seconds(self, service: str) -> float:
+        """Return the mean time of a request at a server of a service."""
+        return self._exchange_seconds_by_service.get(service, 0)
+
+    def report_exchange(self, service: str, seconds: float) -> None:
+        """Record the time of a complete request at a server of a service."""
+        known = self._exchange_seconds_by_service.get(service, seconds)
+        self._exchange_seconds_by_service[service] = known + (
+            EXCHANGE_SMOOTHING_FACTOR * (seconds - known)
+        )
+
     def report_failure(self, server_id: str) -> None:
         """Record a failure; other servers are preferred for some time."""
         self._health = server_health.record_failure(
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -234,6 +234,26 @@
     )
     ALLOWANCE_REFUSED = 8030, INFO, 'The home cannot grant tokens at present.'
     BUDGET_SPENT = 8031, INFO, 'A budget is too small for another turn.'
+    SERVER_LIMITED = (
+        8032,
+        INFO,
+        'A backend server limits its requests a second.',
+    )
+    SERVER_LIMIT_ENDED = (
+        8033,
+        INFO,
+        'A backend server no longer names a limit.',
+    )
+    SERVER_LIMIT_UNREADABLE = (
+        8034,
+        WARNING,
+        'The limit of a backend server is not a number.',
+    )
+    PERMIT_OWNER_SILENT = (
+        8035,
+        WARNING,
+        "The owner of a server's limit did not answer.",
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -18,6 +18,7 @@
     GatewayConfiguration,
     Route,
 )
+from bronzepost._internal.core.membership import Member
 from bronzepost._internal.gateway.backend_connections import ConnectionPool
 from bronzepost._internal.gateway.caller_connections import CallerServer
 from bronzepost._internal.gateway.directory import Directory
@@ -32,8 +33,12 @@
     HttpRequest,
     RequestReader,
 )
+from bronzepost._internal.gateway.lost_members import LostMembers
+from bronzepost._internal.gateway.received_reports import ReceivedReports
 from bronzepost._internal.gateway.server_calls import ServerCalls
-from tests.builders_gateway import make_server
+from bronzepost._internal.gateway.server_permits import ServerPermits
+from bronzepost._internal.gateway.server_placement import ServerPlacement
+from tests.builders_gateway import make_member, make_server
 
 READ_BYTES = 65536
 CALLER_TIMEOUT_SECONDS = 5.0
@@ -166,6 +171,36 @@
         """Return no requests for any server."""
         return 0
 
+    @property
+    def received(self) -> ReceivedReports:
+        """Return no reports."""
+        return ReceivedReports(own_name=NoPeers.own_name)
+
+    def rank_homes(self, _key: str) -> tuple[str, ...]:
+        """Return the only VM."""
+        return (NoPeers.own_name,)
+
+
+class NoPeers:
+    """The fleet of a gateway without peers."""
+
+    own_name = 'hall-a-1'
+
+    def __init__(self) -> None:
+        """Start without lost VMs."""
+        self.lost_members = LostMembers()
+
+    def subscribe(self, _message_type: type, _receive: Any) -> None:
+        """Receive nothing."""
+
+    def list_serving_peers(self) -> tuple[str, ...]:
+        """Return no peers."""
+        return ()
+
+    def list_serving(self) -> tuple[Member, ...]:
+        """Return the only VM."""
+        return (make_member(self.own_name),)
+
 
 class NoPeerStreams:
     """The streams of a gateway without peers; it knows none that resumes."""
@@ -230,6 +265,16 @@
     return b'\r\n'.join(lines)
 
 
+def make_permits(directory: Directory) -> ServerPermits:
+    """Return the permits of a gateway without peers."""
+    return ServerPermits(
+        fleet=NoPeers(),  # type: ignore[arg-type]
+        reports=NoPeerReports(),  # type: ignore[arg-type]
+        calls=None,  # type: ignore[arg-type]
+        directory=directory,
+    )
+
+
 @contextmanager
 def open_gateway(
     route: Route, *backends: ScriptedServer
@@ -252,10 +297,16 @@
         servers=ServerCalls(
             directory=directory,
             reports=NoPeerReports(),  # type: ignore[arg-type]
+            placement=ServerPlacement(
+                directory=directory,
+                reports=NoPeerReports(),  # type: ignore[arg-type]
+                pool=pool,
+                vm_name='hall-a-1',
+                availability_zone='hall-a',
+            ),
+            permits=make_permits(directory),
             pool=pool,
             names=NAMES,
-            vm_name='hall-a-1',
-            availability_zone='hall-a',
         ),
         decode_call=decode_test_call,
     )
