--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -1,6 +1,7 @@
 """Backend servers of a soak: engines and plain services that can fail."""
 
 import random
+import time
 from typing import Any, Final
 
 import gevent
@@ -26,7 +27,8 @@
     With ``refuses`` it answers that requests did not run. With ``loses`` it
     runs them and closes the connection without an answer. With ``breaks`` it
     ends answers too early, in one of several ways. With ``leaves`` it says in
-    its answers that it is leaving.
+    its answers that it is leaving, and it names ``limit`` in them unless that is
+    zero.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         self.loses = False
         self.breaks = False
         self.leaves = False
+        self.limit: float = 0
         self._name = name
         self._starts = 1
         self._observations = observations
@@ -55,6 +58,7 @@
         self._starts += 1
         self.version = version
         self.leaves = False
+        self.limit = 0
         self.link.reset()
 
     def close(self) -> None:
@@ -78,6 +82,9 @@
             return True
         if self.leaves:
             common_headers = b'%bServer-Leaving: 1\r\n' % common_headers
+        if self.limit:
+            limit = b'Server-Limit: %.1f\r\n' % self.limit
+            common_headers += limit
         if self.refuses:
             sock.sendall(
                 b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n'
@@ -90,6 +97,7 @@
             server_id=server_id,
             body=request.body,
             answer=b''.join(blocks),
+            at=time.monotonic(),
         )
         self._observations.record_run(run)
         if self.loses:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Any, Final
@@ -10,12 +11,17 @@
 
 from tests.soak.backends import VERSIONS
 from tests.soak.links import LinkState
+from tests.soak.observations import LimitRecord
 from tests.soak.world import World
 
 # Longer than every timeout of a gateway.
 MAX_FAULT_SECONDS: Final = 6.0
 # Short enough that several faults overlap on average.
 MAX_PAUSE_SECONDS: Final = 1.5
+# In requests a second; an engine of a soak gets more.
+MAX_LIMIT: Final = 8.0
+# Longer than VMs have to learn of a limit.
+MIN_LIMIT_SECONDS: Final = 6.0
 _LINK_STATES: Final = (LinkState.SLOW, LinkState.SILENT, LinkState.ONE_WAY)
 
 Fault = Callable[[World, random.Random], None]
@@ -166,6 +172,24 @@
         world.restart_backend(backend, backend.version)
 
 
+def limit_server(world: World, rng: random.Random) -> None:
+    """Let a backend server name a limit, most often below its load."""
+    backend = rng.choice(world.backends)
+    if backend.limit:
+        return
+    server_id, start = backend.server_id, time.monotonic()
+    backend.limit = round(rng.uniform(0, MAX_LIMIT), 1)
+    rate = backend.limit
+    gevent.sleep(MIN_LIMIT_SECONDS + rng.random() * MAX_FAULT_SECONDS)
+    world.observations.limits.append(
+        LimitRecord(
+            server_id=server_id, rate=rate, start=start, end=time.monotonic()
+        )
+    )
+    if backend.server_id == server_id:
+        backend.limit = 0
+
+
 def lapse_entry(world: World, rng: random.Random) -> None:
     """Remove a backend server from the server list for a while."""
     backend = rng.choice(world.backends)
@@ -198,6 +222,7 @@
         harm_server,
         release,
         leave_server,
+        limit_server,
         lapse_entry,
         change_configuration,
     )
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -24,6 +24,11 @@
 # A VM sends no request that came later than this to a server that has said that
 # it is leaving.
 DRAIN_SECONDS: Final = 2.0
+# By rule, VMs that passed on an answer with a limit this long ago keep to it in
+# each window, from a time after the server first named it.
+TOLD_SECONDS: Final = 0.5
+CALM_SECONDS: Final = 3.0
+LIMIT_WINDOW_SECONDS: Final = 4.0
 # By rule, so many streams may hold events of two versions.
 MAX_MIXED_STREAMS: Final = 2
 
@@ -62,13 +67,25 @@
 class Run:
     """One request that a backend server started to run.
 
-    ``answer`` is the whole answer, even if only a part of it is sent.
+    ``answer`` is the whole answer, even if only a part of it is sent. It arrived
+    ``at``, in monotonic seconds.
     """
 
     request_id: str
     server_id: str
     body: bytes
     answer: bytes
+    at: float = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LimitRecord:
+    """A limit of a server, in requests a second, and when it was named."""
+
+    server_id: str
+    rate: float
+    start: float
+    end: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -116,6 +133,9 @@
     budgets_by_program: dict[str, int] = dataclasses.field(default_factory=dict)
     turn_tokens: int = 0
     violations: list[str] = dataclasses.field(default_factory=list)
+    limits: list[LimitRecord] = dataclasses.field(default_factory=list)
+    # The boots of VMs that were frozen or continued, and when.
+    freezes: list[tuple[str, float]] = dataclasses.field(default_factory=list)
 
     @property
     def attempts(self) -> list[Attempt]:
@@ -139,6 +159,7 @@
             *self._check_budgets(),
             *self._check_streams(),
             *self._check_leaving(),
+            *self._check_limits(),
         ]
 
     def _check_answers(self) -> Iterator[str]:
@@ -185,6 +206,44 @@
                 if sent and told and is_late_for(told, sent):
                     yield f'{run.server_id} is leaving and ran {request_id}'
 
+    def _check_limits(self) -> Iterator[str]:
+        for limit in self.limits:
+            times = sorted(self._list_limited_runs(limit))
+            most = 1.5 * limit.rate * LIMIT_WINDOW_SECONDS + 5
+            for first in times:
+                end = first + LIMIT_WINDOW_SECONDS
+                count = sum(first <= at < end for at in times)
+                if count > most:
+                    yield f'{count} requests in 4 s at {limit}'
+                    break
+
+    def _list_limited_runs(self, limit: LimitRecord) -> Iterator[float]:
+        """Yield the times of runs that have to keep a limit.
+
+        Their VMs have passed on an answer of the server half a second before, and
+        were not frozen in the last seconds.
+        """
+        told_at_by_boot: dict[str, float] = {}
+        runs = [
+            run
+            for runs in self.runs_by_id.values()
+            for run in runs
+            if run.server_id == limit.server_id
+            and limit.start <= run.at < limit.end
+        ]
+        for run in sorted(runs, key=_get_start):
+            attempt = self.attempts_by_id.get(run.request_id)
+            if attempt is None:
+                continue
+            told_at = told_at_by_boot.setdefault(attempt.boot, run.at)
+            is_frozen = any(
+                boot == attempt.boot and run.at - CALM_SECONDS < at < run.at
+                for boot, at in self.freezes
+            )
+            is_in_time = run.at > limit.start + CALM_SECONDS
+            if is_in_time and run.at > told_at + TOLD_SECONDS and not is_frozen:
+                yield run.at
+
     def _check_budgets(self) -> Iterator[str]:
         delivered: collections.Counter[str] = collections.Counter()
         for attempt in self.attempts:
@@ -214,6 +273,10 @@
     return attempt.ended_at
 
 
+def _get_start(run: Run) -> float:
+    return run.at
+
+
 def is_late_for(told: Attempt, attempt: Attempt) -> bool:
     """Return whether an attempt must not reach a server that is leaving.
 
--- a/tests/soak/vms.py
+++ b/tests/soak/vms.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+import time
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final
@@ -38,6 +39,7 @@
         self.boot = ''
         self.is_wanted = False
         self.violations: list[str] = []
+        self.freezes: list[tuple[str, float]] = []
         self._ip = f'{network}.{number}'
         self._network = network
         self._folder = folder
@@ -105,10 +107,12 @@
     def pause(self) -> None:
         """Freeze the process with SIGSTOP."""
         self.pauses += 1
+        self.freezes.append((self.boot, time.monotonic()))
         self._signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Continue a frozen process."""
+        self.freezes.append((self.boot, time.monotonic()))
         self._signal(signal.SIGCONT)
 
     def check(self) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -188,6 +188,7 @@
         for vm in self.vms:
             vm.check()
             self.observations.violations.extend(vm.violations)
+            self.observations.freezes.extend(vm.freezes)
 
     def _make_program(self, *, is_loop: bool = False) -> Program:
         return Program(
