--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -260,6 +260,8 @@
             request=pending.call.request_id,
             server=server.server_id,
             was_sent=getattr(error, 'was_sent', False),
+            fingerprint=pending.fingerprint,
+            events=pending.events.event_count,
             error=error,
         )
 
--- a/src/bronzepost/_internal/gateway/pending_call.py
+++ b/src/bronzepost/_internal/gateway/pending_call.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import xxhash
+
 from bronzepost._internal.core.gateway.entities import CallRequest, Route
 from bronzepost._internal.exceptions import BackendServerError
 from bronzepost._internal.gateway.caller_connections import CallerAnswer
@@ -57,6 +59,20 @@
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     turn: OpenTurn | None = None
 
+    @property
+    def fingerprint(self) -> str:
+        """Return what is the same in all tries of a request, at any VM.
+
+        It is a hash of the method, the target, the program and the body.
+        """
+        request = self.request
+        head = b'%b %b %b ' % (
+            request.method,
+            request.target,
+            self.call.program_id.encode('latin-1'),
+        )
+        return xxhash.xxh3_128_hexdigest(head + request.body)
+
     @property
     def opened_seconds(self) -> float | None:
         """Return the time until the request could be forwarded, if it could."""
