--- a/capacity/measure_gateway_decisions.py
+++ b/capacity/measure_gateway_decisions.py
@@ -17,13 +17,16 @@
 from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.header_names import HeaderNames
 from bronzepost._internal.gateway.server_calls import ServerCalls
-from bronzepost._internal.gateway.server_placement import ServerPlacement
 from tests.builders_gateway import (
     make_pending_call,
     make_route,
     make_servers,
 )
-from tests.builders_gateway_servers import NoPeerReports, make_permits
+from tests.builders_gateway_servers import (
+    NoPeerReports,
+    make_permits,
+    make_suspects,
+)
 from tests.platform.builders_platform import make_large_configuration
 
 from .rows import Point, Row, fit_line, format_points
@@ -90,16 +93,12 @@
     calls = ServerCalls(
         directory=directory,
         reports=NoPeerReports(),  # type: ignore[arg-type]
-        placement=ServerPlacement(
-            directory=directory,
-            reports=NoPeerReports(),  # type: ignore[arg-type]
-            pool=ConnectionPool(),
-            vm_name='hall-a-1',
-            availability_zone='hall-a',
-        ),
         permits=make_permits(directory),
+        suspects=make_suspects(directory),
         pool=ConnectionPool(),
         names=HeaderNames(),
+        vm_name='hall-a-1',
+        availability_zone='hall-a',
     )
     pending = make_pending_call()
     seconds = _time(lambda: calls.choose(pending), DECISIONS)
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -6,6 +6,7 @@
 from bronzepost._internal.core.gateway.entities import (
     BackendServer,
     CallerLimits,
+    EngineShape,
     GatewayConfiguration,
 )
 from bronzepost._internal.core.gateway.route_table import RouteTable
@@ -126,14 +127,12 @@
             if server.version != version
         )
 
-    def find_memory_tokens(self, service_name: str) -> int:
-        """Return the KV cache tokens of a service's engine, 0 if unknown."""
+    def find_engine(self, service_name: str) -> EngineShape:
+        """Return the shape of a service's engines, the default if unknown."""
         if self.configuration is None:
-            return 0
+            return EngineShape()
         service = self.configuration.services_by_name.get(service_name)
-        if service is None or service.engine is None:
-            return 0
-        return service.engine.memory_tokens
+        return (service and service.engine) or EngineShape()
 
     def report_misplaced(self, server: BackendServer) -> None:
         """Stop using a server whose address now belongs to another one.
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -47,6 +47,7 @@
 from bronzepost._internal.gateway.server_calls import ServerCalls
 from bronzepost._internal.gateway.server_placement import find_previous_server
 from bronzepost._internal.gateway.stream_versions import StreamVersions
+from bronzepost._internal.gateway.suspect_requests import SuspectRequests
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.exposition import METRICS
@@ -65,6 +66,7 @@
         programs: ProgramState,
         streams: StreamVersions,
         servers: ServerCalls,
+        suspects: SuspectRequests,
         decode_call: DecodeCall,
     ) -> None:
         """Create a forwarder.
@@ -75,6 +77,7 @@
         self._programs = programs
         self._streams = streams
         self._servers = servers
+        self._suspects = suspects
         self._decode_call = decode_call
         self._retries = RetryBudget()
 
@@ -123,6 +126,7 @@
         )
         try:
             with timeout:
+                self._suspects.check(pending)
                 self._bind_resumed_stream(pending)
                 self._open_turn(pending)
                 pending.opened_at = read_clock()
@@ -133,6 +137,7 @@
             self._record_outcome(pending, 'caller_gone')
             raise
         else:
+            self._suspects.record_run(pending)
             self._record_outcome(pending, 'answered')
         finally:
             self._close_turn(pending)
@@ -146,22 +151,13 @@
 
     def _close_turn(self, pending: PendingCall) -> None:
         if pending.turn is not None:
-            tokens = pending.events.event_count * self._find_tokens_per_event(
-                pending
+            tokens = pending.events.event_count * (
+                self._directory.find_engine(pending.service).tokens_per_event
             )
             self._programs.close_turn(pending.turn, tokens, pending.server_id)
             if pending.answer.is_complete and tokens:
                 self._directory.ratings.report_answer(pending.service, tokens)
 
-    def _find_tokens_per_event(self, pending: PendingCall) -> int:
-        configuration = self._directory.configuration
-        if configuration is None:
-            return 1
-        service = configuration.services_by_name.get(pending.service)
-        if service is None or service.engine is None:
-            return 1
-        return service.engine.tokens_per_event
-
     def _forward(self, pending: PendingCall) -> None:
         if pending.route.kind is RouteKind.IDEMPOTENT:
             hedged_request = HedgedRequest(
@@ -252,6 +248,8 @@
         if isinstance(error, ExchangeError):
             self._directory.ratings.report_failure(server.server_id)
             event = LogEvent.EXCHANGE_BROKEN
+            if error.was_sent:
+                self._suspects.record_break(pending, server)
         METRICS.server_failures.labels(
             server=server.server_id, reason=event.event_name
         ).inc()
@@ -260,7 +258,8 @@
             request=pending.call.request_id,
             server=server.server_id,
             was_sent=getattr(error, 'was_sent', False),
-            fingerprint=pending.fingerprint,
+            fingerprint=pending.fingerprints[0],
+            target_fingerprint=pending.fingerprints[1],
             events=pending.events.event_count,
             error=error,
         )
@@ -268,10 +267,17 @@
     def _refuse_after_deadline(self, pending: PendingCall) -> None:
         run = RunState.UNKNOWN if pending.sends else RunState.NOT_RUN
         if pending.server_id and not pending.answer.is_started:
-            self._directory.ratings.report_failure(pending.server_id)
+            self._record_silence(pending)
         error = refuse_deadline_passed(run)
         self._refuse(pending.call, pending.answer, error, pending.started_at)
 
+    def _record_silence(self, pending: PendingCall) -> None:
+        """Record that a server did not answer in the time of a request."""
+        self._directory.ratings.report_failure(pending.server_id)
+        server = self._directory.servers_by_id.get(pending.server_id)
+        if server is not None:
+            self._suspects.record_break(pending, server)
+
     def _refuse(
         self,
         call: CallRequest,
--- a/src/bronzepost/_internal/gateway/hedging.py
+++ b/src/bronzepost/_internal/gateway/hedging.py
@@ -15,7 +15,7 @@
 
 from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.core.retry_budget import RetryBudget
-from bronzepost._internal.exceptions import ExchangeError
+from bronzepost._internal.exceptions import ExchangeError, RefusedError
 from bronzepost._internal.gateway.backend_exchange import BackendExchange
 from bronzepost._internal.gateway.caller_connections import CallerGoneError
 from bronzepost._internal.gateway.delivery import (
@@ -153,10 +153,8 @@
         )
 
     def _start_attempt(self) -> bool:
-        server = self._servers.choose(self._pending)
+        server = self._choose_server()
         if server is None:
-            if not self._attempts:
-                raise refuse_no_server(self._pending)
             return False
         self._pending.runs += 1
         self._attempts.append(gevent.spawn(self._run_attempt, server))
@@ -165,6 +163,18 @@
         gevent.sleep(0)
         return True
 
+    def _choose_server(self) -> BackendServer | None:
+        try:
+            server = self._servers.choose(self._pending)
+        except RefusedError:
+            # An attempt that is running may still answer.
+            if not self._attempts:
+                raise
+            return None
+        if server is None and not self._attempts:
+            raise refuse_no_server(self._pending)
+        return server
+
     def _run_attempt(self, server: BackendServer) -> None:
         try:
             with self._servers.open_exchange(self._pending, server) as opened:
--- a/src/bronzepost/_internal/gateway/messages.py
+++ b/src/bronzepost/_internal/gateway/messages.py
@@ -3,6 +3,11 @@
 import msgspec
 
 from bronzepost._internal.core.membership import Ack, Ping, PingRequest
+from bronzepost._internal.gateway.message_parts import (
+    BrokenRequest,
+    Fingerprints,
+    NamedLimit,
+)
 from bronzepost._internal.node.envelopes import Envelope, EnvelopeCodec
 
 
@@ -184,31 +189,20 @@
     version: str = ''
 
 
-class NamedLimit(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """The limit of a backend server, in requests a second of all VMs.
-
-    An answer of the server has named or, if ``is_ended``, no longer named it
-    ``age_seconds`` ago.
-    """
-
-    rate: float
-    age_seconds: float
-    is_ended: bool = False
-
-
 class RequestPermit(
     msgspec.Struct, frozen=True, kw_only=True, tag='request_permit'
 ):
     """Ask the owner of a server's limit for a turn of one request.
 
     ``limit`` is what the sender knows of it. The turn has to come within
-    ``max_wait_seconds``.
+    ``max_wait_seconds``. Without a ``limit`` the turns are those of suspects of
+    the service ``key``.
     """
 
     call_id: int
-    server_id: str
-    limit: NamedLimit
+    key: str
     max_wait_seconds: float
+    limit: NamedLimit | None = None
 
 
 class PermitDecided(
@@ -226,6 +220,18 @@
     wait_seconds: float = 0
 
 
+class CrashNews(msgspec.Struct, frozen=True, kw_only=True, tag='crash_news'):
+    """What a VM has learned of servers that may have crashed and their requests.
+
+    ``run`` has the fingerprints of requests that ran well, and ``alive`` the servers
+    that answered, both with the seconds since then.
+    """
+
+    broken: tuple[BrokenRequest, ...] = ()
+    run: tuple[tuple[Fingerprints, float], ...] = ()
+    alive: tuple[tuple[str, float], ...] = ()
+
+
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag='load_report'):
     """The load and the state of a gateway process.
 
@@ -300,6 +306,7 @@
     | _TurnMessage
     | _StreamMessage
     | _PermitMessage
+    | CrashNews
     | _StateMessage
 )
 
--- a/src/bronzepost/_internal/gateway/pending_call.py
+++ b/src/bronzepost/_internal/gateway/pending_call.py
@@ -60,18 +60,17 @@
     turn: OpenTurn | None = None
 
     @property
-    def fingerprint(self) -> str:
+    def fingerprints(self) -> tuple[str, str]:
         """Return what is the same in all tries of a request, at any VM.
 
-        It is a hash of the method, the target, the program and the body.
+        They are hashes of the target, with the body and without it. Programs and
+        sessions are left out, since a caller may begin anew with the same request.
         """
-        request = self.request
-        head = b'%b %b %b ' % (
-            request.method,
-            request.target,
-            self.call.program_id.encode('latin-1'),
+        target = b'%b %b ' % (self.request.method, self.request.target)
+        return (
+            xxhash.xxh3_64_hexdigest(target + self.request.body),
+            xxhash.xxh3_64_hexdigest(target),
         )
-        return xxhash.xxh3_128_hexdigest(head + request.body)
 
     @property
     def opened_seconds(self) -> float | None:
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -24,10 +24,10 @@
 from bronzepost._internal.gateway.registry import Registry, RegistryFollower
 from bronzepost._internal.gateway.server_calls import ServerCalls
 from bronzepost._internal.gateway.server_permits import ServerPermits
-from bronzepost._internal.gateway.server_placement import ServerPlacement
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.gateway.snapshots import SnapshotExchange
 from bronzepost._internal.gateway.stream_versions import StreamVersions
+from bronzepost._internal.gateway.suspect_requests import SuspectRequests
 from bronzepost._internal.gateway.turn_keeper import TurnKeeper
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
@@ -87,6 +87,9 @@
             calls=calls,
             directory=self.directory,
         )
+        self._suspects = SuspectRequests(
+            fleet=self.fleet, directory=self.directory
+        )
         self.forwarder = Forwarder(
             directory=self.directory,
             programs=ProgramState(budgets=self.budgets, turns=self.turns),
@@ -94,22 +97,19 @@
             servers=ServerCalls(
                 directory=self.directory,
                 reports=self.reports,
-                placement=ServerPlacement(
-                    directory=self.directory,
-                    reports=self.reports,
-                    pool=pool,
-                    vm_name=settings.name,
-                    availability_zone=settings.availability_zone,
-                ),
                 permits=ServerPermits(
                     fleet=self.fleet,
                     reports=self.reports,
                     calls=calls,
                     directory=self.directory,
                 ),
+                suspects=self._suspects,
                 pool=pool,
                 names=names,
+                vm_name=settings.name,
+                availability_zone=settings.availability_zone,
             ),
+            suspects=self._suspects,
             decode_call=decode_call,
         )
         self.callers = CallerServer(
@@ -148,6 +148,7 @@
             'routes_version': directory.version,
             'backend_servers': len(directory.servers_by_id),
             'servers_limited': directory.limits.count(),
+            'deadly_requests': self._suspects.count(),
             'members': len(self.fleet.list_serving()),
             'store_away': float(self.follower.is_store_lost),
             'requests_under_way': self.callers.count_busy(),
@@ -174,6 +175,7 @@
             self.budgets,
             self.turns,
             self.streams,
+            self._suspects,
             self.snapshots,
             self.callers,
         )
--- a/src/bronzepost/_internal/gateway/refusals.py
+++ b/src/bronzepost/_internal/gateway/refusals.py
@@ -4,6 +4,9 @@
 from http import HTTPStatus
 from typing import Final
 
+from bronzepost._internal.core.gateway.crash_suspects import (
+    RETENTION_SECONDS,
+)
 from bronzepost._internal.exceptions import (
     ExchangeError,
     RefusedError,
@@ -13,6 +16,8 @@
 
 # Sent when the time until a server is available is not known.
 DEFAULT_RETRY_AFTER_SECONDS: Final = 0.25
+# Servers that crashed are back after some seconds.
+SUSPECT_RETRY_AFTER_SECONDS: Final = 0.5
 # By then the first configuration should have arrived.
 STARTING_RETRY_AFTER_SECONDS: Final = 0.5
 
@@ -70,6 +75,39 @@
     )
 
 
+def refuse_deadly(pending: PendingCall) -> RefusedError:
+    """Return the error for a request that crashes the servers that run it."""
+    error = RefusedError(
+        f'backend servers of {pending.service} crash under this request',
+        code='deadly_request',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='choose backend server',
+        retry_after_seconds=RETENTION_SECONDS,
+    )
+    return state_run(error, pending)
+
+
+def refuse_suspect(pending: PendingCall) -> RefusedError:
+    """Return the error for a suspect that has to wait until servers are back."""
+    error = RefusedError(
+        f'a backend server of {pending.service} crashed under this request, and'
+        ' it may not run now',
+        code='suspect_request',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='choose backend server',
+        retry_after_seconds=SUSPECT_RETRY_AFTER_SECONDS * (1 + random.random()),
+    )
+    return state_run(error, pending)
+
+
+def state_run(error: RefusedError, pending: PendingCall) -> RefusedError:
+    """Change a refusal of a request that may have run; it then promises nothing."""
+    if pending.runs:
+        error.status = HTTPStatus.BAD_GATEWAY
+        error.run = RunState.UNKNOWN
+    return error
+
+
 def refuse_unknown_stream() -> RefusedError:
     """Return the error for a stream that may not go on at any server.
 
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -25,12 +25,14 @@
     NotRunError,
     PendingCall,
 )
+from bronzepost._internal.gateway.refusals import refuse_suspect
 from bronzepost._internal.gateway.server_permits import ServerPermits
 from bronzepost._internal.gateway.server_placement import (
     ServerPlacement,
     find_max_idle_seconds,
     find_previous_server,
 )
+from bronzepost._internal.gateway.suspect_requests import SuspectRequests
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.exposition import METRICS
 
@@ -38,6 +40,8 @@
 # A request is not sent if less time is left: a round trip to another
 # availability zone takes as long.
 MIN_REMAINING_SECONDS: Final = 0.01
+# The share of its remaining time for which a suspect waits for its turn.
+MAX_SUSPECT_WAIT_SHARE: Final = 0.3
 _BODILESS_METHODS: Final = frozenset((b'GET', b'HEAD', b'DELETE', b'OPTIONS'))
 
 
@@ -49,16 +53,28 @@
         *,
         directory: Directory,
         reports: PeerReports,
-        placement: ServerPlacement,
         permits: ServerPermits,
+        suspects: SuspectRequests,
         pool: ConnectionPool,
         names: HeaderNames,
+        vm_name: str,
+        availability_zone: str,
     ) -> None:
-        """Choose servers by ``placement``, and send to them with ``permits``."""
+        """Choose among the servers of ``directory``.
+
+        ``permits`` and ``suspects`` say which requests may run.
+        """
         self._directory = directory
         self._reports = reports
-        self._placement = placement
+        self._placement = ServerPlacement(
+            directory=directory,
+            reports=reports,
+            pool=pool,
+            vm_name=vm_name,
+            availability_zone=availability_zone,
+        )
         self._permits = permits
+        self._suspects = suspects
         self._pool = pool
         self._names = names
 
@@ -70,16 +86,23 @@
 
         Raises:
             DeadlinePassedError: if too little time is left to send it.
+            RefusedError: if it may crash the server, and must not run now.
         """
         if pending.remaining_seconds < MIN_REMAINING_SECONDS:
             raise DeadlinePassedError
+        self._suspects.check(pending)
+        if self._suspects.is_suspect(pending):
+            return self._choose_isolated(pending)
+        isolated_ids = self._suspects.list_avoided(pending.service)
         denied_ids: set[str] = set()
         while True:  # noqa: WPS457 - each server is denied once
             blocked_ids = self._permits.list_blocked() - {
                 find_previous_server(pending)
             }
             server = self._placement.choose(
-                pending, avoided_ids=blocked_ids, excluded_ids=denied_ids
+                pending,
+                avoided_ids=blocked_ids | isolated_ids,
+                excluded_ids=denied_ids,
             )
             if server is None or server.server_id in blocked_ids:
                 return self._choose_limited(pending)
@@ -123,6 +146,7 @@
                 pending.framing = head.framing
                 pending.server_limit = self._read_limit(head)
                 self._check_was_run(head, server, step)
+                self._suspects.record_answer(server, sent_at=started_at)
                 yield exchange, head
                 self._directory.ratings.report_exchange(
                     server.service, read_clock() - started_at
@@ -130,6 +154,23 @@
                 self._record_latency(pending, server)
                 self._record_status(head, server)
 
+    def _choose_isolated(self, pending: PendingCall) -> BackendServer:
+        """Return the server for a request that may crash it.
+
+        Suspects begin to run one after the other, at a server without others.
+        """
+        max_wait_seconds = pending.remaining_seconds * MAX_SUSPECT_WAIT_SHARE
+        if not self._permits.acquire_suspect(pending.service, max_wait_seconds):
+            raise refuse_suspect(pending)
+        # Another suspect may have crashed the server in the meantime.
+        self._suspects.check(pending)
+        server = self._suspects.find_isolated(pending.service)
+        if server is None or server.server_id in pending.excluded_ids:
+            raise refuse_suspect(pending)
+        if not self._permits.acquire(server.server_id, max_wait_seconds):
+            raise refuse_suspect(pending)
+        return server
+
     def _choose_limited(self, pending: PendingCall) -> BackendServer | None:
         """Return the server at which a request has its turn soon, if any."""
         patience = find_target_wait(pending)
--- a/src/bronzepost/_internal/gateway/server_permits.py
+++ b/src/bronzepost/_internal/gateway/server_permits.py
@@ -33,6 +33,9 @@
 # After the first owner is found silent, the next one is asked. Further ones would
 # cost the request more time than a turn of this VM's own share.
 MAX_OWNERS_ASKED: Final = 2
+# One suspect begins to run in this time, and one that crashes its server has done
+# so before the next one.
+SUSPECTS_PER_SECOND: Final = 6.0
 # Waits that are shorter are below the precision of the loop's timers.
 _MIN_SLEEP_SECONDS: Final = 0.001
 
@@ -53,9 +56,9 @@
         self._reports = reports
         self._calls = calls
         self._limits = directory.limits
-        self._paces_by_id: dict[str, Pace] = {}
-        self._own_paces_by_id: dict[str, Pace] = {}
-        self._blocked_until_by_id: dict[str, float] = {}
+        self._paces_by_key: dict[str, Pace] = {}
+        self._own_paces_by_key: dict[str, Pace] = {}
+        self._blocked_until_by_key: dict[str, float] = {}
         fleet.subscribe(RequestPermit, self._answer)
 
     def acquire(self, server_id: str, max_wait_seconds: float) -> bool:
@@ -63,44 +66,55 @@
 
         Without one, the server is blocked for this VM until it may ask again.
         """
-        rate = self._limits.find_rate(server_id)
-        if math.isinf(rate):
+        if math.isinf(self._limits.find_rate(server_id)):
             return True
-        decision = self._ask_owners(server_id, max_wait_seconds)
-        if not decision.is_granted:
-            self._blocked_until_by_id[server_id] = (
-                read_clock() + decision.wait_seconds
+        request = RequestPermit(
+            call_id=0,
+            key=server_id,
+            max_wait_seconds=max_wait_seconds,
+            limit=self._limits.describe(server_id),
+        )
+        return self._wait_for_turn(request)
+
+    def acquire_suspect(self, service: str, max_wait_seconds: float) -> bool:
+        """Wait for a turn of a suspect of a service; return whether there is one.
+
+        One that crashes its server has then begun to run by itself.
+        """
+        return self._wait_for_turn(
+            RequestPermit(
+                call_id=0, key=service, max_wait_seconds=max_wait_seconds
             )
-            return False
-        if decision.wait_seconds > _MIN_SLEEP_SECONDS:
-            gevent.sleep(decision.wait_seconds)
-        return True
+        )
 
     def list_blocked(self) -> frozenset[str]:
         """Return the ids of servers that this VM may not ask for again yet."""
         now = read_clock()
         return frozenset(
             server_id
-            for server_id, until in self._blocked_until_by_id.items()
+            for server_id, until in self._blocked_until_by_key.items()
             if until > now
         )
 
     def find_wait(self, server_id: str) -> float:
         """Return the seconds until this VM may ask for a server again."""
-        until = self._blocked_until_by_id.get(server_id, 0)
+        until = self._blocked_until_by_key.get(server_id, 0)
         return max(until - read_clock(), 0)
 
-    def _ask_owners(
-        self, server_id: str, max_wait_seconds: float
-    ) -> PermitDecided:
-        request = RequestPermit(
-            call_id=0,
-            server_id=server_id,
-            limit=self._limits.describe(server_id),
-            max_wait_seconds=max_wait_seconds,
-        )
+    def _wait_for_turn(self, request: RequestPermit) -> bool:
+        decision = self._ask_owners(request)
+        if not decision.is_granted:
+            self._blocked_until_by_key[request.key] = (
+                read_clock() + decision.wait_seconds
+            )
+            return False
+        if decision.wait_seconds > _MIN_SLEEP_SECONDS:
+            gevent.sleep(decision.wait_seconds)
+        return True
+
+    def _ask_owners(self, request: RequestPermit) -> PermitDecided:
         for _ in range(MAX_OWNERS_ASKED):
-            owner = self._find_owner(server_id)
+            owner = self._find_owner(request.key)
             if owner == self._fleet.own_name:
                 return self._decide(request)
             answer = self._calls.ask(
@@ -109,16 +123,17 @@
             if answer is not None:
                 return answer if answer.is_owner else self._use_share(request)
             self._reports.mark_silent(owner)
-            emit(LogEvent.PERMIT_OWNER_SILENT, server=server_id, member=owner)
+            emit(LogEvent.PERMIT_OWNER_SILENT, key=request.key, member=owner)
         return self._use_share(request)
 
-    def _find_owner(self, server_id: str) -> str:
-        return next(iter(self._reports.rank_homes(f'limits-{server_id}')), '')
+    def _find_owner(self, key: str) -> str:
+        return next(iter(self._reports.rank_homes(f'limits-{key}')), '')
 
     def _answer(self, sender: str, request: RequestPermit) -> None:
-        self._limits.receive(request.server_id, request.limit, sender)
+        if request.limit is not None:
+            self._limits.receive(request.key, request.limit, sender)
         decision = PermitDecided(call_id=request.call_id, is_owner=False)
-        if self._find_owner(request.server_id) == self._fleet.own_name:
+        if self._find_owner(request.key) == self._fleet.own_name:
             decision = self._decide(request)
         self._fleet.send(sender, decision)
 
@@ -126,11 +141,11 @@
         names = [member.name for member in self._fleet.list_serving()]
         heard = len(names) - len(self._reports.received.list_silent(names))
         share = max(heard, 1) / self._count_vms()
-        return self._take_turn(request, self._paces_by_id, share)
+        return self._take_turn(request, self._paces_by_key, share)
 
     def _use_share(self, request: RequestPermit) -> PermitDecided:
         share = 1 / self._count_vms()
-        return self._take_turn(request, self._own_paces_by_id, share)
+        return self._take_turn(request, self._own_paces_by_key, share)
 
     def _count_vms(self) -> int:
         """Return the number of VMs that may send, also of those lost lately."""
@@ -138,18 +153,24 @@
         return 1 + others + self._fleet.lost_members.count()
 
     def _take_turn(
-        self, request: RequestPermit, paces_by_id: dict[str, Pace], share: float
+        self,
+        request: RequestPermit,
+        paces_by_key: dict[str, Pace],
+        share: float,
     ) -> PermitDecided:
         now = read_clock()
-        rate = share * self._limits.find_rate(request.server_id)
-        known = paces_by_id.get(request.server_id)
+        rate = SUSPECTS_PER_SECOND
+        if request.limit is not None:
+            rate = self._limits.find_rate(request.key)
+        rate *= share
+        known = paces_by_key.get(request.key)
         decision = take_turn(
             known or start_pace(rate=rate, at=now),
             rate=rate,
             at=now,
             max_wait_seconds=request.max_wait_seconds,
         )
-        paces_by_id[request.server_id] = decision.pace
+        paces_by_key[request.key] = decision.pace
         return PermitDecided(
             call_id=request.call_id,
             is_owner=True,
--- a/src/bronzepost/_internal/gateway/server_placement.py
+++ b/src/bronzepost/_internal/gateway/server_placement.py
@@ -157,7 +157,7 @@
         return self._directory.prompt_parts.choose_holders(
             shared_part,
             servers,
-            self._directory.find_memory_tokens(pending.service),
+            self._directory.find_engine(pending.service).memory_tokens,
         )
 
     def _choose_subset(
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/suspect_requests.py
@@ -0,0 +1,160 @@
+"""Which requests may crash backend servers, and where they may run."""
+
+from collections.abc import Callable
+from typing import Final
+
+from bronzepost._internal.core.gateway import crash_suspects as rules
+from bronzepost._internal.core.gateway.entities import BackendServer
+from bronzepost._internal.core.rendezvous import first_members
+from bronzepost._internal.gateway.crash_news import CrashExchange
+from bronzepost._internal.gateway.directory import Directory
+from bronzepost._internal.gateway.fleet import Fleet
+from bronzepost._internal.gateway.message_parts import BrokenRequest
+from bronzepost._internal.gateway.pending_call import PendingCall
+from bronzepost._internal.gateway.refusals import refuse_deadly
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
+
+# A server whose requests broke off counts as crashed for this long, unless it
+# answers. Servers that restart need some seconds, and have another id then.
+DOWN_SECONDS: Final = 5.0
+# Suspects run while at most this share of the servers is down, or one of them.
+MAX_DOWN_SHARE: Final = 0.25
+
+
+class SuspectRequests:
+    """Decide from the crashes that all VMs have seen."""
+
+    def __init__(self, *, fleet: Fleet, directory: Directory) -> None:
+        """Share crashes with ``fleet``, and decide on servers of ``directory``."""
+        self._crashes = CrashExchange(fleet=fleet)
+        self._directory = directory
+        # Deadly requests that are in the log.
+        self._logged: set[str] = set()
+
+    def start(self) -> None:
+        """Start to tell other VMs of crashes."""
+        self._crashes.start()
+
+    def count(self) -> int:
+        """Return the number of deadly requests that came to this VM lately."""
+        exact, _ = self._crashes.tables
+        self._logged = {
+            request
+            for request in self._logged
+            if rules.list_crashes(exact, request)
+        }
+        return len(self._logged)
+
+    def record_break(self, pending: PendingCall, server: BackendServer) -> None:
+        """Record that a request broke off at a server that may have crashed."""
+        has_started = pending.events.event_count > 0
+        self._crashes.record_break(
+            BrokenRequest(
+                server=name_incarnation(server),
+                fingerprints=pending.fingerprints,
+                weight=rules.STARTED_WEIGHT if has_started else 1,
+                age_seconds=0,
+            )
+        )
+
+    def record_run(self, pending: PendingCall) -> None:
+        """Record that a request ran to its end."""
+        if self._crashes.has_crashes:
+            self._crashes.record_run(pending.fingerprints)
+
+    def record_answer(self, server: BackendServer, *, sent_at: float) -> None:
+        """Record that a server answered a request that was sent at a time."""
+        self._crashes.record_answer(name_incarnation(server), sent_at=sent_at)
+
+    def check(self, pending: PendingCall) -> None:
+        """Refuse a request that crashes servers.
+
+        Raises:
+            RefusedError: if it does; it also says whether it has run now.
+        """
+        if self._has_any(pending, rules.is_deadly):
+            self._log_verdict(pending)
+            raise refuse_deadly(pending)
+
+    def is_suspect(self, pending: PendingCall) -> bool:
+        """Return whether a request may have crashed a server."""
+        return self._has_any(pending, rules.is_suspect)
+
+    def find_isolated(self, service: str) -> BackendServer | None:
+        """Return the server at which suspects run, if they may run now.
+
+        It is the same at all VMs that know the same servers and crashes.
+        """
+        servers = self._directory.list_servers(service)
+        up_by_id = {
+            server.server_id: server
+            for server in servers
+            if not self._is_down(server)
+        }
+        down = len(servers) - len(up_by_id)
+        if down > max(MAX_DOWN_SHARE * len(servers), 1):
+            return None
+        chosen = first_members(up_by_id, f'suspects-{service}', 1)
+        return up_by_id[chosen[0]] if chosen else None
+
+    def list_avoided(self, service: str) -> frozenset[str]:
+        """Return the servers that are down, and the one that runs suspects.
+
+        Other requests avoid them. Empty without a crash in the last seconds.
+        """
+        if not self._crashes.has_crashes:
+            return frozenset()
+        servers = self._directory.list_servers(service)
+        avoided = {
+            server.server_id for server in servers if self._is_down(server)
+        }
+        isolated = self.find_isolated(service) if avoided else None
+        if isolated is not None and len(servers) > len(avoided) + 1:
+            avoided.add(isolated.server_id)
+        return frozenset(avoided)
+
+    def _has_any(
+        self,
+        pending: PendingCall,
+        judge: Callable[[rules.CrashTable, str], bool],
+    ) -> bool:
+        return self._crashes.has_crashes and any(
+            judge(table, request)
+            for table, request in zip(
+                self._crashes.tables, pending.fingerprints, strict=True
+            )
+        )
+
+    def _is_down(self, server: BackendServer) -> bool:
+        exact, _ = self._crashes.tables
+        breaks = exact.breaks_by_server.get(name_incarnation(server), {})
+        since = read_clock() - DOWN_SECONDS
+        return any(
+            found.at > since and found.weight > rules.STARTED_WEIGHT
+            for found in breaks.values()
+        )
+
+    def _log_verdict(self, pending: PendingCall) -> None:
+        request, target = pending.fingerprints
+        if request in self._logged:
+            return
+        self._logged.add(request)
+        exact, by_target = self._crashes.tables
+        emit(
+            LogEvent.REQUEST_DEADLY,
+            request=pending.call.request_id,
+            program=pending.call.program_id,
+            fingerprint=request,
+            target_fingerprint=target,
+            crashes=len(rules.list_crashes(exact, request)),
+            blame=round(rules.compute_blame(exact, request), 2),
+            target_crashes=len(rules.list_crashes(by_target, target)),
+            target_blame=round(rules.compute_blame(by_target, target), 2),
+        )
+
+
+def name_incarnation(server: BackendServer) -> str:
+    """Return a name of a server that differs for each of its starts."""
+    return f'{server.server_id}/{server.born}'
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -254,6 +254,11 @@
         WARNING,
         "The owner of a server's limit did not answer.",
     )
+    REQUEST_DEADLY = (
+        8036,
+        WARNING,
+        'A request crashes backend servers and is refused.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -37,7 +37,7 @@
 from bronzepost._internal.gateway.received_reports import ReceivedReports
 from bronzepost._internal.gateway.server_calls import ServerCalls
 from bronzepost._internal.gateway.server_permits import ServerPermits
-from bronzepost._internal.gateway.server_placement import ServerPlacement
+from bronzepost._internal.gateway.suspect_requests import SuspectRequests
 from tests.builders_gateway import make_member, make_server
 
 READ_BYTES = 65536
@@ -197,6 +197,10 @@
         """Return no peers."""
         return ()
 
+    def list_live_peers(self) -> tuple[str, ...]:
+        """Return no peers."""
+        return ()
+
     def list_serving(self) -> tuple[Member, ...]:
         """Return the only VM."""
         return (make_member(self.own_name),)
@@ -275,6 +279,14 @@
     )
 
 
+def make_suspects(directory: Directory) -> SuspectRequests:
+    """Return the suspect requests of a gateway without peers."""
+    return SuspectRequests(
+        fleet=NoPeers(),  # type: ignore[arg-type]
+        directory=directory,
+    )
+
+
 @contextmanager
 def open_gateway(
     route: Route, *backends: ScriptedServer
@@ -290,6 +302,7 @@
     directory.put_servers([
         _register(number, backend) for number, backend in enumerate(backends)
     ])
+    suspects = make_suspects(directory)
     forwarder = Forwarder(
         directory=directory,
         programs=None,  # type: ignore[arg-type]
@@ -297,17 +310,14 @@
         servers=ServerCalls(
             directory=directory,
             reports=NoPeerReports(),  # type: ignore[arg-type]
-            placement=ServerPlacement(
-                directory=directory,
-                reports=NoPeerReports(),  # type: ignore[arg-type]
-                pool=pool,
-                vm_name='hall-a-1',
-                availability_zone='hall-a',
-            ),
             permits=make_permits(directory),
+            suspects=suspects,
             pool=pool,
             names=NAMES,
+            vm_name='hall-a-1',
+            availability_zone='hall-a',
         ),
+        suspects=suspects,
         decode_call=decode_test_call,
     )
     port = _find_port()
