--- a/src/bronzepost/_internal/gateway/crash_news.py
+++ b/src/bronzepost/_internal/gateway/crash_news.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 import gevent
+import msgspec
 
 from bronzepost._internal.core.gateway.crash_suspects import (
     Break,
@@ -20,6 +21,7 @@
     record_break,
     record_run,
 )
+from bronzepost._internal.core.gateway.recent_runs import RecentRuns
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.message_parts import (
@@ -49,6 +51,7 @@
         """Exchange news with the members of ``fleet``."""
         self.tables = (CrashTable(), CrashTable())
         self._fleet = fleet
+        self._recent = RecentRuns()
         self._news: CrashNews | None = None
         fleet.subscribe(CrashNews, self._receive)
 
@@ -63,11 +66,14 @@
 
     def record_break(self, broken: BrokenRequest) -> None:
         """Record a request that broke off, and tell the others."""
+        news = CrashNews(broken=(self._drop_recent(broken),))
         if self._apply_break(broken):
-            self._add_news(CrashNews(broken=(broken,)))
+            self._add_news(news)
 
     def record_run(self, fingerprints: Fingerprints) -> None:
         """Record a request that ran well; tell the others if it was a suspect."""
+        for request in fingerprints:
+            self._recent.add(request, at=read_clock())
         if self._apply_run(fingerprints, at=read_clock()):
             self._add_news(CrashNews(run=((fingerprints, 0),)))
 
@@ -131,15 +137,26 @@
         for broken in news.broken:
             self._apply_break(broken)
 
+    def _drop_recent(self, broken: BrokenRequest) -> BrokenRequest:
+        """Return a break without the fingerprints that ran well lately.
+
+        VMs that have just started do not know of such runs.
+        """
+        at = read_clock() - broken.age_seconds
+        exact, target = (
+            '' if self._recent.has(request, at=at) else request
+            for request in broken.fingerprints
+        )
+        return msgspec.structs.replace(broken, fingerprints=(exact, target))
+
     def _apply_break(self, broken: BrokenRequest) -> bool:
         found = Break(
             at=read_clock() - broken.age_seconds, weight=broken.weight
         )
+        fingerprints = self._drop_recent(broken).fingerprints
         return any([
             record_break(table, broken.server, request, found)
-            for table, request in zip(
-                self.tables, broken.fingerprints, strict=True
-            )
+            for table, request in zip(self.tables, fingerprints, strict=True)
             if request
         ])
 
--- a/src/bronzepost/_internal/gateway/suspect_requests.py
+++ b/src/bronzepost/_internal/gateway/suspect_requests.py
@@ -61,8 +61,7 @@
 
     def record_run(self, pending: PendingCall) -> None:
         """Record that a request ran to its end."""
-        if self._crashes.has_crashes:
-            self._crashes.record_run(pending.fingerprints)
+        self._crashes.record_run(pending.fingerprints)
 
     def record_answer(self, server: BackendServer, *, sent_at: float) -> None:
         """Record that a server answered a request that was sent at a time."""
--- a/tests/unit/test_gateway_crash_suspects.py
+++ b/tests/unit/test_gateway_crash_suspects.py
@@ -25,6 +25,11 @@
     record_run,
 )
 from bronzepost._internal.core.gateway.entities import BackendServer, RouteKind
+from bronzepost._internal.core.gateway.recent_runs import (
+    MAX_RECENT,
+    RECENT_SECONDS,
+    RecentRuns,
+)
 from bronzepost._internal.exceptions import RefusedError, RunState
 from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.http_messages import HttpRequest
@@ -194,6 +199,18 @@
         )
 
 
+class TestRecentRuns(testtools.TestCase):
+    """A VM remembers for a short time what ran well."""
+
+    def test_memory_is_bounded(self) -> None:
+        recent = RecentRuns()
+        for number in range(MAX_RECENT + 1):
+            recent.add(f'q-{number}', at=START)
+        self.assertFalse(recent.has('q-0', at=START))
+        self.assertTrue(recent.has('q-1', at=START))
+        self.assertFalse(recent.has('q-1', at=START + RECENT_SECONDS))
+
+
 class SuspectVm(MemoryVm):
     """A VM with the part of a gateway that knows suspects."""
 
@@ -285,6 +302,21 @@
             self.is_refused(self.vms[3], make_deadly(body=b'other'))
         )
 
+    def test_request_that_ran_well_lately_is_no_suspect(self) -> None:
+        """Guard against refusing what many callers send, all of it at once."""
+        for vm in self.vms:
+            vm.suspects.record_run(make_deadly())
+        for number, vm in enumerate(self.vms[:2]):
+            self.break_off(vm, make_deadly(), self.servers[number])
+        self.assertFalse(self.is_refused(self.vms[3], make_deadly()))
+        started = self.start_vm('vm-9')
+        self.vms[3].suspects._crashes._repeat()
+        self.assertFalse(self.is_refused(started, make_deadly()))
+        self.now += RECENT_SECONDS + 1
+        for number, vm in enumerate(self.vms[:2]):
+            self.break_off(vm, make_deadly(), self.servers[number])
+        self.assertTrue(self.is_refused(self.vms[3], make_deadly()))
+
     def test_vm_that_starts_learns_of_crashes(self) -> None:
         """Guard against a restart after which a deadly request runs again."""
         for number, vm in enumerate(self.vms[:2]):
