--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from typing import Any, Final
 
 import gevent
@@ -15,6 +16,8 @@
 MAX_EVENTS: Final = 4
 EVENT_INTERVAL_SECONDS: Final = 0.02
 PLAIN_ANSWER_SECONDS: Final = 0.01
+# The begin of the body of requests that crash servers.
+DEADLY: Final = b'deadly '
 VERSIONS: Final = ('v1', 'v2')
 # The path and the body of streams, which have no history: the text of the events
 # and their number.
@@ -28,11 +31,16 @@
     runs them and closes the connection without an answer. With ``breaks`` it
     ends answers too early, in one of several ways. With ``leaves`` it says in
     its answers that it is leaving, and it names ``limit`` in them unless that is
-    zero.
+    zero. It calls ``crash`` when it begins to run a deadly request.
     """
 
     def __init__(
-        self, *, name: str, service: str, observations: Observations
+        self,
+        *,
+        name: str,
+        service: str,
+        observations: Observations,
+        crash: Callable[['Backend'], None],
     ) -> None:
         """Listen on a free port of the loopback interface."""
         self.service = service
@@ -45,6 +53,7 @@
         self._name = name
         self._starts = 1
         self._observations = observations
+        self._crash = crash
         self._server = ScriptedServer(script=self._answer_quietly)
         self.link = Link(target=self._server.address)
 
@@ -91,7 +100,8 @@
                 b'Content-Length: 0\r\n%b\r\n' % common_headers
             )
             return True
-        blocks = self._list_blocks(request, request_id)
+        is_deadly = request.body.startswith(DEADLY)
+        blocks = [] if is_deadly else self._list_blocks(request, request_id)
         run = Run(
             request_id=request_id.decode(),
             server_id=server_id,
@@ -100,6 +110,9 @@
             at=time.monotonic(),
         )
         self._observations.record_run(run)
+        if is_deadly:
+            self._crash(self)
+            return False
         if self.loses:
             return False
         return self._send_answer(sock, common_headers, blocks)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from tests.soak.backends import VERSIONS
+from tests.soak.backends import DEADLY, STREAM_PATH, VERSIONS
 from tests.soak.links import LinkState
 from tests.soak.observations import LimitRecord
 from tests.soak.world import World
@@ -22,6 +22,8 @@
 MAX_LIMIT: Final = 8.0
 # Longer than VMs have to learn of a limit.
 MIN_LIMIT_SECONDS: Final = 6.0
+MAX_DEADLY_TRIES: Final = 12
+BODY_BITS: Final = 32
 _LINK_STATES: Final = (LinkState.SLOW, LinkState.SILENT, LinkState.ONE_WAY)
 
 Fault = Callable[[World, random.Random], None]
@@ -69,6 +71,7 @@
     """Kill all VMs at once and start them again."""
     for vm in world.vms:
         vm.kill()
+    world.observations.losses.append(time.monotonic())
     gevent.sleep(rng.random())
     for vm in world.vms:
         vm.start()
@@ -190,6 +193,15 @@
         backend.limit = 0
 
 
+def send_deadly(world: World, rng: random.Random) -> None:
+    """Send a request again and again that crashes the servers that run it."""
+    path = rng.choice((STREAM_PATH, '/look/x', '/book/x'))
+    body = b'%b%d' % (DEADLY, rng.getrandbits(BODY_BITS))
+    for _ in range(rng.randint(4, MAX_DEADLY_TRIES)):
+        world.caller.call(path, body, kind='deadly')
+        gevent.sleep(rng.random())
+
+
 def lapse_entry(world: World, rng: random.Random) -> None:
     """Remove a backend server from the server list for a while."""
     backend = rng.choice(world.backends)
@@ -223,6 +235,7 @@
         release,
         leave_server,
         limit_server,
+        send_deadly,
         lapse_entry,
         change_configuration,
     )
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -44,17 +44,28 @@
         self._sockets: set[Any] = set()
         self._server = StreamServer(('127.0.0.1', 0), self._serve)
         self._server.start()
+        self._port = self._server.server_port
 
     @property
     def address(self) -> str:
         """Return the address to connect to instead of the target."""
-        return f'127.0.0.1:{self._server.server_port}'
+        return f'127.0.0.1:{self._port}'
 
     def reset(self) -> None:
         """Reset all connections."""
         for sock in tuple(self._sockets):
             reset_socket(sock)
 
+    def go_down(self) -> None:
+        """Reset all connections and refuse new ones."""
+        self._server.stop()
+        self.reset()
+
+    def come_up(self) -> None:
+        """Accept connections again, at the same address."""
+        self._server = StreamServer(('127.0.0.1', self._port), self._serve)
+        self._server.start()
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         self._server.stop()
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -20,7 +20,7 @@
 
 # Kinds of idempotent requests, which the gateway may send to a second server.
 # They may also go on with a stream there.
-REPEATABLE: Final = frozenset(('look', 'probe', 'stream'))
+REPEATABLE: Final = frozenset(('look', 'probe', 'stream', 'deadly'))
 # A VM sends no request that came later than this to a server that has said that
 # it is leaving.
 DRAIN_SECONDS: Final = 2.0
@@ -29,6 +29,10 @@
 TOLD_SECONDS: Final = 0.5
 CALM_SECONDS: Final = 3.0
 LIMIT_WINDOW_SECONDS: Final = 4.0
+# By rule, a request that has crashed so many servers gets so many retries after a
+# time in which VMs learn of the third crash.
+MAX_CRASHES: Final = 3
+MAX_DEADLY_RETRIES: Final = 3
 # By rule, so many streams may hold events of two versions.
 MAX_MIXED_STREAMS: Final = 2
 
@@ -136,6 +140,8 @@
     limits: list[LimitRecord] = dataclasses.field(default_factory=list)
     # The boots of VMs that were frozen or continued, and when.
     freezes: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    # When all VMs were lost together, and what they knew of crashes with them.
+    losses: list[float] = dataclasses.field(default_factory=list)
 
     @property
     def attempts(self) -> list[Attempt]:
@@ -160,6 +166,7 @@
             *self._check_streams(),
             *self._check_leaving(),
             *self._check_limits(),
+            *self._check_deadly(),
         ]
 
     def _check_answers(self) -> Iterator[str]:
@@ -217,6 +224,23 @@
                     yield f'{count} requests in 4 s at {limit}'
                     break
 
+    def _check_deadly(self) -> Iterator[str]:
+        runs_by_body: dict[bytes, list[float]] = collections.defaultdict(list)
+        for request_id, runs in self.runs_by_id.items():
+            if self.attempts_by_id[request_id].kind == 'deadly':
+                for run in runs:
+                    runs_by_body[run.body].append(run.at)
+        for body, times in runs_by_body.items():
+            third = sorted(times)[:MAX_CRASHES][-1]
+            late = [at for at in times if at > third + CALM_SECONDS]
+            losses = [at for at in self.losses if at > min(times)]
+            if len(late) > MAX_DEADLY_RETRIES * (1 + len(losses)):
+                yield f'{body!r} ran {len(times)} times, {len(late)} late'
+        for attempt in self.attempts:
+            is_refused = b'deadly_request' in attempt.body
+            if is_refused and attempt.kind != 'deadly':
+                yield f'refused as deadly: {attempt.request_id}'
+
     def _list_limited_runs(self, limit: LimitRecord) -> Iterator[float]:
         """Yield the times of runs that have to keep a limit.
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -33,6 +33,8 @@
 CALLERS_PER_LOOP: Final = 4
 # Each soak has its own network in 127.0.0.0/8, so that two can run at once.
 _NETWORK_COUNT: Final = 200
+# How long a server that crashed is down.
+CRASH_SECONDS: Final = (0.3, 2.0)
 # After the faults, silent connections time out and removed entries return.
 SETTLE_SECONDS: Final = 8.0
 # By rule, a draining server gets no new requests after two seconds.
@@ -53,6 +55,7 @@
                 name=f'i-{service}-{number}',
                 service=service,
                 observations=self.observations,
+                crash=self.crash_backend,
             )
             for service, count in SERVERS_BY_SERVICE
             for number in range(count)
@@ -154,6 +157,12 @@
         backend.restart(version)
         self.put_entry(backend)
 
+    def crash_backend(self, backend: Backend) -> None:
+        """Cut all connections of a server, which is back after a while."""
+        backend.link.go_down()
+        down_seconds = random.uniform(*CRASH_SECONDS)  # noqa: S311
+        gevent.spawn_later(down_seconds, self._bring_back, backend)
+
     def remove_entry(self, backend: Backend) -> None:
         """Remove a backend server from the server list."""
         self.store.put('keyed.servers', backend.server_id, b'')
@@ -190,6 +199,10 @@
             self.observations.violations.extend(vm.violations)
             self.observations.freezes.extend(vm.freezes)
 
+    def _bring_back(self, backend: Backend) -> None:
+        self.restart_backend(backend, backend.version)
+        backend.link.come_up()
+
     def _make_program(self, *, is_loop: bool = False) -> Program:
         return Program(
             caller=self.caller,
