--- a/tests/soak/vms.py
+++ b/tests/soak/vms.py
@@ -147,7 +147,12 @@
         with log_path.open('wb') as log:
             self._process = Popen(
                 [sys.executable, str(ROOT / 'platform' / 'serve.py')],
-                env={**os.environ, 'BRONZEPOST_BOOT': str(path)},
+                env={
+                    **os.environ,
+                    'BRONZEPOST_BOOT': str(path),
+                    # The stack of a process that a signal ends goes to its log.
+                    'PYTHONFAULTHANDLER': '1',
+                },
                 stdout=log,
                 stderr=log,
             )
