--- a/src/bronzepost/_internal/core/gateway/crash_suspects.py
+++ b/src/bronzepost/_internal/core/gateway/crash_suspects.py
@@ -3,14 +3,17 @@
 A server that crashes breaks off all that it runs. One of these requests is the
 cause, the others only shared the server with it. What tells them apart is that they
 crash no other server, and that they run well elsewhere. Each crash is blamed on its
-requests in proportion to how suspicious they are, and a request is deadly if it bears
-the blame for most of two crashes, or broke off at many. A crash under a request that
+requests in proportion to how suspicious they are, and a request is deadly if it broke
+off at two servers and bears most of the blame, or broke off at many. A crash under a request that
 has crashed another server by itself says little of the others.
 """
 
 import dataclasses
+import math
 from typing import Final
 
+from bronzepost._internal.core.gateway.recent_runs import RECENT_SECONDS
+
 # A crash in which a request has nearly all of the blame, and most of another one.
 DEADLY_BLAME: Final = 1.7
 # More crashes make a request deadly however many others shared them all.
@@ -58,7 +61,7 @@
     """What is known of crashes; requests are named by their fingerprints.
 
     A request ran well at a time of ``run_at_by_request``, so breaks before do not
-    count. A server answered a request that was sent at a time of
+    count, nor do those a short time after. A server answered a request that was sent at a time of
     ``alive_at_by_server``, so it had not crashed before. The ``index`` is None until
     it is needed.
     """
@@ -79,9 +82,9 @@
     table: CrashTable, server: str, request: str, found: Break
 ) -> bool:
     """Record that a request broke off at a server; return whether it is news."""
+    run_at = table.run_at_by_request.get(request, -math.inf)
     is_refuted = found.at <= max(
-        table.alive_at_by_server.get(server, 0),
-        table.run_at_by_request.get(request, 0),
+        table.alive_at_by_server.get(server, 0), run_at + RECENT_SECONDS
     )
     breaks = table.breaks_by_server.get(server, {})
     is_full = len(breaks) >= MAX_REQUESTS_PER_SERVER
@@ -99,7 +102,7 @@
     table.run_at_by_request[request] = at
     for server in list_crashes(table, request):
         breaks = table.breaks_by_server[server]
-        if breaks[request].at <= at:
+        if breaks[request].at <= at + RECENT_SECONDS:
             _put_breaks(table, server, _drop_request(breaks, request))
     return True
 
--- a/src/bronzepost/_internal/core/gateway/recent_runs.py
+++ b/src/bronzepost/_internal/core/gateway/recent_runs.py
@@ -23,12 +23,15 @@
 
     def add(self, request: str, *, at: float) -> None:
         """Record a run, in monotonic seconds."""
-        self._run_at_by_request[request] = at
+        known = self._run_at_by_request.get(request, at)
+        self._run_at_by_request[request] = max(known, at)
         self._run_at_by_request.move_to_end(request)
         if len(self._run_at_by_request) > MAX_RECENT:
             self._run_at_by_request.popitem(last=False)
 
-    def has(self, request: str, *, at: float) -> bool:
-        """Return whether a request ran well a short time before ``at``."""
+    def find(self, request: str, *, at: float) -> float | None:
+        """Return when a request ran well, if that was a short time before ``at``."""
         run_at = self._run_at_by_request.get(request)
-        return run_at is not None and run_at > at - RECENT_SECONDS
+        if run_at is None or run_at <= at - RECENT_SECONDS:
+            return None
+        return run_at
--- a/src/bronzepost/_internal/gateway/suspect_requests.py
+++ b/src/bronzepost/_internal/gateway/suspect_requests.py
@@ -29,6 +29,7 @@
     def __init__(self, *, fleet: Fleet, directory: Directory) -> None:
         """Share crashes with ``fleet``, and decide on servers of ``directory``."""
         self._crashes = CrashExchange(fleet=fleet)
+        self._records = self._crashes.records
         self._directory = directory
         # Deadly requests that are in the log.
         self._logged: set[str] = set()
@@ -39,7 +40,7 @@
 
     def count(self) -> int:
         """Return the number of deadly requests that came to this VM lately."""
-        exact, _ = self._crashes.tables
+        exact, _ = self._records.tables
         self._logged = {
             request
             for request in self._logged
@@ -103,7 +104,7 @@
 
         Other requests avoid them. Empty without a crash in the last seconds.
         """
-        if not self._crashes.has_crashes:
+        if not self._records.has_crashes:
             return frozenset()
         servers = self._directory.list_servers(service)
         avoided = {
@@ -119,15 +120,15 @@
         pending: PendingCall,
         judge: Callable[[rules.CrashTable, str], bool],
     ) -> bool:
-        return self._crashes.has_crashes and any(
+        return self._records.has_crashes and any(
             judge(table, request)
             for table, request in zip(
-                self._crashes.tables, pending.fingerprints, strict=True
+                self._records.tables, pending.fingerprints, strict=True
             )
         )
 
     def _is_down(self, server: BackendServer) -> bool:
-        exact, _ = self._crashes.tables
+        exact, _ = self._records.tables
         breaks = exact.breaks_by_server.get(name_incarnation(server), {})
         since = read_clock() - DOWN_SECONDS
         return any(
@@ -140,7 +141,7 @@
         if request in self._logged:
             return
         self._logged.add(request)
-        exact, by_target = self._crashes.tables
+        exact, by_target = self._records.tables
         emit(
             LogEvent.REQUEST_DEADLY,
             request=pending.call.request_id,
