--- a/src/bronzepost/_internal/core/gateway/crash_suspects.py
+++ b/src/bronzepost/_internal/core/gateway/crash_suspects.py
@@ -4,7 +4,7 @@
 cause, the others only shared the server with it. What tells them apart is that they
 crash no other server, and that they run well elsewhere. Each crash is blamed on its
 requests in proportion to how suspicious they are, and a request is deadly if it broke
-off at two servers and bears most of the blame, or broke off at many. A crash under a request that
+off at three servers and bears most of the blame, or broke off at many. A crash under a request that
 has crashed another server by itself says little of the others.
 """
 
@@ -14,7 +14,10 @@
 
 from bronzepost._internal.core.gateway.recent_runs import RECENT_SECONDS
 
-# A crash in which a request has nearly all of the blame, and most of another one.
+# Servers that are restarted one after the other break off a request twice.
+MIN_CRASHES: Final = 3
+# More than half of three crashes, so of two requests that shared all of them neither
+# is refused.
 DEADLY_BLAME: Final = 1.7
 # More crashes make a request deadly however many others shared them all.
 MAX_CRASHES: Final = 5
@@ -175,7 +178,7 @@
 def is_deadly(table: CrashTable, request: str) -> bool:
     """Return whether a request must not run any more."""
     crashes = len(list_crashes(table, request))
-    if crashes < 2:
+    if crashes < MIN_CRASHES:
         return False
     return (
         crashes >= MAX_CRASHES or compute_blame(table, request) >= DEADLY_BLAME
