--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -165,7 +165,8 @@
         # Another suspect may have crashed the server in the meantime.
         self._suspects.check(pending)
         server = self._suspects.find_isolated(pending.service)
-        if server is None or server.server_id in pending.excluded_ids:
+        excluded_ids = self._placement.list_excluded(pending)
+        if server is None or server.server_id in excluded_ids:
             raise refuse_suspect(pending)
         if not self._permits.acquire(server.server_id, max_wait_seconds):
             raise refuse_suspect(pending)
--- a/src/bronzepost/_internal/gateway/server_placement.py
+++ b/src/bronzepost/_internal/gateway/server_placement.py
@@ -73,7 +73,7 @@
             holders,
             pending,
             avoided_ids=avoided_ids,
-            excluded_ids=self._list_excluded(pending) | excluded_ids,
+            excluded_ids=self.list_excluded(pending) | excluded_ids,
         )
         shared_part = pending.call.shared_part
         context = PlacementContext(
@@ -102,6 +102,18 @@
         )
         return choose_server(candidates, context)
 
+    def list_excluded(self, pending: PendingCall) -> Set[str]:
+        """Return the ids of servers at which a request must not run.
+
+        It failed there, or they would go on with its stream at another version.
+        """
+        if pending.stream_version is None:
+            return pending.excluded_ids
+        others = self._directory.list_other_versions(
+            pending.service, pending.stream_version
+        )
+        return pending.excluded_ids | others
+
     def _list_candidates(
         self,
         servers: Sequence[BackendServer],
@@ -140,14 +152,6 @@
                 slots_by_id[server.server_id] = rate * seconds
         return slots_by_id
 
-    def _list_excluded(self, pending: PendingCall) -> Set[str]:
-        if pending.stream_version is None:
-            return pending.excluded_ids
-        others = self._directory.list_other_versions(
-            pending.service, pending.stream_version
-        )
-        return pending.excluded_ids | others
-
     def _choose_holders(
         self, pending: PendingCall, servers: Sequence[BackendServer]
     ) -> Holders:
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -322,6 +322,28 @@
         self.assertIs(False, answer.is_complete)
         self.assertThat(newer.requests, HasLength(0))
 
+    def test_suspect_stream_does_not_go_on_at_another_version(self) -> None:
+        """Guard against the server of suspects, whichever version it has."""
+        broken = [
+            ScriptedServer(script=send_stream(1, is_complete=False)),
+            ScriptedServer(script=send_stream(2, is_complete=False)),
+        ]
+        newer = [
+            ScriptedServer(script=send_stream(3), version='v2')
+            for _ in range(6)
+        ]
+        route = make_route(is_resumable=True, attempts=4)
+        with open_gateway(route, *broken, *newer) as gateway:
+            for _ in range(4):
+                gateway.call(make_request(method=b'POST')).read_answer()
+        begun = [len(server.requests) for server in broken]
+        self.assertTrue(sum(begun) > 1)
+        for server in newer:
+            for request in server.requests:
+                self.assertIsNone(
+                    find_header(request.headers, b'last-event-id')
+                )
+
     def test_stream_goes_on_at_its_version(self) -> None:
         broken = ScriptedServer(script=send_stream(1, 2, is_complete=False))
         newer = ScriptedServer(script=send_stream(3, 4), version='v2')
