--- a/src/bronzepost/_internal/core/gateway/crash_suspects.py
+++ b/src/bronzepost/_internal/core/gateway/crash_suspects.py
@@ -26,8 +26,8 @@
 SUSPICION_PER_CRASH: Final = 10.0
 # The share of the weights at a server with which a request is its only likely cause.
 MAIN_SHARE: Final = 0.8
-# The weight of a request of which an answer had begun: most that crash a server do
-# it as soon as it begins to run them.
+# The weight of a request of which an answer had begun, since most that crash a server
+# do it as soon as it begins to run them, and of one that was not answered in time.
 STARTED_WEIGHT: Final = 0.1
 # For how long crashes, runs and signs of life are remembered.
 RETENTION_SECONDS: Final = 120.0
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -276,7 +276,7 @@
         self._directory.ratings.report_failure(pending.server_id)
         server = self._directory.servers_by_id.get(pending.server_id)
         if server is not None:
-            self._suspects.record_break(pending, server)
+            self._suspects.record_break(pending, server, is_silent=True)
 
     def _refuse(
         self,
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -148,11 +148,7 @@
                 self._check_was_run(head, server, step)
                 self._suspects.record_answer(server, sent_at=started_at)
                 yield exchange, head
-                self._directory.ratings.report_exchange(
-                    server.service, read_clock() - started_at
-                )
-                self._record_latency(pending, server)
-                self._record_status(head, server)
+                self._record_end(pending, server, head, started_at)
 
     def _choose_isolated(self, pending: PendingCall) -> BackendServer:
         """Return the server for a request that may crash it.
@@ -191,6 +187,21 @@
                 return server
             denied_ids.add(server_id)
 
+    def _record_end(
+        self,
+        pending: PendingCall,
+        server: BackendServer,
+        head: AnswerHead,
+        started_at: float,
+    ) -> None:
+        """Record an exchange that ended as its caller wanted."""
+        self._suspects.record_answer(server, sent_at=started_at)
+        self._directory.ratings.report_exchange(
+            server.service, read_clock() - started_at
+        )
+        self._record_latency(pending, server)
+        self._record_status(head, server)
+
     def _record_status(self, head: AnswerHead, server: BackendServer) -> None:
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self._directory.ratings.report_failure(server.server_id)
--- a/src/bronzepost/_internal/gateway/suspect_requests.py
+++ b/src/bronzepost/_internal/gateway/suspect_requests.py
@@ -19,6 +19,8 @@
 # A server whose requests broke off counts as crashed for this long, unless it
 # answers. Servers that restart need some seconds, and have another id then.
 DOWN_SECONDS: Final = 5.0
+# Bytes that arrive later than this after a crash were not sent before it.
+MAX_TRANSIT_SECONDS: Final = 0.1
 # Suspects run while at most this share of the servers is down, or one of them.
 MAX_DOWN_SHARE: Final = 0.25
 
@@ -48,14 +50,24 @@
         }
         return len(self._logged)
 
-    def record_break(self, pending: PendingCall, server: BackendServer) -> None:
-        """Record that a request broke off at a server that may have crashed."""
-        has_started = pending.events.event_count > 0
+    def record_break(
+        self,
+        pending: PendingCall,
+        server: BackendServer,
+        *,
+        is_silent: bool = False,
+    ) -> None:
+        """Record that a request broke off at a server that may have crashed.
+
+        A server that ``is_silent`` has not answered in the time of the request,
+        and may as well be slow.
+        """
+        is_unlikely = is_silent or pending.events.event_count > 0
         self._crashes.record_break(
             BrokenRequest(
                 server=name_incarnation(server),
                 fingerprints=pending.fingerprints,
-                weight=rules.STARTED_WEIGHT if has_started else 1,
+                weight=rules.STARTED_WEIGHT if is_unlikely else 1,
                 age_seconds=0,
             )
         )
@@ -65,8 +77,9 @@
         self._crashes.record_run(pending.fingerprints)
 
     def record_answer(self, server: BackendServer, *, sent_at: float) -> None:
-        """Record that a server answered a request that was sent at a time."""
-        self._crashes.record_answer(name_incarnation(server), sent_at=sent_at)
+        """Record an answer that arrives now, to a request sent at a time."""
+        alive_at = max(sent_at, read_clock() - MAX_TRANSIT_SECONDS)
+        self._crashes.record_answer(name_incarnation(server), sent_at=alive_at)
 
     def check(self, pending: PendingCall) -> None:
         """Refuse a request that crashes servers.
--- a/tests/unit/test_gateway_crash_suspects.py
+++ b/tests/unit/test_gateway_crash_suspects.py
@@ -358,6 +358,38 @@
             self.vms[2].suspects._crashes.repeat()
         self.assertTrue(self.is_refused(self.vms[3], make_deadly()))
 
+    def test_server_that_answers_later_has_not_crashed(self) -> None:
+        """Guard against avoiding a server that lost one answer, at all VMs."""
+        sent_at = self.now
+        self.break_off(self.vms[0], make_deadly(), self.servers[0])
+        for seconds, avoids in ((0.05, True), (0.2, False)):
+            self.now = START + seconds
+            self.vms[1].suspects.record_answer(
+                self.servers[0], sent_at=sent_at - 1
+            )
+            self.send_news()
+            for vm in self.vms:
+                avoided = vm.suspects.list_avoided('engines')
+                self.assertEqual(avoids, 'i-0' in avoided)
+
+    def test_server_that_is_slow_is_not_avoided_as_crashed(self) -> None:
+        """Guard against moving the load of a slow server to the others."""
+        self.vms[0].suspects.record_break(
+            make_deadly(), self.servers[0], is_silent=True
+        )
+        self.send_news()
+        self.assertEqual(
+            frozenset(), self.vms[1].suspects.list_avoided('engines')
+        )
+
+    def test_crashes_that_look_like_silence_are_counted(self) -> None:
+        for server in self.servers[:3]:
+            self.vms[0].suspects.record_break(
+                make_deadly(), server, is_silent=True
+            )
+            self.send_news()
+        self.assertTrue(self.is_refused(self.vms[1], make_deadly()))
+
     def test_refusal_says_whether_the_request_has_run(self) -> None:
         """Guard against a promise for an attempt that has run."""
         for number in range(3):
