--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent.server import StreamServer
 from gevent.socket import create_connection
+from gevent.socket import socket as open_socket
 
 READ_BYTES: Final = 65536
 # Only limits connecting to the target; held bytes wait without a time limit.
@@ -45,6 +46,7 @@
         self._server = StreamServer(('127.0.0.1', 0), self._serve)
         self._server.start()
         self._port = self._server.server_port
+        self._reserved: Any = None
 
     @property
     def address(self) -> str:
@@ -59,12 +61,17 @@
     def go_down(self) -> None:
         """Reset all connections and refuse new ones."""
         self._server.stop()
+        # The port stays bound, so that no other process listens on it.
+        self._reserved = open_socket()
+        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reserved.bind(('127.0.0.1', self._port))
         self.reset()
 
     def come_up(self) -> None:
         """Accept connections again, at the same address."""
         self._server = StreamServer(('127.0.0.1', self._port), self._serve)
         self._server.start()
+        self._reserved.close()
 
     def close(self) -> None:
         """Stop listening and close all connections."""
