--- a/src/bronzepost/_internal/gateway/server_permits.py
+++ b/src/bronzepost/_internal/gateway/server_permits.py
@@ -36,6 +36,8 @@
 # One suspect begins to run in this time, and one that crashes its server has done
 # so before the next one.
 SUSPECTS_PER_SECOND: Final = 6.0
+# Servers have a new id after each start, so old keys are dropped.
+MAX_KEYS: Final = 1024
 # Waits that are shorter are below the precision of the loop's timers.
 _MIN_SLEEP_SECONDS: Final = 0.001
 
@@ -104,14 +106,21 @@
     def _wait_for_turn(self, request: RequestPermit) -> bool:
         decision = self._ask_owners(request)
         if not decision.is_granted:
-            self._blocked_until_by_key[request.key] = (
-                read_clock() + decision.wait_seconds
-            )
+            self._block(request.key, decision.wait_seconds)
             return False
         if decision.wait_seconds > _MIN_SLEEP_SECONDS:
             gevent.sleep(decision.wait_seconds)
         return True
 
+    def _block(self, key: str, seconds: float) -> None:
+        now = read_clock()
+        self._blocked_until_by_key = {
+            other: until
+            for other, until in self._blocked_until_by_key.items()
+            if until > now
+        }
+        self._blocked_until_by_key[key] = now + seconds
+
     def _ask_owners(self, request: RequestPermit) -> PermitDecided:
         for _ in range(MAX_OWNERS_ASKED):
             owner = self._find_owner(request.key)
@@ -171,6 +180,8 @@
             max_wait_seconds=request.max_wait_seconds,
         )
         paces_by_key[request.key] = decision.pace
+        if len(paces_by_key) > MAX_KEYS:
+            paces_by_key.pop(next(iter(paces_by_key)))
         return PermitDecided(
             call_id=request.call_id,
             is_owner=True,
--- a/src/bronzepost/_internal/gateway/suspect_requests.py
+++ b/src/bronzepost/_internal/gateway/suspect_requests.py
@@ -101,14 +101,14 @@
         It is the same at all VMs that know the same servers and crashes.
         """
         servers = self._directory.list_servers(service)
+        down_ids = self._find_down(service)
+        if len(down_ids) > max(MAX_DOWN_SHARE * len(servers), 1):
+            return None
         up_by_id = {
             server.server_id: server
             for server in servers
-            if not self._is_down(server)
+            if server.server_id not in down_ids
         }
-        down = len(servers) - len(up_by_id)
-        if down > max(MAX_DOWN_SHARE * len(servers), 1):
-            return None
         chosen = first_members(up_by_id, f'suspects-{service}', 1)
         return up_by_id[chosen[0]] if chosen else None
 
@@ -119,14 +119,12 @@
         """
         if not self._records.has_crashes:
             return frozenset()
-        servers = self._directory.list_servers(service)
-        avoided = {
-            server.server_id for server in servers if self._is_down(server)
-        }
-        isolated = self.find_isolated(service) if avoided else None
-        if isolated is not None and len(servers) > len(avoided) + 1:
-            avoided.add(isolated.server_id)
-        return frozenset(avoided)
+        down_ids = self._find_down(service)
+        isolated = self.find_isolated(service) if down_ids else None
+        servers = len(self._directory.list_servers(service))
+        if isolated is None or servers == len(down_ids) + 1:
+            return down_ids
+        return down_ids | {isolated.server_id}
 
     def _has_any(
         self,
@@ -140,13 +138,26 @@
             )
         )
 
-    def _is_down(self, server: BackendServer) -> bool:
+    def _find_down(self, service: str) -> frozenset[str]:
+        """Return the ids of a service's servers that crashed lately."""
         exact, _ = self._records.tables
-        breaks = exact.breaks_by_server.get(name_incarnation(server), {})
         since = read_clock() - DOWN_SECONDS
-        return any(
-            found.at > since and found.weight > rules.STARTED_WEIGHT
-            for found in breaks.values()
+        names = [
+            name
+            for name, breaks in exact.breaks_by_server.items()
+            if any(
+                found.at > since and found.weight > rules.STARTED_WEIGHT
+                for found in breaks.values()
+            )
+        ]
+        servers = [
+            self._directory.find_serving(service, name.rpartition('/')[0])
+            for name in names
+        ]
+        return frozenset(
+            server.server_id
+            for name, server in zip(names, servers, strict=True)
+            if server is not None and name_incarnation(server) == name
         )
 
     def _log_verdict(self, pending: PendingCall) -> None:
