--- a/src/bronzepost/_internal/core/gateway/crash_suspects.py
+++ b/src/bronzepost/_internal/core/gateway/crash_suspects.py
@@ -40,11 +40,13 @@
 class Break:
     """A request that broke off at a server, seen ``at`` in monotonic seconds.
 
-    ``weight`` is how likely it is the cause compared with others.
+    ``weight`` is how likely it is the cause compared with others. In a table by
+    target, ``body`` tells requests of one target apart.
     """
 
     at: float
     weight: float = 1
+    body: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -185,6 +187,19 @@
     )
 
 
+def is_deadly_target(table: CrashTable, target: str) -> bool:
+    """Return whether no request of a target must run any more.
+
+    If all crashes are those of one body, only this body is refused: nothing else
+    could show any more that the target runs well.
+    """
+    bodies = {
+        table.breaks_by_server[server][target].body
+        for server in list_crashes(table, target)
+    }
+    return len(bodies) > 1 and is_deadly(table, target)
+
+
 def _weigh_crashes(table: CrashTable, request: str) -> float:
     causes_by_server = _get_index(table).causes_by_server
     unexplained = sum(
--- a/src/bronzepost/_internal/gateway/crash_records.py
+++ b/src/bronzepost/_internal/gateway/crash_records.py
@@ -40,7 +40,11 @@
 
     def add_break(self, broken: BrokenRequest, *, now: float) -> bool:
         """Record a request that broke off; return whether it is news."""
-        found = Break(at=now - broken.age_seconds, weight=broken.weight)
+        found = Break(
+            at=now - broken.age_seconds,
+            weight=broken.weight,
+            body=broken.fingerprints[0],
+        )
         fingerprints = self.drop_recent(broken, now=now).fingerprints
         return any([
             record_break(table, broken.server, request, found)
@@ -98,7 +102,9 @@
             for request, found in breaks.items():
                 broken = BrokenRequest(
                     server=server,
-                    fingerprints=('', request) if level else (request, ''),
+                    fingerprints=(found.body, request)
+                    if level
+                    else (request, ''),
                     weight=found.weight,
                     age_seconds=now - found.at,
                 )
--- a/src/bronzepost/_internal/gateway/suspect_requests.py
+++ b/src/bronzepost/_internal/gateway/suspect_requests.py
@@ -87,13 +87,13 @@
         Raises:
             RefusedError: if it does; it also says whether it has run now.
         """
-        if self._has_any(pending, rules.is_deadly):
+        if self._has_any(pending, rules.is_deadly, rules.is_deadly_target):
             self._log_verdict(pending)
             raise refuse_deadly(pending)
 
     def is_suspect(self, pending: PendingCall) -> bool:
         """Return whether a request may have crashed a server."""
-        return self._has_any(pending, rules.is_suspect)
+        return self._has_any(pending, rules.is_suspect, rules.is_suspect)
 
     def find_isolated(self, service: str) -> BackendServer | None:
         """Return the server at which suspects run, if they may run now.
@@ -129,12 +129,13 @@
     def _has_any(
         self,
         pending: PendingCall,
-        judge: Callable[[rules.CrashTable, str], bool],
+        *judges: Callable[[rules.CrashTable, str], bool],
     ) -> bool:
+        """Return whether a request or its target is judged to be true."""
         return self._records.has_crashes and any(
             judge(table, request)
-            for table, request in zip(
-                self._records.tables, pending.fingerprints, strict=True
+            for judge, table, request in zip(
+                judges, self._records.tables, pending.fingerprints, strict=True
             )
         )
 
--- a/tests/unit/test_gateway_crash_suspects.py
+++ b/tests/unit/test_gateway_crash_suspects.py
@@ -295,6 +295,15 @@
             )
         self.assertTrue(self.is_refused(self.vms[3], make_deadly(body=b'new')))
 
+    def test_target_of_one_body_that_crashes_servers(self) -> None:
+        """Guard against refusing a path that nothing else has used lately."""
+        for number, vm in enumerate(self.vms[:3]):
+            self.break_off(vm, make_deadly(), self.servers[number])
+        self.assertTrue(self.is_refused(self.vms[3], make_deadly()))
+        self.assertFalse(
+            self.is_refused(self.vms[3], make_deadly(body=b'other'))
+        )
+
     def test_target_that_serves_other_requests(self) -> None:
         """Guard against refusing all requests of a path for one of them."""
         for number, vm in enumerate(self.vms[:3]):
