--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,8 @@
 MAX_PAUSE_SECONDS: Final = 1.5
 # In requests a second; an engine of a soak gets more.
 MAX_LIMIT: Final = 8.0
+# Zero stands for a server that names no limit.
+MIN_LIMIT: Final = 0.1
 # Longer than VMs have to learn of a limit.
 MIN_LIMIT_SECONDS: Final = 6.0
 MAX_DEADLY_TRIES: Final = 12
@@ -181,7 +183,7 @@
     if backend.limit:
         return
     server_id, start = backend.server_id, time.monotonic()
-    backend.limit = round(rng.uniform(0, MAX_LIMIT), 1)
+    backend.limit = round(rng.uniform(MIN_LIMIT, MAX_LIMIT), 1)
     rate = backend.limit
     gevent.sleep(MIN_LIMIT_SECONDS + rng.random() * MAX_FAULT_SECONDS)
     world.observations.limits.append(
