Log which links to backend servers fail, and what suspects rest on

Cause: in logs and metrics a crashed server and a VM that has lost its links look the same, so the hypotheses of docs/incidents/stranded.md cannot be told apart.

Change: a table of the links of a VM, from connections that open or fail and from answers (core/gateway/server_links.py); events 8037 to 8041, is_cut_off in 8005, and the states servers_unreached and links_lost. Nothing is decided by them yet.

--- /dev/null
+++ b/src/bronzepost/_internal/core/gateway/server_links.py
@@ -0,0 +1,185 @@
+"""Which backend servers this VM can open connections to.
+
+A connection that fails is the fault of the server, of the link or of the VM, and the
+VM cannot tell them apart by one failure. It knows more if it compares servers: as long
+as it reaches others, its own links work. If it hears from none since a connection
+failed, it has lost them.
+"""
+
+import dataclasses
+import enum
+import math
+from collections.abc import Iterator
+from typing import Final
+
+# Connections that open in a row until a link that failed is used again. A link that
+# comes and goes would otherwise break off requests each time.
+OPENED_TO_TRUST: Final = 2
+# The time between a connection that opens on such a link and the next one.
+CONFIRM_SECONDS: Final = 0.2
+# The first and the longest time until a link that fails is probed again.
+FIRST_PROBE_SECONDS: Final = 0.3
+MAX_PROBE_SECONDS: Final = 1.0
+_BACKOFF_FACTOR: Final = 1.5
+
+
+class Path(enum.StrEnum):
+    """How to reach a server.
+
+    With ``OPEN`` an open connection of this VM may be used, but no new one can be
+    opened.
+    """
+
+    DIRECT = 'direct'
+    OPEN = 'open'
+    RELAY = 'relay'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FailingLink:
+    """A link on which the last connection could not be opened.
+
+    It fails ``since`` a time and was last tried at ``tried_at``, both in monotonic
+    seconds. It ``is_silent`` if the last attempt ended without an answer, not with a
+    refusal. ``opened`` counts the connections that were opened since then.
+    """
+
+    since: float
+    tried_at: float
+    probe_at: float
+    is_silent: bool
+    probe_seconds: float = FIRST_PROBE_SECONDS
+    opened: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class LinkTable:
+    """The links of this VM to servers; times are in monotonic seconds.
+
+    ``heard_at_by_server`` is when a server has last answered over its link.
+    """
+
+    failing_by_server: dict[str, FailingLink] = dataclasses.field(
+        default_factory=dict
+    )
+    heard_at_by_server: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def record_heard(table: LinkTable, server: str, *, at: float) -> None:
+    """Record bytes of a server on a connection of this VM."""
+    table.heard_at_by_server[server] = at
+
+
+def record_failed(
+    table: LinkTable,
+    server: str,
+    *,
+    tried_at: float,
+    at: float,
+    is_silent: bool,
+) -> bool:
+    """Record a connection that did not open; return whether that is news."""
+    known = table.failing_by_server.get(server)
+    if known is None:
+        table.failing_by_server[server] = FailingLink(
+            since=tried_at,
+            tried_at=tried_at,
+            probe_at=at + FIRST_PROBE_SECONDS,
+            is_silent=is_silent,
+        )
+        return True
+    probe_seconds = min(
+        known.probe_seconds * _BACKOFF_FACTOR, MAX_PROBE_SECONDS
+    )
+    table.failing_by_server[server] = dataclasses.replace(
+        known,
+        tried_at=max(known.tried_at, tried_at),
+        probe_at=at + probe_seconds,
+        probe_seconds=probe_seconds,
+        is_silent=is_silent,
+        opened=0,
+    )
+    return False
+
+
+def record_opened(table: LinkTable, server: str, *, at: float) -> bool:
+    """Record a connection that opened; return whether the link is used again."""
+    table.heard_at_by_server[server] = at
+    known = table.failing_by_server.get(server)
+    if known is None:
+        return False
+    opened = known.opened + 1
+    if opened >= OPENED_TO_TRUST:
+        table.failing_by_server.pop(server)
+        return True
+    table.failing_by_server[server] = dataclasses.replace(
+        known, opened=opened, probe_at=at + CONFIRM_SECONDS
+    )
+    return False
+
+
+def remove_server(table: LinkTable, server: str) -> None:
+    """Forget a server that has left."""
+    table.failing_by_server.pop(server, None)
+    table.heard_at_by_server.pop(server, None)
+
+
+def list_working(table: LinkTable) -> list[str]:
+    """Return the servers whose links do not fail, the last heard ones first."""
+    working = table.heard_at_by_server.keys() - table.failing_by_server.keys()
+    return sorted(
+        working, key=table.heard_at_by_server.__getitem__, reverse=True
+    )
+
+
+def is_cut_off(table: LinkTable) -> bool:
+    """Return whether this VM has lost its links to all servers, as far as known.
+
+    It has heard from no server since its last attempt at a failing link began.
+    """
+    if not table.failing_by_server:
+        return False
+    return _find_last_try(table).tried_at > max(
+        _iterate_heard(table), default=-math.inf
+    )
+
+
+def find_path(table: LinkTable, server: str) -> Path:
+    """Return how to reach a server.
+
+    Open connections are used if new ones are refused, or if the server has
+    answered on one since. Others may be as silent as the attempt to open one.
+    """
+    failing = table.failing_by_server.get(server)
+    if failing is None:
+        if not is_cut_off(table):
+            return Path.DIRECT
+        failing = _find_last_try(table)
+    heard_at = table.heard_at_by_server.get(server, -math.inf)
+    if failing.is_silent and heard_at < failing.tried_at:
+        return Path.RELAY
+    return Path.OPEN
+
+
+def list_due(table: LinkTable, *, at: float) -> list[str]:
+    """Return the servers whose links are to be probed, the first due ones first."""
+    due = {
+        server: failing.probe_at
+        for server, failing in table.failing_by_server.items()
+        if failing.probe_at <= at
+    }
+    return sorted(due, key=due.__getitem__)
+
+
+def _find_last_try(table: LinkTable) -> FailingLink:
+    return max(
+        table.failing_by_server.values(), key=lambda failing: failing.tried_at
+    )
+
+
+def _iterate_heard(table: LinkTable) -> Iterator[float]:
+    for server, at in table.heard_at_by_server.items():
+        if server not in table.failing_by_server:
+            yield at
--- a/src/bronzepost/_internal/gateway/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/backend_connections.py
@@ -100,11 +100,19 @@
     ) -> BackendConnection:
         """Return an idle connection to an address, or open a new one.
 
-        Connections idle for longer than ``max_idle_seconds`` are closed.
-
         Raises:
             ExchangeError: if no connection can be opened; nothing was sent.
         """
+        connection = self.find_idle(address, max_idle_seconds)
+        return connection or self.open(address, step=step)
+
+    def find_idle(
+        self, address: str, max_idle_seconds: float
+    ) -> BackendConnection | None:
+        """Return an idle connection to an address that may be used.
+
+        Connections idle for longer than ``max_idle_seconds`` are closed.
+        """
         idle_connections = self._idle_by_address.get(address)
         while idle_connections:
             connection = idle_connections.pop()
@@ -112,7 +120,7 @@
             if is_fresh and connection.is_reusable():
                 return connection
             self.discard(connection)
-        return self._open(address, step)
+        return None
 
     def has_idle(self, address: str, max_idle_seconds: float) -> bool:
         """Return whether an idle connection to an address may be used."""
@@ -164,7 +172,13 @@
         for connection in self._idle_by_address.pop(address, ()):
             self.discard(connection)
 
-    def _open(self, address: str, step: str) -> BackendConnection:
+    def open(self, address: str, *, step: str) -> BackendConnection:
+        """Open a connection to an address.
+
+        Raises:
+            ExchangeError: if it cannot be opened; a ``TimeoutError`` is its cause
+                if nothing answers.
+        """
         host, _, port = address.rpartition(':')
         sock = open_socket()
         set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -16,6 +16,7 @@
     record_versions,
 )
 from bronzepost._internal.gateway.backend_connections import ConnectionPool
+from bronzepost._internal.gateway.link_records import LinkRecords
 from bronzepost._internal.gateway.parts_in_use import PartsInUse
 from bronzepost._internal.gateway.server_limits import ServerLimits
 from bronzepost._internal.gateway.server_ratings import ServerRatings
@@ -36,6 +37,7 @@
         self.prompt_parts = PartsInUse()
         self.ratings = ServerRatings()
         self.limits = ServerLimits()
+        self.links = LinkRecords()
         self._pool = pool
         self._seen_versions = SeenVersions()
         self._misplaced_by_id: dict[str, BackendServer] = {}
@@ -169,6 +171,7 @@
         self._pool.close_address(server.address)
         self._misplaced_by_id.pop(server.server_id, None)
         self.ratings.forget(server.server_id)
+        self.links.forget(server.server_id)
         emit(
             LogEvent.SERVER_GONE,
             server=server.server_id,
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -261,6 +261,7 @@
             fingerprint=pending.fingerprints[0],
             target_fingerprint=pending.fingerprints[1],
             events=pending.events.event_count,
+            is_cut_off=self._directory.links.is_cut_off,
             error=error,
         )
 
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -148,6 +148,8 @@
             'routes_version': directory.version,
             'backend_servers': len(directory.servers_by_id),
             'servers_limited': directory.limits.count(),
+            'servers_unreached': len(directory.links.list_failing()),
+            'links_lost': float(directory.links.is_cut_off),
             'deadly_requests': self._suspects.count(),
             'members': len(self.fleet.list_serving()),
             'store_away': float(self.follower.is_store_lost),
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -26,6 +26,7 @@
     PendingCall,
 )
 from bronzepost._internal.gateway.refusals import refuse_suspect
+from bronzepost._internal.gateway.server_links import ServerLinks
 from bronzepost._internal.gateway.server_permits import ServerPermits
 from bronzepost._internal.gateway.server_placement import (
     ServerPlacement,
@@ -76,6 +77,7 @@
         self._permits = permits
         self._suspects = suspects
         self._pool = pool
+        self._links = ServerLinks(directory=directory, pool=pool)
         self._names = names
 
     def choose(self, pending: PendingCall) -> BackendServer | None:
@@ -131,8 +133,8 @@
         with self._count_in_flight(server):
             exchange = BackendExchange(
                 pool=self._pool,
-                connection=self._pool.acquire(
-                    server.address,
+                connection=self._links.acquire(
+                    server,
                     step=step,
                     max_idle_seconds=find_max_idle_seconds(pending),
                 ),
@@ -143,6 +145,7 @@
             with exchange:
                 exchange.send(self._encode_head(pending, server), pending.body)
                 head = exchange.read_head()
+                self._directory.links.record_heard(server.server_id)
                 pending.framing = head.framing
                 pending.server_limit = self._read_limit(head)
                 self._check_was_run(head, server, step)
@@ -163,6 +166,7 @@
         server = self._suspects.find_isolated(pending.service)
         excluded_ids = self._placement.list_excluded(pending)
         if server is None or server.server_id in excluded_ids:
+            self._suspects.log_suspect(pending)
             raise refuse_suspect(pending)
         if not self._permits.acquire(server.server_id, max_wait_seconds):
             raise refuse_suspect(pending)
@@ -195,6 +199,7 @@
         started_at: float,
     ) -> None:
         """Record an exchange that ended as its caller wanted."""
+        self._directory.links.record_heard(server.server_id)
         self._suspects.record_answer(server, sent_at=started_at)
         self._directory.ratings.report_exchange(
             server.service, read_clock() - started_at
--- a/src/bronzepost/_internal/gateway/suspect_requests.py
+++ b/src/bronzepost/_internal/gateway/suspect_requests.py
@@ -91,6 +91,19 @@
             self._log_verdict(pending)
             raise refuse_deadly(pending)
 
+    def log_suspect(self, pending: PendingCall) -> None:
+        """Log what the refusal of a suspect rests on."""
+        request, target = pending.fingerprints
+        exact, by_target = self._records.tables
+        emit(
+            LogEvent.REQUEST_SUSPECT,
+            request=pending.call.request_id,
+            fingerprint=request,
+            crashed=rules.list_crashes(exact, request),
+            target_crashed=rules.list_crashes(by_target, target),
+            down=sorted(self._find_down(pending.service)),
+        )
+
     def is_suspect(self, pending: PendingCall) -> bool:
         """Return whether a request may have crashed a server."""
         return self._has_any(pending, rules.is_suspect, rules.is_suspect)
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -259,6 +259,19 @@
         WARNING,
         'A request crashes backend servers and is refused.',
     )
+    LINK_LOST = 8037, WARNING, 'No connection to a backend server opens.'
+    LINK_REGAINED = 8038, INFO, 'Connections to a backend server open again.'
+    LINKS_LOST = (
+        8039,
+        WARNING,
+        'This VM hears from no backend server any more.',
+    )
+    LINKS_REGAINED = 8040, INFO, 'This VM hears from backend servers again.'
+    REQUEST_SUSPECT = (
+        8041,
+        INFO,
+        'A request that broke off at a server may not run now.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
