--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -1,7 +1,9 @@
 """Stand-in of the platform's store, in the process of the test."""
 
 import base64
+import functools
 import struct
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -15,6 +17,9 @@
 
 Partition = tuple[str, int]
 Record = tuple[str, bytes]
+# Changes the content of an entry of the list of backend servers.
+Rewrite = Callable[[bytes], bytes]
+Handler = Callable[[dict[str, str], bytes], tuple[str, bytes]]
 
 
 class UnloggedHandler(WSGIHandler):
@@ -41,18 +46,23 @@
         self.delay_seconds: float = 0
         self.records: dict[Partition, list[Record]] = {}
         self._append_count = 0
-        self._server = WSGIServer(
+        self._servers: list[WSGIServer] = []
+        self.address = self.open_view(bytes)
+
+    def open_view(self, rewrite: Rewrite) -> str:
+        """Listen on one more port, where entries of servers are rewritten.
+
+        Return the address. A VM that reads the list there has links of its own.
+        """
+        server = WSGIServer(
             ('127.0.0.1', 0),
-            self._handle_request,
+            functools.partial(self._handle_request, rewrite),
             log=None,
             handler_class=UnloggedHandler,
         )
-        self._server.start()
-
-    @property
-    def address(self) -> str:
-        """Return the address that the store listens on."""
-        return f'127.0.0.1:{self._server.server_port}'
+        server.start()
+        self._servers.append(server)
+        return f'127.0.0.1:{server.server_port}'
 
     def put(self, topic: str, key: str, body: Any) -> None:
         """Append a record as the operator or a backend server does."""
@@ -78,10 +88,11 @@
 
     def close(self) -> None:
         """Stop listening."""
-        self._server.stop()
+        for server in self._servers:
+            server.stop()
 
     def _handle_request(
-        self, environ: dict[str, Any], start: Any
+        self, rewrite: Rewrite, environ: dict[str, Any], start: Any
     ) -> list[bytes]:
         query = {
             name: texts[0]
@@ -92,10 +103,12 @@
         if self.is_down:
             start('503 Down', [])
             return [b'']
-        handlers = {
+        if query['topicName'] != 'keyed.servers':
+            rewrite = bytes
+        handlers: dict[str, Handler] = {
             '/api/log-append': self._append,
-            '/api/log-newest': self._list_newest,
-            '/api/log-read': self._read,
+            '/api/log-newest': functools.partial(self._list_newest, rewrite),
+            '/api/log-read': functools.partial(self._read, rewrite),
         }
         status, content = handlers[environ['PATH_INFO']](query, body)
         start(status, [('Content-Length', str(len(content)))])
@@ -123,7 +136,7 @@
         return '200 OK', msgspec.json.encode(answer)
 
     def _list_newest(
-        self, query: dict[str, str], _body: bytes
+        self, rewrite: Rewrite, query: dict[str, str], _body: bytes
     ) -> tuple[str, bytes]:
         records = self._find_records(query)
         newest = {
@@ -133,7 +146,7 @@
         listed = [
             {
                 'key': key,
-                'value': base64.b64encode(content).decode(),
+                'value': base64.b64encode(rewrite(content)).decode(),
                 'logOffset': offset,
             }
             for key, (offset, content) in sorted(newest.items())
@@ -146,7 +159,9 @@
         }
         return '200 OK', msgspec.json.encode(answer)
 
-    def _read(self, query: dict[str, str], _body: bytes) -> tuple[str, bytes]:
+    def _read(
+        self, rewrite: Rewrite, query: dict[str, str], _body: bytes
+    ) -> tuple[str, bytes]:
         records = self._find_records(query)
         start = int(query['fromRev'])
         remaining_seconds = int(query['waitTimeoutMs']) / 1000
@@ -155,7 +170,7 @@
             remaining_seconds -= POLL_INTERVAL_SECONDS
         blocks = [READ_HEADER.pack(len(records), 0)]
         for key, content in records[start:]:
-            record = bytes((len(key),)) + key.encode() + content
+            record = bytes((len(key),)) + key.encode() + rewrite(content)
             blocks.append(RECORD_LENGTH.pack(len(record)) + record)
         return '200 OK', b''.join(blocks)
 
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -29,6 +29,18 @@
     ONE_WAY = 'one_way'
 
 
+class Cut(enum.StrEnum):
+    """What a cut does with open connections; new ones do not open.
+
+    A ``SILENT`` cut answers nothing, also to new connections. The others refuse
+    new ones; with ``REFUSE`` open connections live on.
+    """
+
+    SILENT = 'silent'
+    RESET = 'reset'
+    REFUSE = 'refuse'
+
+
 class Link:
     """Forwards connections to a target address, depending on its state.
 
@@ -46,7 +58,7 @@
         self._server = StreamServer(('127.0.0.1', 0), self._serve)
         self._server.start()
         self._port = self._server.server_port
-        self._reserved: Any = None
+        self._reserved: list[Any] = []
 
     @property
     def address(self) -> str:
@@ -60,24 +72,48 @@
 
     def go_down(self) -> None:
         """Reset all connections and refuse new ones."""
+        self.cut(Cut.RESET)
+
+    def cut(self, how: Cut) -> None:
+        """Let no new connections open, and do ``how`` with the open ones."""
+        if self._reserved:
+            return
         self._server.stop()
         # The port stays bound, so that no other process listens on it.
-        self._reserved = open_socket()
-        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._reserved.bind(('127.0.0.1', self._port))
-        self.reset()
+        reserved = open_socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind(('127.0.0.1', self._port))
+        self._reserved = [reserved]
+        if how is Cut.SILENT:
+            self.state = LinkState.SILENT
+            # Linux drops further SYN packets while the accept queue is full.
+            reserved.listen(0)
+            self._reserved += [self._fill_queue() for _ in range(2)]
+        if how is Cut.RESET:
+            self.reset()
 
     def come_up(self) -> None:
         """Accept connections again, at the same address."""
+        if not self._reserved:
+            return
+        for sock in self._reserved:
+            sock.close()
+        self._reserved = []
         self._server = StreamServer(('127.0.0.1', self._port), self._serve)
         self._server.start()
-        self._reserved.close()
+        self.state = LinkState.GOOD
 
     def close(self) -> None:
         """Stop listening and close all connections."""
         self._server.stop()
         self.reset()
 
+    def _fill_queue(self) -> Any:
+        sock = open_socket()
+        sock.setblocking(False)
+        sock.connect_ex(('127.0.0.1', self._port))
+        return sock
+
     def _serve(self, client: Any, _address: Any) -> None:
         host, _, port = self.target.rpartition(':')
         try:
