Reach backend servers through other VMs when own links are lost

Callers of VMs that had lost their links to all backend servers saw 503 after 2 s, or nothing until their deadline.

Cause: a VM tried server after server, 0.4 s each, with each request anew. Nothing compared servers, so a VM could not know that its links were at fault, and there was no other way.

Change: a VM that hears from no server since a connection failed tries up to three others at once; if none answers, it asks a VM with links for a tunnel to the server (near ones first, by load, bounded, one hop, members of the fleet and registered servers only). All decisions about a request stay at the VM of its caller. Links are probed until two connections open in a row. Without any VM that has links, requests are refused at once (no_link).

--- a/capacity/measure_gateway_decisions.py
+++ b/capacity/measure_gateway_decisions.py
@@ -24,6 +24,7 @@
 )
 from tests.builders_gateway_servers import (
     NoPeerReports,
+    make_links,
     make_permits,
     make_suspects,
 )
@@ -95,7 +96,7 @@
         reports=NoPeerReports(),  # type: ignore[arg-type]
         permits=make_permits(directory),
         suspects=make_suspects(directory),
-        pool=ConnectionPool(),
+        links=make_links(directory, ConnectionPool()),
         names=HeaderNames(),
         vm_name='hall-a-1',
         availability_zone='hall-a',
--- a/src/bronzepost/_internal/core/gateway/placement.py
+++ b/src/bronzepost/_internal/core/gateway/placement.py
@@ -23,6 +23,8 @@
 CROSS_ZONE_COST = 0.01
 # A new connection takes a round trip and a millisecond of the server.
 NEW_CONNECTION_COST = 0.02
+# A relay adds a hop and takes processor time of two VMs.
+RELAY_COST = 0.03
 # A branch moves only if it gains more than this, in times of one request, for each
 # second that reports may be old. They still count requests that have ended, its
 # own ones among them.
@@ -49,7 +51,8 @@
     ``answer_tokens`` is the mean length of answers of the service.
     ``latency_ratio_by_id`` is above 1 for servers that are slower than the mean.
     ``slots_by_id`` has the requests that servers with a limit can run at a time.
-    To servers in ``connected_ids`` there is an idle connection. Servers in
+    To servers in ``connected_ids`` there is an idle connection, and those in
+    ``relayed_ids`` are reached through another VM. Servers in
     ``avoided_ids`` are used only if there is no other. ``salt`` varies the
     choice among servers of equal cost.
     """
@@ -68,6 +71,7 @@
     salt: int = 0
     avoided_ids: frozenset[str] = frozenset()
     connected_ids: frozenset[str] = frozenset()
+    relayed_ids: frozenset[str] = frozenset()
     report_age_seconds: float = 0
 
 
@@ -92,6 +96,8 @@
         cost += CROSS_ZONE_COST
     if server.server_id not in context.connected_ids:
         cost += NEW_CONNECTION_COST
+    if server.server_id in context.relayed_ids:
+        cost += RELAY_COST
     if server.server_id != context.previous_server_id:
         cost += find_move_margin(context)
     tie_break = xxhash.xxh64_intdigest(
--- a/src/bronzepost/_internal/core/gateway/server_links.py
+++ b/src/bronzepost/_internal/core/gateway/server_links.py
@@ -9,7 +9,6 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Iterator
 from typing import Final
 
 # Connections that open in a row until a link that failed is used again. A link that
@@ -57,6 +56,8 @@
     """The links of this VM to servers; times are in monotonic seconds.
 
     ``heard_at_by_server`` is when a server has last answered over its link.
+    ``working_heard_at`` is the last of these times of links that do not fail, and
+    ``last_failure`` the failing link that was tried last.
     """
 
     failing_by_server: dict[str, FailingLink] = dataclasses.field(
@@ -65,11 +66,15 @@
     heard_at_by_server: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    working_heard_at: float = -math.inf
+    last_failure: FailingLink | None = None
 
 
 def record_heard(table: LinkTable, server: str, *, at: float) -> None:
     """Record bytes of a server on a connection of this VM."""
     table.heard_at_by_server[server] = at
+    if server not in table.failing_by_server:
+        table.working_heard_at = at
 
 
 def record_failed(
@@ -80,7 +85,10 @@
     at: float,
     is_silent: bool,
 ) -> bool:
-    """Record a connection that did not open; return whether that is news."""
+    """Record a connection that did not open; return whether that is news.
+
+    It was tried from ``tried_at`` until ``at``.
+    """
     known = table.failing_by_server.get(server)
     if known is None:
         table.failing_by_server[server] = FailingLink(
@@ -89,6 +97,7 @@
             probe_at=at + FIRST_PROBE_SECONDS,
             is_silent=is_silent,
         )
+        _update(table)
         return True
     probe_seconds = min(
         known.probe_seconds * _BACKOFF_FACTOR, MAX_PROBE_SECONDS
@@ -101,18 +110,20 @@
         is_silent=is_silent,
         opened=0,
     )
+    _update(table)
     return False
 
 
 def record_opened(table: LinkTable, server: str, *, at: float) -> bool:
     """Record a connection that opened; return whether the link is used again."""
-    table.heard_at_by_server[server] = at
+    record_heard(table, server, at=at)
     known = table.failing_by_server.get(server)
     if known is None:
         return False
     opened = known.opened + 1
     if opened >= OPENED_TO_TRUST:
         table.failing_by_server.pop(server)
+        _update(table)
         return True
     table.failing_by_server[server] = dataclasses.replace(
         known, opened=opened, probe_at=at + CONFIRM_SECONDS
@@ -124,6 +135,7 @@
     """Forget a server that has left."""
     table.failing_by_server.pop(server, None)
     table.heard_at_by_server.pop(server, None)
+    _update(table)
 
 
 def list_working(table: LinkTable) -> list[str]:
@@ -139,10 +151,10 @@
 
     It has heard from no server since its last attempt at a failing link began.
     """
-    if not table.failing_by_server:
-        return False
-    return _find_last_try(table).tried_at > max(
-        _iterate_heard(table), default=-math.inf
+    last_failure = table.last_failure
+    return (
+        last_failure is not None
+        and last_failure.tried_at > table.working_heard_at
     )
 
 
@@ -153,10 +165,10 @@
     answered on one since. Others may be as silent as the attempt to open one.
     """
     failing = table.failing_by_server.get(server)
+    if failing is None and is_cut_off(table):
+        failing = table.last_failure
     if failing is None:
-        if not is_cut_off(table):
-            return Path.DIRECT
-        failing = _find_last_try(table)
+        return Path.DIRECT
     heard_at = table.heard_at_by_server.get(server, -math.inf)
     if failing.is_silent and heard_at < failing.tried_at:
         return Path.RELAY
@@ -173,13 +185,17 @@
     return sorted(due, key=due.__getitem__)
 
 
-def _find_last_try(table: LinkTable) -> FailingLink:
-    return max(
-        table.failing_by_server.values(), key=lambda failing: failing.tried_at
+def _update(table: LinkTable) -> None:
+    table.last_failure = max(
+        table.failing_by_server.values(),
+        key=lambda failing: failing.tried_at,
+        default=None,
+    )
+    table.working_heard_at = max(
+        (
+            at
+            for server, at in table.heard_at_by_server.items()
+            if server not in table.failing_by_server
+        ),
+        default=-math.inf,
     )
-
-
-def _iterate_heard(table: LinkTable) -> Iterator[float]:
-    for server, at in table.heard_at_by_server.items():
-        if server not in table.failing_by_server:
-            yield at
--- a/src/bronzepost/_internal/gateway/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/backend_connections.py
@@ -1,10 +1,10 @@
 """A pool of connections to backend servers."""
 
 import collections
-import contextlib
 import dataclasses
 import re
 import socket
+from collections.abc import Callable, Iterator
 from typing import Any, Final
 
 import gevent
@@ -13,6 +13,7 @@
 from bronzepost._internal.exceptions import ExchangeError
 from bronzepost._internal.gateway.header_names import find_header
 from bronzepost._internal.gateway.http_messages import AnswerReader
+from bronzepost._internal.gateway.tcp_options import set_tcp_options
 from bronzepost._internal.node.clock import read_clock
 
 # A TCP handshake within a region takes a few milliseconds. A lost SYN is sent
@@ -32,12 +33,16 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class BackendConnection:
-    """An open connection, used by one request at a time."""
+    """An open connection, used by one request at a time.
+
+    It is a tunnel if it goes through the VM ``relay``.
+    """
 
     sock: Any
     address: str
     usable_until: float
     idle_since: float = 0
+    relay: str = ''
 
     def send(self, content: bytes) -> None:
         """Send all bytes.
@@ -81,15 +86,20 @@
         self.sock.close()
 
 
+IdleConnections = dict[str, collections.deque[BackendConnection]]
+
+
 class ConnectionPool:
-    """Idle connections to backend servers, the last used ones first."""
+    """Idle connections to backend servers, the last used ones first.
+
+    Tunnels are kept apart from connections of this VM.
+    """
 
     def __init__(self) -> None:
         """Start without connections."""
         self.opened_count = 0
-        self._idle_by_address: dict[
-            str, collections.deque[BackendConnection]
-        ] = {}
+        self._idle_by_address: IdleConnections = {}
+        self._tunnels_by_address: IdleConnections = {}
 
     def acquire(
         self,
@@ -107,13 +117,17 @@
         return connection or self.open(address, step=step)
 
     def find_idle(
-        self, address: str, max_idle_seconds: float
+        self,
+        address: str,
+        max_idle_seconds: float,
+        *,
+        is_tunnel: bool = False,
     ) -> BackendConnection | None:
         """Return an idle connection to an address that may be used.
 
         Connections idle for longer than ``max_idle_seconds`` are closed.
         """
-        idle_connections = self._idle_by_address.get(address)
+        idle_connections = self._get_idle(is_tunnel=is_tunnel).get(address)
         while idle_connections:
             connection = idle_connections.pop()
             is_fresh = connection.is_fresh(max_idle_seconds)
@@ -122,9 +136,15 @@
             self.discard(connection)
         return None
 
-    def has_idle(self, address: str, max_idle_seconds: float) -> bool:
+    def has_idle(
+        self,
+        address: str,
+        max_idle_seconds: float,
+        *,
+        is_tunnel: bool = False,
+    ) -> bool:
         """Return whether an idle connection to an address may be used."""
-        idle_connections = self._idle_by_address.get(address)
+        idle_connections = self._get_idle(is_tunnel=is_tunnel).get(address)
         if not idle_connections:
             return False
         return idle_connections[-1].is_fresh(max_idle_seconds)
@@ -152,7 +172,12 @@
         )
         connection.idle_since = read_clock()
         connection.usable_until = connection.idle_since + usable_seconds
-        idle_connections = self._idle_by_address.setdefault(
+        self.keep(connection)
+
+    def keep(self, connection: BackendConnection) -> None:
+        """Keep an idle connection."""
+        idle_by_address = self._get_idle(is_tunnel=bool(connection.relay))
+        idle_connections = idle_by_address.setdefault(
             connection.address, collections.deque()
         )
         idle_connections.append(connection)
@@ -163,17 +188,39 @@
 
     def close_expired(self, now: float) -> None:
         """Close idle connections that are no longer usable."""
-        for idle_connections in self._idle_by_address.values():
+        for idle_connections in self._iterate_idle():
             while idle_connections and idle_connections[0].usable_until <= now:
                 self.discard(idle_connections.popleft())
 
     def close_address(self, address: str) -> None:
         """Close the idle connections to the address of a removed server."""
-        for connection in self._idle_by_address.pop(address, ()):
-            self.discard(connection)
+        for idle_by_address in (
+            self._idle_by_address,
+            self._tunnels_by_address,
+        ):
+            for connection in idle_by_address.pop(address, ()):
+                self.discard(connection)
+
+    def close_tunnels(
+        self, is_usable: Callable[[BackendConnection], bool]
+    ) -> None:
+        """Close the idle tunnels that are not usable."""
+        for address, tunnels in tuple(self._tunnels_by_address.items()):
+            usable = collections.deque(filter(is_usable, tunnels))
+            self._tunnels_by_address[address] = usable
+            for connection in tunnels:
+                if connection not in usable:
+                    self.discard(connection)
 
-    def open(self, address: str, *, step: str) -> BackendConnection:
-        """Open a connection to an address.
+    def open(
+        self,
+        address: str,
+        *,
+        step: str,
+        source_ip: str = '',
+        timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+    ) -> BackendConnection:
+        """Open a connection to an address, from an own IP if one is given.
 
         Raises:
             ExchangeError: if it cannot be opened; a ``TimeoutError`` is its cause
@@ -183,9 +230,9 @@
         sock = open_socket()
         set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
         try:
-            with gevent.Timeout(
-                CONNECT_TIMEOUT_SECONDS, TimeoutError('timed out')
-            ):
+            with gevent.Timeout(timeout_seconds, TimeoutError('timed out')):
+                if source_ip:
+                    sock.bind((source_ip, 0))
                 sock.connect((host, int(port)))
         except OSError as error:
             sock.close()
@@ -201,13 +248,11 @@
         self.opened_count += 1
         return BackendConnection(sock=sock, address=address, usable_until=0)
 
+    def _get_idle(self, *, is_tunnel: bool) -> IdleConnections:
+        return self._tunnels_by_address if is_tunnel else self._idle_by_address
 
-def set_tcp_options(sock: Any, *, user_timeout_ms: int) -> None:
-    """Disable Nagle's algorithm and set a timeout for acknowledgements."""
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            user_timeout_ms,
-        )
+    def _iterate_idle(
+        self,
+    ) -> Iterator[collections.deque[BackendConnection]]:
+        yield from self._idle_by_address.values()
+        yield from self._tunnels_by_address.values()
--- a/src/bronzepost/_internal/gateway/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/caller_connections.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import socket
-import struct
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import Any, Final
@@ -12,7 +11,6 @@
 
 from bronzepost._internal.core.gateway.entities import CallerLimits
 from bronzepost._internal.exceptions import ProtocolError, RefusedError
-from bronzepost._internal.gateway.backend_connections import set_tcp_options
 from bronzepost._internal.gateway.header_names import (
     Headers,
     strip_connection_headers,
@@ -25,6 +23,10 @@
     encode_chunk,
     encode_head,
 )
+from bronzepost._internal.gateway.tcp_options import (
+    set_reset_on_close,
+    set_tcp_options,
+)
 from bronzepost._internal.refusal_bodies import encode_refusal
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -36,11 +38,6 @@
 # The libev event mask for a readable descriptor.
 _READABLE: Final = 1
 
-# SO_LINGER, enabled with a timeout of 0 s: closing the socket discards unsent
-# data and sends a reset.
-_RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
-_NO_RESET_ON_CLOSE: Final = struct.pack('ii', 0, 0)
-
 AnswerRequest = Callable[[HttpRequest, 'CallerAnswer'], None]
 ReadLimits = Callable[[], CallerLimits]
 
@@ -85,7 +82,7 @@
             self._ends_with_close = True
             # An orderly close would look like the end of the answer, also if
             # this process is killed.
-            self._set_linger(_RESET_ON_CLOSE)
+            self._reset_on_close(is_reset=True)
         self._write_head(head.status, head.reason, headers)
 
     def ensure_started(self, head: AnswerHead) -> None:
@@ -103,7 +100,7 @@
         if self._is_chunked:
             self._send(encode_chunk(b''))
         if self._ends_with_close:
-            self._set_linger(_NO_RESET_ON_CLOSE)
+            self._reset_on_close(is_reset=False)
         self.is_complete = True
 
     def send_whole(self, head: AnswerHead, body: bytes) -> None:
@@ -141,9 +138,9 @@
         first_line = b'HTTP/1.1 %d %b' % (status, reason)
         self._send(encode_head(first_line, headers) + body)
 
-    def _set_linger(self, linger: bytes) -> None:
+    def _reset_on_close(self, *, is_reset: bool) -> None:
         try:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            set_reset_on_close(self._sock, is_reset=is_reset)
         except OSError as error:
             raise CallerGoneError(str(error)) from error
 
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -38,6 +38,8 @@
         self.ratings = ServerRatings()
         self.limits = ServerLimits()
         self.links = LinkRecords()
+        # Connections to backend servers that this VM relays for others.
+        self.tunnels = 0
         self._pool = pool
         self._seen_versions = SeenVersions()
         self._misplaced_by_id: dict[str, BackendServer] = {}
--- a/src/bronzepost/_internal/gateway/fleet.py
+++ b/src/bronzepost/_internal/gateway/fleet.py
@@ -35,7 +35,7 @@
         own = membership.MemberEntry(
             name=settings.name,
             peer_address=settings.peer_address,
-            forward_address='',
+            forward_address=settings.relay_address,
             caller_address=settings.caller_address,
             availability_zone=settings.availability_zone,
             region=settings.region,
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -314,6 +314,7 @@
             route=pending.route.name,
             server=pending.server_id,
             version=pending.server_version or None,
+            relay=pending.relay or None,
             resumes=call.resumed_request or None,
             resume_after=call.resume_after or None,
             previous_server=find_previous_server(pending) or None,
--- a/src/bronzepost/_internal/gateway/link_records.py
+++ b/src/bronzepost/_internal/gateway/link_records.py
@@ -28,17 +28,23 @@
         rules.record_heard(self.table, server_id, at=read_clock())
 
     def record_failed(
-        self, server_id: str, *, tried_at: float, is_silent: bool
+        self,
+        server_id: str,
+        *,
+        tried_at: float,
+        is_silent: bool,
+        jitter_seconds: float = 0,
     ) -> None:
         """Record a connection that did not open, tried since ``tried_at``.
 
-        It ``is_silent`` unless it was refused.
+        It ``is_silent`` unless it was refused. The link is probed again
+        ``jitter_seconds`` later than it would be.
         """
         is_news = rules.record_failed(
             self.table,
             server_id,
             tried_at=tried_at,
-            at=read_clock(),
+            at=read_clock() + jitter_seconds,
             is_silent=is_silent,
         )
         if is_news:
--- a/src/bronzepost/_internal/gateway/messages.py
+++ b/src/bronzepost/_internal/gateway/messages.py
@@ -240,7 +240,9 @@
     serve callers. ``version`` is that of its routes in force, and
     ``uses_by_part`` has the tokens of the shared prompt parts that its callers
     use, and the recent uses of each. ``limits_by_id`` has the limits of backend
-    servers that their answers have named to this process lately.
+    servers that their answers have named to this process lately. The process
+    cannot connect to the servers in ``unreached_ids``, and to none at all if it
+    ``is_cut_off``. It relays ``tunnels`` of other processes.
     """
 
     in_flight: dict[str, int]
@@ -249,6 +251,9 @@
     version: int
     uses_by_part: dict[str, tuple[int, float]] = {}
     limits_by_id: dict[str, NamedLimit] = {}
+    unreached_ids: tuple[str, ...] = ()
+    is_cut_off: bool = False
+    tunnels: int = 0
 
 
 class SnapshotRequest(
--- a/src/bronzepost/_internal/gateway/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peer_reports.py
@@ -1,6 +1,7 @@
 """Reports of other gateway processes, and the homes that follow from them."""
 
 from collections.abc import Sequence
+from typing import Final
 
 import gevent
 import xxhash
@@ -20,6 +21,10 @@
 from bronzepost._internal.gateway.report_rounds import ReportRounds
 from bronzepost._internal.node.clock import read_clock
 
+# Bounds the size of a report. The VMs that are asked for a tunnel to one of the other
+# servers find out.
+MAX_UNREACHED: Final = 32
+
 
 class PeerReports:
     """Send reports to peers, and rank the peers by what they report."""
@@ -61,6 +66,9 @@
             version=self._directory.version,
             uses_by_part=self._directory.prompt_parts.list_own(),
             limits_by_id=dict(self._directory.limits.list_own()),
+            unreached_ids=self._directory.links.list_failing()[:MAX_UNREACHED],
+            is_cut_off=self._directory.links.is_cut_off,
+            tunnels=self._directory.tunnels,
         )
         # Leaving VMs get reports too: they still choose homes for the turns
         # that they serve.
--- a/src/bronzepost/_internal/gateway/pending_call.py
+++ b/src/bronzepost/_internal/gateway/pending_call.py
@@ -29,7 +29,8 @@
     send the request, ``runs`` the servers on which it may have run. Servers in
     ``excluded_ids`` are not chosen again: they did not run the request or their
     answer broke off. ``server_id`` is the last server that was chosen, and
-    ``server_version`` the version of its software. At
+    ``server_version`` the version of its software. The request went to it
+    through the VM ``relay``, if that is set. At
     ``opened_at`` the request could be forwarded: a turn then has its history
     and its tokens. ``framing`` is that of the last answer of a server, and
     ``server_limit`` the limit that it named, as the server wrote it. After
@@ -51,6 +52,7 @@
     opened_at: float = 0
     server_id: str = ''
     server_version: str = ''
+    relay: str = ''
     framing: Framing | None = None
     server_limit: str = ''
     limited_seconds: float | None = None
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -22,12 +22,10 @@
 from bronzepost._internal.gateway.peer_reports import PeerReports
 from bronzepost._internal.gateway.program_state import ProgramState
 from bronzepost._internal.gateway.registry import Registry, RegistryFollower
-from bronzepost._internal.gateway.server_calls import ServerCalls
-from bronzepost._internal.gateway.server_permits import ServerPermits
+from bronzepost._internal.gateway.server_access import ServerAccess
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.gateway.snapshots import SnapshotExchange
 from bronzepost._internal.gateway.stream_versions import StreamVersions
-from bronzepost._internal.gateway.suspect_requests import SuspectRequests
 from bronzepost._internal.gateway.turn_keeper import TurnKeeper
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
@@ -87,29 +85,21 @@
             calls=calls,
             directory=self.directory,
         )
-        self._suspects = SuspectRequests(
-            fleet=self.fleet, directory=self.directory
+        self._access = ServerAccess(
+            settings=settings,
+            fleet=self.fleet,
+            reports=self.reports,
+            peer_calls=calls,
+            directory=self.directory,
+            pool=pool,
+            names=names,
         )
         self.forwarder = Forwarder(
             directory=self.directory,
             programs=ProgramState(budgets=self.budgets, turns=self.turns),
             streams=self.streams,
-            servers=ServerCalls(
-                directory=self.directory,
-                reports=self.reports,
-                permits=ServerPermits(
-                    fleet=self.fleet,
-                    reports=self.reports,
-                    calls=calls,
-                    directory=self.directory,
-                ),
-                suspects=self._suspects,
-                pool=pool,
-                names=names,
-                vm_name=settings.name,
-                availability_zone=settings.availability_zone,
-            ),
-            suspects=self._suspects,
+            servers=self._access.calls,
+            suspects=self._access.suspects,
             decode_call=decode_call,
         )
         self.callers = CallerServer(
@@ -149,8 +139,9 @@
             'backend_servers': len(directory.servers_by_id),
             'servers_limited': directory.limits.count(),
             'servers_unreached': len(directory.links.list_failing()),
+            'tunnels_relayed': directory.tunnels,
             'links_lost': float(directory.links.is_cut_off),
-            'deadly_requests': self._suspects.count(),
+            'deadly_requests': self._access.suspects.count(),
             'members': len(self.fleet.list_serving()),
             'store_away': float(self.follower.is_store_lost),
             'requests_under_way': self.callers.count_busy(),
@@ -177,7 +168,7 @@
             self.budgets,
             self.turns,
             self.streams,
-            self._suspects,
+            self._access,
             self.snapshots,
             self.callers,
         )
@@ -207,11 +198,16 @@
         self.callers.stop()
         # Idle connections are closed now; on the others a request is running
         # or has arrived but is not read yet.
-        while self.callers.count_open() and read_clock() < end:
+        # Tunnels are closed by the VMs that use them, idle ones as soon as they
+        # know that this one is leaving.
+        while self._count_open() and read_clock() < end:
             gevent.sleep(_POLL_SECONDS)
-        emit(LogEvent.DRAIN_FINISHED, busy=self.callers.count_open())
+        emit(LogEvent.DRAIN_FINISHED, busy=self._count_open())
         self._stopped.set()
 
+    def _count_open(self) -> int:
+        return self.callers.count_open() + self.directory.tunnels
+
     def _close_idle_connections(self) -> None:
         self.pool.close_expired(read_clock())
 
--- a/src/bronzepost/_internal/gateway/refusals.py
+++ b/src/bronzepost/_internal/gateway/refusals.py
@@ -18,6 +18,8 @@
 DEFAULT_RETRY_AFTER_SECONDS: Final = 0.25
 # Servers that crashed are back after some seconds.
 SUSPECT_RETRY_AFTER_SECONDS: Final = 0.5
+# Links that were lost are probed this often.
+LINK_RETRY_AFTER_SECONDS: Final = 0.5
 # By then the first configuration should have arrived.
 STARTING_RETRY_AFTER_SECONDS: Final = 0.5
 
@@ -58,6 +60,21 @@
     )
 
 
+def refuse_no_link(pending: PendingCall) -> RefusedError:
+    """Return the error if no VM is known to reach a server for a request.
+
+    Callers are told different times, so that they do not come back together.
+    """
+    error = RefusedError(
+        f'no VM is known to reach the backend servers of {pending.service}',
+        code='no_link',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='choose backend server',
+        retry_after_seconds=LINK_RETRY_AFTER_SECONDS * (1 + random.random()),
+    )
+    return state_run(error, pending)
+
+
 def refuse_limited(service: str, wait_seconds: float) -> RefusedError:
     """Return the error if the limits of all servers keep a request out.
 
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/server_access.py
@@ -0,0 +1,75 @@
+"""The parts of a gateway that reach backend servers."""
+
+from bronzepost._internal.gateway.backend_connections import ConnectionPool
+from bronzepost._internal.gateway.directory import Directory
+from bronzepost._internal.gateway.fleet import Fleet
+from bronzepost._internal.gateway.header_names import HeaderNames
+from bronzepost._internal.gateway.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peer_reports import PeerReports
+from bronzepost._internal.gateway.relay_server import RelayServer
+from bronzepost._internal.gateway.relays import Relays
+from bronzepost._internal.gateway.server_calls import ServerCalls
+from bronzepost._internal.gateway.server_links import ServerLinks
+from bronzepost._internal.gateway.server_permits import ServerPermits
+from bronzepost._internal.gateway.settings import GatewaySettings
+from bronzepost._internal.gateway.suspect_requests import SuspectRequests
+
+
+class ServerAccess:
+    """Links to backend servers, relays, and what decides who may use them."""
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        fleet: Fleet,
+        reports: PeerReports,
+        peer_calls: PeerCalls,
+        directory: Directory,
+        pool: ConnectionPool,
+        names: HeaderNames,
+    ) -> None:
+        """Build the parts; ``start`` opens the relay address."""
+        self.suspects = SuspectRequests(fleet=fleet, directory=directory)
+        self._links = ServerLinks(
+            directory=directory,
+            pool=pool,
+            relays=Relays(
+                fleet=fleet,
+                reports=reports,
+                pool=pool,
+                own_address=settings.relay_address,
+                availability_zone=settings.availability_zone,
+            ),
+        )
+        self._relay_server = RelayServer(
+            address=settings.relay_address,
+            fleet=fleet,
+            directory=directory,
+            links=self._links,
+        )
+        self.calls = ServerCalls(
+            directory=directory,
+            reports=reports,
+            permits=ServerPermits(
+                fleet=fleet,
+                reports=reports,
+                calls=peer_calls,
+                directory=directory,
+            ),
+            suspects=self.suspects,
+            links=self._links,
+            names=names,
+            vm_name=settings.name,
+            availability_zone=settings.availability_zone,
+        )
+
+    def start(self) -> None:
+        """Start all parts.
+
+        Raises:
+            OSError: if the relay address cannot be bound.
+        """
+        self.suspects.start()
+        self._links.start()
+        self._relay_server.start()
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -7,7 +7,6 @@
 
 from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.core.gateway.request_pace import SPARE_SECONDS
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
 from bronzepost._internal.gateway.backend_exchange import BackendExchange
 from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.header_names import (
@@ -25,7 +24,10 @@
     NotRunError,
     PendingCall,
 )
-from bronzepost._internal.gateway.refusals import refuse_suspect
+from bronzepost._internal.gateway.refusals import (
+    refuse_no_link,
+    refuse_suspect,
+)
 from bronzepost._internal.gateway.server_links import ServerLinks
 from bronzepost._internal.gateway.server_permits import ServerPermits
 from bronzepost._internal.gateway.server_placement import (
@@ -56,7 +58,7 @@
         reports: PeerReports,
         permits: ServerPermits,
         suspects: SuspectRequests,
-        pool: ConnectionPool,
+        links: ServerLinks,
         names: HeaderNames,
         vm_name: str,
         availability_zone: str,
@@ -70,14 +72,13 @@
         self._placement = ServerPlacement(
             directory=directory,
             reports=reports,
-            pool=pool,
+            links=links,
             vm_name=vm_name,
             availability_zone=availability_zone,
         )
         self._permits = permits
         self._suspects = suspects
-        self._pool = pool
-        self._links = ServerLinks(directory=directory, pool=pool)
+        self._links = links
         self._names = names
 
     def choose(self, pending: PendingCall) -> BackendServer | None:
@@ -96,6 +97,7 @@
         if self._suspects.is_suspect(pending):
             return self._choose_isolated(pending)
         isolated_ids = self._suspects.list_avoided(pending.service)
+        unreachable_ids = self._list_unreachable(pending)
         denied_ids: set[str] = set()
         while True:  # noqa: WPS457 - each server is denied once
             blocked_ids = self._permits.list_blocked() - {
@@ -104,10 +106,10 @@
             server = self._placement.choose(
                 pending,
                 avoided_ids=blocked_ids | isolated_ids,
-                excluded_ids=denied_ids,
+                excluded_ids=denied_ids | unreachable_ids,
             )
             if server is None or server.server_id in blocked_ids:
-                return self._choose_limited(pending)
+                return self._choose_limited(pending, unreachable_ids)
             if self._permits.acquire(
                 server.server_id, find_patience(pending, server)
             ):
@@ -131,13 +133,15 @@
         step = f'forward {pending.call.request_id}'
         started_at = read_clock()
         with self._count_in_flight(server):
+            connection = self._links.acquire(
+                server,
+                request_id=pending.call.request_id,
+                max_idle_seconds=find_max_idle_seconds(pending),
+            )
+            pending.relay = connection.relay
             exchange = BackendExchange(
-                pool=self._pool,
-                connection=self._links.acquire(
-                    server,
-                    step=step,
-                    max_idle_seconds=find_max_idle_seconds(pending),
-                ),
+                pool=self._links.pool,
+                connection=connection,
                 request_id=pending.call.request_id.encode('latin-1'),
                 id_header=self._names.request_id,
                 step=step,
@@ -145,9 +149,10 @@
             with exchange:
                 exchange.send(self._encode_head(pending, server), pending.body)
                 head = exchange.read_head()
-                self._directory.links.record_heard(server.server_id)
+                self._record_heard(pending, server)
                 pending.framing = head.framing
-                pending.server_limit = self._read_limit(head)
+                limit = find_header(head.headers, self._names.limit) or b''
+                pending.server_limit = limit.decode('latin-1')
                 self._check_was_run(head, server, step)
                 self._suspects.record_answer(server, sent_at=started_at)
                 yield exchange, head
@@ -164,7 +169,9 @@
         # Another suspect may have crashed the server in the meantime.
         self._suspects.check(pending)
         server = self._suspects.find_isolated(pending.service)
-        excluded_ids = self._placement.list_excluded(pending)
+        excluded_ids = self._placement.list_excluded(
+            pending
+        ) | self._list_unreachable(pending)
         if server is None or server.server_id in excluded_ids:
             self._suspects.log_suspect(pending)
             raise refuse_suspect(pending)
@@ -172,18 +179,24 @@
             raise refuse_suspect(pending)
         return server
 
-    def _choose_limited(self, pending: PendingCall) -> BackendServer | None:
-        """Return the server at which a request has its turn soon, if any."""
+    def _choose_limited(
+        self, pending: PendingCall, unreachable_ids: frozenset[str]
+    ) -> BackendServer | None:
+        """Return the server at which a request has its turn soon, if any.
+
+        Raises:
+            RefusedError: if there is no path to the servers that are left.
+        """
         patience = find_target_wait(pending)
         denied_ids: set[str] = set()
         while True:  # noqa: WPS457 - each server is denied once
             server = self._placement.choose(
-                pending, avoided_ids=frozenset(), excluded_ids=denied_ids
+                pending,
+                avoided_ids=frozenset(),
+                excluded_ids=denied_ids | unreachable_ids,
             )
             if server is None:
-                pending.limited_seconds = min(
-                    map(self._permits.find_wait, denied_ids), default=None
-                )
+                self._explain_refusal(pending, denied_ids, unreachable_ids)
                 return None
             server_id = server.server_id
             is_soon = self._permits.find_wait(server_id) <= patience
@@ -191,6 +204,29 @@
                 return server
             denied_ids.add(server_id)
 
+    def _explain_refusal(
+        self,
+        pending: PendingCall,
+        denied_ids: set[str],
+        unreachable_ids: frozenset[str],
+    ) -> None:
+        """Record for how long the limits of servers keep a request out.
+
+        Raises:
+            RefusedError: if it is not for limits but for links.
+        """
+        pending.limited_seconds = min(
+            map(self._permits.find_wait, denied_ids), default=None
+        )
+        if unreachable_ids and pending.limited_seconds is None:
+            raise refuse_no_link(pending)
+
+    def _list_unreachable(self, pending: PendingCall) -> frozenset[str]:
+        return self._links.list_unreachable(
+            self._directory.list_servers(pending.service),
+            find_max_idle_seconds(pending),
+        )
+
     def _record_end(
         self,
         pending: PendingCall,
@@ -199,7 +235,7 @@
         started_at: float,
     ) -> None:
         """Record an exchange that ended as its caller wanted."""
-        self._directory.links.record_heard(server.server_id)
+        self._record_heard(pending, server)
         self._suspects.record_answer(server, sent_at=started_at)
         self._directory.ratings.report_exchange(
             server.service, read_clock() - started_at
@@ -207,6 +243,12 @@
         self._record_latency(pending, server)
         self._record_status(head, server)
 
+    def _record_heard(
+        self, pending: PendingCall, server: BackendServer
+    ) -> None:
+        if not pending.relay:
+            self._directory.links.record_heard(server.server_id)
+
     def _record_status(self, head: AnswerHead, server: BackendServer) -> None:
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self._directory.ratings.report_failure(server.server_id)
@@ -233,10 +275,6 @@
         finally:
             in_flight[server.server_id] -= 1
 
-    def _read_limit(self, head: AnswerHead) -> str:
-        limit = find_header(head.headers, self._names.limit) or b''
-        return limit.decode('latin-1')
-
     def _check_was_run(
         self, head: AnswerHead, server: BackendServer, step: str
     ) -> None:
--- a/src/bronzepost/_internal/gateway/server_placement.py
+++ b/src/bronzepost/_internal/gateway/server_placement.py
@@ -16,11 +16,11 @@
     PlacementContext,
     choose_server,
 )
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
 from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.parts_in_use import Holders
 from bronzepost._internal.gateway.peer_reports import PeerReports
 from bronzepost._internal.gateway.pending_call import PendingCall
+from bronzepost._internal.gateway.server_links import ServerLinks
 
 # For how long a connection that is used again may have been idle. A server may
 # close an idle connection without notice; it is then not known whether a
@@ -40,14 +40,14 @@
         *,
         directory: Directory,
         reports: PeerReports,
-        pool: ConnectionPool,
+        links: ServerLinks,
         vm_name: str,
         availability_zone: str,
     ) -> None:
         """Choose among the servers of ``directory``."""
         self._directory = directory
         self._reports = reports
-        self._pool = pool
+        self._links = links
         self._vm_name = vm_name
         self._availability_zone = availability_zone
         # Cached until a server of the service changes.
@@ -97,6 +97,7 @@
             slots_by_id=self._find_limited_slots(pending.service, candidates),
             avoided_ids=avoided_ids,
             connected_ids=self._list_connected(pending, candidates),
+            relayed_ids=self._links.list_relayed(candidates),
             report_age_seconds=self._reports.max_age_seconds,
             salt=random.getrandbits(_SALT_BITS),
         )
@@ -185,7 +186,7 @@
         return frozenset(
             server.server_id
             for server in candidates
-            if self._pool.has_idle(server.address, max_idle_seconds)
+            if self._links.has_idle(server, max_idle_seconds)
         )
 
 
--- a/src/bronzepost/_internal/gateway/settings.py
+++ b/src/bronzepost/_internal/gateway/settings.py
@@ -7,6 +7,7 @@
 class GatewaySettings:
     """The addresses of a gateway, its store and its seeds.
 
+    Other gateways reach backend servers through ``relay_address``.
     Addresses are ``IP:PORT``. ``grace_seconds`` is the time from the signal to
     stop until the process is killed. ``seeds`` are peer addresses, some of
     which may be out of date.
@@ -19,6 +20,7 @@
     readiness_address: str
     directory_address: str
     peer_address: str
+    relay_address: str
     metrics_address: str
     store_address: str
     store_partitions: int
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -272,6 +272,14 @@
         INFO,
         'A request that broke off at a server may not run now.',
     )
+    TUNNEL_OPENED = 8042, INFO, 'Another VM relays a request to its server.'
+    TUNNEL_REFUSED = 8043, WARNING, 'A VM did not open a tunnel to a server.'
+    TUNNEL_REJECTED = (
+        8044,
+        WARNING,
+        'The relay was asked from an address that is no VM of the fleet.',
+    )
+    TUNNEL_BROKEN = 8045, INFO, 'A tunnel ended before it was open.'
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -35,7 +35,9 @@
 )
 from bronzepost._internal.gateway.lost_members import LostMembers
 from bronzepost._internal.gateway.received_reports import ReceivedReports
+from bronzepost._internal.gateway.relays import Relays
 from bronzepost._internal.gateway.server_calls import ServerCalls
+from bronzepost._internal.gateway.server_links import ServerLinks
 from bronzepost._internal.gateway.server_permits import ServerPermits
 from bronzepost._internal.gateway.suspect_requests import SuspectRequests
 from tests.builders_gateway import make_member, make_server
@@ -279,6 +281,21 @@
     )
 
 
+def make_links(directory: Directory, pool: ConnectionPool) -> ServerLinks:
+    """Return the links of a gateway without peers."""
+    return ServerLinks(
+        directory=directory,
+        pool=pool,
+        relays=Relays(
+            fleet=NoPeers(),  # type: ignore[arg-type]
+            reports=NoPeerReports(),  # type: ignore[arg-type]
+            pool=pool,
+            own_address='127.0.0.1:0',
+            availability_zone='hall-a',
+        ),
+    )
+
+
 def make_suspects(directory: Directory) -> SuspectRequests:
     """Return the suspect requests of a gateway without peers."""
     return SuspectRequests(
@@ -312,7 +329,7 @@
             reports=NoPeerReports(),  # type: ignore[arg-type]
             permits=make_permits(directory),
             suspects=suspects,
-            pool=pool,
+            links=make_links(directory, pool),
             names=NAMES,
             vm_name='hall-a-1',
             availability_zone='hall-a',
@@ -320,7 +337,7 @@
         suspects=suspects,
         decode_call=decode_test_call,
     )
-    port = _find_port()
+    port = find_port()
     server = CallerServer(
         address=f'127.0.0.1:{port}',
         answer=forwarder.answer,
@@ -346,7 +363,8 @@
     )
 
 
-def _find_port() -> int:
+def find_port() -> int:
+    """Return a free port of the loopback interface."""
     with open_socket() as probe:
         probe.bind(('127.0.0.1', 0))
         port: int = probe.getsockname()[1]
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -267,6 +267,7 @@
             readiness_address=address,
             directory_address=address,
             peer_address=address,
+            relay_address=address,
             metrics_address=address,
             store_address=address,
             store_partitions=1,
