Do not take servers for crashed when a link breaks

Cause: what broke off at a VM was told to all VMs as a crash of the server, whoever was at fault: the server, the link of this VM, or the VM that relayed.

Evidence: 25 refusals rest on one break each, with two to four of five engines taken for crashed; 14 of the 15 breaks come from VMs that hear from no server.

Change: a break counts against a server only if the VM that connected to it, this one or its relay, reaches another server now; the same holds for requests without an answer, which are recorded after their callers have theirs, and for the health of servers.

--- a/src/bronzepost/_internal/exceptions.py
+++ b/src/bronzepost/_internal/exceptions.py
@@ -118,15 +118,23 @@
 class ExchangeError(BronzepostError):
     """An HTTP exchange did not complete.
 
-    ``was_sent`` is false only if the peer cannot have received the request.
+    ``was_sent`` is false only if the peer cannot have received the request. The
+    exchange went through the VM ``relay``, if that is set.
     """
 
     def __init__(
-        self, message: str, *, step: str, peer: str, was_sent: bool
+        self,
+        message: str,
+        *,
+        step: str,
+        peer: str,
+        was_sent: bool,
+        relay: str = '',
     ) -> None:
         """Store the step, the peer and whether it may have the request."""
         super().__init__(message, step=step, peer=peer)
         self.was_sent = was_sent
+        self.relay = relay
 
 
 class LogRefusedError(LogServiceError):
--- a/src/bronzepost/_internal/gateway/backend_exchange.py
+++ b/src/bronzepost/_internal/gateway/backend_exchange.py
@@ -145,4 +145,5 @@
             step=self._step,
             peer=self._connection.address,
             was_sent=True,
+            relay=self._connection.relay,
         )
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/forwarding.py
@@ -1,5 +1,6 @@
 """Forward requests to backend servers, with retries where they are allowed."""
 
+import functools
 import random
 from collections.abc import Callable
 from http import HTTPStatus
@@ -30,6 +31,7 @@
 from bronzepost._internal.gateway.header_names import Headers
 from bronzepost._internal.gateway.hedging import HedgedRequest
 from bronzepost._internal.gateway.http_messages import HttpRequest
+from bronzepost._internal.gateway.loops import start_task
 from bronzepost._internal.gateway.pending_call import (
     DeadlinePassedError,
     NotRunError,
@@ -246,9 +248,11 @@
         pending.excluded_ids.add(server.server_id)
         event = LogEvent.REQUEST_NOT_RUN
         if isinstance(error, ExchangeError):
-            self._directory.ratings.report_failure(server.server_id)
             event = LogEvent.EXCHANGE_BROKEN
-            if error.was_sent:
+            if error.was_sent and not self._servers.links.is_at_fault(
+                server, relay=error.relay
+            ):
+                self._directory.ratings.report_failure(server.server_id)
                 self._suspects.record_break(pending, server)
         METRICS.server_failures.labels(
             server=server.server_id, reason=event.event_name
@@ -267,17 +271,22 @@
 
     def _refuse_after_deadline(self, pending: PendingCall) -> None:
         run = RunState.UNKNOWN if pending.sends else RunState.NOT_RUN
-        if pending.server_id and not pending.answer.is_started:
-            self._record_silence(pending)
+        is_silent = pending.server_id and not pending.answer.is_started
         error = refuse_deadline_passed(run)
         self._refuse(pending.call, pending.answer, error, pending.started_at)
+        server = self._directory.servers_by_id.get(pending.server_id)
+        if is_silent and server is not None:
+            # Its caller has the answer; whose fault it is takes longer to tell.
+            start_task(functools.partial(self._record_silence, pending, server))
 
-    def _record_silence(self, pending: PendingCall) -> None:
+    def _record_silence(
+        self, pending: PendingCall, server: BackendServer
+    ) -> None:
         """Record that a server did not answer in the time of a request."""
-        self._directory.ratings.report_failure(pending.server_id)
-        server = self._directory.servers_by_id.get(pending.server_id)
-        if server is not None:
-            self._suspects.record_break(pending, server, is_silent=True)
+        if self._servers.links.is_at_fault(server, relay=pending.relay):
+            return
+        self._directory.ratings.report_failure(server.server_id)
+        self._suspects.record_break(pending, server, is_silent=True)
 
     def _refuse(
         self,
--- a/src/bronzepost/_internal/gateway/relay_server.py
+++ b/src/bronzepost/_internal/gateway/relay_server.py
@@ -19,7 +19,7 @@
 from bronzepost._internal.gateway.caller_connections import LISTEN_BACKLOG
 from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.server_links import ServerLinks
+from bronzepost._internal.gateway.link_probes import LinkProbes
 from bronzepost._internal.gateway.tcp_options import (
     set_reset_on_close,
     set_tcp_options,
@@ -55,13 +55,13 @@
         address: str,
         fleet: Fleet,
         directory: Directory,
-        links: ServerLinks,
+        probes: LinkProbes,
     ) -> None:
         """Prepare to listen on ``IP:PORT``; ``start`` binds the address."""
         host, _, port = address.rpartition(':')
         self._fleet = fleet
         self._directory = directory
-        self._links = links
+        self._probes = probes
         self._server = StreamServer(
             (host, int(port)), self._serve, backlog=LISTEN_BACKLOG
         )
@@ -124,7 +124,7 @@
         if self._directory.links.is_cut_off:
             return None, TunnelVerdict.CUT_OFF
         try:
-            return self._links.open(server, step='relay'), TunnelVerdict.OPEN
+            return self._probes.open(server, step='relay'), TunnelVerdict.OPEN
         except ExchangeError:
             is_cut_off = self._directory.links.is_cut_off
         verdict = TunnelVerdict.UNREACHED
--- a/src/bronzepost/_internal/gateway/server_access.py
+++ b/src/bronzepost/_internal/gateway/server_access.py
@@ -46,7 +46,7 @@
             address=settings.relay_address,
             fleet=fleet,
             directory=directory,
-            links=self._links,
+            probes=self._links.probes,
         )
         self.calls = ServerCalls(
             directory=directory,
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -78,7 +78,7 @@
         )
         self._permits = permits
         self._suspects = suspects
-        self._links = links
+        self.links = links
         self._names = names
 
     def choose(self, pending: PendingCall) -> BackendServer | None:
@@ -133,14 +133,14 @@
         step = f'forward {pending.call.request_id}'
         started_at = read_clock()
         with self._count_in_flight(server):
-            connection = self._links.acquire(
+            connection = self.links.acquire(
                 server,
                 request_id=pending.call.request_id,
                 max_idle_seconds=find_max_idle_seconds(pending),
             )
             pending.relay = connection.relay
             exchange = BackendExchange(
-                pool=self._links.pool,
+                pool=self.links.pool,
                 connection=connection,
                 request_id=pending.call.request_id.encode('latin-1'),
                 id_header=self._names.request_id,
@@ -222,7 +222,7 @@
             raise refuse_no_link(pending)
 
     def _list_unreachable(self, pending: PendingCall) -> frozenset[str]:
-        return self._links.list_unreachable(
+        return self.links.list_unreachable(
             self._directory.list_servers(pending.service),
             find_max_idle_seconds(pending),
         )
--- a/tests/builders_tunnels.py
+++ b/tests/builders_tunnels.py
@@ -14,13 +14,14 @@
     ConnectionPool,
 )
 from bronzepost._internal.gateway.directory import Directory
+from bronzepost._internal.gateway.link_probes import LinkProbes
 from bronzepost._internal.gateway.messages import LoadReport
 from bronzepost._internal.gateway.received_reports import ReceivedReports
 from bronzepost._internal.gateway.relay_server import RelayServer
 from bronzepost._internal.gateway.relays import Relays
 from bronzepost._internal.gateway.server_links import ServerLinks
 from tests.builders_gateway import make_member, make_server
-from tests.builders_gateway_servers import find_port, make_links
+from tests.builders_gateway_servers import find_port
 
 OWN_NAME = 'hall-a-1'
 RELAY_NAME = 'hall-a-2'
@@ -106,7 +107,7 @@
         address=relay_address,
         fleet=fleet,  # type: ignore[arg-type]
         directory=directory,
-        links=make_links(directory, pool),
+        probes=LinkProbes(directory=directory, pool=pool),
     )
     relay_server.start()
     relays = Relays(
--- a/tests/unit/test_gateway_tunnels.py
+++ b/tests/unit/test_gateway_tunnels.py
@@ -12,13 +12,18 @@
 from gevent.socket import create_connection
 from testtools.matchers import LessThan
 
+from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.exceptions import ExchangeError
 from bronzepost._internal.gateway import relay_server
+from bronzepost._internal.gateway.directory import Directory
+from bronzepost._internal.gateway.server_links import ServerLinks
 from bronzepost._internal.gateway.tcp_options import set_reset_on_close
 from bronzepost._internal.node.clock import read_clock
+from tests.builders_gateway import make_server
 from tests.builders_gateway_servers import READ_BYTES, find_port
 from tests.builders_tunnels import RELAY_NAME, VmPair, open_pair
 
+UNUSED_ADDRESS = f'127.0.0.1:{find_port()}'
 # By rule a server stops a request within half a second of its caller's end.
 CANCEL_SECONDS = 0.5
 # More than the socket buffers of a tunnel hold.
@@ -202,6 +207,72 @@
             silent.close()
 
 
+class TestFault(testtools.TestCase):
+    """Whose fault it is that an exchange broke off."""
+
+    def is_at_fault(
+        self, *servers: BackendServer, relay: str = '', pair: VmPair
+    ) -> bool:
+        links = pair.make_links()
+        directory = Directory(pool=links.pool)
+        directory.put_servers(servers)
+        links = ServerLinks(
+            directory=directory, pool=links.pool, relays=pair.relays
+        )
+        return links.is_at_fault(servers[0], relay=relay)
+
+    def test_crash_beside_a_server_that_is_reached(self) -> None:
+        """Guard against a crash that no request is blamed for."""
+        server = RawServer()
+        with open_pair(server.address) as pair:
+            crashed = make_server('i-2', address=UNUSED_ADDRESS)
+            self.assertFalse(self.is_at_fault(crashed, pair.server, pair=pair))
+        server.close()
+
+    def test_cut_of_all_links(self) -> None:
+        """Guard against blame for requests at a VM that has lost its links."""
+        with open_pair(UNUSED_ADDRESS) as pair:
+            other = make_server('i-2', address=UNUSED_ADDRESS)
+            self.assertTrue(self.is_at_fault(pair.server, other, pair=pair))
+
+    def test_only_server(self) -> None:
+        """Guard against a service of one server whose crashes do not count."""
+        with open_pair(UNUSED_ADDRESS) as pair:
+            self.assertFalse(self.is_at_fault(pair.server, pair=pair))
+
+    def test_relay_that_is_gone(self) -> None:
+        """Guard against blame for requests when the VM between was killed."""
+        with open_pair(UNUSED_ADDRESS) as pair:
+            pair.fleet.members = pair.fleet.members[:1]
+            self.assertTrue(
+                self.is_at_fault(pair.server, relay=RELAY_NAME, pair=pair)
+            )
+
+    def test_relay_that_does_not_reach_the_server_any_more(self) -> None:
+        """Guard against a crash behind a relay that nobody is blamed for."""
+        server = RawServer()
+        with open_pair(UNUSED_ADDRESS) as pair:
+            pair.directory.put_servers([
+                pair.server,
+                make_server('i-2', address=server.address),
+            ])
+            self.assertFalse(
+                self.is_at_fault(pair.server, relay=RELAY_NAME, pair=pair)
+            )
+        server.close()
+
+    def test_relay_that_lost_its_links_too(self) -> None:
+        """Guard against blame for requests when the relay is cut off as well."""
+        with open_pair(UNUSED_ADDRESS) as pair:
+            pair.directory.put_servers([
+                pair.server,
+                make_server('i-2', address=UNUSED_ADDRESS),
+            ])
+            self.assertTrue(
+                self.is_at_fault(pair.server, relay=RELAY_NAME, pair=pair)
+            )
+
+
 class TestPaths(testtools.TestCase):
     """Which way a VM takes to a server."""
 
@@ -227,6 +298,6 @@
             links.pool.keep(second)
             pair.fleet.members = pair.fleet.members[:1]
             gevent.sleep(0.15)
-            links.probe_due()
+            links.close_tunnels()
             self.assertFalse(links.has_idle(pair.server, 1))
         server.close()
