Keep connections to sound servers that are silent for a second

Callers of a server that paused got 502, or their request ran a second time.

Cause: TCP_USER_TIMEOUT of 1.5 s ends a connection whose data is not acknowledged and, as Linux defines it, also one whose peer acknowledges but does not read. It stood in for the missing knowledge that a link is lost.

Change: the timeout is 2.5 s. Requests that may run again are taken off the links of a VM that has heard from no server for 1.2 s while others reach them. A failing link whose server answers on open connections is used, a server that starts again under its id gets a new link, VMs that are leaving may still use relays, and no_server has a spread Retry-After.

--- a/src/bronzepost/_internal/core/gateway/server_links.py
+++ b/src/bronzepost/_internal/core/gateway/server_links.py
@@ -158,6 +158,27 @@
     )
 
 
+def is_silent_since(table: LinkTable, since: float) -> bool:
+    """Return whether nothing at all has come over any link since a time.
+
+    A VM whose connections are refused is not silent: open ones may live on.
+    """
+    last_failure = table.last_failure
+    if last_failure is None or not is_cut_off(table):
+        return False
+    last_heard_at = max(table.heard_at_by_server.values(), default=-math.inf)
+    was_silent = last_failure.is_silent and last_failure.since <= since
+    return was_silent and last_heard_at < since
+
+
+def is_answering(table: LinkTable, server: str) -> bool:
+    """Return whether a server has answered since its link was last tried."""
+    failing = table.failing_by_server.get(server)
+    if failing is None:
+        return not is_cut_off(table)
+    return table.heard_at_by_server.get(server, -math.inf) > failing.tried_at
+
+
 def find_path(table: LinkTable, server: str) -> Path:
     """Return how to reach a server.
 
@@ -170,7 +191,7 @@
     if failing is None:
         return Path.DIRECT
     heard_at = table.heard_at_by_server.get(server, -math.inf)
-    if failing.is_silent and heard_at < failing.tried_at:
+    if failing.is_silent and heard_at <= failing.tried_at:
         return Path.RELAY
     return Path.OPEN
 
--- a/src/bronzepost/_internal/gateway/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/backend_connections.py
@@ -1,6 +1,7 @@
 """A pool of connections to backend servers."""
 
 import collections
+import contextlib
 import dataclasses
 import re
 import socket
@@ -19,9 +20,9 @@
 # A TCP handshake within a region takes a few milliseconds. A lost SYN is sent
 # again after a second; by then another server has answered.
 CONNECT_TIMEOUT_SECONDS: Final = 0.4
-# Data that a backend server does not acknowledge for this long breaks the
-# connection: the network path or the machine is down.
-USER_TIMEOUT_MS: Final = 1500
+# Data that a backend server does not acknowledge, or does not read, for this long
+# breaks the connection. A sound server may be silent for a second or two.
+USER_TIMEOUT_MS: Final = 2500
 # How long an idle connection is used if the server sends no Keep-Alive timeout.
 DEFAULT_KEEP_ALIVE_SECONDS: Final = 4.0
 # An idle connection is not used within this time before the server closes it,
@@ -43,6 +44,7 @@
     usable_until: float
     idle_since: float = 0
     relay: str = ''
+    is_severed: bool = False
 
     def send(self, content: bytes) -> None:
         """Send all bytes.
@@ -53,10 +55,23 @@
         self.sock.sendall(content)
 
     def receive(self) -> bytes:
-        """Return the next bytes, or no bytes after an orderly close."""
+        """Return the next bytes, or no bytes after an orderly close.
+
+        Raises:
+            OSError: if the connection is broken or severed.
+        """
         received: bytes = self.sock.recv(_READ_BYTES)
+        if self.is_severed:
+            # An orderly close would end an answer without a length.
+            raise ConnectionAbortedError('the link is lost')
         return received
 
+    def sever(self) -> None:
+        """Let the exchange on this connection break off."""
+        self.is_severed = True
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+
     def is_fresh(self, max_idle_seconds: float) -> bool:
         """Return whether the connection has not been idle for too long."""
         now = read_clock()
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/directory.py
@@ -78,7 +78,10 @@
         current = {server.server_id: server for server in servers}
         record_versions(self._seen_versions, current.values(), at=read_clock())
         for server_id, server in current.items():
-            _log_change(self.servers_by_id.get(server_id), server)
+            known = self.servers_by_id.get(server_id)
+            _log_change(known, server)
+            if known is not None and known.born != server.born:
+                self.links.forget(server_id)
         for gone_id in self.servers_by_id.keys() - current.keys():
             self._remove_server(self.servers_by_id[gone_id])
         if current != self.servers_by_id:
--- a/src/bronzepost/_internal/gateway/fleet.py
+++ b/src/bronzepost/_internal/gateway/fleet.py
@@ -83,10 +83,6 @@
         for action in membership.leave(self._members, read_clock()):
             carry_out(action, self)
 
-    def close(self) -> None:
-        """Close the connections to the peers."""
-        self._transport.close()
-
     def subscribe(self, message_type: type, receive: ReceiveMessage) -> None:
         """Pass messages of a type to ``receive``, with the sender's name."""
         self._receivers_by_type[message_type] = receive
@@ -144,6 +140,13 @@
             self._live_peers = _list_peer_names(live, self.own_name)
         return self._live_peers
 
+    def is_member_ip(self, ip: str) -> bool:
+        """Return whether a VM with an IP runs, also one that is leaving."""
+        return any(
+            member.peer_address.rpartition(':')[0] == ip
+            for member in membership.live_members(self._members)
+        )
+
     def reconnect(self, peer_address: str) -> None:
         """Replace the connection to a peer that does not answer."""
         if self._transport.reconnect(peer_address):
--- a/src/bronzepost/_internal/gateway/pending_call.py
+++ b/src/bronzepost/_internal/gateway/pending_call.py
@@ -61,6 +61,13 @@
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     turn: OpenTurn | None = None
 
+    @property
+    def may_run_again(self) -> bool:
+        """Return whether the request may go on at another server."""
+        is_whole = self.route.is_resumable or not self.answer.is_started
+        is_left = self.runs < self.route.attempts
+        return self.route.is_retryable and is_whole and is_left
+
     @property
     def fingerprints(self) -> tuple[str, str]:
         """Return what is the same in all tries of a request, at any VM.
--- a/src/bronzepost/_internal/gateway/refusals.py
+++ b/src/bronzepost/_internal/gateway/refusals.py
@@ -56,7 +56,7 @@
         code='no_server',
         status=HTTPStatus.SERVICE_UNAVAILABLE,
         step='choose backend server',
-        retry_after_seconds=DEFAULT_RETRY_AFTER_SECONDS,
+        retry_after_seconds=DEFAULT_RETRY_AFTER_SECONDS * (1 + random.random()),
     )
 
 
--- a/src/bronzepost/_internal/gateway/relay_server.py
+++ b/src/bronzepost/_internal/gateway/relay_server.py
@@ -81,7 +81,7 @@
     def _serve(self, sock: Any, address: tuple[str, int]) -> None:
         set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
         with contextlib.closing(sock):
-            if not self._is_member(address[0]):
+            if not self._fleet.is_member_ip(address[0]):
                 emit(LogEvent.TUNNEL_REJECTED, peer=address[0])
                 return
             try:
@@ -89,12 +89,6 @@
             except (OSError, ProtocolError) as error:
                 emit(LogEvent.TUNNEL_BROKEN, peer=address[0], error=error)
 
-    def _is_member(self, ip: str) -> bool:
-        return any(
-            member.peer_address.rpartition(':')[0] == ip
-            for member in self._fleet.list_serving()
-        )
-
     def _serve_tunnel(self, sock: Any) -> None:
         with gevent.Timeout(REQUEST_TIMEOUT_SECONDS, TimeoutError('no frame')):
             request = receive_frame(sock, OpenTunnel)
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/server_calls.py
@@ -146,7 +146,7 @@
                 id_header=self._names.request_id,
                 step=step,
             )
-            with exchange:
+            with self.links.watch(connection, pending), exchange:
                 exchange.send(self._encode_head(pending, server), pending.body)
                 head = exchange.read_head()
                 self._record_heard(pending, server)
--- a/src/bronzepost/_internal/gateway/server_links.py
+++ b/src/bronzepost/_internal/gateway/server_links.py
@@ -1,12 +1,15 @@
 """Connections to backend servers, over links of this VM or through other VMs."""
 
-from collections.abc import Iterable
+import contextlib
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.core.gateway.server_links import (
     Path,
     find_path,
+    is_answering,
+    is_silent_since,
 )
 from bronzepost._internal.exceptions import ExchangeError
 from bronzepost._internal.gateway.backend_connections import (
@@ -16,6 +19,7 @@
 from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.link_probes import LinkProbes
 from bronzepost._internal.gateway.loops import start_loop
+from bronzepost._internal.gateway.pending_call import PendingCall
 from bronzepost._internal.gateway.relays import Relays
 from bronzepost._internal.node.clock import read_clock
 
@@ -23,7 +27,10 @@
 # time the VMs that use the server have found out.
 SINGLE_LINK_SECONDS: Final = 1.0
 # Idle tunnels through a VM that leaves are closed within this time.
-TUNNEL_CHECK_SECONDS: Final = 0.1
+CHECK_INTERVAL_SECONDS: Final = 0.1
+# Requests that may run again are taken off lost links after this time. Callers leave a
+# stream after a gap of two seconds.
+SEVER_SECONDS: Final = 1.2
 
 
 class ServerLinks:
@@ -37,16 +44,41 @@
         self._records = directory.links
         self.pool = pool
         self._relays = relays
+        self._exchanges: dict[BackendConnection, PendingCall] = {}
         self.probes = LinkProbes(directory=directory, pool=pool)
 
     def start(self) -> None:
         """Start to probe links that fail and to close tunnels through VMs that leave."""
         self.probes.start()
-        start_loop(self.close_tunnels, TUNNEL_CHECK_SECONDS)
+        start_loop(self.close_unusable, CHECK_INTERVAL_SECONDS)
 
-    def close_tunnels(self) -> None:
-        """Close idle tunnels through VMs that leave or have lost their links."""
+    def close_unusable(self) -> None:
+        """Close tunnels and connections on which nothing can be expected.
+
+        These are idle tunnels through VMs that leave or have lost their links and,
+        once nothing has come over the links of this VM for long, connections with
+        requests that may run again.
+        """
         self.pool.close_tunnels(self._relays.is_usable)
+        silent_since = read_clock() - SEVER_SECONDS
+        if is_silent_since(self._records.table, silent_since):
+            for connection, pending in tuple(self._exchanges.items()):
+                server_id = pending.server_id
+                if pending.may_run_again and self._relays.reaches(server_id):
+                    connection.sever()
+
+    @contextlib.contextmanager
+    def watch(
+        self, connection: BackendConnection, pending: PendingCall
+    ) -> Iterator[None]:
+        """Sever a connection with a request if it hangs on a lost link."""
+        if connection.relay:
+            yield
+            return
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._exchanges.pop, connection, None)
+            self._exchanges[connection] = pending
+            yield
 
     def acquire(
         self, server: BackendServer, *, request_id: str, max_idle_seconds: float
@@ -61,7 +93,8 @@
             connection = self.pool.find_idle(server.address, max_idle_seconds)
             if connection is not None:
                 return connection
-        if path is Path.DIRECT:
+        may_open = is_answering(self._records.table, server.server_id)
+        if path is Path.DIRECT or (may_open and not self._has_relay(server)):
             try:
                 return self.probes.open(server, step=f'forward {request_id}')
             except ExchangeError:
@@ -128,9 +161,10 @@
     def _is_reachable(
         self, server: BackendServer, max_idle_seconds: float
     ) -> bool:
-        path = find_path(self._records.table, server.server_id)
-        if path is Path.DIRECT or self._has_relay(server):
+        table = self._records.table
+        if is_answering(table, server.server_id) or self._has_relay(server):
             return True
+        path = find_path(table, server.server_id)
         return path is Path.OPEN and self.pool.has_idle(
             server.address, max_idle_seconds
         )
--- a/tests/builders_tunnels.py
+++ b/tests/builders_tunnels.py
@@ -45,6 +45,10 @@
         """Return the VMs that take work."""
         return self.members
 
+    def is_member_ip(self, ip: str) -> bool:
+        """Return whether one of the VMs has an IP."""
+        return ip == '127.0.0.1'
+
     def list_serving_peers(self) -> tuple[str, ...]:
         """Return the names of the VMs but the first."""
         return tuple(
--- a/tests/unit/test_gateway_server_links.py
+++ b/tests/unit/test_gateway_server_links.py
@@ -19,6 +19,7 @@
     Path,
     find_path,
     is_cut_off,
+    is_silent_since,
     list_due,
     list_working,
     record_failed,
@@ -92,6 +93,35 @@
         self.assertEqual(['i-2', 'i-1'], list_working(table))
 
 
+class TestSilence(testtools.TestCase):
+    """Whether requests are taken off the links of the VM."""
+
+    def test_links_that_hang(self) -> None:
+        """Guard against streams that wait on a lost link until callers leave."""
+        table = make_table()
+        fail(table, 'i-0', at=1)
+        self.assertFalse(is_silent_since(table, 0.5))
+        self.assertTrue(is_silent_since(table, 1.5))
+
+    def test_one_server_that_is_silent(self) -> None:
+        """Guard against breaking off what a sound server has stopped for a second."""
+        table = make_table()
+        fail(table, 'i-0', at=1)
+        record_heard(table, 'i-1', at=1.2)
+        self.assertFalse(is_silent_since(table, 3))
+
+    def test_open_connections_that_live_on(self) -> None:
+        """Guard against breaking off answers that still arrive."""
+        table = make_table()
+        for server in SERVERS:
+            fail(table, server, at=1)
+        record_heard(table, 'i-0', at=2)
+        self.assertFalse(is_silent_since(table, 1.5))
+        for server in SERVERS:
+            fail(table, server, at=3, is_silent=False)
+        self.assertFalse(is_silent_since(table, 3.5))
+
+
 class TestOpenConnections(testtools.TestCase):
     """Whether connections that are open are used on a failing link."""
 
