Take a reset during a long body for the break that it is

A caller could get the first part of an answer as a whole one.

Cause: while a long body is sent, the error of a reset goes to the greenlet that sends it, which drops it. The reader then sees the end of the connection, and that ends an answer without a length. Found by a test of tunnels, where the same can happen at the relay.

Change: the end of a connection does not complete an answer if sending its request failed.

Result: test_reset_that_the_sender_of_a_body_gets got 200 before, and gets 502.

--- a/src/bronzepost/_internal/gateway/backend_exchange.py
+++ b/src/bronzepost/_internal/gateway/backend_exchange.py
@@ -117,7 +117,10 @@
         except OSError as error:
             raise self._build_error(error) from error
         if not received:
-            if self.answer.feed_eof():
+            # The sender of a long body may have got the error of a reset, and the
+            # end of the connection then looks orderly.
+            is_broken = self._sender is not None and self._sender.value is False
+            if not is_broken and self.answer.feed_eof():
                 self.answer.has_surplus = True
                 return
             raise self._build_error(ConnectionError('closed before the end'))
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -13,6 +13,7 @@
 from bronzepost._internal.core.gateway.entities import RouteKind
 from bronzepost._internal.gateway.header_names import find_header
 from bronzepost._internal.gateway.http_messages import AnswerReader, HttpRequest
+from bronzepost._internal.gateway.tcp_options import set_reset_on_close
 from bronzepost._internal.node.clock import read_clock
 from tests.builders_gateway import make_route
 from tests.builders_gateway_servers import (
@@ -108,6 +109,44 @@
         sock.close()
 
 
+def make_partial_answer() -> bytes:
+    return b''.join((UNTIL_CLOSE, b'half'))
+
+
+class ResetInBody:
+    """A server that answers without a length and resets in a long body."""
+
+    def __init__(self) -> None:
+        """Listen with a small buffer, so that senders have to wait."""
+        self.version = 'v1'
+        self._server = listen_with_small_buffer(self._serve)
+        self.address = f'127.0.0.1:{self._server.server_port}'
+
+    def close(self) -> None:
+        self._server.stop()
+
+    def _serve(self, sock: Any, _address: Any) -> None:
+        sock.recv(65536)
+        sock.sendall(make_partial_answer())
+        gevent.sleep(0.1)
+        set_reset_on_close(sock, is_reset=True)
+        sock.close()
+
+
+class TestResets(testtools.TestCase):
+    """A reset ends an answer without a length before its end."""
+
+    def test_reset_that_the_sender_of_a_body_gets(self) -> None:
+        """Guard against a broken answer that is passed on as a whole one."""
+        backend = ResetInBody()
+        route = make_route(kind=RouteKind.NON_IDEMPOTENT)
+        with open_gateway(route, backend) as gateway:  # type: ignore[arg-type]
+            body = bytes(LONG_BODY_BYTES)
+            caller = gateway.call(make_request(method=b'POST', body=body))
+            head = caller.read_answer().head
+            self.assertEqual(502, head and head.status)
+
+
 class TestSilentServers(testtools.TestCase):
     """A sound server may do nothing for a second or so."""
 
