Cut the links of VMs to backend servers in the soak

Cause: no fault of the soak cut a VM off from servers while others reach them, so no run could find that such a VM serves nobody.

Change: each VM has links of its own to servers. Faults cut those of some or all VMs, or one link, in three ways, beside all other faults; each run ends with a cut of half of the VMs and the rule for it.

--- a/tests/platform/builders_links.py
+++ b/tests/platform/builders_links.py
@@ -25,14 +25,30 @@
 
     def cut(self, how: Cut) -> None:
         """Cut all links."""
-        for link in self.links_by_target.values():
+        for link in self.list_links():
             link.cut(how)
 
     def heal(self) -> None:
         """End the cut of all links."""
-        for link in self.links_by_target.values():
+        for link in self.list_links():
             link.come_up()
 
+    def lose_target(self, target: str) -> None:
+        """Refuse connections to a server that has crashed."""
+        link = self.links_by_target.get(target)
+        if link is not None:
+            link.cut(Cut.RESET, reason='crash')
+
+    def regain_target(self, target: str) -> None:
+        """Let connections to a server open again that has started again."""
+        link = self.links_by_target.get(target)
+        if link is not None:
+            link.come_up(reason='crash')
+
+    def list_links(self) -> list[Link]:
+        """Return the links to the servers that are registered, or were."""
+        return list(self.links_by_target.values())
+
     def close(self) -> None:
         """Close all links."""
         for link in self.links_by_target.values():
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,7 +10,7 @@
 import gevent
 
 from tests.soak.backends import DEADLY, STREAM_PATH, VERSIONS
-from tests.soak.links import LinkState
+from tests.soak.links import Cut, LinkState
 from tests.soak.observations import LimitRecord
 from tests.soak.world import World
 
@@ -139,6 +139,28 @@
     link.state = LinkState.GOOD
 
 
+def cut_vms_off(world: World, rng: random.Random) -> None:
+    """Cut all links of some VMs, or of all, to backend servers for a while."""
+    count = rng.randint(1, len(world.vms))
+    vms = rng.sample(world.vms, count)
+    how = rng.choice(tuple(Cut))
+    for vm in vms:
+        vm.server_links.cut(how)
+    wait_randomly(rng)
+    for vm in vms:
+        vm.server_links.heal()
+
+
+def cut_one_link(world: World, rng: random.Random) -> None:
+    """Cut the link of one VM to one backend server for a while."""
+    links = rng.choice(world.vms).server_links.list_links()
+    if links:
+        link = rng.choice(links)
+        link.cut(rng.choice(tuple(Cut)))
+        wait_randomly(rng)
+        link.come_up()
+
+
 def reset_links(world: World, rng: random.Random) -> None:
     """Reset the connections of one link."""
     links = [vm.link for vm in world.vms]
@@ -232,6 +254,8 @@
         lose_appends,
         harm_store_link,
         harm_server_link,
+        cut_vms_off,
+        cut_one_link,
         reset_links,
         harm_server,
         release,
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -59,6 +59,7 @@
         self._server.start()
         self._port = self._server.server_port
         self._reserved: list[Any] = []
+        self._reasons: set[str] = set()
 
     @property
     def address(self) -> str:
@@ -74,9 +75,14 @@
         """Reset all connections and refuse new ones."""
         self.cut(Cut.RESET)
 
-    def cut(self, how: Cut) -> None:
-        """Let no new connections open, and do ``how`` with the open ones."""
-        if self._reserved:
+    def cut(self, how: Cut, reason: str = 'link') -> None:
+        """Let no new connections open, and do ``how`` with the open ones.
+
+        The link is cut until ``come_up`` has ended each reason.
+        """
+        is_cut = bool(self._reasons)
+        self._reasons.add(reason)
+        if is_cut:
             return
         self._server.stop()
         # The port stays bound, so that no other process listens on it.
@@ -92,9 +98,11 @@
         if how is Cut.RESET:
             self.reset()
 
-    def come_up(self) -> None:
+    def come_up(self, reason: str = 'link') -> None:
         """Accept connections again, at the same address."""
-        if not self._reserved:
+        was_cut = bool(self._reasons)
+        self._reasons.discard(reason)
+        if self._reasons or not was_cut:
             return
         for sock in self._reserved:
             sock.close()
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from http import HTTPStatus
 from typing import Final
 
@@ -33,6 +33,12 @@
 # time in which VMs learn of the third crash.
 MAX_CRASHES: Final = 3
 MAX_DEADLY_RETRIES: Final = 3
+# By rule, VMs without links to servers serve so large a part of what others do, or
+# fail no more first tries than this number and this share.
+COUNTED: Final = frozenset(('look', 'book', 'stream', 'turn'))
+MIN_SERVED_SHARE: Final = 2 / 3
+MAX_FAILED_TRIES: Final = 10
+MAX_FAILED_SHARE: Final = 0.02
 # By rule, so many streams may hold events of two versions.
 MAX_MIXED_STREAMS: Final = 2
 
@@ -169,6 +175,29 @@
             *self._check_deadly(),
         ]
 
+    def check_first_tries(
+        self, boots: Collection[str], *, since: float, how: str
+    ) -> None:
+        """Check that VMs without links serve about as often as the others."""
+        tries = [
+            attempt
+            for attempt in self.attempts
+            if attempt.sent_at >= since and attempt.kind in COUNTED
+        ]
+        cut = [attempt for attempt in tries if attempt.boot in boots]
+        others = [attempt for attempt in tries if attempt.boot not in boots]
+        failed = sum(not is_served(attempt) for attempt in cut)
+        is_worse = len(others) * sum(
+            map(is_served, cut)
+        ) < MIN_SERVED_SHARE * len(cut) * sum(map(is_served, others))
+        if is_worse and failed > MAX_FAILED_TRIES + MAX_FAILED_SHARE * len(
+            tries
+        ):
+            self.violations.append(
+                f'{failed} of {len(cut)} tries failed at VMs whose links were'
+                f' cut ({how})'
+            )
+
     def _check_answers(self) -> Iterator[str]:
         for attempt in self.attempts:
             runs = self.runs_by_id.get(attempt.request_id, [])
@@ -301,6 +330,11 @@
     return run.at
 
 
+def is_served(attempt: Attempt) -> bool:
+    """Return whether a caller got a whole answer of a server."""
+    return attempt.status == HTTPStatus.OK and attempt.is_complete
+
+
 def is_late_for(told: Attempt, attempt: Attempt) -> bool:
     """Return whether an attempt must not reach a server that is leaving.
 
--- a/tests/soak/vms.py
+++ b/tests/soak/vms.py
@@ -14,6 +14,7 @@
 from gevent.subprocess import Popen
 
 from tests.builders_gateway_servers import CallerSocket
+from tests.platform.builders_links import ServerLinkSet
 from tests.platform.builders_platform import make_settings
 from tests.soak.links import Link
 
@@ -28,11 +29,16 @@
     """One VM: a gateway process that can be restarted with the same name.
 
     Callers reach it through ``link``, and it reaches the store through
-    ``store_link``. ``is_wanted`` is set while the process should be running.
+    ``store_link`` and backend servers through ``server_links``. ``is_wanted`` is set while the process should be running.
     """
 
     def __init__(
-        self, *, number: int, network: str, store: str, folder: Path
+        self,
+        *,
+        number: int,
+        network: str,
+        server_links: ServerLinkSet,
+        folder: Path,
     ) -> None:
         """Choose ports; ``network`` has the first three bytes of the IP."""
         self.name = f'edge-{number}'
@@ -54,7 +60,8 @@
             'directory': f'{self._ip}:{directory}',
         }
         self.link = Link(target=self._ports['front'])
-        self.store_link = Link(target=store)
+        self.server_links = server_links
+        self.store_link = Link(target=server_links.store_address)
 
     @property
     def is_running(self) -> bool:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -2,12 +2,14 @@
 
 import os
 import random
+import time
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final
 
 import gevent
 
+from tests.platform.builders_links import ServerLinkSet
 from tests.platform.builders_platform import (
     HOST,
     make_configuration,
@@ -22,6 +24,7 @@
     Program,
     Stream,
 )
+from tests.soak.links import Cut
 from tests.soak.observations import Observations
 from tests.soak.vms import Vm
 
@@ -39,6 +42,9 @@
 SETTLE_SECONDS: Final = 8.0
 # By rule, a draining server gets no new requests after two seconds.
 DRAIN_SECONDS: Final = 4.0
+# VMs without links to servers have to serve requests from this time on.
+CONTACT_SECONDS: Final = 3.0
+CUT_SECONDS: Final = 4.0
 FINAL_PROGRAMS: Final = 8
 MAX_FINAL_TRIES: Final = 20
 
@@ -69,7 +75,7 @@
             Vm(
                 number=FIRST_VM + number,
                 network=network,
-                store=self.store.address,
+                server_links=ServerLinkSet(store=self.store),
                 folder=folder,
             )
             for number in range(vms)
@@ -160,6 +166,8 @@
     def crash_backend(self, backend: Backend) -> None:
         """Cut all connections of a server, which is back after a while."""
         backend.link.go_down()
+        for vm in self.vms:
+            vm.server_links.lose_target(backend.link.address)
         down_seconds = random.uniform(*CRASH_SECONDS)  # noqa: S311
         gevent.spawn_later(down_seconds, self._bring_back, backend)
 
@@ -183,6 +191,7 @@
             vm.start()
             vm.wait_until_ready()
         gevent.sleep(SETTLE_SECONDS)
+        self._check_lost_links()
         self._check_drain()
         gevent.killall(self._callers)
         programs = [self._make_program() for _ in range(FINAL_PROGRAMS)]
@@ -202,6 +211,8 @@
     def _bring_back(self, backend: Backend) -> None:
         self.restart_backend(backend, backend.version)
         backend.link.come_up()
+        for vm in self.vms:
+            vm.server_links.regain_target(backend.link.address)
 
     def _make_program(self, *, is_loop: bool = False) -> Program:
         return Program(
@@ -246,6 +257,21 @@
                 f'{boot} returned to a version before {version}'
             )
 
+    def _check_lost_links(self) -> None:
+        """Check that VMs without links to servers serve as the others do."""
+        cut_vms = self.vms[: (len(self.vms) + 1) // 2]
+        how = random.choice(tuple(Cut))  # noqa: S311 - not for secrets
+        for vm in cut_vms:
+            vm.server_links.cut(how)
+        gevent.sleep(CONTACT_SECONDS)
+        start = time.monotonic()
+        gevent.sleep(CUT_SECONDS)
+        for vm in cut_vms:
+            vm.server_links.heal()
+        self.observations.check_first_tries(
+            {vm.boot for vm in cut_vms}, since=start, how=how
+        )
+
     def _check_drain(self) -> None:
         backend = self.backends[0]
         self.put_entry(backend, state='draining')
