Test relays that stop or are killed, and VMs that lost some links

Cause: the tests of lost links cut all links of a VM and left its relays alone.

Change: three tests: some links of a VM are silent, the only relay gets SIGTERM with requests under way, and all relays are killed under requests that may run once.

--- a/tests/platform/test_lost_links.py
+++ b/tests/platform/test_lost_links.py
@@ -34,6 +34,8 @@
 # The begin of the body of requests that take longer.
 LONG: Final = b'long'
 LONG_SECONDS: Final = 0.3
+# The grace period of the platform.
+STOP_SECONDS: Final = 8.0
 ANSWER = (
     b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Stamp: s\r\n'
     b'Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n'
@@ -163,6 +165,53 @@
         """Guard against a refusal when all open connections are busy."""
         self.check_served(Cut.REFUSE)
 
+    def test_vm_that_lost_some_links_serves_requests(self) -> None:
+        """Guard against waiting for servers that only this VM has lost."""
+        self.send_for(0.5)
+        links = self.links[0].list_links()
+        for link in (links[0], links[1], links[3]):
+            link.cut(Cut.SILENT)
+        self.send_for(CONTACT_SECONDS)
+        self.assertEqual({200: REQUESTS}, self.call_all(self.vms[0]))
+
+    def test_relay_that_stops_by_plan_breaks_no_request(self) -> None:
+        """Guard against a stop that forgets the requests of other VMs."""
+        self.links[0].cut(Cut.RESET)
+        self.links[2].cut(Cut.RESET)
+        self.send_for(CONTACT_SECONDS)
+        calls = [
+            gevent.spawn(self.call, self.vms[0], path, f'{LONG.decode()}{path}')
+            for path in PATHS
+        ]
+        gevent.sleep(LONG_SECONDS / 2)
+        self.vms[1].process.terminate()
+        gevent.joinall(calls, raise_error=True)
+        self.assertEqual({200}, {greenlet.value[0] for greenlet in calls})
+        self.vms[1].process.wait(STOP_SECONDS)
+        self.assertEqual(0, self.vms[1].process.returncode)
+
+    def test_killed_relay_makes_no_request_run_twice(self) -> None:
+        """Guard against sending again what the VM between may have passed on."""
+        self.links[0].cut(Cut.RESET)
+        self.send_for(CONTACT_SECONDS)
+        calls = [
+            gevent.spawn(self.call, self.vms[0], '/book/x', f'long {number}')
+            for number in range(REQUESTS)
+        ]
+        gevent.sleep(LONG_SECONDS / 2)
+        for vm in self.vms[1:]:
+            vm.process.kill()
+        gevent.joinall(calls, raise_error=True)
+        bodies = Counter(
+            request.body
+            for server in self.servers
+            for request in server.requests
+            if request.body.startswith(LONG)
+        )
+        self.assertEqual({1}, set(bodies.values()))
+        statuses = {greenlet.value[0] for greenlet in calls}
+        self.assertEqual({502}, statuses - {200})
+
     def test_vms_without_any_link_refuse_at_once(self) -> None:
         """Guard against holding what is known not to be served."""
         for link_set in self.links:
