Blame a crash on all requests that it broke off

Cause: once a connection to a crashed server had been refused, its link counted as failing, and what broke off after that counted as the fault of the link, the request that crashes servers perhaps among it. Found by reading.

Change: only a VM that hears from no server at all takes a break for the fault of its links at once; otherwise it looks whether it reaches another server.

--- a/src/bronzepost/_internal/gateway/server_links.py
+++ b/src/bronzepost/_internal/gateway/server_links.py
@@ -111,12 +111,12 @@
         if relay:
             return not self._relays.answers(relay, server)
         broke_at = read_clock()
-        table = self._records.table
-        if find_path(table, server.server_id) is not Path.DIRECT:
+        if self._records.is_cut_off:
             return True
         if len(self._directory.servers_by_id) == 1:
             return False
         # A check that is running may have begun before the break.
+        table = self._records.table
         for _ in range(2):
             if table.working_heard_at <= broke_at:
                 self.probes.try_others()
--- a/tests/unit/test_gateway_tunnels.py
+++ b/tests/unit/test_gateway_tunnels.py
@@ -229,6 +229,25 @@
             self.assertFalse(self.is_at_fault(crashed, pair.server, pair=pair))
         server.close()
 
+    def test_crash_after_which_connections_were_refused(self) -> None:
+        """Guard against blame for the first of many requests of a crash only."""
+        server = RawServer()
+        with open_pair(server.address) as pair:
+            crashed = make_server('i-2', address=UNUSED_ADDRESS)
+            directory = Directory(pool=pair.relays.pool)
+            directory.put_servers([crashed, pair.server])
+            links = ServerLinks(
+                directory=directory,
+                pool=pair.relays.pool,
+                relays=pair.relays,
+            )
+            for _ in range(3):
+                self.assertRaises(
+                    ExchangeError, links.probes.open, crashed, step='forward'
+                )
+                self.assertFalse(links.is_at_fault(crashed, relay=''))
+        server.close()
+
     def test_cut_of_all_links(self) -> None:
         """Guard against blame for requests at a VM that has lost its links."""
         with open_pair(UNUSED_ADDRESS) as pair:
