Break off the answers of a relay that is killed

A caller got seven of ten events of a stream as a whole one.

Cause: the kernel closes the connections of a killed process in order, and the end of its connection completes an answer that has neither a length nor chunks. A gateway resets such connections to its callers; a relay did not.

Change: a relay's connection to the other VM is reset when it closes, unless the server has ended its own in order.

--- a/src/bronzepost/_internal/gateway/relay_server.py
+++ b/src/bronzepost/_internal/gateway/relay_server.py
@@ -143,27 +143,28 @@
         """Join the socket of a VM with that of a backend server."""
         self._caller = caller
         self._server = server
-        self._is_ended = False
+        self._is_broken = False
 
     def run(self) -> None:
         """Pass bytes on in both directions until one side ends."""
+        # Also if this process is killed.
+        set_reset_on_close(self._caller, is_reset=True)
         upload = gevent.spawn(self._upload)
-        try:
-            self._download()
-        except OSError:
-            self._break_off()
-        else:
-            # The VM reads the rest of the answer and closes.
-            upload.join(CLOSE_TIMEOUT_SECONDS)
-        finally:
-            upload.kill()
+        with contextlib.ExitStack() as stack:
+            stack.callback(upload.kill)
+            with contextlib.suppress(OSError):
+                self._download()
+                # The VM reads the rest of the answer and closes.
+                upload.join(CLOSE_TIMEOUT_SECONDS)
 
     def _upload(self) -> None:
         try:
             while block := self._caller.recv(_READ_BYTES):
                 self._server.sendall(block)
         except OSError:
-            self._break_off()
+            # The error of a reset comes once; the end of the connection that is
+            # read after it looks orderly.
+            self._is_broken = True
         # A server stops a request when its connection closes.
         with contextlib.suppress(OSError):
             self._server.shutdown(socket.SHUT_RDWR)
@@ -171,10 +172,6 @@
     def _download(self) -> None:
         while block := self._server.recv(_READ_BYTES):
             self._caller.sendall(block)
-        self._is_ended = True
-        self._caller.shutdown(socket.SHUT_WR)
-
-    def _break_off(self) -> None:
-        if not self._is_ended:
-            with contextlib.suppress(OSError):
-                set_reset_on_close(self._caller, is_reset=True)
+        if not self._is_broken:
+            set_reset_on_close(self._caller, is_reset=False)
+            self._caller.shutdown(socket.SHUT_WR)
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -13,9 +13,10 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 SEEDS_FILE = ROOT / 'tests' / 'soak_seeds.toml'
 RUN_TIMEOUT_SECONDS = 300
+DEFAULT_VMS = 3
 
 
-def run_soak(seed: int, minutes: float) -> dict[str, Any]:
+def run_soak(seed: int, minutes: float, vms: int) -> dict[str, Any]:
     """Run the soak in a new process and return its report."""
     paths = (ROOT / 'src', ROOT / 'platform', ROOT)
     finished = subprocess.run(  # noqa: S603
@@ -25,6 +26,7 @@
             'tests.soak',
             f'--seed={seed}',
             f'--minutes={minutes}',
+            f'--vms={vms}',
         ],
         cwd=ROOT,
         env={**os.environ, 'PYTHONPATH': os.pathsep.join(map(str, paths))},
@@ -43,6 +45,8 @@
         """Guard against any violation of the platform's rules under faults."""
         seeds = tomllib.loads(SEEDS_FILE.read_text(encoding='utf-8'))['seed']
         for entry in seeds:
-            report = run_soak(entry['seed'], entry['minutes'])
+            report = run_soak(
+                entry['seed'], entry['minutes'], entry.get('vms', DEFAULT_VMS)
+            )
             self.assertEqual([], report['violations'], str(report))
             self.assertTrue(report['requests'] > 0)
--- a/tests/platform/test_lost_links.py
+++ b/tests/platform/test_lost_links.py
@@ -34,6 +34,12 @@
 # The begin of the body of requests that take longer.
 LONG: Final = b'long'
 LONG_SECONDS: Final = 0.3
+# The body of a request whose answer ends with its connection.
+UNFRAMED: Final = 'unframed'
+UNFRAMED_ANSWER: Final = (
+    b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Stamp: s\r\n\r\n'
+    b'id: 1\ndata: a\n\n'
+)
 # The grace period of the platform.
 STOP_SECONDS: Final = 8.0
 ANSWER = (
@@ -46,6 +52,10 @@
     is_long = request.body.startswith(LONG)
     gevent.sleep(LONG_SECONDS if is_long else ANSWER_SECONDS)
     request_id = find_header(request.headers, b'request-id') or b''
+    if request.body == UNFRAMED.encode():
+        sock.sendall(UNFRAMED_ANSWER % request_id)
+        gevent.sleep(LONG_SECONDS)
+        return False
     # The connection may have been reset meanwhile.
     try:
         sock.sendall(ANSWER % request_id)
@@ -54,6 +64,20 @@
     return True
 
 
+def make_request(request_id: str, path: str, body: str) -> bytes:
+    lines = [
+        f'POST {path} HTTP/1.1',
+        f'Host: {HOST}',
+        f'Request-Id: {request_id}',
+        f'Deadline-Ms: {DEADLINE_MS}',
+        'Token-Usage: 10,50',
+        f'Content-Length: {len(body)}',
+        '',
+        body,
+    ]
+    return '\r\n'.join(lines).encode()
+
+
 class LostLinkTests(testtools.TestCase):
     """Three VMs, one of which loses its links to three engines and two desks."""
 
@@ -99,18 +123,8 @@
         started_at = time.monotonic()
         request_id = f'q-{next(self.numbers)}'
         body = body or request_id
-        lines = [
-            f'POST {path} HTTP/1.1',
-            f'Host: {HOST}',
-            f'Request-Id: {request_id}',
-            f'Deadline-Ms: {DEADLINE_MS}',
-            'Token-Usage: 10,50',
-            f'Content-Length: {len(body)}',
-            '',
-            body,
-        ]
         caller = CallerSocket(address=vm.front)
-        caller.sock.sendall('\r\n'.join(lines).encode())
+        caller.sock.sendall(make_request(request_id, path, body))
         head = caller.read_answer().head
         seconds = time.monotonic() - started_at
         return (head.status if head else 0), seconds
@@ -212,6 +226,20 @@
         statuses = {greenlet.value[0] for greenlet in calls}
         self.assertEqual({502}, statuses - {200})
 
+    def test_stream_through_a_killed_relay_is_not_complete(self) -> None:
+        """Guard against the end of a process that ends an answer in order."""
+        self.links[0].cut(Cut.RESET)
+        self.send_for(CONTACT_SECONDS)
+        caller = CallerSocket(address=self.vms[0].front)
+        caller.sock.sendall(make_request('q-unframed', '/chat/x', UNFRAMED))
+        reader = gevent.spawn(caller.read_answer)
+        gevent.sleep(LONG_SECONDS / 2)
+        for vm in self.vms[1:]:
+            vm.process.kill()
+        answer = reader.get()
+        self.assertEqual(200, answer.head.status)
+        self.assertFalse(answer.is_complete)
+
     def test_vms_without_any_link_refuse_at_once(self) -> None:
         """Guard against holding what is known not to be served."""
         for link_set in self.links:
