--- a/capacity/command.py
+++ b/capacity/command.py
@@ -31,6 +31,8 @@
     'derived': 'derived:derive_rows',
     'gateway': 'measure_gateway:measure_idle_vms',
     'gateway-placement': 'measure_gateway_decisions:measure_placements',
+    'gateway-relays': 'measure_relays:measure_choices',
+    'gateway-tunnels': 'measure_relays:measure_tunnels',
     'gateway-routes': 'measure_gateway_decisions:measure_takeovers',
     'gateway-requests': 'measure_gateway:measure_requests',
 })
--- a/src/bronzepost/_internal/gateway/relays.py
+++ b/src/bronzepost/_internal/gateway/relays.py
@@ -79,21 +79,43 @@
     def reaches(self, server_id: str) -> bool:
         """Return whether another VM may have a link to a server."""
         return any(
-            self._may_relay(relay, server_id) for relay in self._list_relays()
+            self._may_relay(relay, server_id) for relay in self._get_relays()
         )
 
     def is_reached_elsewhere(self, server_id: str) -> bool:
         """Return whether most other VMs have links to a server."""
         return self.reaches(server_id) and is_reached_elsewhere(
-            self._list_relays(), server_id
+            self._get_relays(), server_id
         )
 
     def is_usable(self, connection: BackendConnection) -> bool:
         """Return whether a tunnel may be used for one more request."""
         return any(
-            relay.name == connection.relay for relay in self._list_relays()
+            relay.name == connection.relay for relay in self._get_relays()
         )
 
+    def list_relays(self) -> Sequence[Relay]:
+        """Return the VMs that may relay now, by their last reports."""
+        own_zone = self._availability_zone
+        silent = self._reports.received.list_silent(
+            self._fleet.list_serving_peers()
+        )
+        relays = []
+        for member in self._fleet.list_serving():
+            report = self._reports.received.find(member.name)
+            if report is None or member.name in silent or report.is_cut_off:
+                continue
+            if report.is_ready and member.forward_address:
+                relays.append(
+                    Relay(
+                        name=member.name,
+                        is_near=member.availability_zone == own_zone,
+                        tunnels=report.tunnels,
+                        unreached_ids=frozenset(report.unreached_ids),
+                    )
+                )
+        return relays
+
     def open(
         self, server: BackendServer, *, request_id: str
     ) -> BackendConnection:
@@ -106,7 +128,7 @@
         for _ in range(MAX_RELAYS_ASKED):
             usable = [
                 relay
-                for relay in self._list_relays()
+                for relay in self._get_relays()
                 if self._may_relay(relay, server.server_id)
             ]
             relay = choose_relay(usable, random.SystemRandom())
@@ -204,34 +226,13 @@
                 return member
         return None
 
-    def _list_relays(self) -> Sequence[Relay]:
+    def _get_relays(self) -> Sequence[Relay]:
         now = read_clock()
         if now > self._listed_at + _REFRESH_SECONDS:
-            self._relays = self._build_relays()
+            self._relays = self.list_relays()
             self._listed_at = now
         return self._relays
 
-    def _build_relays(self) -> Sequence[Relay]:
-        own_zone = self._availability_zone
-        silent = self._reports.received.list_silent(
-            self._fleet.list_serving_peers()
-        )
-        relays = []
-        for member in self._fleet.list_serving():
-            report = self._reports.received.find(member.name)
-            if report is None or member.name in silent or report.is_cut_off:
-                continue
-            if report.is_ready and member.forward_address:
-                relays.append(
-                    Relay(
-                        name=member.name,
-                        is_near=member.availability_zone == own_zone,
-                        tunnels=report.tunnels,
-                        unreached_ids=frozenset(report.unreached_ids),
-                    )
-                )
-        return relays
-
     def _may_relay(self, relay: Relay, server_id: str) -> bool:
         if server_id in relay.unreached_ids:
             return False
