Take links for lost only after trying other servers

Callers would have got 503 no_link at quiet hours as long as one server was down.

Cause: a VM counted as cut off if it had heard from no server since a connection failed. A VM without requests hears from none, and the probes of a server that stays down fail each second. Bytes on open connections counted as a sign also where new connections are refused. Found by reading.

Change: links are lost when servers that were tried to find out did not answer, and probes of failing links try them too; while links are lost, further servers are tried all the time. Where connections are refused, only one that opens is a sign that links work.

--- a/capacity/measure_gateway_decisions.py
+++ b/capacity/measure_gateway_decisions.py
@@ -30,7 +30,7 @@
 )
 from tests.platform.builders_platform import make_large_configuration
 
-from .rows import Point, Row, fit_line, format_points
+from .rows import Point, Row, make_fitted_row
 
 SERVER_COUNTS: Final = (6, 24, 100, 300, 600)
 DECISIONS: Final = 2000
@@ -46,7 +46,7 @@
     points: list[Point] = [
         (count, _time_placement(count)) for count in SERVER_COUNTS
     ]
-    yield _make_row(
+    yield make_fitted_row(
         'time of a placement against servers of the service, us',
         points,
         mechanism='a few servers are drawn and compared',
@@ -58,25 +58,13 @@
     points: list[Point] = [
         (count, _time_takeover(count)) for count in ROUTE_COUNTS
     ]
-    yield _make_row(
+    yield make_fitted_row(
         'time to take over a configuration against its routes, ms',
         points,
         mechanism='decoded once, routes indexed by host',
     )
 
 
-def _make_row(role: str, points: list[Point], *, mechanism: str) -> Row:
-    line = fit_line(points)
-    count, measured = points[-1]
-    return Row(
-        role=role,
-        slope=f'{line.intercept:.2f} + {line.slope:.5f} for each',
-        points=format_points(points),
-        scaled=f'{measured:.1f} measured at {count}',
-        mechanism=mechanism,
-    )
-
-
 def _time_placement(count: int) -> float:
     directory = Directory(pool=ConnectionPool())
     directory.put_servers(make_servers(count))
--- a/capacity/measure_relays.py
+++ b/capacity/measure_relays.py
@@ -18,7 +18,7 @@
 from tests.builders_gateway import make_member
 from tests.builders_tunnels import OWN_NAME, open_pair
 
-from .rows import Point, Row, fit_line, format_points
+from .rows import Point, Row, make_fitted_row
 
 VM_COUNTS: Final = (12, 90, 195, 410)
 CUT_OFF_SHARE: Final = 0.6
@@ -32,7 +32,7 @@
 def measure_choices() -> Iterable[Row]:
     """Yield the time to look for a VM with a link, by number of VMs."""
     points: list[Point] = [(count, _time_choice(count)) for count in VM_COUNTS]
-    yield _make_row(
+    yield make_fitted_row(
         'time of the list of relays against VMs, 60 in 100 of them cut off, us',
         points,
         mechanism='listed ten times a second at most, while links are lost',
@@ -45,7 +45,7 @@
     points: list[Point] = [
         (size, _time_exchange(size)) for size in ANSWER_BYTES
     ]
-    yield _make_row(
+    yield make_fitted_row(
         'time added to an exchange by an open tunnel against bytes of its'
         ' answer, both VMs, us',
         points,
@@ -165,15 +165,3 @@
     for _ in range(REPETITIONS):
         action()
     return (time.process_time() - start) / REPETITIONS * _MICROSECONDS
-
-
-def _make_row(role: str, points: list[Point], *, mechanism: str) -> Row:
-    line = fit_line(points)
-    count, measured = points[-1]
-    return Row(
-        role=role,
-        slope=f'{line.intercept:.2f} + {line.slope:.5f} for each',
-        points=format_points(points),
-        scaled=f'{measured:.1f} measured at {count}',
-        mechanism=mechanism,
-    )
--- a/capacity/rows.py
+++ b/capacity/rows.py
@@ -71,3 +71,16 @@
         if text:
             lines.append(f'    {field.name:<10}{text}')
     return '\n'.join(lines)
+
+
+def make_fitted_row(role: str, points: list[Point], *, mechanism: str) -> Row:
+    """Return a row with a line through its points; the last one is the largest."""
+    line = fit_line(points)
+    count, measured = points[-1]
+    return Row(
+        role=role,
+        slope=f'{line.intercept:.2f} + {line.slope:.5f} for each',
+        points=format_points(points),
+        scaled=f'{measured:.1f} measured at {count}',
+        mechanism=mechanism,
+    )
--- a/src/bronzepost/_internal/core/gateway/server_links.py
+++ b/src/bronzepost/_internal/core/gateway/server_links.py
@@ -2,8 +2,8 @@
 
 A connection that fails is the fault of the server, of the link or of the VM, and the
 VM cannot tell them apart by one failure. It knows more if it compares servers: as long
-as it reaches others, its own links work. If it hears from none since a connection
-failed, it has lost them.
+as it reaches others, its own links work. If it has heard from none since a connection
+failed, it tries some, and if none of them answers, it has lost its links.
 """
 
 import dataclasses
@@ -55,9 +55,11 @@
 class LinkTable:
     """The links of this VM to servers; times are in monotonic seconds.
 
-    ``heard_at_by_server`` is when a server has last answered over its link.
-    ``working_heard_at`` is the last of these times of links that do not fail, and
-    ``last_failure`` the failing link that was tried last.
+    ``heard_at_by_server`` is when a server has last answered over its link, and
+    ``opened_at_by_server`` when a connection to it was last opened. ``last_failure``
+    is the failing link that was tried last, and ``worked_at`` the last sign that
+    other links work where it failed. At ``cut_off_at`` no server answered that was
+    tried to find out whether any link works.
     """
 
     failing_by_server: dict[str, FailingLink] = dataclasses.field(
@@ -66,15 +68,20 @@
     heard_at_by_server: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
-    working_heard_at: float = -math.inf
+    opened_at_by_server: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    worked_at: float = -math.inf
+    cut_off_at: float = -math.inf
     last_failure: FailingLink | None = None
 
 
 def record_heard(table: LinkTable, server: str, *, at: float) -> None:
     """Record bytes of a server on a connection of this VM."""
     table.heard_at_by_server[server] = at
-    if server not in table.failing_by_server:
-        table.working_heard_at = at
+    is_silent = table.last_failure is None or table.last_failure.is_silent
+    if is_silent and server not in table.failing_by_server:
+        table.worked_at = at
 
 
 def record_failed(
@@ -117,8 +124,10 @@
 def record_opened(table: LinkTable, server: str, *, at: float) -> bool:
     """Record a connection that opened; return whether the link is used again."""
     record_heard(table, server, at=at)
+    table.opened_at_by_server[server] = at
     known = table.failing_by_server.get(server)
     if known is None:
+        table.worked_at = at
         return False
     opened = known.opened + 1
     if opened >= OPENED_TO_TRUST:
@@ -135,6 +144,7 @@
     """Forget a server that has left."""
     table.failing_by_server.pop(server, None)
     table.heard_at_by_server.pop(server, None)
+    table.opened_at_by_server.pop(server, None)
     _update(table)
 
 
@@ -146,16 +156,25 @@
     )
 
 
+def record_cut_off(table: LinkTable, *, at: float) -> None:
+    """Record that none of the servers answered that were tried until a time."""
+    if needs_check(table):
+        table.cut_off_at = at
+
+
 def is_cut_off(table: LinkTable) -> bool:
-    """Return whether this VM has lost its links to all servers, as far as known.
+    """Return whether this VM has lost its links to all servers, as far as known."""
+    has_failed = bool(table.failing_by_server)
+    return has_failed and table.cut_off_at > table.worked_at
+
+
+def needs_check(table: LinkTable) -> bool:
+    """Return whether the links of this VM may be at fault for the last failure.
 
     It has heard from no server since its last attempt at a failing link began.
     """
     last_failure = table.last_failure
-    return (
-        last_failure is not None
-        and last_failure.tried_at > table.working_heard_at
-    )
+    return last_failure is not None and last_failure.tried_at > table.worked_at
 
 
 def is_silent_since(table: LinkTable, since: float) -> bool:
@@ -212,10 +231,14 @@
         key=lambda failing: failing.tried_at,
         default=None,
     )
-    table.working_heard_at = max(
+    # Open connections may live on where new ones are refused, so that bytes on
+    # them do not show that connections can be opened.
+    is_silent = table.last_failure is None or table.last_failure.is_silent
+    signs = table.heard_at_by_server if is_silent else table.opened_at_by_server
+    table.worked_at = max(
         (
             at
-            for server, at in table.heard_at_by_server.items()
+            for server, at in signs.items()
             if server not in table.failing_by_server
         ),
         default=-math.inf,
--- a/src/bronzepost/_internal/gateway/link_probes.py
+++ b/src/bronzepost/_internal/gateway/link_probes.py
@@ -11,6 +11,7 @@
 from bronzepost._internal.core.gateway.server_links import (
     list_due,
     list_working,
+    needs_check,
 )
 from bronzepost._internal.exceptions import ExchangeError
 from bronzepost._internal.gateway.backend_connections import (
@@ -19,7 +20,7 @@
     ConnectionPool,
 )
 from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.loops import start_loop
+from bronzepost._internal.gateway.loops import start_loop, start_task
 from bronzepost._internal.node.clock import read_clock
 
 # Servers that are tried when a connection fails and no other server was heard from.
@@ -65,7 +66,7 @@
 
     def check(self) -> None:
         """Try other servers if this VM seems to have lost all its links."""
-        if self._records.is_cut_off:
+        if needs_check(self._records.table):
             self.try_others()
 
     def try_others(self) -> None:
@@ -79,7 +80,11 @@
 
     def probe_due(self) -> None:
         """Probe links that fail, some at a time."""
-        limit = MAX_PROBES_CUT_OFF if self._records.is_cut_off else MAX_PROBES
+        limit = MAX_PROBES
+        if self._records.is_cut_off:
+            limit = MAX_PROBES_CUT_OFF
+            # One of the servers that were not tried may still be reached.
+            start_task(self.try_others)
         due = list_due(self._records.table, at=read_clock())
         for server_id in due[: max(limit - len(self._probed_ids), 0)]:
             server = self._directory.servers_by_id.get(server_id)
@@ -92,7 +97,8 @@
     def _probe(self, server: BackendServer) -> None:
         with contextlib.ExitStack() as stack:
             stack.callback(self._probed_ids.discard, server.server_id)
-            self._try(server, CONNECT_TIMEOUT_SECONDS)
+            if not self._try(server, CONNECT_TIMEOUT_SECONDS):
+                self.check()
 
     def _try_others(self) -> None:
         working_ids = list_working(self._records.table)
@@ -114,7 +120,8 @@
             servers[:CHECKED_SERVERS],
         )
         # The first server that answers shows that the links work.
-        any(tries)
+        if not any(tries):
+            self._records.record_cut_off()
 
     def _try(self, server: BackendServer, timeout_seconds: float) -> bool:
         try:
--- a/src/bronzepost/_internal/gateway/link_records.py
+++ b/src/bronzepost/_internal/gateway/link_records.py
@@ -60,6 +60,11 @@
             emit(LogEvent.LINK_REGAINED, server=server_id, seconds=seconds)
         self._log_cut()
 
+    def record_cut_off(self) -> None:
+        """Record that none of the servers answered that were just tried."""
+        rules.record_cut_off(self.table, at=read_clock())
+        self._log_cut()
+
     def forget(self, server_id: str) -> None:
         """Discard what is known of a server that has left."""
         rules.remove_server(self.table, server_id)
--- a/src/bronzepost/_internal/gateway/server_links.py
+++ b/src/bronzepost/_internal/gateway/server_links.py
@@ -118,9 +118,9 @@
         # A check that is running may have begun before the break.
         table = self._records.table
         for _ in range(2):
-            if table.working_heard_at <= broke_at:
+            if table.worked_at <= broke_at:
                 self.probes.try_others()
-        return table.working_heard_at <= broke_at
+        return table.worked_at <= broke_at
 
     def list_unreachable(
         self, servers: Iterable[BackendServer], max_idle_seconds: float
--- a/tests/platform/test_lost_links.py
+++ b/tests/platform/test_lost_links.py
@@ -40,6 +40,8 @@
     b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Stamp: s\r\n\r\n'
     b'id: 1\ndata: a\n\n'
 )
+# Longer than the time between two probes of a server that is down.
+IDLE_SECONDS: Final = 1.3
 # The grace period of the platform.
 STOP_SECONDS: Final = 8.0
 ANSWER = (
@@ -188,6 +190,16 @@
         self.send_for(CONTACT_SECONDS)
         self.assertEqual({200: REQUESTS}, self.call_all(self.vms[0]))
 
+    def test_servers_that_stay_down_cause_no_refusals(self) -> None:
+        """Guard against VMs that take silence between requests for a cut."""
+        for server, links in itertools.product(self.servers[:2], self.links):
+            links.links_by_target[server.address].cut(Cut.SILENT)
+        for vm in itertools.islice(itertools.cycle(self.vms), 2 * VM_COUNT):
+            self.call(vm, '/chat/x')
+        for vm in itertools.islice(itertools.cycle(self.vms), 2 * VM_COUNT):
+            gevent.sleep(IDLE_SECONDS)
+            self.assertEqual(200, self.call(vm, '/chat/x')[0])
+
     def test_relay_that_stops_by_plan_breaks_no_request(self) -> None:
         """Guard against a stop that forgets the requests of other VMs."""
         self.links[0].cut(Cut.RESET)
--- a/tests/unit/test_gateway_server_links.py
+++ b/tests/unit/test_gateway_server_links.py
@@ -20,6 +20,8 @@
     find_path,
     is_cut_off,
     is_silent_since,
+    needs_check,
+    record_cut_off,
     list_due,
     list_working,
     record_failed,
@@ -41,7 +43,10 @@
 def fail(
     table: LinkTable, server: str, *, at: float, is_silent: bool = True
 ) -> None:
+    """Fail to connect, and try others if that is due; none of them answers."""
     record_failed(table, server, tried_at=at, at=at + 0.4, is_silent=is_silent)
+    if needs_check(table):
+        record_cut_off(table, at=at + 0.4)
 
 
 class TestCause(testtools.TestCase):
@@ -51,10 +56,26 @@
         """Guard against relays for each server that crashes."""
         table = make_table()
         fail(table, 'i-0', at=1)
-        record_heard(table, 'i-1', at=1.2)
+        record_heard(table, 'i-1', at=1.5)
         self.assertFalse(is_cut_off(table))
         self.assertIs(Path.DIRECT, find_path(table, 'i-2'))
 
+    def test_vm_without_requests_is_not_cut_off(self) -> None:
+        """Guard against 503 at VMs that hear nothing since nobody asks them."""
+        table = make_table()
+        record_failed(table, 'i-0', tried_at=9, at=9.4, is_silent=True)
+        self.assertTrue(needs_check(table))
+        self.assertFalse(is_cut_off(table))
+        self.assertIs(Path.DIRECT, find_path(table, 'i-1'))
+
+    def test_answer_during_the_check_ends_it(self) -> None:
+        """Guard against a cut that is found after a server has answered."""
+        table = make_table()
+        record_failed(table, 'i-0', tried_at=9, at=9.4, is_silent=True)
+        record_opened(table, 'i-1', at=9.5)
+        record_cut_off(table, at=9.6)
+        self.assertFalse(is_cut_off(table))
+
     def test_vm_that_hears_from_no_server_is_cut_off(self) -> None:
         """Guard against trying server after server."""
         table = make_table()
@@ -77,6 +98,21 @@
         record_heard(table, 'i-0', at=2)
         self.assertTrue(is_cut_off(table))
 
+    def test_open_connection_is_no_sign_where_new_ones_are_refused(
+        self,
+    ) -> None:
+        """Guard against trying server after server since one is still heard."""
+        table = make_table()
+        record_failed(table, 'i-0', tried_at=1, at=1, is_silent=False)
+        record_heard(table, 'i-1', at=1.1)
+        self.assertTrue(needs_check(table))
+        record_cut_off(table, at=1.2)
+        record_heard(table, 'i-1', at=1.3)
+        self.assertTrue(is_cut_off(table))
+        self.assertIs(Path.OPEN, find_path(table, 'i-1'))
+        record_opened(table, 'i-1', at=1.4)
+        self.assertFalse(is_cut_off(table))
+
     def test_server_that_left_is_not_waited_for(self) -> None:
         """Guard against a cut that lasts as long as a crashed server is gone."""
         table = make_table()
@@ -107,7 +143,7 @@
         """Guard against breaking off what a sound server has stopped for a second."""
         table = make_table()
         fail(table, 'i-0', at=1)
-        record_heard(table, 'i-1', at=1.2)
+        record_heard(table, 'i-1', at=1.5)
         self.assertFalse(is_silent_since(table, 3))
 
     def test_open_connections_that_live_on(self) -> None:
--- a/tests/unit/test_gateway_tunnels.py
+++ b/tests/unit/test_gateway_tunnels.py
@@ -181,6 +181,7 @@
             pair.directory.links.record_failed(
                 'i-1', tried_at=read_clock(), is_silent=True
             )
+            pair.directory.links.record_cut_off()
             self.check_refused(pair)
 
     def test_relay_that_lost_its_links_is_not_asked(self) -> None:
