--- a/src/bronzepost/_internal/gateway/relay_server.py
+++ b/src/bronzepost/_internal/gateway/relay_server.py
@@ -34,8 +34,8 @@
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
-# A tunnel takes about 30 KB, and the callers of a VM have up to some hundred
-# requests under way. Beyond this, other VMs are asked.
+# Bounds the memory and the descriptors that tunnels take. Beyond this, other VMs
+# are asked.
 MAX_TUNNELS: Final = 512
 # A VM sends its request for a tunnel as soon as it is connected.
 REQUEST_TIMEOUT_SECONDS: Final = 1.0
