--- a/capacity/counted_node.py
+++ b/capacity/counted_node.py
@@ -23,8 +23,8 @@
 import gevent
 from gevent import socket as gevent_socket
 
-from bronzepost._internal.node.http_exchange import ExchangeClient
-from bronzepost._internal.node.messages import MessageCodec
+from bronzepost._internal.node.callers.http_exchange import ExchangeClient
+from bronzepost._internal.node.peers.messages import MessageCodec
 
 _STEP_ATTRIBUTE: Final = 'capacity_step'
 
--- a/capacity/derived.py
+++ b/capacity/derived.py
@@ -18,10 +18,12 @@
 from bronzepost._internal.core.ledger.journal_handler import (
     MAX_APPEND_RECORDS,
 )
-from bronzepost._internal.node.backend_directory import (
+from bronzepost._internal.node.engines.backend_directory import (
     LOAD_POLL_INTERVAL_SECONDS,
 )
-from bronzepost._internal.node.engine_memory import SWEEP_INTERVAL_SECONDS
+from bronzepost._internal.node.engines.engine_memory import (
+    SWEEP_INTERVAL_SECONDS,
+)
 
 from . import scale
 from .measure_configuration import count_levels
--- a/capacity/measure_gateway_decisions.py
+++ b/capacity/measure_gateway_decisions.py
@@ -13,10 +13,12 @@
     GatewayConfiguration,
     Service,
 )
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.header_names import HeaderNames
-from bronzepost._internal.gateway.server_calls import ServerCalls
+from bronzepost._internal.gateway.callers.header_names import HeaderNames
+from bronzepost._internal.gateway.links.backend_connections import (
+    ConnectionPool,
+)
+from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.server_calls import ServerCalls
 from tests.builders_gateway import (
     make_pending_call,
     make_route,
--- a/capacity/measure_relays.py
+++ b/capacity/measure_relays.py
@@ -10,10 +10,12 @@
 from gevent.server import StreamServer
 
 from bronzepost._internal.core.membership import Member
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
-from bronzepost._internal.gateway.messages import LoadReport
-from bronzepost._internal.gateway.received_reports import ReceivedReports
-from bronzepost._internal.gateway.relays import Relays
+from bronzepost._internal.gateway.links.backend_connections import (
+    ConnectionPool,
+)
+from bronzepost._internal.gateway.links.relays import Relays
+from bronzepost._internal.gateway.peers.messages import LoadReport
+from bronzepost._internal.gateway.peers.received_reports import ReceivedReports
 from bronzepost._internal.telemetry.logs import configure_logs
 from tests.builders_gateway import make_member
 from tests.builders_tunnels import OWN_NAME, open_pair
--- a/capacity/measure_tick.py
+++ b/capacity/measure_tick.py
@@ -6,17 +6,17 @@
 
 from bronzepost._internal.core import membership
 from bronzepost._internal.core.membership.entities import entry_from_member
-from bronzepost._internal.node.http_exchange import ExchangeClient
-from bronzepost._internal.node.journal_keeper import JournalKeeper
-from bronzepost._internal.node.log_client import LogClient
-from bronzepost._internal.node.mirroring import Mirroring
+from bronzepost._internal.node.callers.http_exchange import ExchangeClient
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
+from bronzepost._internal.node.ledger.log_client import LogClient
+from bronzepost._internal.node.ledger.mirroring import Mirroring
+from bronzepost._internal.node.ledger.partitions import Partitions
+from bronzepost._internal.node.ledger.settlements import Settlements
+from bronzepost._internal.node.ledger.waiting_records import WaitingRecords
 from bronzepost._internal.node.node import (
     PARTITION_TICK_INTERVAL_SECONDS,
     TICK_INTERVAL_SECONDS,
 )
-from bronzepost._internal.node.partitions import Partitions
-from bronzepost._internal.node.settlements import Settlements
-from bronzepost._internal.node.waiting_records import WaitingRecords
 from bronzepost._internal.telemetry.metrics import open_metrics
 from bronzepost._internal.telemetry.spans import NoSpans, Tracer
 from bronzepost._internal.telemetry.start import Telemetry
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of callers, and the HTTP messages on them."""
--- a/src/bronzepost/_internal/gateway/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -11,11 +11,11 @@
 
 from bronzepost._internal.core.gateway.entities import CallerLimits
 from bronzepost._internal.exceptions import ProtocolError, RefusedError
-from bronzepost._internal.gateway.header_names import (
+from bronzepost._internal.gateway.callers.header_names import (
     Headers,
     strip_connection_headers,
 )
-from bronzepost._internal.gateway.http_messages import (
+from bronzepost._internal.gateway.callers.http_messages import (
     AnswerHead,
     HttpRequest,
     MessageTooLargeError,
@@ -23,7 +23,7 @@
     encode_chunk,
     encode_head,
 )
-from bronzepost._internal.gateway.tcp_options import (
+from bronzepost._internal.gateway.links.tcp_options import (
     set_reset_on_close,
     set_tcp_options,
 )
--- a/src/bronzepost/_internal/gateway/delivery.py
+++ b/src/bronzepost/_internal/gateway/callers/delivery.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from bronzepost._internal.gateway.backend_exchange import BackendExchange
-from bronzepost._internal.gateway.caller_connections import CallerAnswer
-from bronzepost._internal.gateway.header_names import drop_headers
-from bronzepost._internal.gateway.http_messages import AnswerHead
-from bronzepost._internal.gateway.pending_call import PendingCall
+from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
+from bronzepost._internal.gateway.callers.header_names import drop_headers
+from bronzepost._internal.gateway.callers.http_messages import AnswerHead
+from bronzepost._internal.gateway.links.backend_exchange import BackendExchange
+from bronzepost._internal.gateway.requests.pending_call import PendingCall
 
 # An answer up to this size is buffered until it is complete, so that a caller
 # does not get a part of an answer that breaks off.
--- a/src/bronzepost/_internal/gateway/http_messages.py
+++ b/src/bronzepost/_internal/gateway/callers/http_messages.py
@@ -14,7 +14,10 @@
 import httptools
 
 from bronzepost._internal.exceptions import ProtocolError
-from bronzepost._internal.gateway.header_names import Headers, find_header
+from bronzepost._internal.gateway.callers.header_names import (
+    Headers,
+    find_header,
+)
 
 CRLF: Final = b'\r\n'
 # Bytes that a server may send without a part of the answer: headers, interim
--- a/src/bronzepost/_internal/gateway/pages.py
+++ b/src/bronzepost/_internal/gateway/callers/pages.py
@@ -9,11 +9,14 @@
 
 from bronzepost._internal.core.gateway.entities import CallerLimits
 from bronzepost._internal.exceptions import RefusedError, RunState
-from bronzepost._internal.gateway.caller_connections import (
+from bronzepost._internal.gateway.callers.caller_connections import (
     CallerAnswer,
     CallerServer,
 )
-from bronzepost._internal.gateway.http_messages import AnswerHead, HttpRequest
+from bronzepost._internal.gateway.callers.http_messages import (
+    AnswerHead,
+    HttpRequest,
+)
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/gateway/refusals.py
+++ b/src/bronzepost/_internal/gateway/callers/refusals.py
@@ -12,7 +12,7 @@
     RefusedError,
     RunState,
 )
-from bronzepost._internal.gateway.pending_call import PendingCall
+from bronzepost._internal.gateway.requests.pending_call import PendingCall
 
 # Sent when the time until a server is available is not known.
 DEFAULT_RETRY_AFTER_SECONDS: Final = 0.25
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to backend servers, direct and through other VMs."""
--- a/src/bronzepost/_internal/gateway/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/links/backend_connections.py
@@ -12,9 +12,9 @@
 from gevent.socket import socket as open_socket
 
 from bronzepost._internal.exceptions import ExchangeError
-from bronzepost._internal.gateway.header_names import find_header
-from bronzepost._internal.gateway.http_messages import AnswerReader
-from bronzepost._internal.gateway.tcp_options import set_tcp_options
+from bronzepost._internal.gateway.callers.header_names import find_header
+from bronzepost._internal.gateway.callers.http_messages import AnswerReader
+from bronzepost._internal.gateway.links.tcp_options import set_tcp_options
 from bronzepost._internal.node.clock import read_clock
 
 # A TCP handshake within a region takes a few milliseconds. A lost SYN is sent
--- a/src/bronzepost/_internal/gateway/backend_exchange.py
+++ b/src/bronzepost/_internal/gateway/links/backend_exchange.py
@@ -7,11 +7,14 @@
 import gevent
 
 from bronzepost._internal.exceptions import ExchangeError, ProtocolError
-from bronzepost._internal.gateway.backend_connections import (
+from bronzepost._internal.gateway.callers.http_messages import (
+    AnswerHead,
+    AnswerReader,
+)
+from bronzepost._internal.gateway.links.backend_connections import (
     BackendConnection,
     ConnectionPool,
 )
-from bronzepost._internal.gateway.http_messages import AnswerHead, AnswerReader
 
 # A body up to this size fits into the socket buffers, so sending it does not
 # block. A larger one is sent by a separate greenlet, because the server may
--- a/src/bronzepost/_internal/gateway/http_call.py
+++ b/src/bronzepost/_internal/gateway/links/http_call.py
@@ -6,10 +6,12 @@
 import gevent
 
 from bronzepost._internal.exceptions import ExchangeError
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
-from bronzepost._internal.gateway.backend_exchange import BackendExchange
-from bronzepost._internal.gateway.header_names import Headers
-from bronzepost._internal.gateway.http_messages import encode_head
+from bronzepost._internal.gateway.callers.header_names import Headers
+from bronzepost._internal.gateway.callers.http_messages import encode_head
+from bronzepost._internal.gateway.links.backend_connections import (
+    ConnectionPool,
+)
+from bronzepost._internal.gateway.links.backend_exchange import BackendExchange
 
 GET: Final = b'GET'
 POST: Final = b'POST'
--- a/src/bronzepost/_internal/gateway/link_probes.py
+++ b/src/bronzepost/_internal/gateway/links/link_probes.py
@@ -14,13 +14,13 @@
     needs_check,
 )
 from bronzepost._internal.exceptions import ExchangeError
-from bronzepost._internal.gateway.backend_connections import (
+from bronzepost._internal.gateway.links.backend_connections import (
     CONNECT_TIMEOUT_SECONDS,
     BackendConnection,
     ConnectionPool,
 )
-from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.loops import start_loop, start_task
+from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.node.clock import read_clock
 
 # Servers that are tried when a connection fails and no other server was heard from.
--- a/src/bronzepost/_internal/gateway/relay_server.py
+++ b/src/bronzepost/_internal/gateway/links/relay_server.py
@@ -13,24 +13,26 @@
 
 from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.exceptions import ExchangeError, ProtocolError
-from bronzepost._internal.gateway.backend_connections import (
+from bronzepost._internal.gateway.callers.caller_connections import (
+    LISTEN_BACKLOG,
+)
+from bronzepost._internal.gateway.links.backend_connections import (
     BackendConnection,
 )
-from bronzepost._internal.gateway.caller_connections import LISTEN_BACKLOG
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.link_probes import LinkProbes
-from bronzepost._internal.gateway.tcp_options import (
+from bronzepost._internal.gateway.links.link_probes import LinkProbes
+from bronzepost._internal.gateway.links.tcp_options import (
     set_reset_on_close,
     set_tcp_options,
 )
-from bronzepost._internal.gateway.tunnel_frames import (
+from bronzepost._internal.gateway.links.tunnel_frames import (
     OpenTunnel,
     TunnelAnswer,
     TunnelVerdict,
     receive_frame,
     send_frame,
 )
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/gateway/relays.py
+++ b/src/bronzepost/_internal/gateway/links/relays.py
@@ -21,20 +21,20 @@
 )
 from bronzepost._internal.core.membership import Member
 from bronzepost._internal.exceptions import ExchangeError, ProtocolError
-from bronzepost._internal.gateway.backend_connections import (
+from bronzepost._internal.gateway.links.backend_connections import (
     CONNECT_TIMEOUT_SECONDS,
     BackendConnection,
     ConnectionPool,
 )
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.tunnel_frames import (
+from bronzepost._internal.gateway.links.tunnel_frames import (
     OpenTunnel,
     TunnelAnswer,
     TunnelVerdict,
     receive_frame,
     send_frame,
 )
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/gateway/server_links.py
+++ b/src/bronzepost/_internal/gateway/links/server_links.py
@@ -12,15 +12,15 @@
     is_silent_since,
 )
 from bronzepost._internal.exceptions import ExchangeError
-from bronzepost._internal.gateway.backend_connections import (
+from bronzepost._internal.gateway.links.backend_connections import (
     BackendConnection,
     ConnectionPool,
 )
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.link_probes import LinkProbes
+from bronzepost._internal.gateway.links.link_probes import LinkProbes
+from bronzepost._internal.gateway.links.relays import Relays
 from bronzepost._internal.gateway.loops import start_loop
-from bronzepost._internal.gateway.pending_call import PendingCall
-from bronzepost._internal.gateway.relays import Relays
+from bronzepost._internal.gateway.requests.pending_call import PendingCall
+from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.node.clock import read_clock
 
 # A single link that fails may as well be a server that has crashed. Within this
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership, messages and reports between the VMs."""
--- a/src/bronzepost/_internal/gateway/fleet.py
+++ b/src/bronzepost/_internal/gateway/peers/fleet.py
@@ -9,11 +9,14 @@
 from bronzepost._internal.core import membership
 from bronzepost._internal.exceptions import ProtocolError
 from bronzepost._internal.gateway.loops import start_loop
-from bronzepost._internal.gateway.lost_members import LostMembers
-from bronzepost._internal.gateway.messages import GatewayCodec, GatewayMessage
+from bronzepost._internal.gateway.peers.lost_members import LostMembers
+from bronzepost._internal.gateway.peers.messages import (
+    GatewayCodec,
+    GatewayMessage,
+)
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.peers import PeerTransport
+from bronzepost._internal.node.peers.peers import PeerTransport
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/gateway/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -3,12 +3,12 @@
 import msgspec
 
 from bronzepost._internal.core.membership import Ack, Ping, PingRequest
-from bronzepost._internal.gateway.message_parts import (
+from bronzepost._internal.gateway.peers.message_parts import (
     BrokenRequest,
     Fingerprints,
     NamedLimit,
 )
-from bronzepost._internal.node.envelopes import Envelope, EnvelopeCodec
+from bronzepost._internal.node.peers.envelopes import Envelope, EnvelopeCodec
 
 
 class ReserveTokens(
--- a/src/bronzepost/_internal/gateway/peer_calls.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_calls.py
@@ -9,8 +9,8 @@
 from gevent.event import AsyncResult
 from gevent.timeout import Timeout
 
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.messages import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import (
     AllowanceReplicated,
     AllowancesFound,
     GatewayMessage,
--- a/src/bronzepost/_internal/gateway/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_reports.py
@@ -6,19 +6,19 @@
 import gevent
 import xxhash
 
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.loops import start_loop
-from bronzepost._internal.gateway.member_ranking import MemberRanking
-from bronzepost._internal.gateway.messages import LoadReport
-from bronzepost._internal.gateway.received_reports import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.member_ranking import MemberRanking
+from bronzepost._internal.gateway.peers.messages import LoadReport
+from bronzepost._internal.gateway.peers.received_reports import (
     ReceivedReports,
     find_report_age,
     find_report_interval,
     find_silence_cutoff,
 )
-from bronzepost._internal.gateway.registry import RegistryFollower
-from bronzepost._internal.gateway.report_rounds import ReportRounds
+from bronzepost._internal.gateway.peers.report_rounds import ReportRounds
+from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.registry import RegistryFollower
 from bronzepost._internal.node.clock import read_clock
 
 # Bounds the size of a report. The VMs that are asked for a tunnel to one of the other
--- a/src/bronzepost/_internal/gateway/received_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/received_reports.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-from bronzepost._internal.gateway.messages import LoadReport
+from bronzepost._internal.gateway.peers.messages import LoadReport
 from bronzepost._internal.node.clock import read_clock
 
 # The interval between the reports of a VM with up to ``FULL_RATE_PEERS`` peers.
--- a/src/bronzepost/_internal/gateway/report_rounds.py
+++ b/src/bronzepost/_internal/gateway/peers/report_rounds.py
@@ -4,8 +4,8 @@
 from collections.abc import Sequence
 from typing import Final
 
-from bronzepost._internal.gateway.messages import LoadReport
-from bronzepost._internal.gateway.received_reports import (
+from bronzepost._internal.gateway.peers.messages import LoadReport
+from bronzepost._internal.gateway.peers.received_reports import (
     MAX_REPORT_PEERS,
     find_silence_timeout,
 )
--- a/src/bronzepost/_internal/gateway/snapshots.py
+++ b/src/bronzepost/_internal/gateway/peers/snapshots.py
@@ -9,16 +9,16 @@
     BackendServer,
     GatewayConfiguration,
 )
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.loops import start_loop
-from bronzepost._internal.gateway.messages import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import (
     Snapshot,
     SnapshotRequest,
 )
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.registry import RegistryFollower
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.registry import RegistryFollower
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -9,24 +9,32 @@
 from gevent.event import Event
 
 from bronzepost._internal.exceptions import SettingsError
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
-from bronzepost._internal.gateway.budget_keeper import BudgetKeeper
-from bronzepost._internal.gateway.caller_connections import CallerServer
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.forwarding import DecodeCall, Forwarder
-from bronzepost._internal.gateway.header_names import HeaderNames
-from bronzepost._internal.gateway.keyed_store import KeyedStore
+from bronzepost._internal.gateway.callers.caller_connections import CallerServer
+from bronzepost._internal.gateway.callers.header_names import HeaderNames
+from bronzepost._internal.gateway.links.backend_connections import (
+    ConnectionPool,
+)
 from bronzepost._internal.gateway.loops import start_loop
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.program_state import ProgramState
-from bronzepost._internal.gateway.registry import Registry, RegistryFollower
-from bronzepost._internal.gateway.server_access import ServerAccess
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.peers.snapshots import SnapshotExchange
+from bronzepost._internal.gateway.programs.budget_keeper import BudgetKeeper
+from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
+from bronzepost._internal.gateway.programs.program_state import ProgramState
+from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
+from bronzepost._internal.gateway.requests.forwarding import (
+    DecodeCall,
+    Forwarder,
+)
+from bronzepost._internal.gateway.requests.stream_versions import StreamVersions
+from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.registry import (
+    Registry,
+    RegistryFollower,
+)
+from bronzepost._internal.gateway.servers.server_access import ServerAccess
 from bronzepost._internal.gateway.settings import GatewaySettings
-from bronzepost._internal.gateway.snapshots import SnapshotExchange
-from bronzepost._internal.gateway.stream_versions import StreamVersions
-from bronzepost._internal.gateway.turn_keeper import TurnKeeper
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets and histories of programs, kept in the store."""
--- a/src/bronzepost/_internal/gateway/allowance_writer.py
+++ b/src/bronzepost/_internal/gateway/programs/allowance_writer.py
@@ -15,13 +15,13 @@
     AmbiguousAppendError,
     LogServiceError,
 )
-from bronzepost._internal.gateway.accounts import Accounts
-from bronzepost._internal.gateway.keyed_store import (
+from bronzepost._internal.gateway.peers.messages import ReserveTokens
+from bronzepost._internal.gateway.programs.accounts import Accounts
+from bronzepost._internal.gateway.programs.keyed_store import (
     AppendConflictError,
     KeyedRecord,
     KeyedStore,
 )
-from bronzepost._internal.gateway.messages import ReserveTokens
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/gateway/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/budget_keeper.py
@@ -9,17 +9,9 @@
 
 from bronzepost._internal.core.gateway.entities import CallRequest
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.home import (
-    HELD,
-    RESERVED,
-    SPENT,
-    UNSURE,
-    Home,
-)
-from bronzepost._internal.gateway.keyed_store import KeyedStore
 from bronzepost._internal.gateway.loops import start_loop, start_task
-from bronzepost._internal.gateway.messages import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import (
     FindAllowances,
     GatewayMessage,
     HandOver,
@@ -28,11 +20,19 @@
     SettleTokens,
     TokensReserved,
 )
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import (
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import (
     PeerReports,
     partition_of_key,
 )
+from bronzepost._internal.gateway.programs.home import (
+    HELD,
+    RESERVED,
+    SPENT,
+    UNSURE,
+    Home,
+)
+from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/gateway/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -9,15 +9,8 @@
 
 from bronzepost._internal.core.gateway import budgets as rules
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
-from bronzepost._internal.gateway.accounts import (
-    Accounts,
-    BranchIndex,
-    RecentIds,
-)
-from bronzepost._internal.gateway.allowance_writer import AllowanceWriter
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.keyed_store import KeyedStore
-from bronzepost._internal.gateway.messages import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import (
     AllowanceReplicated,
     AllowancesFound,
     FindAllowances,
@@ -26,8 +19,17 @@
     ReserveTokens,
     SettleTokens,
 )
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.programs.accounts import (
+    Accounts,
+    BranchIndex,
+    RecentIds,
+)
+from bronzepost._internal.gateway.programs.allowance_writer import (
+    AllowanceWriter,
+)
+from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/gateway/program_state.py
+++ b/src/bronzepost/_internal/gateway/programs/program_state.py
@@ -11,12 +11,12 @@
     join_answer,
 )
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.gateway.budget_keeper import (
+from bronzepost._internal.gateway.callers.event_stream import EventSplitter
+from bronzepost._internal.gateway.programs.budget_keeper import (
     BudgetKeeper,
     Reservation,
 )
-from bronzepost._internal.gateway.event_stream import EventSplitter
-from bronzepost._internal.gateway.turn_keeper import TurnKeeper
+from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/bronzepost/_internal/gateway/turn_copies.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_copies.py
@@ -10,17 +10,17 @@
 from gevent.pool import Pool
 
 from bronzepost._internal.core.gateway.histories import Turn
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.messages import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import (
     FindTurns,
     ReplicateTurn,
 )
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import (
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import (
     PeerReports,
     partition_of_key,
 )
-from bronzepost._internal.gateway.turn_store import encode_turn
+from bronzepost._internal.gateway.programs.turn_store import encode_turn
 
 # The home of a program gets a copy of each turn, and so does the VM that is the
 # home while the first one restarts.
--- a/src/bronzepost/_internal/gateway/turn_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_keeper.py
@@ -10,15 +10,15 @@
 from bronzepost._internal.core.gateway.entities import CallRequest
 from bronzepost._internal.core.gateway.histories import Turn, list_chain
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.keyed_store import KeyedStore
 from bronzepost._internal.gateway.loops import start_loop, start_task
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.turn_copies import TurnCopies
-from bronzepost._internal.gateway.turn_search import TurnSearch
-from bronzepost._internal.gateway.turn_store import TurnStore
-from bronzepost._internal.gateway.turn_writer import TurnWriter
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
+from bronzepost._internal.gateway.programs.turn_copies import TurnCopies
+from bronzepost._internal.gateway.programs.turn_search import TurnSearch
+from bronzepost._internal.gateway.programs.turn_store import TurnStore
+from bronzepost._internal.gateway.programs.turn_writer import TurnWriter
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/gateway/turn_search.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_search.py
@@ -9,16 +9,16 @@
     list_chain,
     list_missing,
 )
-from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.loops import start_task
-from bronzepost._internal.gateway.messages import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import (
     FindTurns,
     ReplicateTurn,
     TurnsFound,
 )
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.turn_copies import TurnCopies
-from bronzepost._internal.gateway.turn_store import (
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.programs.turn_copies import TurnCopies
+from bronzepost._internal.gateway.programs.turn_store import (
     TurnStore,
     decode_turn,
     encode_turn,
--- a/src/bronzepost/_internal/gateway/turn_store.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_store.py
@@ -8,8 +8,11 @@
 
 from bronzepost._internal.core.gateway.histories import Turn
 from bronzepost._internal.exceptions import LogServiceError
-from bronzepost._internal.gateway.keyed_store import KeyedRecord, KeyedStore
-from bronzepost._internal.gateway.peer_reports import partition_of_key
+from bronzepost._internal.gateway.peers.peer_reports import partition_of_key
+from bronzepost._internal.gateway.programs.keyed_store import (
+    KeyedRecord,
+    KeyedStore,
+)
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/gateway/turn_writer.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_writer.py
@@ -10,13 +10,15 @@
 from gevent.pool import Group
 
 from bronzepost._internal.core.gateway.histories import Turn
-from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.loops import start_task
-from bronzepost._internal.gateway.messages import StoreTurn, TurnStored
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.turn_copies import choose_peer_with_store
-from bronzepost._internal.gateway.turn_store import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import StoreTurn, TurnStored
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.programs.turn_copies import (
+    choose_peer_with_store,
+)
+from bronzepost._internal.gateway.programs.turn_store import (
     TurnStore,
     decode_turn,
     encode_turn,
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of requests, with retries and resumed streams."""
--- a/src/bronzepost/_internal/gateway/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -19,26 +19,17 @@
     RefusedError,
     RunState,
 )
-from bronzepost._internal.gateway.caller_connections import (
+from bronzepost._internal.gateway.callers.caller_connections import (
     CallerAnswer,
     CallerGoneError,
 )
-from bronzepost._internal.gateway.delivery import (
+from bronzepost._internal.gateway.callers.delivery import (
     deliver_answer,
     deliver_stream,
 )
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.header_names import Headers
-from bronzepost._internal.gateway.hedging import HedgedRequest
-from bronzepost._internal.gateway.http_messages import HttpRequest
-from bronzepost._internal.gateway.loops import start_task
-from bronzepost._internal.gateway.pending_call import (
-    DeadlinePassedError,
-    NotRunError,
-    PendingCall,
-)
-from bronzepost._internal.gateway.program_state import ProgramState
-from bronzepost._internal.gateway.refusals import (
+from bronzepost._internal.gateway.callers.header_names import Headers
+from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.refusals import (
     refuse_broken_answer,
     refuse_deadline_passed,
     refuse_no_route,
@@ -46,10 +37,23 @@
     refuse_starting,
     refuse_unknown_stream,
 )
-from bronzepost._internal.gateway.server_calls import ServerCalls
-from bronzepost._internal.gateway.server_placement import find_previous_server
-from bronzepost._internal.gateway.stream_versions import StreamVersions
-from bronzepost._internal.gateway.suspect_requests import SuspectRequests
+from bronzepost._internal.gateway.loops import start_task
+from bronzepost._internal.gateway.programs.program_state import ProgramState
+from bronzepost._internal.gateway.requests.hedging import HedgedRequest
+from bronzepost._internal.gateway.requests.pending_call import (
+    DeadlinePassedError,
+    NotRunError,
+    PendingCall,
+)
+from bronzepost._internal.gateway.requests.stream_versions import StreamVersions
+from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.server_calls import ServerCalls
+from bronzepost._internal.gateway.servers.server_placement import (
+    find_previous_server,
+)
+from bronzepost._internal.gateway.servers.suspect_requests import (
+    SuspectRequests,
+)
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.exposition import METRICS
--- a/src/bronzepost/_internal/gateway/hedging.py
+++ b/src/bronzepost/_internal/gateway/requests/hedging.py
@@ -16,19 +16,24 @@
 from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.core.retry_budget import RetryBudget
 from bronzepost._internal.exceptions import ExchangeError, RefusedError
-from bronzepost._internal.gateway.backend_exchange import BackendExchange
-from bronzepost._internal.gateway.caller_connections import CallerGoneError
-from bronzepost._internal.gateway.delivery import (
+from bronzepost._internal.gateway.callers.caller_connections import (
+    CallerGoneError,
+)
+from bronzepost._internal.gateway.callers.delivery import (
     MAX_BUFFERED_BODY_BYTES,
     deliver_blocks,
 )
-from bronzepost._internal.gateway.http_messages import AnswerHead
-from bronzepost._internal.gateway.pending_call import NotRunError, PendingCall
-from bronzepost._internal.gateway.refusals import (
+from bronzepost._internal.gateway.callers.http_messages import AnswerHead
+from bronzepost._internal.gateway.callers.refusals import (
     refuse_broken_answer,
     refuse_no_server,
 )
-from bronzepost._internal.gateway.server_calls import ServerCalls
+from bronzepost._internal.gateway.links.backend_exchange import BackendExchange
+from bronzepost._internal.gateway.requests.pending_call import (
+    NotRunError,
+    PendingCall,
+)
+from bronzepost._internal.gateway.servers.server_calls import ServerCalls
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/gateway/pending_call.py
+++ b/src/bronzepost/_internal/gateway/requests/pending_call.py
@@ -6,10 +6,13 @@
 
 from bronzepost._internal.core.gateway.entities import CallRequest, Route
 from bronzepost._internal.exceptions import BackendServerError
-from bronzepost._internal.gateway.caller_connections import CallerAnswer
-from bronzepost._internal.gateway.event_stream import EventSplitter
-from bronzepost._internal.gateway.http_messages import Framing, HttpRequest
-from bronzepost._internal.gateway.program_state import OpenTurn
+from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
+from bronzepost._internal.gateway.callers.event_stream import EventSplitter
+from bronzepost._internal.gateway.callers.http_messages import (
+    Framing,
+    HttpRequest,
+)
+from bronzepost._internal.gateway.programs.program_state import OpenTurn
 from bronzepost._internal.node.clock import read_clock
 
 
--- a/src/bronzepost/_internal/gateway/stream_versions.py
+++ b/src/bronzepost/_internal/gateway/requests/stream_versions.py
@@ -14,19 +14,19 @@
 from gevent.pool import Pool
 
 from bronzepost._internal.core.gateway.seen_versions import STREAM_SECONDS
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.loops import start_loop
-from bronzepost._internal.gateway.messages import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import (
     FindStream,
     ReplicateStream,
     StreamFound,
 )
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import (
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import (
     PeerReports,
     partition_of_key,
 )
+from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.node.clock import read_clock
 
 # A stream stays known if its VM and two others are lost together.
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend servers there are, and which one takes a request."""
--- a/src/bronzepost/_internal/gateway/crash_news.py
+++ b/src/bronzepost/_internal/gateway/servers/crash_news.py
@@ -10,14 +10,14 @@
 
 import gevent
 
-from bronzepost._internal.gateway.crash_records import CrashRecords
-from bronzepost._internal.gateway.fleet import Fleet
 from bronzepost._internal.gateway.loops import start_loop
-from bronzepost._internal.gateway.message_parts import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.message_parts import (
     BrokenRequest,
     Fingerprints,
 )
-from bronzepost._internal.gateway.messages import CrashNews
+from bronzepost._internal.gateway.peers.messages import CrashNews
+from bronzepost._internal.gateway.servers.crash_records import CrashRecords
 from bronzepost._internal.node.clock import read_clock
 
 # The requests of a server that crashes break off within this time, so they are sent
--- a/src/bronzepost/_internal/gateway/crash_records.py
+++ b/src/bronzepost/_internal/gateway/servers/crash_records.py
@@ -14,7 +14,7 @@
     record_run,
 )
 from bronzepost._internal.core.gateway.recent_runs import RecentRuns
-from bronzepost._internal.gateway.message_parts import (
+from bronzepost._internal.gateway.peers.message_parts import (
     BrokenRequest,
     Fingerprints,
 )
--- a/src/bronzepost/_internal/gateway/directory.py
+++ b/src/bronzepost/_internal/gateway/servers/directory.py
@@ -15,11 +15,13 @@
     find_only_version,
     record_versions,
 )
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
-from bronzepost._internal.gateway.link_records import LinkRecords
-from bronzepost._internal.gateway.parts_in_use import PartsInUse
-from bronzepost._internal.gateway.server_limits import ServerLimits
-from bronzepost._internal.gateway.server_ratings import ServerRatings
+from bronzepost._internal.gateway.links.backend_connections import (
+    ConnectionPool,
+)
+from bronzepost._internal.gateway.links.link_records import LinkRecords
+from bronzepost._internal.gateway.servers.parts_in_use import PartsInUse
+from bronzepost._internal.gateway.servers.server_limits import ServerLimits
+from bronzepost._internal.gateway.servers.server_ratings import ServerRatings
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/gateway/registry.py
+++ b/src/bronzepost/_internal/gateway/servers/registry.py
@@ -10,8 +10,8 @@
     GatewayConfiguration,
 )
 from bronzepost._internal.exceptions import LogServiceError
-from bronzepost._internal.gateway.directory import Directory
 from bronzepost._internal.gateway.loops import start_loop
+from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/gateway/server_access.py
+++ b/src/bronzepost/_internal/gateway/servers/server_access.py
@@ -1,18 +1,22 @@
 """The parts of a gateway that reach backend servers."""
 
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.header_names import HeaderNames
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.relay_server import RelayServer
-from bronzepost._internal.gateway.relays import Relays
-from bronzepost._internal.gateway.server_calls import ServerCalls
-from bronzepost._internal.gateway.server_links import ServerLinks
-from bronzepost._internal.gateway.server_permits import ServerPermits
+from bronzepost._internal.gateway.callers.header_names import HeaderNames
+from bronzepost._internal.gateway.links.backend_connections import (
+    ConnectionPool,
+)
+from bronzepost._internal.gateway.links.relay_server import RelayServer
+from bronzepost._internal.gateway.links.relays import Relays
+from bronzepost._internal.gateway.links.server_links import ServerLinks
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.server_calls import ServerCalls
+from bronzepost._internal.gateway.servers.server_permits import ServerPermits
+from bronzepost._internal.gateway.servers.suspect_requests import (
+    SuspectRequests,
+)
 from bronzepost._internal.gateway.settings import GatewaySettings
-from bronzepost._internal.gateway.suspect_requests import SuspectRequests
 
 
 class ServerAccess:
--- a/src/bronzepost/_internal/gateway/server_calls.py
+++ b/src/bronzepost/_internal/gateway/servers/server_calls.py
@@ -7,9 +7,7 @@
 
 from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.core.gateway.request_pace import SPARE_SECONDS
-from bronzepost._internal.gateway.backend_exchange import BackendExchange
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.header_names import (
+from bronzepost._internal.gateway.callers.header_names import (
     HeaderNames,
     Headers,
     drop_headers,
@@ -17,25 +15,32 @@
     find_headers,
     strip_connection_headers,
 )
-from bronzepost._internal.gateway.http_messages import AnswerHead, encode_head
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.pending_call import (
-    DeadlinePassedError,
-    NotRunError,
-    PendingCall,
+from bronzepost._internal.gateway.callers.http_messages import (
+    AnswerHead,
+    encode_head,
 )
-from bronzepost._internal.gateway.refusals import (
+from bronzepost._internal.gateway.callers.refusals import (
     refuse_no_link,
     refuse_suspect,
 )
-from bronzepost._internal.gateway.server_links import ServerLinks
-from bronzepost._internal.gateway.server_permits import ServerPermits
-from bronzepost._internal.gateway.server_placement import (
+from bronzepost._internal.gateway.links.backend_exchange import BackendExchange
+from bronzepost._internal.gateway.links.server_links import ServerLinks
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.requests.pending_call import (
+    DeadlinePassedError,
+    NotRunError,
+    PendingCall,
+)
+from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.server_permits import ServerPermits
+from bronzepost._internal.gateway.servers.server_placement import (
     ServerPlacement,
     find_max_idle_seconds,
     find_previous_server,
 )
-from bronzepost._internal.gateway.suspect_requests import SuspectRequests
+from bronzepost._internal.gateway.servers.suspect_requests import (
+    SuspectRequests,
+)
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.exposition import METRICS
 
--- a/src/bronzepost/_internal/gateway/server_limits.py
+++ b/src/bronzepost/_internal/gateway/servers/server_limits.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from bronzepost._internal.core.gateway import server_limits as rules
-from bronzepost._internal.gateway.message_parts import NamedLimit
+from bronzepost._internal.gateway.peers.message_parts import NamedLimit
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/gateway/server_permits.py
+++ b/src/bronzepost/_internal/gateway/servers/server_permits.py
@@ -18,14 +18,14 @@
     start_pace,
     take_turn,
 )
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.messages import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import (
     PermitDecided,
     RequestPermit,
 )
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/gateway/server_placement.py
+++ b/src/bronzepost/_internal/gateway/servers/server_placement.py
@@ -16,11 +16,11 @@
     PlacementContext,
     choose_server,
 )
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.parts_in_use import Holders
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.pending_call import PendingCall
-from bronzepost._internal.gateway.server_links import ServerLinks
+from bronzepost._internal.gateway.links.server_links import ServerLinks
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.requests.pending_call import PendingCall
+from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.parts_in_use import Holders
 
 # For how long a connection that is used again may have been idle. A server may
 # close an idle connection without notice; it is then not known whether a
--- a/src/bronzepost/_internal/gateway/suspect_requests.py
+++ b/src/bronzepost/_internal/gateway/servers/suspect_requests.py
@@ -6,12 +6,12 @@
 from bronzepost._internal.core.gateway import crash_suspects as rules
 from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.core.rendezvous import first_members
-from bronzepost._internal.gateway.crash_news import CrashExchange
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.message_parts import BrokenRequest
-from bronzepost._internal.gateway.pending_call import PendingCall
-from bronzepost._internal.gateway.refusals import refuse_deadly
+from bronzepost._internal.gateway.callers.refusals import refuse_deadly
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.message_parts import BrokenRequest
+from bronzepost._internal.gateway.requests.pending_call import PendingCall
+from bronzepost._internal.gateway.servers.crash_news import CrashExchange
+from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/node/assembly.py
+++ b/src/bronzepost/_internal/node/assembly.py
@@ -8,25 +8,25 @@
 from bronzepost._internal.core.rendezvous import PARTITION_COUNT
 from bronzepost._internal.core.retry_budget import RetryBudget
 from bronzepost._internal.core.scheduling.tables import SchedulingTables
-from bronzepost._internal.node.answers import AnswerStore
-from bronzepost._internal.node.backend_directory import BackendDirectory
-from bronzepost._internal.node.cache_events import CacheEventReader
-from bronzepost._internal.node.chat_calls import ChatCalls
-from bronzepost._internal.node.cluster import Cluster
-from bronzepost._internal.node.engine_memory import EngineMemory
-from bronzepost._internal.node.forwarding import Forwarder, OwnerLookup
-from bronzepost._internal.node.http_exchange import ExchangeClient
-from bronzepost._internal.node.journal_keeper import JournalKeeper
-from bronzepost._internal.node.log_client import LogClient
-from bronzepost._internal.node.mirroring import Mirroring
-from bronzepost._internal.node.model_call import ModelCallRunner
-from bronzepost._internal.node.partitions import Partitions
+from bronzepost._internal.node.callers.answers import AnswerStore
+from bronzepost._internal.node.callers.chat_calls import ChatCalls
+from bronzepost._internal.node.callers.http_exchange import ExchangeClient
+from bronzepost._internal.node.engines.backend_directory import BackendDirectory
+from bronzepost._internal.node.engines.cache_events import CacheEventReader
+from bronzepost._internal.node.engines.engine_memory import EngineMemory
+from bronzepost._internal.node.engines.forwarding import Forwarder, OwnerLookup
+from bronzepost._internal.node.engines.model_call import ModelCallRunner
+from bronzepost._internal.node.engines.service_calls import ServiceCalls
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
+from bronzepost._internal.node.ledger.log_client import LogClient
+from bronzepost._internal.node.ledger.mirroring import Mirroring
+from bronzepost._internal.node.ledger.partitions import Partitions
+from bronzepost._internal.node.ledger.settlements import Settlements
+from bronzepost._internal.node.ledger.waiting_records import WaitingRecords
 from bronzepost._internal.node.pauses import Pauses
-from bronzepost._internal.node.program_calls import ProgramCalls
-from bronzepost._internal.node.program_ends import ProgramEnds
-from bronzepost._internal.node.service_calls import ServiceCalls
-from bronzepost._internal.node.settlements import Settlements
-from bronzepost._internal.node.waiting_records import WaitingRecords
+from bronzepost._internal.node.peers.cluster import Cluster
+from bronzepost._internal.node.programs.program_calls import ProgramCalls
+from bronzepost._internal.node.programs.program_ends import ProgramEnds
 from bronzepost._internal.settings import Settings
 from bronzepost._internal.telemetry.start import Telemetry
 
--- /dev/null
+++ b/src/bronzepost/_internal/node/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers."""
--- a/src/bronzepost/_internal/node/answers.py
+++ b/src/bronzepost/_internal/node/callers/answers.py
@@ -7,9 +7,9 @@
 
 from bronzepost._internal.core.ledger import records
 from bronzepost._internal.exceptions import LogServiceError, RunState
-from bronzepost._internal.node.answer_stream import AnswerStream
-from bronzepost._internal.node.log_client import LogClient
-from bronzepost._internal.node.refusals import refuse_not_durable
+from bronzepost._internal.node.callers.answer_stream import AnswerStream
+from bronzepost._internal.node.callers.refusals import refuse_not_durable
+from bronzepost._internal.node.ledger.log_client import LogClient
 
 MAX_CACHED_ANSWERS: Final = 512
 # An idle node has about 12 MB of its 64 MB free.
--- a/src/bronzepost/_internal/node/call_settings.py
+++ b/src/bronzepost/_internal/node/callers/call_settings.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from bronzepost._internal.core.scheduling.policies import Policy, make_policy
-from bronzepost._internal.node.caller_request import CallerFields
+from bronzepost._internal.node.callers.caller_request import CallerFields
 
 # Arguments: organisation, service, program and name of the setting.
 SettingLookup = Callable[[str, str, str, str], Any]
--- a/src/bronzepost/_internal/node/caller_api.py
+++ b/src/bronzepost/_internal/node/callers/caller_api.py
@@ -8,27 +8,29 @@
 
 from bronzepost._internal.core.ownership import ForwardTo
 from bronzepost._internal.core.session_sweep import name_call_session
-from bronzepost._internal.node.answer_stream import AnswerStream
-from bronzepost._internal.node.call_settings import (
+from bronzepost._internal.node.callers.answer_stream import AnswerStream
+from bronzepost._internal.node.callers.call_settings import (
     CallSettings,
     resolve_settings,
 )
-from bronzepost._internal.node.caller_api_components import CallerApiComponents
-from bronzepost._internal.node.caller_request import (
+from bronzepost._internal.node.callers.caller_api_components import (
+    CallerApiComponents,
+)
+from bronzepost._internal.node.callers.caller_request import (
     CallerFields,
     read_caller_fields,
 )
-from bronzepost._internal.node.chat_calls import ChatCall
-from bronzepost._internal.node.chat_request import read_chat_request
-from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.responses import (
+from bronzepost._internal.node.callers.chat_calls import ChatCall
+from bronzepost._internal.node.callers.chat_request import read_chat_request
+from bronzepost._internal.node.callers.responses import (
     build_call_headers,
     build_completion_response,
     build_event_response,
     build_service_response,
 )
-from bronzepost._internal.node.service_calls import ServiceCall
-from bronzepost._internal.node.web import Request, Response, Route
+from bronzepost._internal.node.callers.web import Request, Response, Route
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.engines.service_calls import ServiceCall
 from bronzepost._internal.telemetry.spans import Span, parse_traceparent
 
 
--- a/src/bronzepost/_internal/node/caller_api_components.py
+++ b/src/bronzepost/_internal/node/callers/caller_api_components.py
@@ -4,17 +4,17 @@
 from collections.abc import Callable
 from typing import Any
 
-from bronzepost._internal.node.call_settings import SettingLookup
-from bronzepost._internal.node.chat_calls import ChatCalls
-from bronzepost._internal.node.forwarding import Forwarder
-from bronzepost._internal.node.partitions import Partitions
-from bronzepost._internal.node.program_calls import ProgramCalls
-from bronzepost._internal.node.program_ends import ProgramEnds
-from bronzepost._internal.node.refusals import (
+from bronzepost._internal.node.callers.call_settings import SettingLookup
+from bronzepost._internal.node.callers.chat_calls import ChatCalls
+from bronzepost._internal.node.callers.refusals import (
     refuse_no_server,
     refuse_unknown_model,
 )
-from bronzepost._internal.node.service_calls import ServiceCalls
+from bronzepost._internal.node.engines.forwarding import Forwarder
+from bronzepost._internal.node.engines.service_calls import ServiceCalls
+from bronzepost._internal.node.ledger.partitions import Partitions
+from bronzepost._internal.node.programs.program_calls import ProgramCalls
+from bronzepost._internal.node.programs.program_ends import ProgramEnds
 from bronzepost._internal.telemetry.spans import Tracer
 
 ModelAndService = tuple[str, str]
--- a/src/bronzepost/_internal/node/caller_request.py
+++ b/src/bronzepost/_internal/node/callers/caller_request.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from bronzepost._internal.node.web import Request, refuse_parameter
+from bronzepost._internal.node.callers.web import Request, refuse_parameter
 
 PROGRAM_PATTERN: Final = re.compile(
     r'[A-Za-z0-9_-]{1,64}(\.[A-Za-z0-9_-]{1,64}){0,8}'
--- a/src/bronzepost/_internal/node/chat_calls.py
+++ b/src/bronzepost/_internal/node/callers/chat_calls.py
@@ -26,31 +26,34 @@
     find_root,
 )
 from bronzepost._internal.exceptions import RefusedError, RunState
-from bronzepost._internal.node.answer_stream import AnswerStream
-from bronzepost._internal.node.backend_directory import BackendDirectory
-from bronzepost._internal.node.call_settings import CallSettings
-from bronzepost._internal.node.caller_request import CallerFields
-from bronzepost._internal.node.chat_request import (
+from bronzepost._internal.node.callers.answer_stream import AnswerStream
+from bronzepost._internal.node.callers.call_settings import CallSettings
+from bronzepost._internal.node.callers.caller_request import CallerFields
+from bronzepost._internal.node.callers.chat_request import (
     ChatRequest,
     count_prompt_tokens,
 )
+from bronzepost._internal.node.callers.refusals import (
+    refuse_admission,
+    refuse_deadline_passed,
+    refuse_history_mismatch,
+    refuse_over_budget,
+)
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.dispatch import RetryLimits
-from bronzepost._internal.node.engine_memory import EngineMemory
-from bronzepost._internal.node.ledger_request import build_ledger_request
-from bronzepost._internal.node.model_call import (
+from bronzepost._internal.node.engines.backend_directory import BackendDirectory
+from bronzepost._internal.node.engines.dispatch import RetryLimits
+from bronzepost._internal.node.engines.engine_memory import EngineMemory
+from bronzepost._internal.node.engines.model_call import (
     MAX_ATTEMPTS,
     ModelAnswer,
     ModelCall,
     ModelCallRunner,
 )
+from bronzepost._internal.node.ledger.ledger_request import build_ledger_request
 from bronzepost._internal.node.pauses import Pauses
-from bronzepost._internal.node.program_calls import OwnedCall, ProgramCalls
-from bronzepost._internal.node.refusals import (
-    refuse_admission,
-    refuse_deadline_passed,
-    refuse_history_mismatch,
-    refuse_over_budget,
+from bronzepost._internal.node.programs.program_calls import (
+    OwnedCall,
+    ProgramCalls,
 )
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/node/chat_request.py
+++ b/src/bronzepost/_internal/node/callers/chat_request.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bronzepost._internal.node.web import Request, refuse_parameter
+from bronzepost._internal.node.callers.web import Request, refuse_parameter
 
 MAX_MESSAGES: Final = 10_000
 DEFAULT_MAX_OUTPUT_TOKENS: Final = 512
--- a/src/bronzepost/_internal/node/listeners.py
+++ b/src/bronzepost/_internal/node/callers/listeners.py
@@ -9,7 +9,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.node.web import (
+from bronzepost._internal.node.callers.web import (
     StartResponse,
     WebApplication,
     build_refusal_response,
--- a/src/bronzepost/_internal/node/responses.py
+++ b/src/bronzepost/_internal/node/callers/responses.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.node.answer_stream import AnswerStream
-from bronzepost._internal.node.web import (
+from bronzepost._internal.node.callers.answer_stream import AnswerStream
+from bronzepost._internal.node.callers.web import (
     EVENT_STREAM_TYPE,
     Response,
 )
--- a/src/bronzepost/_internal/node/draining.py
+++ b/src/bronzepost/_internal/node/draining.py
@@ -6,8 +6,8 @@
 import gevent
 
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.cluster import Cluster
-from bronzepost._internal.node.partitions import Partitions
+from bronzepost._internal.node.ledger.partitions import Partitions
+from bronzepost._internal.node.peers.cluster import Cluster
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- /dev/null
+++ b/src/bronzepost/_internal/node/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to model engines and plain services."""
--- a/src/bronzepost/_internal/node/backend_directory.py
+++ b/src/bronzepost/_internal/node/engines/backend_directory.py
@@ -17,8 +17,8 @@
     BronzepostError,
     ExchangeError,
 )
+from bronzepost._internal.node.callers.http_exchange import ExchangeClient
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.http_exchange import ExchangeClient
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/node/cache_events.py
+++ b/src/bronzepost/_internal/node/engines/cache_events.py
@@ -9,8 +9,8 @@
 from bronzepost._internal.core.scheduling import events
 from bronzepost._internal.core.scheduling.apply import apply_event
 from bronzepost._internal.exceptions import ExchangeError
-from bronzepost._internal.node.backend_directory import BackendDirectory
 from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.engines.backend_directory import BackendDirectory
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/node/dispatch.py
+++ b/src/bronzepost/_internal/node/engines/dispatch.py
@@ -15,12 +15,12 @@
     ExchangeError,
     RunState,
 )
-from bronzepost._internal.node.backend_directory import BackendDirectory
-from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.refusals import (
+from bronzepost._internal.node.callers.refusals import (
     refuse_failed_call,
     refuse_no_server,
 )
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.engines.backend_directory import BackendDirectory
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 from bronzepost._internal.telemetry.spans import Tracer, parse_traceparent
--- a/src/bronzepost/_internal/node/engine_client.py
+++ b/src/bronzepost/_internal/node/engines/engine_client.py
@@ -16,7 +16,10 @@
     ExchangeError,
     ProtocolError,
 )
-from bronzepost._internal.node.http_exchange import ExchangeClient, HttpStream
+from bronzepost._internal.node.callers.http_exchange import (
+    ExchangeClient,
+    HttpStream,
+)
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/node/engine_memory.py
+++ b/src/bronzepost/_internal/node/engines/engine_memory.py
@@ -20,10 +20,10 @@
     should_release_session,
 )
 from bronzepost._internal.exceptions import ExchangeError
-from bronzepost._internal.node.backend_directory import BackendDirectory
+from bronzepost._internal.node.callers.http_exchange import ExchangeClient
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.http_exchange import ExchangeClient
-from bronzepost._internal.node.journal_keeper import JournalKeeper
+from bronzepost._internal.node.engines.backend_directory import BackendDirectory
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
 from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/node/forwarding.py
+++ b/src/bronzepost/_internal/node/engines/forwarding.py
@@ -13,21 +13,24 @@
     RefusedError,
     RunState,
 )
-from bronzepost._internal.node.caller_request import (
+from bronzepost._internal.node.callers.caller_request import (
     HOPS_HEADER,
     MAX_HOPS,
     read_hops,
 )
-from bronzepost._internal.node.http_exchange import ExchangeClient, HttpStream
-from bronzepost._internal.node.refusals import OWNER_RETRY_AFTER_SECONDS
-from bronzepost._internal.node.relay import EventRelay, RelayProgress
-from bronzepost._internal.node.responses import Headers
-from bronzepost._internal.node.web import (
+from bronzepost._internal.node.callers.http_exchange import (
+    ExchangeClient,
+    HttpStream,
+)
+from bronzepost._internal.node.callers.refusals import OWNER_RETRY_AFTER_SECONDS
+from bronzepost._internal.node.callers.responses import Headers
+from bronzepost._internal.node.callers.web import (
     EVENT_STREAM_TYPE,
     JSON_TYPE,
     Request,
     Response,
 )
+from bronzepost._internal.node.peers.relay import EventRelay, RelayProgress
 from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/node/model_call.py
+++ b/src/bronzepost/_internal/node/engines/model_call.py
@@ -16,15 +16,20 @@
     RefusedError,
     RunState,
 )
-from bronzepost._internal.node.answer_stream import AnswerStream
-from bronzepost._internal.node.backend_directory import BackendDirectory
+from bronzepost._internal.node.callers.answer_stream import AnswerStream
+from bronzepost._internal.node.callers.http_exchange import ExchangeClient
+from bronzepost._internal.node.callers.refusals import (
+    refuse_failed_call,
+    refuse_lost_stream,
+)
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.dispatch import (
+from bronzepost._internal.node.engines.backend_directory import BackendDirectory
+from bronzepost._internal.node.engines.dispatch import (
     RetryLimits,
     check_retry,
     dispatch_call,
 )
-from bronzepost._internal.node.engine_client import (
+from bronzepost._internal.node.engines.engine_client import (
     EngineCall,
     EngineChunk,
     Usage,
@@ -32,11 +37,6 @@
     resume_completion,
     stream_completion,
 )
-from bronzepost._internal.node.http_exchange import ExchangeClient
-from bronzepost._internal.node.refusals import (
-    refuse_failed_call,
-    refuse_lost_stream,
-)
 from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.start import Telemetry
 
--- a/src/bronzepost/_internal/node/service_calls.py
+++ b/src/bronzepost/_internal/node/engines/service_calls.py
@@ -14,24 +14,27 @@
     RefusedError,
     RunState,
 )
-from bronzepost._internal.node.answer_stream import AnswerStream
-from bronzepost._internal.node.backend_directory import BackendDirectory
-from bronzepost._internal.node.call_settings import CallSettings
-from bronzepost._internal.node.caller_request import CallerFields
+from bronzepost._internal.node.callers.answer_stream import AnswerStream
+from bronzepost._internal.node.callers.call_settings import CallSettings
+from bronzepost._internal.node.callers.caller_request import CallerFields
+from bronzepost._internal.node.callers.refusals import refuse_deadline_passed
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.dispatch import (
+from bronzepost._internal.node.engines.backend_directory import BackendDirectory
+from bronzepost._internal.node.engines.dispatch import (
     RetryLimits,
     check_retry,
     dispatch_call,
 )
-from bronzepost._internal.node.ledger_request import build_ledger_request
-from bronzepost._internal.node.program_calls import OwnedCall, ProgramCalls
-from bronzepost._internal.node.refusals import refuse_deadline_passed
-from bronzepost._internal.node.service_client import (
+from bronzepost._internal.node.engines.service_client import (
     MAX_STORED_BODY_BYTES,
     ServiceAnswer,
     call_service,
 )
+from bronzepost._internal.node.ledger.ledger_request import build_ledger_request
+from bronzepost._internal.node.programs.program_calls import (
+    OwnedCall,
+    ProgramCalls,
+)
 from bronzepost._internal.telemetry.spans import Span, Tracer
 
 MAX_ATTEMPTS: Final = 2
--- a/src/bronzepost/_internal/node/service_client.py
+++ b/src/bronzepost/_internal/node/engines/service_client.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from bronzepost._internal.node.http_exchange import ExchangeClient
+from bronzepost._internal.node.callers.http_exchange import ExchangeClient
 
 MAX_STORED_BODY_BYTES: Final = 65536
 
--- /dev/null
+++ b/src/bronzepost/_internal/node/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""The ledger of programs on the log service."""
--- a/src/bronzepost/_internal/node/journal_keeper.py
+++ b/src/bronzepost/_internal/node/ledger/journal_keeper.py
@@ -17,15 +17,15 @@
 from bronzepost._internal.core.ledger.journal_handler import handle_event
 from bronzepost._internal.core.ledger.records import Record
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.log_client import LogClient
-from bronzepost._internal.node.log_requests import (
+from bronzepost._internal.node.ledger.log_client import LogClient
+from bronzepost._internal.node.ledger.log_requests import (
     MILLISECONDS_PER_SECOND,
     request_append,
     request_read,
 )
-from bronzepost._internal.node.mirroring import Mirroring
-from bronzepost._internal.node.settlements import Settlement, Settlements
-from bronzepost._internal.node.waiting_records import WaitingRecords
+from bronzepost._internal.node.ledger.mirroring import Mirroring
+from bronzepost._internal.node.ledger.settlements import Settlement, Settlements
+from bronzepost._internal.node.ledger.waiting_records import WaitingRecords
 from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/node/ledger_request.py
+++ b/src/bronzepost/_internal/node/ledger/ledger_request.py
@@ -1,8 +1,8 @@
 """Build the ledger's request for a call of an owned program."""
 
 from bronzepost._internal.core.ledger.calls import CallRequest
-from bronzepost._internal.node.call_settings import CallSettings
-from bronzepost._internal.node.caller_request import CallerFields
+from bronzepost._internal.node.callers.call_settings import CallSettings
+from bronzepost._internal.node.callers.caller_request import CallerFields
 
 
 def build_ledger_request(
--- a/src/bronzepost/_internal/node/log_client.py
+++ b/src/bronzepost/_internal/node/ledger/log_client.py
@@ -14,7 +14,10 @@
     LogRefusedError,
     LogServiceError,
 )
-from bronzepost._internal.node.http_exchange import ExchangeClient, HttpResponse
+from bronzepost._internal.node.callers.http_exchange import (
+    ExchangeClient,
+    HttpResponse,
+)
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/node/log_requests.py
+++ b/src/bronzepost/_internal/node/ledger/log_requests.py
@@ -10,7 +10,7 @@
     LogServiceError,
 )
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.log_client import (
+from bronzepost._internal.node.ledger.log_client import (
     DEFAULT_RETRY_DELAY_SECONDS,
     LogClient,
 )
--- a/src/bronzepost/_internal/node/mirroring.py
+++ b/src/bronzepost/_internal/node/ledger/mirroring.py
@@ -19,8 +19,8 @@
 from bronzepost._internal.core.ledger.journal import Journal
 from bronzepost._internal.core.rendezvous import first_members
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.messages import MirrorAck, MirrorRecords
-from bronzepost._internal.node.settlements import Settlement, Settlements
+from bronzepost._internal.node.ledger.settlements import Settlement, Settlements
+from bronzepost._internal.node.peers.messages import MirrorAck, MirrorRecords
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/node/partitions.py
+++ b/src/bronzepost/_internal/node/ledger/partitions.py
@@ -20,9 +20,9 @@
     should_release,
 )
 from bronzepost._internal.core.rendezvous import PARTITION_COUNT, partition_of
+from bronzepost._internal.node.callers.refusals import refuse_no_owner
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.journal_keeper import JournalKeeper
-from bronzepost._internal.node.refusals import refuse_no_owner
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/node/upkeep.py
+++ b/src/bronzepost/_internal/node/ledger/upkeep.py
@@ -13,12 +13,12 @@
     prune_ended_programs,
 )
 from bronzepost._internal.exceptions import LogServiceError
-from bronzepost._internal.node.call_settings import SettingLookup
+from bronzepost._internal.node.callers.call_settings import SettingLookup
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.journal_keeper import JournalKeeper
-from bronzepost._internal.node.log_client import LogClient
-from bronzepost._internal.node.program_calls import ProgramCalls
-from bronzepost._internal.node.program_ends import ProgramEnds
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
+from bronzepost._internal.node.ledger.log_client import LogClient
+from bronzepost._internal.node.programs.program_calls import ProgramCalls
+from bronzepost._internal.node.programs.program_ends import ProgramEnds
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/node/node.py
+++ b/src/bronzepost/_internal/node/node.py
@@ -8,30 +8,40 @@
 from gevent.pywsgi import WSGIServer
 
 from bronzepost._internal.node import assembly
-from bronzepost._internal.node.backend_directory import (
+from bronzepost._internal.node.callers.caller_api import CallerApi
+from bronzepost._internal.node.callers.caller_api_components import (
+    CallerApiComponents,
+)
+from bronzepost._internal.node.callers.listeners import (
+    KeyCheckedApplication,
+    listen,
+)
+from bronzepost._internal.node.callers.refusals import refuse_not_ready
+from bronzepost._internal.node.callers.web import Route, WebApplication
+from bronzepost._internal.node.draining import Drain
+from bronzepost._internal.node.engines.backend_directory import (
     LOAD_POLL_INTERVAL_SECONDS,
     VM_LIST_POLL_INTERVAL_SECONDS,
 )
-from bronzepost._internal.node.cache_events import (
+from bronzepost._internal.node.engines.cache_events import (
     CACHE_EVENT_POLL_INTERVAL_SECONDS,
 )
-from bronzepost._internal.node.caller_api import CallerApi
-from bronzepost._internal.node.caller_api_components import CallerApiComponents
-from bronzepost._internal.node.cluster import Cluster
-from bronzepost._internal.node.draining import Drain
-from bronzepost._internal.node.engine_memory import SWEEP_INTERVAL_SECONDS
-from bronzepost._internal.node.gauges import GaugeReporter, TickMonitor
-from bronzepost._internal.node.listeners import KeyCheckedApplication, listen
-from bronzepost._internal.node.operator_api import OperatorApi
-from bronzepost._internal.node.pauses import REVIEW_INTERVAL_SECONDS
-from bronzepost._internal.node.program_api import ProgramApi
-from bronzepost._internal.node.refusals import refuse_not_ready
-from bronzepost._internal.node.status import NodeStatus
-from bronzepost._internal.node.upkeep import (
+from bronzepost._internal.node.engines.engine_memory import (
+    SWEEP_INTERVAL_SECONDS,
+)
+from bronzepost._internal.node.ledger.upkeep import (
     UPKEEP_INTERVAL_SECONDS,
     ProgramUpkeep,
 )
-from bronzepost._internal.node.web import Route, WebApplication
+from bronzepost._internal.node.operators.gauges import (
+    GaugeReporter,
+    TickMonitor,
+)
+from bronzepost._internal.node.operators.operator_api import OperatorApi
+from bronzepost._internal.node.operators.status import NodeStatus
+from bronzepost._internal.node.pauses import REVIEW_INTERVAL_SECONDS
+from bronzepost._internal.node.peers.cluster import Cluster
+from bronzepost._internal.node.programs.program_api import ProgramApi
 from bronzepost._internal.settings import Settings
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- /dev/null
+++ b/src/bronzepost/_internal/node/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, status and gauges for operators."""
--- a/src/bronzepost/_internal/node/configuration_keeper.py
+++ b/src/bronzepost/_internal/node/operators/configuration_keeper.py
@@ -13,9 +13,9 @@
     LogServiceError,
     RefusedError,
 )
+from bronzepost._internal.node.callers.refusals import refuse_unconfirmed_change
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.log_client import LogClient
-from bronzepost._internal.node.refusals import refuse_unconfirmed_change
+from bronzepost._internal.node.ledger.log_client import LogClient
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- a/src/bronzepost/_internal/node/gauges.py
+++ b/src/bronzepost/_internal/node/operators/gauges.py
@@ -4,11 +4,11 @@
 from typing import Final
 
 from bronzepost._internal.core.membership import MemberState
-from bronzepost._internal.node.backend_directory import BackendDirectory
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.cluster import Cluster
-from bronzepost._internal.node.journal_keeper import JournalKeeper
-from bronzepost._internal.node.program_calls import ProgramCalls
+from bronzepost._internal.node.engines.backend_directory import BackendDirectory
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
+from bronzepost._internal.node.peers.cluster import Cluster
+from bronzepost._internal.node.programs.program_calls import ProgramCalls
 from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/node/operator_api.py
+++ b/src/bronzepost/_internal/node/operators/operator_api.py
@@ -8,17 +8,17 @@
 import msgspec
 
 from bronzepost._internal.core import configuration, membership
-from bronzepost._internal.node.backend_directory import BackendDirectory
-from bronzepost._internal.node.cluster import Cluster
-from bronzepost._internal.node.journal_keeper import JournalKeeper
-from bronzepost._internal.node.refusals import refuse_old_revision
-from bronzepost._internal.node.web import (
+from bronzepost._internal.node.callers.refusals import refuse_old_revision
+from bronzepost._internal.node.callers.web import (
     Request,
     Response,
     Route,
     build_json_response,
     refuse_parameter,
 )
+from bronzepost._internal.node.engines.backend_directory import BackendDirectory
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
+from bronzepost._internal.node.peers.cluster import Cluster
 from bronzepost._internal.refusal_bodies import encode_refusal
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/node/status.py
+++ b/src/bronzepost/_internal/node/operators/status.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from bronzepost._internal.node.cluster import Cluster
-from bronzepost._internal.node.journal_keeper import JournalKeeper
-from bronzepost._internal.node.program_calls import ProgramCalls
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
+from bronzepost._internal.node.peers.cluster import Cluster
+from bronzepost._internal.node.programs.program_calls import ProgramCalls
 
 
 class NodeStatus:
--- a/src/bronzepost/_internal/node/pauses.py
+++ b/src/bronzepost/_internal/node/pauses.py
@@ -14,7 +14,7 @@
     SchedulingTables,
 )
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.engine_memory import EngineMemory
+from bronzepost._internal.node.engines.engine_memory import EngineMemory
 
 REVIEW_INTERVAL_SECONDS: Final = 2.0
 # Callers seldom end their programs, so a program that pauses for this long must
--- /dev/null
+++ b/src/bronzepost/_internal/node/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes."""
--- a/src/bronzepost/_internal/node/cluster.py
+++ b/src/bronzepost/_internal/node/peers/cluster.py
@@ -13,17 +13,19 @@
     choose_endpoints,
 )
 from bronzepost._internal.exceptions import ProtocolError
+from bronzepost._internal.node.callers.refusals import refuse_former_member
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.configuration_keeper import ConfigurationKeeper
-from bronzepost._internal.node.log_client import LogClient
-from bronzepost._internal.node.messages import (
+from bronzepost._internal.node.ledger.log_client import LogClient
+from bronzepost._internal.node.ledger.mirroring import Mirroring
+from bronzepost._internal.node.operators.configuration_keeper import (
+    ConfigurationKeeper,
+)
+from bronzepost._internal.node.peers.messages import (
     MessageCodec,
     MirrorAck,
     MirrorRecords,
 )
-from bronzepost._internal.node.mirroring import Mirroring
-from bronzepost._internal.node.peers import PeerTransport
-from bronzepost._internal.node.refusals import refuse_former_member
+from bronzepost._internal.node.peers.peers import PeerTransport
 from bronzepost._internal.settings import Settings
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/node/messages.py
+++ b/src/bronzepost/_internal/node/peers/messages.py
@@ -9,7 +9,7 @@
     ConfigurationRequest,
 )
 from bronzepost._internal.core.membership import Ack, Ping, PingRequest
-from bronzepost._internal.node.envelopes import Envelope, EnvelopeCodec
+from bronzepost._internal.node.peers.envelopes import Envelope, EnvelopeCodec
 
 
 class MirrorRecords(
--- a/src/bronzepost/_internal/node/relay.py
+++ b/src/bronzepost/_internal/node/peers/relay.py
@@ -12,10 +12,13 @@
     RefusedError,
     RunState,
 )
+from bronzepost._internal.node.callers.http_exchange import HttpStream
+from bronzepost._internal.node.callers.responses import (
+    KEEP_ALIVE,
+    encode_error_event,
+)
+from bronzepost._internal.node.callers.web import EVENT_STREAM_TYPE
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.http_exchange import HttpStream
-from bronzepost._internal.node.responses import KEEP_ALIVE, encode_error_event
-from bronzepost._internal.node.web import EVENT_STREAM_TYPE
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
--- /dev/null
+++ b/src/bronzepost/_internal/node/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of programs, from their start to their end."""
--- a/src/bronzepost/_internal/node/program_api.py
+++ b/src/bronzepost/_internal/node/programs/program_api.py
@@ -7,22 +7,26 @@
 from bronzepost._internal.core.ledger.journal import Journal
 from bronzepost._internal.core.ownership import ForwardTo
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.node.answer_stream import AnswerStream
-from bronzepost._internal.node.caller_api_components import CallerApiComponents
-from bronzepost._internal.node.caller_request import PROGRAM_PATTERN
-from bronzepost._internal.node.forwarding import FORWARD_IDLE_TIMEOUT_SECONDS
-from bronzepost._internal.node.program_calls import find_answer
-from bronzepost._internal.node.responses import (
+from bronzepost._internal.node.callers.answer_stream import AnswerStream
+from bronzepost._internal.node.callers.caller_api_components import (
+    CallerApiComponents,
+)
+from bronzepost._internal.node.callers.caller_request import PROGRAM_PATTERN
+from bronzepost._internal.node.callers.responses import (
     build_call_headers,
     build_event_response,
 )
-from bronzepost._internal.node.web import (
+from bronzepost._internal.node.callers.web import (
     Request,
     Response,
     Route,
     build_json_response,
     refuse_parameter,
 )
+from bronzepost._internal.node.engines.forwarding import (
+    FORWARD_IDLE_TIMEOUT_SECONDS,
+)
+from bronzepost._internal.node.programs.program_calls import find_answer
 
 _PROGRAM_PATH: Final = '/v1/programs/(?P<program>[^/]+)'
 ENDED_BY_CALLER: Final = 'ended by its caller'
--- a/src/bronzepost/_internal/node/program_calls.py
+++ b/src/bronzepost/_internal/node/programs/program_calls.py
@@ -19,12 +19,9 @@
     RefusedError,
     RunState,
 )
-from bronzepost._internal.node.answer_stream import AnswerStream
-from bronzepost._internal.node.answers import AnswerStore
-from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.journal_keeper import JournalKeeper
-from bronzepost._internal.node.mirroring import Mirroring
-from bronzepost._internal.node.refusals import (
+from bronzepost._internal.node.callers.answer_stream import AnswerStream
+from bronzepost._internal.node.callers.answers import AnswerStore
+from bronzepost._internal.node.callers.refusals import (
     DEADLINE_CODE,
     refuse_by_ledger,
     refuse_deadline_passed,
@@ -33,6 +30,9 @@
     refuse_not_durable,
     refuse_unknown_outcome,
 )
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
+from bronzepost._internal.node.ledger.mirroring import Mirroring
 from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/src/bronzepost/_internal/node/program_ends.py
+++ b/src/bronzepost/_internal/node/programs/program_ends.py
@@ -6,9 +6,9 @@
 from bronzepost._internal.core.ledger import records
 from bronzepost._internal.core.ledger.journal import Journal, submit_record
 from bronzepost._internal.node.clock import read_clock
-from bronzepost._internal.node.engine_memory import EngineMemory
-from bronzepost._internal.node.journal_keeper import JournalKeeper
-from bronzepost._internal.node.program_calls import ProgramCalls
+from bronzepost._internal.node.engines.engine_memory import EngineMemory
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
+from bronzepost._internal.node.programs.program_calls import ProgramCalls
 from bronzepost._internal.telemetry.catalogue import Metric
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -20,13 +20,13 @@
     AmbiguousAppendError,
     LogRefusedError,
 )
-from bronzepost._internal.gateway.keyed_store import (
+from bronzepost._internal.gateway.peers.messages import ReserveTokens
+from bronzepost._internal.gateway.programs.keyed_store import (
     AppendConflictError,
     KeyedPartition,
     KeyedRecord,
 )
-from bronzepost._internal.gateway.messages import ReserveTokens
-from bronzepost._internal.gateway.pending_call import PendingCall
+from bronzepost._internal.gateway.requests.pending_call import PendingCall
 from bronzepost._internal.node.clock import read_clock
 
 BUDGET = 1000
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -19,27 +19,31 @@
     Route,
 )
 from bronzepost._internal.core.membership import Member
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
-from bronzepost._internal.gateway.caller_connections import CallerServer
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.forwarding import Forwarder
-from bronzepost._internal.gateway.header_names import (
+from bronzepost._internal.gateway.callers.caller_connections import CallerServer
+from bronzepost._internal.gateway.callers.header_names import (
     HeaderNames,
     Headers,
     find_header,
 )
-from bronzepost._internal.gateway.http_messages import (
+from bronzepost._internal.gateway.callers.http_messages import (
     AnswerReader,
     HttpRequest,
     RequestReader,
 )
-from bronzepost._internal.gateway.lost_members import LostMembers
-from bronzepost._internal.gateway.received_reports import ReceivedReports
-from bronzepost._internal.gateway.relays import Relays
-from bronzepost._internal.gateway.server_calls import ServerCalls
-from bronzepost._internal.gateway.server_links import ServerLinks
-from bronzepost._internal.gateway.server_permits import ServerPermits
-from bronzepost._internal.gateway.suspect_requests import SuspectRequests
+from bronzepost._internal.gateway.links.backend_connections import (
+    ConnectionPool,
+)
+from bronzepost._internal.gateway.links.relays import Relays
+from bronzepost._internal.gateway.links.server_links import ServerLinks
+from bronzepost._internal.gateway.peers.lost_members import LostMembers
+from bronzepost._internal.gateway.peers.received_reports import ReceivedReports
+from bronzepost._internal.gateway.requests.forwarding import Forwarder
+from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.server_calls import ServerCalls
+from bronzepost._internal.gateway.servers.server_permits import ServerPermits
+from bronzepost._internal.gateway.servers.suspect_requests import (
+    SuspectRequests,
+)
 from tests.builders_gateway import make_member, make_server
 
 READ_BYTES = 65536
--- a/tests/builders_limits.py
+++ b/tests/builders_limits.py
@@ -6,16 +6,20 @@
 from typing import Final, Self, cast
 from unittest import mock
 
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.server_permits import ServerPermits
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.servers.server_permits import ServerPermits
 from tests.builders_vms import MemoryVm
 
 START: Final = 1000.0
 SERVER: Final = 'i-1'
 WINDOW_SECONDS: Final = 4.0
-_MODULES: Final = ('server_limits', 'server_permits', 'lost_members')
+_MODULES: Final = (
+    'servers.server_limits',
+    'servers.server_permits',
+    'peers.lost_members',
+)
 
 
 class LimitVm(MemoryVm):
@@ -58,7 +62,7 @@
             for module in _MODULES:
                 target = f'{package}.{module}.read_clock'
                 stack.enter_context(mock.patch(target, self._read_clock))
-            target = f'{package}.server_permits.gevent.sleep'
+            target = f'{package}.servers.server_permits.gevent.sleep'
             stack.enter_context(mock.patch(target, self._sleep))
             yield
 
--- a/tests/builders_losses.py
+++ b/tests/builders_losses.py
@@ -14,17 +14,20 @@
     LogRefusedError,
     RefusedError,
 )
-from bronzepost._internal.gateway.budget_keeper import BudgetKeeper
-from bronzepost._internal.gateway.event_stream import EventSplitter
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.keyed_store import (
+from bronzepost._internal.gateway.callers.event_stream import EventSplitter
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.programs.budget_keeper import BudgetKeeper
+from bronzepost._internal.gateway.programs.keyed_store import (
     KeyedPartition,
     KeyedRecord,
 )
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.program_state import OpenTurn, ProgramState
-from bronzepost._internal.gateway.turn_keeper import TurnKeeper
+from bronzepost._internal.gateway.programs.program_state import (
+    OpenTurn,
+    ProgramState,
+)
+from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
 from tests.builders_gateway import MemoryStore, make_route, make_turn_call
 
 NAMES: Final = ('a', 'b', 'c')
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -1,11 +1,11 @@
 """Builders of the components of a node."""
 
-from bronzepost._internal.node.http_exchange import ExchangeClient
-from bronzepost._internal.node.journal_keeper import JournalKeeper
-from bronzepost._internal.node.log_client import LogClient
-from bronzepost._internal.node.mirroring import Mirroring
-from bronzepost._internal.node.settlements import Settlements
-from bronzepost._internal.node.waiting_records import WaitingRecords
+from bronzepost._internal.node.callers.http_exchange import ExchangeClient
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
+from bronzepost._internal.node.ledger.log_client import LogClient
+from bronzepost._internal.node.ledger.mirroring import Mirroring
+from bronzepost._internal.node.ledger.settlements import Settlements
+from bronzepost._internal.node.ledger.waiting_records import WaitingRecords
 from tests.builders_telemetry import build_telemetry
 
 UNUSED_ADDRESS = '127.0.0.1:1'
--- a/tests/builders_requests.py
+++ b/tests/builders_requests.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bronzepost._internal.node.web import Request
+from bronzepost._internal.node.callers.web import Request
 
 NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
--- a/tests/builders_streams.py
+++ b/tests/builders_streams.py
@@ -2,10 +2,10 @@
 
 from typing import Self, cast
 
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.stream_versions import StreamVersions
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.requests.stream_versions import StreamVersions
 from tests.builders_gateway import make_server
 from tests.builders_vms import MemoryVm
 
--- a/tests/builders_tunnels.py
+++ b/tests/builders_tunnels.py
@@ -9,17 +9,17 @@
 
 from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.core.membership import Member
-from bronzepost._internal.gateway.backend_connections import (
+from bronzepost._internal.gateway.links.backend_connections import (
     BackendConnection,
     ConnectionPool,
 )
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.link_probes import LinkProbes
-from bronzepost._internal.gateway.messages import LoadReport
-from bronzepost._internal.gateway.received_reports import ReceivedReports
-from bronzepost._internal.gateway.relay_server import RelayServer
-from bronzepost._internal.gateway.relays import Relays
-from bronzepost._internal.gateway.server_links import ServerLinks
+from bronzepost._internal.gateway.links.link_probes import LinkProbes
+from bronzepost._internal.gateway.links.relay_server import RelayServer
+from bronzepost._internal.gateway.links.relays import Relays
+from bronzepost._internal.gateway.links.server_links import ServerLinks
+from bronzepost._internal.gateway.peers.messages import LoadReport
+from bronzepost._internal.gateway.peers.received_reports import ReceivedReports
+from bronzepost._internal.gateway.servers.directory import Directory
 from tests.builders_gateway import make_member, make_server
 from tests.builders_gateway_servers import find_port
 
--- a/tests/builders_vms.py
+++ b/tests/builders_vms.py
@@ -4,9 +4,11 @@
 from typing import Any, Self
 
 from bronzepost._internal.core.membership import Member
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.lost_members import LostMembers
+from bronzepost._internal.gateway.links.backend_connections import (
+    ConnectionPool,
+)
+from bronzepost._internal.gateway.peers.lost_members import LostMembers
+from bronzepost._internal.gateway.servers.directory import Directory
 from tests.builders_gateway import make_member
 
 
--- a/tests/functional/test_backend_directory.py
+++ b/tests/functional/test_backend_directory.py
@@ -6,8 +6,8 @@
 from testtools import TestCase
 
 from bronzepost._internal.core.scheduling.tables import SchedulingTables
-from bronzepost._internal.node import backend_directory
-from bronzepost._internal.node.http_exchange import ExchangeClient
+from bronzepost._internal.node.callers.http_exchange import ExchangeClient
+from bronzepost._internal.node.engines import backend_directory
 from standins.http_client import request_json
 from tests.functional.standin_processes import running_standin
 
--- a/tests/functional/test_peers.py
+++ b/tests/functional/test_peers.py
@@ -12,7 +12,7 @@
 
 from bronzepost._internal.core import configuration
 from bronzepost._internal.exceptions import ProtocolError
-from bronzepost._internal.node import messages, peers
+from bronzepost._internal.node.peers import messages, peers
 from tests.builders_relay import Relay
 
 WAIT_TIMEOUT_SECONDS = 5
--- a/tests/functional/test_silent_connections.py
+++ b/tests/functional/test_silent_connections.py
@@ -7,8 +7,8 @@
 import msgspec
 from testtools import TestCase
 
-from bronzepost._internal.node.forwarding import Forwarder, OwnerLookup
-from bronzepost._internal.node.web import Request
+from bronzepost._internal.node.callers.web import Request
+from bronzepost._internal.node.engines.forwarding import Forwarder, OwnerLookup
 from standins.http_client import request_json
 from tests.builders_telemetry import build_telemetry
 from tests.functional.callers import ProgramCaller, retry
--- a/tests/functional/test_stale_owner.py
+++ b/tests/functional/test_stale_owner.py
@@ -10,10 +10,10 @@
 from bronzepost._internal.core.ledger import calls
 from bronzepost._internal.core.ledger.journal import Journal
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.node.answers import AnswerStore
-from bronzepost._internal.node.journal_keeper import JournalKeeper
-from bronzepost._internal.node.partitions import Partitions
-from bronzepost._internal.node.program_calls import ProgramCalls
+from bronzepost._internal.node.callers.answers import AnswerStore
+from bronzepost._internal.node.ledger.journal_keeper import JournalKeeper
+from bronzepost._internal.node.ledger.partitions import Partitions
+from bronzepost._internal.node.programs.program_calls import ProgramCalls
 from tests.builders_node import build_keeper, build_log_client
 from tests.functional.standin_processes import running_standin
 
--- a/tests/platform/gateway_vm.py
+++ b/tests/platform/gateway_vm.py
@@ -13,7 +13,7 @@
 from gevent.socket import socket as open_socket
 from gevent.subprocess import DEVNULL, Popen
 
-from bronzepost._internal.gateway.http_messages import AnswerReader
+from bronzepost._internal.gateway.callers.http_messages import AnswerReader
 from tests.builders_gateway_servers import CallerSocket
 from tests.platform.builders_platform import HOST, make_settings
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -15,8 +15,10 @@
 
 from bronzepost._internal.core.gateway.entities import RouteKind
 from bronzepost._internal.exceptions import LogServiceError, SettingsError
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
-from bronzepost._internal.gateway.http_call import HttpService
+from bronzepost._internal.gateway.links.backend_connections import (
+    ConnectionPool,
+)
+from bronzepost._internal.gateway.links.http_call import HttpService
 from tests.builders_gateway_servers import ScriptedServer, answer_with
 from tests.platform.builders_platform import (
     TOKENS_PER_EVENT,
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -8,8 +8,8 @@
 import testtools
 from testtools.matchers import GreaterThan, HasLength, LessThan
 
-from bronzepost._internal.gateway.header_names import find_header
-from bronzepost._internal.gateway.http_messages import (
+from bronzepost._internal.gateway.callers.header_names import find_header
+from bronzepost._internal.gateway.callers.http_messages import (
     AnswerReader,
     HttpRequest,
 )
--- a/tests/platform/test_server_list.py
+++ b/tests/platform/test_server_list.py
@@ -8,7 +8,10 @@
 from bronzepost_platform.store import StoreClient
 
 from bronzepost._internal.exceptions import LogServiceError
-from bronzepost._internal.gateway.keyed_store import KeyedPartition, KeyedRecord
+from bronzepost._internal.gateway.programs.keyed_store import (
+    KeyedPartition,
+    KeyedRecord,
+)
 from tests.platform.builders_platform import make_entry
 
 Record = tuple[str, bytes]
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -9,8 +9,8 @@
 import gevent
 import testtools
 
-from bronzepost._internal.gateway.header_names import find_header
-from bronzepost._internal.gateway.http_messages import (
+from bronzepost._internal.gateway.callers.header_names import find_header
+from bronzepost._internal.gateway.callers.http_messages import (
     AnswerReader,
     HttpRequest,
 )
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -7,8 +7,8 @@
 
 import gevent
 
-from bronzepost._internal.gateway.header_names import find_header
-from bronzepost._internal.gateway.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.header_names import find_header
+from bronzepost._internal.gateway.callers.http_messages import HttpRequest
 from tests.builders_gateway_servers import ScriptedServer
 from tests.soak.links import Link, reset_socket
 from tests.soak.observations import Observations, Run
--- a/tests/unit/test_answers.py
+++ b/tests/unit/test_answers.py
@@ -2,10 +2,10 @@
 
 from testtools import TestCase
 
-from bronzepost._internal.node import answers
-from bronzepost._internal.node.answer_stream import AnswerStream
-from bronzepost._internal.node.http_exchange import ExchangeClient
-from bronzepost._internal.node.log_client import LogClient
+from bronzepost._internal.node.callers import answers
+from bronzepost._internal.node.callers.answer_stream import AnswerStream
+from bronzepost._internal.node.callers.http_exchange import ExchangeClient
+from bronzepost._internal.node.ledger.log_client import LogClient
 
 HALF_LIMIT_BYTES = answers.MAX_CACHED_BYTES // 2 + 1
 
--- a/tests/unit/test_gateway_budgets.py
+++ b/tests/unit/test_gateway_budgets.py
@@ -13,8 +13,8 @@
 
 from bronzepost._internal.core.gateway import budgets
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
-from bronzepost._internal.gateway.accounts import Accounts
-from bronzepost._internal.gateway.allowance_writer import (
+from bronzepost._internal.gateway.programs.accounts import Accounts
+from bronzepost._internal.gateway.programs.allowance_writer import (
     TOPIC,
     AllowanceWriter,
 )
--- a/tests/unit/test_gateway_crash_suspects.py
+++ b/tests/unit/test_gateway_crash_suspects.py
@@ -31,10 +31,10 @@
     RecentRuns,
 )
 from bronzepost._internal.exceptions import RefusedError, RunState
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.http_messages import HttpRequest
-from bronzepost._internal.gateway.pending_call import PendingCall
-from bronzepost._internal.gateway.suspect_requests import (
+from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.requests.pending_call import PendingCall
+from bronzepost._internal.gateway.servers.suspect_requests import (
     DOWN_SECONDS,
     SuspectRequests,
 )
@@ -237,7 +237,7 @@
         """Start VMs whose clock the test sets, and which send news at once."""
         super().setUp()
         self.now = START
-        package = 'bronzepost._internal.gateway'
+        package = 'bronzepost._internal.gateway.servers'
         targets: dict[str, Any] = {
             f'{package}.crash_news.read_clock': self.read_clock,
             f'{package}.suspect_requests.read_clock': self.read_clock,
@@ -347,7 +347,7 @@
         started = self.start_vm('vm-9')
         self.assertFalse(self.is_refused(started, make_deadly()))
         with mock.patch(
-            'bronzepost._internal.gateway.crash_news.random.choice',
+            'bronzepost._internal.gateway.servers.crash_news.random.choice',
             return_value='vm-9',
         ):
             self.vms[3].suspects._crashes.repeat()
@@ -361,7 +361,7 @@
         self.assertFalse(self.is_refused(self.vms[3], make_deadly()))
         self.vms[2].cut_off = set()
         with mock.patch(
-            'bronzepost._internal.gateway.crash_news.random.choice',
+            'bronzepost._internal.gateway.servers.crash_news.random.choice',
             return_value='vm-3',
         ):
             self.vms[2].suspects._crashes.repeat()
--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -29,7 +29,7 @@
     compute_latency_ratios,
     record_latency,
 )
-from bronzepost._internal.gateway.turn_store import TurnStore
+from bronzepost._internal.gateway.programs.turn_store import TurnStore
 from tests.builders_gateway import MemoryStore, make_route, make_server
 
 
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -11,9 +11,12 @@
 from testtools.matchers import HasLength, LessThan
 
 from bronzepost._internal.core.gateway.entities import RouteKind
-from bronzepost._internal.gateway.header_names import find_header
-from bronzepost._internal.gateway.http_messages import AnswerReader, HttpRequest
-from bronzepost._internal.gateway.tcp_options import set_reset_on_close
+from bronzepost._internal.gateway.callers.header_names import find_header
+from bronzepost._internal.gateway.callers.http_messages import (
+    AnswerReader,
+    HttpRequest,
+)
+from bronzepost._internal.gateway.links.tcp_options import set_reset_on_close
 from bronzepost._internal.node.clock import read_clock
 from tests.builders_gateway import make_route
 from tests.builders_gateway_servers import (
--- a/tests/unit/test_gateway_homes.py
+++ b/tests/unit/test_gateway_homes.py
@@ -18,13 +18,23 @@
 from structlog.testing import capture_logs
 
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.gateway import allowance_writer
-from bronzepost._internal.gateway.budget_keeper import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import (
+    FindAllowances,
+    HandOver,
+    ReplicateAllowance,
+    ReserveTokens,
+    SettleTokens,
+    TokensReserved,
+)
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.programs import allowance_writer
+from bronzepost._internal.gateway.programs.budget_keeper import (
     RETRY_AFTER_SECONDS,
     BudgetKeeper,
 )
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.home import (
+from bronzepost._internal.gateway.programs.home import (
     HELD,
     LOSS_WINDOW_SECONDS,
     RESERVED,
@@ -32,16 +42,6 @@
     UNSURE,
     Home,
 )
-from bronzepost._internal.gateway.messages import (
-    FindAllowances,
-    HandOver,
-    ReplicateAllowance,
-    ReserveTokens,
-    SettleTokens,
-    TokensReserved,
-)
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
 from tests.builders_gateway import (
     MemoryStore,
     make_reservation,
--- a/tests/unit/test_gateway_messages.py
+++ b/tests/unit/test_gateway_messages.py
@@ -4,9 +4,11 @@
 from testtools.matchers import HasLength
 
 from bronzepost._internal.exceptions import ProtocolError
-from bronzepost._internal.gateway.event_stream import EventSplitter
-from bronzepost._internal.gateway.header_names import strip_connection_headers
-from bronzepost._internal.gateway.http_messages import (
+from bronzepost._internal.gateway.callers.event_stream import EventSplitter
+from bronzepost._internal.gateway.callers.header_names import (
+    strip_connection_headers,
+)
+from bronzepost._internal.gateway.callers.http_messages import (
     AnswerReader,
     MessageTooLargeError,
     RequestReader,
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -23,19 +23,21 @@
     MemberState,
 )
 from bronzepost._internal.exceptions import LogServiceError
-from bronzepost._internal.gateway import registry
-from bronzepost._internal.gateway.backend_connections import ConnectionPool
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.messages import LoadReport
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.received_reports import (
+from bronzepost._internal.gateway.links.backend_connections import (
+    ConnectionPool,
+)
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import LoadReport
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.peers.received_reports import (
     MAX_REPORT_PEERS,
     MISS_PROBABILITY,
     ReceivedReports,
     find_report_interval,
     find_silence_timeout,
 )
+from bronzepost._internal.gateway.servers import registry
+from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.node import clock
 from bronzepost._internal.telemetry.exposition import GatewayMetrics
@@ -230,7 +232,7 @@
 def advance_clock(seconds: float) -> Any:
     """Return a context in which the clock of reports is ahead."""
     return mock.patch(
-        'bronzepost._internal.gateway.received_reports.read_clock',
+        'bronzepost._internal.gateway.peers.received_reports.read_clock',
         return_value=clock.read_clock() + seconds,
     )
 
--- a/tests/unit/test_gateway_pages.py
+++ b/tests/unit/test_gateway_pages.py
@@ -6,8 +6,8 @@
 
 import testtools
 
-from bronzepost._internal.gateway.http_messages import AnswerReader
-from bronzepost._internal.gateway.pages import Page, start_page_server
+from bronzepost._internal.gateway.callers.http_messages import AnswerReader
+from bronzepost._internal.gateway.callers.pages import Page, start_page_server
 from tests.builders_gateway_servers import CallerSocket
 
 PATH = '/api/resolve'
--- a/tests/unit/test_gateway_peer_calls.py
+++ b/tests/unit/test_gateway_peer_calls.py
@@ -5,14 +5,14 @@
 import gevent
 import testtools
 
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.messages import (
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import (
     AllowancesFound,
     FindAllowances,
     ReserveTokens,
     TokensReserved,
 )
-from bronzepost._internal.gateway.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
 
 TIMEOUT_SECONDS = 0.05
 
--- a/tests/unit/test_gateway_report_rounds.py
+++ b/tests/unit/test_gateway_report_rounds.py
@@ -6,13 +6,13 @@
 
 import testtools
 
-from bronzepost._internal.gateway.messages import LoadReport
-from bronzepost._internal.gateway.received_reports import (
+from bronzepost._internal.gateway.peers.messages import LoadReport
+from bronzepost._internal.gateway.peers.received_reports import (
     MAX_REPORT_PEERS,
     find_report_interval,
     find_silence_timeout,
 )
-from bronzepost._internal.gateway.report_rounds import ReportRounds
+from bronzepost._internal.gateway.peers.report_rounds import ReportRounds
 
 PEERS = tuple(f'vm-{number}' for number in range(89))
 # Reports until each of the peers has had its turn.
--- a/tests/unit/test_gateway_server_limits.py
+++ b/tests/unit/test_gateway_server_limits.py
@@ -26,7 +26,7 @@
     record_no_limit,
 )
 from bronzepost._internal.core.membership import MemberChanged, MemberState
-from bronzepost._internal.gateway.message_parts import NamedLimit
+from bronzepost._internal.gateway.peers.message_parts import NamedLimit
 from tests.builders_limits import (
     SERVER,
     START,
--- a/tests/unit/test_gateway_shared_parts.py
+++ b/tests/unit/test_gateway_shared_parts.py
@@ -9,7 +9,7 @@
     PlacementContext,
     choose_server,
 )
-from bronzepost._internal.gateway.parts_in_use import PartsInUse
+from bronzepost._internal.gateway.servers.parts_in_use import PartsInUse
 from tests.builders_engine_load import (
     GATEWAY,
     LEAST_BUSY,
--- a/tests/unit/test_gateway_stream_versions.py
+++ b/tests/unit/test_gateway_stream_versions.py
@@ -13,8 +13,10 @@
     find_only_version,
     record_versions,
 )
-from bronzepost._internal.gateway.messages import ReplicateStream
-from bronzepost._internal.gateway.stream_versions import COPIES_PER_STREAM
+from bronzepost._internal.gateway.peers.messages import ReplicateStream
+from bronzepost._internal.gateway.requests.stream_versions import (
+    COPIES_PER_STREAM,
+)
 from tests.builders_gateway import make_server
 from tests.builders_streams import make_vms
 
@@ -76,7 +78,7 @@
         """Start VMs whose clock the test sets."""
         super().setUp()
         self.now = START
-        for module in ('directory', 'stream_versions'):
+        for module in ('servers.directory', 'requests.stream_versions'):
             patch = mock.patch(
                 f'bronzepost._internal.gateway.{module}.read_clock',
                 self.read_clock,
--- a/tests/unit/test_gateway_tunnels.py
+++ b/tests/unit/test_gateway_tunnels.py
@@ -14,10 +14,10 @@
 
 from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.exceptions import ExchangeError
-from bronzepost._internal.gateway import relay_server
-from bronzepost._internal.gateway.directory import Directory
-from bronzepost._internal.gateway.server_links import ServerLinks
-from bronzepost._internal.gateway.tcp_options import set_reset_on_close
+from bronzepost._internal.gateway.links import relay_server
+from bronzepost._internal.gateway.links.server_links import ServerLinks
+from bronzepost._internal.gateway.links.tcp_options import set_reset_on_close
+from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.node.clock import read_clock
 from tests.builders_gateway import make_server
 from tests.builders_gateway_servers import READ_BYTES, find_port
--- a/tests/unit/test_gateway_turns.py
+++ b/tests/unit/test_gateway_turns.py
@@ -11,13 +11,15 @@
 
 from bronzepost._internal.core.gateway.histories import Turn
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.gateway.fleet import Fleet
-from bronzepost._internal.gateway.messages import StoreTurn, TurnStored
-from bronzepost._internal.gateway.peer_calls import PeerCalls
-from bronzepost._internal.gateway.peer_reports import PeerReports
-from bronzepost._internal.gateway.turn_copies import TurnCopies
-from bronzepost._internal.gateway.turn_keeper import TurnKeeper
-from bronzepost._internal.gateway.turn_writer import PEER_WRITE_DELAY_SECONDS
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.messages import StoreTurn, TurnStored
+from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.programs.turn_copies import TurnCopies
+from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
+from bronzepost._internal.gateway.programs.turn_writer import (
+    PEER_WRITE_DELAY_SECONDS,
+)
 from tests.builders_gateway import MemoryStore, make_turn_call
 
 WAIT_SECONDS = 0.05
--- a/tests/unit/test_hostile_requests.py
+++ b/tests/unit/test_hostile_requests.py
@@ -8,16 +8,16 @@
 from testtools import TestCase
 
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.node.caller_request import (
+from bronzepost._internal.node.callers.caller_request import (
     MAX_INTEGER,
     read_caller_fields,
 )
-from bronzepost._internal.node.chat_request import (
+from bronzepost._internal.node.callers.chat_request import (
     count_prompt_tokens,
     read_chat_request,
 )
-from bronzepost._internal.node.http_exchange import encode_path
-from bronzepost._internal.node.web import (
+from bronzepost._internal.node.callers.http_exchange import encode_path
+from bronzepost._internal.node.callers.web import (
     Request,
     Response,
     Route,
--- a/tests/unit/test_journal_keeper.py
+++ b/tests/unit/test_journal_keeper.py
@@ -4,7 +4,7 @@
 
 from bronzepost._internal.core.ownership import find_preferred_owner
 from bronzepost._internal.core.rendezvous import PARTITION_COUNT
-from bronzepost._internal.node.partitions import Partitions
+from bronzepost._internal.node.ledger.partitions import Partitions
 from tests.builders_node import build_keeper, build_log_client
 
 
--- a/tests/unit/test_loss_of_all_vms.py
+++ b/tests/unit/test_loss_of_all_vms.py
@@ -15,7 +15,8 @@
 import gevent
 import pytest
 
-from bronzepost._internal.gateway import (
+from bronzepost._internal.gateway.peers.peer_reports import partition_of_key
+from bronzepost._internal.gateway.programs import (
     accounts,
     allowance_writer,
     budget_keeper,
@@ -23,8 +24,7 @@
     turn_copies,
     turn_writer,
 )
-from bronzepost._internal.gateway.peer_reports import partition_of_key
-from bronzepost._internal.gateway.turn_store import list_locations
+from bronzepost._internal.gateway.programs.turn_store import list_locations
 from tests.builders_losses import (
     BROKEN_OFF,
     CALL_TIMEOUT_SECONDS,
--- a/tests/unit/test_peer_messages.py
+++ b/tests/unit/test_peer_messages.py
@@ -4,7 +4,7 @@
 
 from bronzepost._internal.core import configuration, membership
 from bronzepost._internal.exceptions import ProtocolError
-from bronzepost._internal.node import messages
+from bronzepost._internal.node.peers import messages
 from tests.builders_configuration import build_change
 from tests.builders_membership import build_entry
 
--- a/tests/unit/test_program_admission.py
+++ b/tests/unit/test_program_admission.py
@@ -9,11 +9,11 @@
 from bronzepost._internal.core.ledger.state import ProgramEntry
 from bronzepost._internal.core.scheduling.policies import ProgramAware
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.node.answer_stream import AnswerStream
-from bronzepost._internal.node.call_settings import CallSettings
-from bronzepost._internal.node.caller_request import CallerFields
-from bronzepost._internal.node.chat_calls import ChatCall, ChatCalls
-from bronzepost._internal.node.chat_request import ChatRequest
+from bronzepost._internal.node.callers.answer_stream import AnswerStream
+from bronzepost._internal.node.callers.call_settings import CallSettings
+from bronzepost._internal.node.callers.caller_request import CallerFields
+from bronzepost._internal.node.callers.chat_calls import ChatCall, ChatCalls
+from bronzepost._internal.node.callers.chat_request import ChatRequest
 from bronzepost._internal.node.pauses import Pauses
 from tests.builders_scheduling import MODEL, SERVICE, build_server, build_tables
 from tests.builders_telemetry import build_telemetry
