Decode workspaces, keys and the limits of a VM

Cause: parts that are built next (keys, quotas, pace of store calls, memory bounds, warm servers) read fields that the adapter leaves out. Change: records of workspaces with digests of their keys, public and sticky routes, priorities, affinity keys, the time left to a program, rates of the store and memory of a VM; reports state the version of the messages that a VM understands. Nothing uses them yet, and configurations without workspaces are read as before.

--- a/src/bronzepost/_internal/core/gateway/entities.py
+++ b/src/bronzepost/_internal/core/gateway/entities.py
@@ -22,7 +22,9 @@
     backend servers on which one request may run. ``keeps_history`` means that
     the gateway stores turns, for ``retention_seconds``, and sends them to the
     engine with later turns. ``is_resumable`` means that a broken stream can
-    continue at another server.
+    continue at another server. ``is_public`` routes need no key of a workspace.
+    On ``is_sticky`` routes a server that has handled the subject of a request
+    lately is faster. ``priority`` is the rank among routes, 0 the first.
     """
 
     name: str
@@ -36,6 +38,9 @@
     keeps_history: bool = False
     retention_seconds: float = 60.0
     is_resumable: bool = False
+    is_public: bool = False
+    is_sticky: bool = False
+    priority: int = 0
 
     @property
     def is_retryable(self) -> bool:
@@ -78,14 +83,36 @@
     idle_seconds: float = 15.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Workspace:
+    """A customer of the deployment: its keys and its quota over all VMs.
+
+    ``key_digests`` has the digest of each key (``workspaces.digest_key``), since
+    a configuration is copied to other VMs. The quota is ``rate_per_second``
+    requests, 0 for no limit, and ``burst`` more after a pause. ``priority`` goes
+    before that of routes, unless it is None.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    rate_per_second: float = 0
+    burst: float = 0
+    priority: int | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class GatewayConfiguration:
-    """One complete version of the configuration that operators published."""
+    """One complete version of the configuration that operators published.
+
+    ``workspaces`` is None on deployments without workspaces, where requests need
+    no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services_by_name: Mapping[str, Service]
     limits: CallerLimits
+    workspaces: tuple[Workspace, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -125,7 +152,10 @@
     this turn. ``previous_turn`` is the request id of the turn that this one
     continues, ``resume_after`` the id of the last stream event that the caller
     has received. ``resumed_request`` is the id of the request that brought the
-    first event of that stream. Empty strings stand for headers that were not sent.
+    first event of that stream. ``affinity_key`` names the subject of the request,
+    and ``finish_seconds`` is the time left until the program should have ended.
+    ``workspace`` is the name of the caller's workspace; it is not a header, but
+    follows from the key. Empty strings stand for headers that were not sent.
     """
 
     request_id: str
@@ -137,6 +167,9 @@
     previous_turn: str = ''
     resume_after: str = ''
     resumed_request: str = ''
+    affinity_key: str = ''
+    finish_seconds: float | None = None
+    workspace: str = ''
 
     @property
     def is_turn(self) -> bool:
--- a/src/bronzepost/_internal/gateway/callers/header_names.py
+++ b/src/bronzepost/_internal/gateway/callers/header_names.py
@@ -28,7 +28,8 @@
     are dropped from requests of callers, since only the gateway may set them.
     Servers that are leaving have ``leaving`` in all their answers, and those that
     limit their requests have ``limit``: the requests a second that they take from
-    all VMs together, as a decimal number.
+    all VMs together, as a decimal number. Callers of deployments with workspaces
+    send their ``key``, and servers get the name of the ``workspace`` instead.
     """
 
     request_id: bytes = b'bronzepost-request'
@@ -38,6 +39,8 @@
     resume_after: bytes = b'last-event-id'
     leaving: bytes = b'bronzepost-server-leaving'
     limit: bytes = b'bronzepost-server-limit'
+    key: bytes = b'bronzepost-key'
+    workspace: bytes = b'bronzepost-workspace'
     reserved: frozenset[bytes] = frozenset()
 
 
--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -1,5 +1,7 @@
 """Messages between gateway processes."""
 
+from typing import Final
+
 import msgspec
 
 from bronzepost._internal.core.membership import Ack, Ping, PingRequest
@@ -10,6 +12,11 @@
 )
 from bronzepost._internal.node.peers.envelopes import Envelope, EnvelopeCodec
 
+# The version of the messages of this build: 1 has keys and quotas of workspaces.
+# Builds before it state none. A kind of message that an earlier build does not
+# know is not sent to VMs that report a lower version.
+PROTOCOL: Final = 1
+
 
 class ReserveTokens(
     msgspec.Struct, frozen=True, kw_only=True, tag='reserve_tokens'
@@ -242,7 +249,8 @@
     use, and the recent uses of each. ``limits_by_id`` has the limits of backend
     servers that their answers have named to this process lately. The process
     cannot connect to the servers in ``unreached_ids``, and to none at all if it
-    ``is_cut_off``. It relays ``tunnels`` of other processes.
+    ``is_cut_off``. It relays ``tunnels`` of other processes. ``protocol`` is the
+    version of the messages that it understands.
     """
 
     in_flight: dict[str, int]
@@ -254,6 +262,7 @@
     unreached_ids: tuple[str, ...] = ()
     is_cut_off: bool = False
     tunnels: int = 0
+    protocol: int = 0
 
 
 class SnapshotRequest(
--- a/src/bronzepost/_internal/gateway/peers/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_reports.py
@@ -9,7 +9,7 @@
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.member_ranking import MemberRanking
-from bronzepost._internal.gateway.peers.messages import LoadReport
+from bronzepost._internal.gateway.peers.messages import PROTOCOL, LoadReport
 from bronzepost._internal.gateway.peers.received_reports import (
     ReceivedReports,
     find_report_age,
@@ -69,6 +69,7 @@
             unreached_ids=self._directory.links.list_failing()[:MAX_UNREACHED],
             is_cut_off=self._directory.links.is_cut_off,
             tunnels=self._directory.tunnels,
+            protocol=PROTOCOL,
         )
         # Leaving VMs get reports too: they still choose homes for the turns
         # that they serve.
--- a/src/bronzepost/_internal/gateway/settings.py
+++ b/src/bronzepost/_internal/gateway/settings.py
@@ -10,7 +10,9 @@
     Other gateways reach backend servers through ``relay_address``.
     Addresses are ``IP:PORT``. ``grace_seconds`` is the time from the signal to
     stop until the process is killed. ``seeds`` are peer addresses, some of
-    which may be out of date.
+    which may be out of date. The store takes ``store_writes_per_second`` and
+    ``store_reads_per_second`` calls a second of all VMs together. The process is
+    killed if it uses more than ``memory_bytes``.
     """
 
     name: str
@@ -26,3 +28,6 @@
     store_partitions: int
     seeds: tuple[str, ...] = ()
     grace_seconds: float = 8.0
+    store_writes_per_second: float = 500.0
+    store_reads_per_second: float = 500.0
+    memory_bytes: int = 128_000_000
