Refuse take-ups that would join two versions after a loss of all VMs

What callers saw: streams that broke off when all VMs were killed were taken up with 200, but their first part was from the old software version of the servers and the rest from the new one.

Cause: for callers that name no request, StreamVersions.find took the version of all servers that are listed now. After the servers of the old version have left, that is another one than the one that began the stream, with or without a kill.

Change: such a stream goes on only if the service had one version for 20 s, by a list that was read after the take-up came. A VM that has just started asks three others; these read old entries of servers from the log of the store.

--- a/src/bronzepost/_internal/core/gateway/seen_versions.py
+++ b/src/bronzepost/_internal/core/gateway/seen_versions.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from bronzepost._internal.core.gateway.entities import BackendServer
@@ -45,6 +45,23 @@
         seen_at[server.version] = at
 
 
+def record_past_versions(
+    seen: SeenVersions,
+    versions_by_service: Mapping[str, Iterable[str]],
+    *,
+    at: float,
+) -> None:
+    """Record what was in service in the ``STREAM_SECONDS`` before a time.
+
+    It counts as if the list had been watched since then. When each version left
+    is not known, so all of them count as seen at the end.
+    """
+    seen.watched_since = min(seen.watched_since, at - STREAM_SECONDS)
+    for service, versions in versions_by_service.items():
+        seen_at = seen.seen_at_by_service.setdefault(service, {})
+        seen_at.update(dict.fromkeys(versions, at))
+
+
 def find_only_version(
     seen: SeenVersions, service: str, *, at: float
 ) -> str | None:
@@ -53,8 +70,19 @@
     None if there may be streams of several versions, or of one that this VM has
     not seen.
     """
-    is_current = at - seen.read_at <= MAX_LIST_AGE_SECONDS
-    if not is_current or at - seen.watched_since < STREAM_SECONDS:
+    if at - seen.watched_since < STREAM_SECONDS:
+        return None
+    return find_seen_version(seen, service, at=at)
+
+
+def find_seen_version(
+    seen: SeenVersions, service: str, *, at: float
+) -> str | None:
+    """Return the one version that this VM has seen lately, None if several.
+
+    A VM that has just started may have missed others.
+    """
+    if at - seen.read_at > MAX_LIST_AGE_SECONDS:
         return None
     recent = [
         version
--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -179,16 +179,22 @@
 
 
 class FindStream(msgspec.Struct, frozen=True, kw_only=True, tag='find_stream'):
-    """Ask a peer which software version began a stream."""
+    """Ask a peer which software version began a stream.
+
+    With a ``service`` and an empty ``request_id``, ask which version all streams
+    of the service have. Builds that do not know ``service`` answer that they
+    know no such stream.
+    """
 
     call_id: int
     request_id: str
+    service: str = ''
 
 
 class StreamFound(
     msgspec.Struct, frozen=True, kw_only=True, tag='stream_found'
 ):
-    """Answer to ``FindStream``; ``is_known`` is false for other streams."""
+    """Answer to ``FindStream``; ``is_known`` is false if the peer is unsure."""
 
     call_id: int
     is_known: bool
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -92,6 +92,7 @@
             reports=self.reports,
             calls=calls,
             directory=self.directory,
+            follower=self.follower,
         )
         self._access = ServerAccess(
             settings=settings,
--- a/src/bronzepost/_internal/gateway/requests/stream_versions.py
+++ b/src/bronzepost/_internal/gateway/requests/stream_versions.py
@@ -26,7 +26,9 @@
     PeerReports,
     partition_of_key,
 )
+from bronzepost._internal.gateway.requests.past_versions import PastVersions
 from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.registry import RegistryFollower
 from bronzepost._internal.node.clock import read_clock
 
 # A stream stays known if its VM and two others are lost together.
@@ -57,12 +59,20 @@
         reports: PeerReports,
         calls: PeerCalls,
         directory: Directory,
+        follower: RegistryFollower,
     ) -> None:
         """Send copies to members of ``fleet``, and answer their requests."""
         self._fleet = fleet
         self._reports = reports
         self._calls = calls
         self._directory = directory
+        self._past = PastVersions(
+            fleet=fleet,
+            reports=reports,
+            calls=calls,
+            directory=directory,
+            follower=follower,
+        )
         self._streams_by_request: dict[str, KnownStream] = {}
         # Streams of this VM that began while their service had one version.
         self._unsent: set[str] = set()
@@ -99,17 +109,14 @@
         """Return where a stream began, None if that is not certain.
 
         Callers that do not name the request which began their stream pass an
-        empty ``request_id``. The version is then that of all servers now.
+        empty ``request_id``. Such a stream goes on only if the service had one
+        version for as long as streams last. All servers that are listed now
+        may have another version than those that left a moment ago.
         """
-        if not request_id:
-            return _create_stream(
-                service, self._directory.find_listed_version(service)
-            )
         known = self._streams_by_request.get(request_id)
-        known = known or self._ask_peers(request_id)
-        return known or _create_stream(
-            service, self._directory.find_only_version(service)
-        )
+        if known is None and request_id:
+            known = self._ask_peers(request_id)
+        return known or _create_stream(service, self._past.find(service))
 
     def count(self) -> int:
         """Return the number of streams that this VM knows."""
@@ -170,6 +177,9 @@
         )
 
     def _answer(self, sender: str, request: FindStream) -> None:
+        if request.service and not request.request_id:
+            self._past.answer(sender, request)
+            return
         known = self._streams_by_request.get(request.request_id)
         answer = StreamFound(call_id=request.call_id, is_known=False)
         if known is not None:
--- a/src/bronzepost/_internal/gateway/servers/directory.py
+++ b/src/bronzepost/_internal/gateway/servers/directory.py
@@ -1,7 +1,7 @@
 """The routes in force and the backend servers that requests may go to."""
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from bronzepost._internal.core.gateway.entities import (
     BackendServer,
@@ -13,6 +13,8 @@
 from bronzepost._internal.core.gateway.seen_versions import (
     SeenVersions,
     find_only_version,
+    find_seen_version,
+    record_past_versions,
     record_versions,
 )
 from bronzepost._internal.gateway.links.backend_connections import (
@@ -116,17 +118,17 @@
         """Return the version of all streams of a service, None if unsure."""
         return find_only_version(self._seen_versions, service, at=read_clock())
 
-    def find_listed_version(self, service: str) -> str | None:
-        """Return the version of all servers of a service, None if they differ.
+    def find_seen_version(self, service: str) -> str | None:
+        """Return the one version of a service seen lately, None if several."""
+        return find_seen_version(self._seen_versions, service, at=read_clock())
 
-        Servers that are leaving count too.
-        """
-        versions = {
-            server.version
-            for server in self.servers_by_id.values()
-            if server.service == service
-        }
-        return versions.pop() if len(versions) == 1 else None
+    def put_past_versions(
+        self, versions_by_service: Mapping[str, Iterable[str]]
+    ) -> None:
+        """Record the versions in service for as long as streams last."""
+        record_past_versions(
+            self._seen_versions, versions_by_service, at=read_clock()
+        )
 
     def list_other_versions(self, service: str, version: str) -> frozenset[str]:
         """Return the ids of a service's servers that have another version."""
--- a/src/bronzepost/_internal/gateway/servers/registry.py
+++ b/src/bronzepost/_internal/gateway/servers/registry.py
@@ -1,14 +1,16 @@
 """Follow the published routes and the registered backend servers."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence, Set
 from typing import Final, Protocol
 
 import gevent
+from gevent.lock import BoundedSemaphore
 
 from bronzepost._internal.core.gateway.entities import (
     BackendServer,
     GatewayConfiguration,
 )
+from bronzepost._internal.core.gateway.seen_versions import STREAM_SECONDS
 from bronzepost._internal.exceptions import LogServiceError
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.servers.directory import Directory
@@ -55,6 +57,17 @@
             LogServiceError: if the registry does not answer.
         """
 
+    def read_past_versions(
+        self, seconds: float
+    ) -> Mapping[str, Set[str]] | None:
+        """Return the versions of each service that were in use in a time.
+
+        It ends now. None if the registry does not keep entries for so long.
+
+        Raises:
+            LogServiceError: if the registry does not answer.
+        """
+
 
 class RegistryFollower:
     """Keep a directory up to date, and track outages of the registry.
@@ -70,6 +83,9 @@
         self._lost_at_by_feed = dict.fromkeys(_FEEDS, read_clock())
         self._regained_at = read_clock()
         self._servers_regained_at: float = 0
+        # When the last read of the servers that has an answer began.
+        self.servers_read_at: float = 0
+        self._servers_lock = BoundedSemaphore()
 
     @property
     def is_store_lost(self) -> bool:
@@ -97,11 +113,46 @@
         start_loop(self._follow_configuration, 0)
         start_loop(self._follow_servers, SERVERS_POLL_SECONDS)
 
+    def refresh_servers(self) -> None:
+        """Read the servers, unless a read begins while this call waits for one.
+
+        ``servers_read_at`` is at or after the call if the read has an answer.
+        """
+        asked_at = read_clock()
+        with self._servers_lock:
+            if self.servers_read_at >= asked_at:
+                return
+            try:
+                self._read_servers()
+            except LogServiceError as error:
+                self._mark_lost(SERVERS, error)
+
+    def read_past_versions(self) -> None:
+        """Read which versions were in service for as long as streams last."""
+        started_at = read_clock()
+        versions = None
+        error: LogServiceError | None = None
+        try:
+            versions = self._registry.read_past_versions(STREAM_SECONDS)
+        except LogServiceError as failure:
+            error = failure
+        if versions is not None:
+            self._directory.put_past_versions(versions)
+        emit(
+            LogEvent.SERVER_HISTORY_READ,
+            is_known=versions is not None,
+            versions={
+                name: sorted(found) for name, found in (versions or {}).items()
+            },
+            seconds=round(read_clock() - started_at, 3),
+            error=error,
+        )
+
     def _follow_configuration(self) -> None:
         self._follow(CONFIGURATION, self._read_configuration)
 
     def _follow_servers(self) -> None:
-        self._follow(SERVERS, self._read_servers)
+        self._follow(SERVERS, self._read_servers_alone)
 
     def _follow(self, feed: str, read: Callable[[], None]) -> None:
         try:
@@ -117,7 +168,12 @@
         if configuration is not None:
             self._directory.put_configuration(configuration)
 
+    def _read_servers_alone(self) -> None:
+        with self._servers_lock:
+            self._read_servers()
+
     def _read_servers(self) -> None:
+        started_at = read_clock()
         servers = list(self._registry.read_servers())
         self._mark_available(SERVERS)
         if read_clock() < self._servers_regained_at + RETURN_GRACE_SECONDS:
@@ -128,6 +184,7 @@
                 if server.server_id not in registered
             )
         self._directory.put_servers(servers)
+        self.servers_read_at = started_at
 
     def _mark_lost(self, feed: str, error: LogServiceError) -> None:
         if feed not in self._lost_at_by_feed:
--- a/src/bronzepost/_internal/gateway/settings.py
+++ b/src/bronzepost/_internal/gateway/settings.py
@@ -12,7 +12,8 @@
     stop until the process is killed. ``seeds`` are peer addresses, some of
     which may be out of date. The store takes ``store_writes_per_second`` and
     ``store_reads_per_second`` calls a second of all VMs together. The process is
-    killed if it uses more than ``memory_bytes``.
+    killed if it uses more than ``memory_bytes``. Backend servers write their
+    entries about once in ``server_heartbeat_seconds``; 0 if that is not known.
     """
 
     name: str
@@ -31,3 +32,4 @@
     store_writes_per_second: float = 500.0
     store_reads_per_second: float = 500.0
     memory_bytes: int = 128_000_000
+    server_heartbeat_seconds: float = 0
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -280,6 +280,16 @@
         'The relay was asked from an address that is no VM of the fleet.',
     )
     TUNNEL_BROKEN = 8045, INFO, 'A tunnel ended before it was open.'
+    SERVER_HISTORY_READ = (
+        8068,
+        INFO,
+        'Old entries of backend servers were read for their versions.',
+    )
+    PEER_KIND_UNKNOWN = (
+        8069,
+        WARNING,
+        'A VM of another build sends messages that this one does not know.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -9,7 +9,7 @@
 import testtools
 from bronzepost_platform.headers import decode_call
 from bronzepost_platform.registry import decode_configuration
-from bronzepost_platform.server_list import decode_server
+from bronzepost_platform.server_entries import decode_server
 from bronzepost_platform.settings import decode_settings
 from bronzepost_platform.store import StoreClient
 
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -3,7 +3,7 @@
 import itertools
 import os
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence, Set
 from typing import Any, cast
 from unittest import mock
 
@@ -367,6 +367,8 @@
         """Start with one server."""
         self.servers: list[BackendServer] = [make_server('a')]
         self.is_down = False
+        self.server_reads = 0
+        self.past_versions: Mapping[str, Set[str]] | None = None
         self.configuration: GatewayConfiguration | None = None
 
     def wait_for_configuration(
@@ -379,9 +381,18 @@
 
     def read_servers(self) -> Sequence[BackendServer]:
         """Return the servers of the test."""
+        self.server_reads += 1
+        gevent.sleep(0.01)
         self._check()
         return tuple(self.servers)
 
+    def read_past_versions(
+        self, seconds: float
+    ) -> Mapping[str, Set[str]] | None:
+        """Return the versions of the test."""
+        self._check()
+        return self.past_versions
+
     def _check(self) -> None:
         if self.is_down:
             raise LogServiceError('down', step='read')
@@ -427,6 +438,37 @@
         gevent.sleep(0.1)
         self.assertEqual([], self.list_ids())
 
+    def test_reads_of_the_servers_on_demand_are_shared(self) -> None:
+        """Guard against a call to the store for each of many take-ups."""
+        asked_at = clock.read_clock()
+        before = self.registry.server_reads
+        gevent.joinall([
+            gevent.spawn(self.follower.refresh_servers) for _ in range(20)
+        ])
+        self.assertGreaterEqual(self.follower.servers_read_at, asked_at)
+        self.assertLessEqual(self.registry.server_reads - before, 3)
+
+    def test_read_that_fails_is_not_taken_for_a_new_list(self) -> None:
+        self.registry.is_down = True
+        asked_at = clock.read_clock()
+        self.follower.refresh_servers()
+        self.assertLess(self.follower.servers_read_at, asked_at)
+
+    def test_past_versions_count_as_watched(self) -> None:
+        """Guard against take-ups at the only version of a new VM's list."""
+        self.assertIsNone(self.directory.find_only_version('engines'))
+        self.registry.past_versions = {'engines': frozenset(('',))}
+        self.follower.read_past_versions()
+        self.assertEqual('', self.directory.find_only_version('engines'))
+        self.registry.past_versions = {'engines': frozenset(('', 'v0'))}
+        self.follower.read_past_versions()
+        self.assertIsNone(self.directory.find_only_version('engines'))
+
+    def test_registry_that_fails_tells_no_past_versions(self) -> None:
+        self.registry.is_down = True
+        self.follower.read_past_versions()
+        self.assertIsNone(self.directory.find_only_version('engines'))
+
 
 class TestDirectory(testtools.TestCase):
     """Changes of the configuration and of registered servers."""
--- a/tests/unit/test_gateway_stream_versions.py
+++ b/tests/unit/test_gateway_stream_versions.py
@@ -18,7 +18,7 @@
     COPIES_PER_STREAM,
 )
 from tests.builders_gateway import make_server
-from tests.builders_streams import make_vms
+from tests.builders_streams import StreamVm, make_vms
 
 START: Final = 1000.0
 POLL_SECONDS: Final = 0.4
@@ -71,14 +71,18 @@
         self.assertIsNone(find_only_version(seen, SERVICE, at=at))
 
 
-class TestStreamVersions(testtools.TestCase):
-    """Each VM finds the version of a stream that began at another one."""
+class StreamVersionCase(testtools.TestCase):
+    """VMs before a list of servers that the test sets."""
 
     def setUp(self) -> None:
         """Start VMs whose clock the test sets."""
         super().setUp()
         self.now = START
-        for module in ('servers.directory', 'requests.stream_versions'):
+        for module in (
+            'servers.directory',
+            'requests.stream_versions',
+            'requests.past_versions',
+        ):
             patch = mock.patch(
                 f'bronzepost._internal.gateway.{module}.read_clock',
                 self.read_clock,
@@ -106,6 +110,10 @@
         stream = self.vms[name].streams.find(request_id, SERVICE)
         return stream.version if stream else None
 
+
+class TestStreamVersions(StreamVersionCase):
+    """Each VM finds the version of a stream that began at another one."""
+
     def test_every_vm_finds_a_stream(self) -> None:
         self.read_lists('v1', 'v2', seconds=1)
         self.begin('a')
@@ -119,6 +127,17 @@
             self.vms.pop(name)
         self.assertEqual('v1', self.find('f'))
 
+    def test_version_that_this_vm_has_not_read_yet(self) -> None:
+        """Guard against a list older than that of the VM which was lost."""
+        self.read_lists('v1', seconds=STREAM_SECONDS + 1)
+        self.vms['a'].next_versions = ('v1', 'v2')
+        self.assertIsNone(self.find('a', request_id=''))
+
+    def test_list_that_cannot_be_read_now(self) -> None:
+        self.read_lists('v1', seconds=STREAM_SECONDS + 1)
+        self.vms['a'].next_versions = None
+        self.assertIsNone(self.find('a', request_id=''))
+
     def test_no_copies_are_sent_for_a_single_version(self) -> None:
         """Guard against messages that grow with the requests."""
         self.read_lists('v1', seconds=STREAM_SECONDS + 1)
@@ -145,11 +164,19 @@
 
     def test_caller_that_does_not_name_its_stream(self) -> None:
         """Guard against guessing among several versions."""
-        self.read_lists('v1', seconds=1)
+        self.read_lists('v1', seconds=STREAM_SECONDS + 1)
         self.assertEqual('v1', self.find('a', request_id=''))
         self.read_lists('v1', 'v2', seconds=1)
         self.assertIsNone(self.find('a', request_id=''))
 
+    def test_version_that_has_just_left_counts(self) -> None:
+        """Guard against joining the old version's part and the new one's."""
+        self.read_lists('v1', seconds=STREAM_SECONDS + 1)
+        self.read_lists('v2', seconds=1)
+        self.assertIsNone(self.find('a', request_id=''))
+        self.read_lists('v2', seconds=STREAM_SECONDS)
+        self.assertEqual('v2', self.find('a', request_id=''))
+
     def test_streams_are_forgotten(self) -> None:
         """Guard against a table that grows with every stream."""
         self.read_lists('v1', 'v2', seconds=1)
@@ -159,3 +186,66 @@
         for vm in self.vms.values():
             vm.streams.refresh()
             self.assertEqual(0, vm.streams.count())
+
+
+class TestLossOfAllVms(StreamVersionCase):
+    """VMs that have just started learn what was in service before."""
+
+    def test_version_that_left_before_the_start(self) -> None:
+        """Guard against a take-up at the only version that a VM has seen."""
+        self.read_lists('v2', seconds=1)
+        for request_id in ('', 'unknown'):
+            found = {self.find(name, request_id) for name in self.vms}
+            self.assertEqual({None}, found)
+
+    def test_old_entries_name_one_version(self) -> None:
+        """Guard against refusals on deployments with a single version."""
+        self.put_past_versions('v1')
+        self.read_lists('v1', seconds=1)
+        for request_id in ('', 'unknown'):
+            found = {self.find(name, request_id) for name in self.vms}
+            self.assertEqual({'v1'}, found)
+
+    def test_old_entries_name_another_version(self) -> None:
+        self.put_past_versions('v1', 'v2')
+        self.read_lists('v2', seconds=1)
+        self.assertIsNone(self.find('a', request_id=''))
+        self.assertIsNone(self.find('f', request_id=''))
+
+    def test_version_that_came_after_the_old_entries(self) -> None:
+        """Guard against an answer of a peer whose list is older."""
+        self.put_past_versions('v1')
+        self.read_lists('v1', seconds=1)
+        self.vms['f'].list_servers('v1', 'v2')
+        self.assertIsNone(self.find('f', request_id=''))
+
+    def test_list_that_is_not_read_any_more(self) -> None:
+        self.put_past_versions('v1')
+        self.read_lists('v1', seconds=1)
+        self.now += MAX_LIST_AGE_SECONDS + 1
+        self.assertIsNone(self.find('a', request_id=''))
+
+    def test_few_vms_read_old_entries(self) -> None:
+        """Guard against reads by every VM, for every take-up."""
+        self.read_lists('v1', seconds=1)
+        for name in (*self.vms, *self.vms):
+            self.find(name, request_id='')
+        reads = sorted(vm.history_reads for vm in self.vms.values())
+        self.assertEqual([0, 0, 0, 1, 1, 1], reads)
+
+    def test_mixed_versions_ask_nobody(self) -> None:
+        """Guard against messages for each take-up during a release."""
+        self.read_lists('v1', 'v2', seconds=1)
+        self.find('a', request_id='')
+        self.assertEqual([], self.vms['a'].sent)
+
+    def test_older_vm_that_has_watched_tells_a_new_one(self) -> None:
+        self.read_lists('v1', seconds=STREAM_SECONDS + 1)
+        new = StreamVm(name='g', vms_by_name=self.vms)
+        new.list_servers('v1')
+        self.assertEqual('v1', self.find('g', request_id=''))
+        self.assertEqual(0, new.history_reads)
+
+    def put_past_versions(self, *versions: str) -> None:
+        for vm in self.vms.values():
+            vm.past_versions = versions
