Find the workspace of a caller by its key

Deployments with workspaces need a key for each request, and two workspaces may choose the same ids. Requests are now checked by their key against the configuration, their ids get a scope, and VMs that are behind their peers fetch the newer configuration.

--- a/src/bronzepost/_internal/core/gateway/entities.py
+++ b/src/bronzepost/_internal/core/gateway/entities.py
@@ -4,6 +4,8 @@
 import enum
 from collections.abc import Mapping
 
+from bronzepost._internal.core.gateway.scopes import scope_id
+
 
 class RouteKind(enum.StrEnum):
     """How requests of a route are answered, and whether they may run twice."""
@@ -171,6 +173,11 @@
     finish_seconds: float | None = None
     workspace: str = ''
 
+    @property
+    def turn_id(self) -> str:
+        """Return the id of this turn or stream, which is of one workspace."""
+        return scope_id(self.workspace, self.request_id)
+
     @property
     def is_turn(self) -> bool:
         """Return whether the request is a turn of a program."""
@@ -192,10 +199,13 @@
         The turns of a branch are best served by one engine, which has cached
         their prompts. The ids are those of the prompt parts after the first,
         which many programs share. The most specific one comes first; a
-        sub-agent's last ones are those of its parent.
+        sub-agent's last ones are those of its parent. They are of one workspace.
         """
         unshared = self.prompt_parts[1:] or self.prompt_parts
-        return tuple(part.part_id for part in reversed(unshared))
+        return tuple(
+            scope_id(self.workspace, part.part_id)
+            for part in reversed(unshared)
+        )
 
     @property
     def shared_part(self) -> PromptPart | None:
--- a/src/bronzepost/_internal/gateway/callers/refusals.py
+++ b/src/bronzepost/_internal/gateway/callers/refusals.py
@@ -2,11 +2,13 @@
 
 import random
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Final
 
 from bronzepost._internal.core.gateway.crash_suspects import (
     RETENTION_SECONDS,
 )
+from bronzepost._internal.core.gateway.workspaces import AccessProblem
 from bronzepost._internal.exceptions import (
     ExchangeError,
     RefusedError,
@@ -22,6 +24,18 @@
 LINK_RETRY_AFTER_SECONDS: Final = 0.5
 # By then the first configuration should have arrived.
 STARTING_RETRY_AFTER_SECONDS: Final = 0.5
+# By then a VM that is behind its peers has their configuration.
+LAG_RETRY_AFTER_SECONDS: Final = 0.5
+
+_ACCESS_MESSAGES: Final = MappingProxyType({
+    AccessProblem.NO_ROUTE: 'no route for this host and path',
+    AccessProblem.KEY_MISSING: 'the route needs a key',
+    AccessProblem.KEY_EMPTY: 'the key is empty',
+    AccessProblem.KEY_UNKNOWN: 'the key is not known',
+    AccessProblem.KEY_REPEATED: 'there is more than one key',
+    AccessProblem.KEY_TOO_LONG: 'the key is too long',
+    AccessProblem.KEY_NOT_ASCII: 'the key has characters that are not ASCII',
+})
 
 
 def refuse_starting() -> RefusedError:
@@ -35,13 +49,37 @@
     )
 
 
-def refuse_no_route() -> RefusedError:
-    """Return the error for a host and path without a route."""
+def refuse_access(problem: AccessProblem) -> RefusedError:
+    """Return the error for what the configuration does not allow.
+
+    The status is 404 without a route, 400 for a key that cannot be one, and 401
+    otherwise.
+    """
+    status = HTTPStatus.UNAUTHORIZED
+    if problem.is_malformed:
+        status = HTTPStatus.BAD_REQUEST
+    if not problem.is_for_key:
+        status = HTTPStatus.NOT_FOUND
+    return RefusedError(
+        _ACCESS_MESSAGES[problem],
+        code=problem.value,
+        status=status,
+        step='find workspace' if problem.is_for_key else 'find route',
+    )
+
+
+def refuse_uncertain() -> RefusedError:
+    """Return the error if only a newer configuration may allow a request.
+
+    401 and 404 are final for callers. Callers are told different times, so that
+    they do not come back together.
+    """
     return RefusedError(
-        'no route for this host and path',
-        code='no_route',
-        status=HTTPStatus.NOT_FOUND,
+        'a newer configuration may allow the request',
+        code='configuration_behind',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
         step='find route',
+        retry_after_seconds=LAG_RETRY_AFTER_SECONDS * (1 + random.random()),
     )
 
 
--- a/src/bronzepost/_internal/gateway/peers/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_reports.py
@@ -6,6 +6,10 @@
 import gevent
 import xxhash
 
+from bronzepost._internal.core.gateway.configuration_lag import (
+    NewerVersions,
+    record_version,
+)
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.member_ranking import MemberRanking
@@ -37,6 +41,8 @@
         self._directory = directory
         self._follower = follower
         self.received = ReceivedReports(own_name=fleet.own_name)
+        # The peers that have a newer configuration than this VM.
+        self.newer = NewerVersions()
         self._ranking = MemberRanking()
         self._rounds = ReportRounds()
         fleet.subscribe(LoadReport, self._receive)
@@ -114,7 +120,8 @@
         """Return the peers that have routes.
 
         Those that the store answers come first, then those with the newest
-        routes.
+        routes. VMs of earlier builds come last if there may be workspaces, which
+        they leave out.
         """
         found = {
             name: self.received.find(name)
@@ -125,9 +132,14 @@
             for name, report in found.items()
             if report is not None and report.is_ready
         }
+        min_protocol = int(self._directory.may_have_workspaces)
         return sorted(
             ready,
-            key=lambda name: (not ready[name].has_store, -ready[name].version),
+            key=lambda name: (
+                ready[name].protocol < min_protocol,
+                not ready[name].has_store,
+                -ready[name].version,
+            ),
         )
 
     def sort_by_store_access(self, names: Sequence[str]) -> list[str]:
@@ -163,6 +175,13 @@
 
     def _receive(self, sender: str, report: LoadReport) -> None:
         self.received.put(sender, report)
+        record_version(
+            self.newer,
+            sender,
+            report.version,
+            own_version=self._directory.version,
+            at=read_clock(),
+        )
         self._directory.prompt_parts.put_reported(sender, report.uses_by_part)
         for server_id, limit in report.limits_by_id.items():
             self._directory.limits.receive(server_id, limit, sender)
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -23,6 +23,7 @@
 from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
 from bronzepost._internal.gateway.programs.program_state import ProgramState
 from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
+from bronzepost._internal.gateway.requests.caller_access import CallerAccess
 from bronzepost._internal.gateway.requests.forwarding import (
     DecodeCall,
     Forwarder,
@@ -104,6 +105,9 @@
         )
         self.forwarder = Forwarder(
             directory=self.directory,
+            access=CallerAccess(
+                directory=self.directory, source=self.snapshots, names=names
+            ),
             programs=ProgramState(budgets=self.budgets, turns=self.turns),
             streams=self.streams,
             servers=self._access.calls,
--- a/src/bronzepost/_internal/gateway/programs/program_state.py
+++ b/src/bronzepost/_internal/gateway/programs/program_state.py
@@ -71,7 +71,7 @@
         if not route.keeps_history:
             return
         completed = Turn(
-            turn_id=turn.call.request_id,
+            turn_id=turn.call.turn_id,
             ancestors=turn.ancestors,
             prompt=body,
             answer=join_answer(events.event_data),
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -32,13 +32,15 @@
 from bronzepost._internal.gateway.callers.refusals import (
     refuse_broken_answer,
     refuse_deadline_passed,
-    refuse_no_route,
     refuse_no_server,
-    refuse_starting,
     refuse_unknown_stream,
 )
 from bronzepost._internal.gateway.loops import start_task
 from bronzepost._internal.gateway.programs.program_state import ProgramState
+from bronzepost._internal.gateway.requests.caller_access import (
+    Access,
+    CallerAccess,
+)
 from bronzepost._internal.gateway.requests.hedging import HedgedRequest
 from bronzepost._internal.gateway.requests.pending_call import (
     DeadlinePassedError,
@@ -69,6 +71,7 @@
         self,
         *,
         directory: Directory,
+        access: CallerAccess,
         programs: ProgramState,
         streams: StreamVersions,
         servers: ServerCalls,
@@ -77,9 +80,11 @@
     ) -> None:
         """Create a forwarder.
 
-        ``decode_call`` decodes the headers of a request.
+        ``decode_call`` decodes the headers of a request, and ``access`` decides
+        which requests are allowed.
         """
         self._directory = directory
+        self._access = access
         self._programs = programs
         self._streams = streams
         self._servers = servers
@@ -91,27 +96,26 @@
         """Answer one request, with a refusal if it cannot be served."""
         started_at = read_clock()
         call = self._decode_call(request.headers)
+        try:
+            access = self._access.admit(request, call)
+        except RefusedError as error:
+            self._refuse(call, answer, error, started_at)
+            return
         try:
             self._serve(
-                self._create_pending_call(request, call, answer, started_at)
+                self._create_pending_call(request, access, answer, started_at)
             )
         except RefusedError as error:
-            self._refuse(call, answer, error, started_at)
+            self._refuse(access.call, answer, error, started_at)
 
     def _create_pending_call(
         self,
         request: HttpRequest,
-        call: CallRequest,
+        access: Access,
         answer: CallerAnswer,
         started_at: float,
     ) -> PendingCall:
-        if self._directory.configuration is None:
-            raise refuse_starting()
-        route = self._directory.routes.find_route(
-            host=request.host, target=request.target.decode('latin-1')
-        )
-        if route is None:
-            raise refuse_no_route()
+        call, route = access.call, access.route
         timeout_seconds = route.timeout_seconds
         if call.deadline_seconds is not None:
             timeout_seconds = min(timeout_seconds, call.deadline_seconds)
@@ -124,6 +128,8 @@
             started_at=started_at,
             deadline_at=started_at + timeout_seconds,
             answer=answer,
+            workspace=access.workspace,
+            uses_workspaces=access.uses_workspaces,
         )
 
     def _serve(self, pending: PendingCall) -> None:
@@ -231,7 +237,7 @@
         if pending.route.is_resumable:
             pending.stream_version = pending.server_version
             self._streams.begin(
-                pending.call.resumed_request or pending.call.request_id,
+                pending.call.resumed_request or pending.call.turn_id,
                 service=pending.service,
                 version=pending.server_version,
                 remaining_seconds=pending.remaining_seconds,
@@ -304,10 +310,12 @@
         if not answer.is_started:
             answer.refuse(error)
         METRICS.refusals.labels(code=error.code, run=error.run.value).inc()
+        count_by_workspace(call, 'refused')
         emit(
             LogEvent.REQUEST_REFUSED,
             request=call.request_id,
             program=call.program_id,
+            workspace=call.workspace or None,
             code=error.code,
             status=error.status,
             run=error.run.value,
@@ -319,11 +327,13 @@
         elapsed_seconds = read_clock() - pending.started_at
         kind = pending.route.kind.value
         METRICS.requests.labels(kind=kind, outcome=outcome).inc()
+        count_by_workspace(call, outcome)
         METRICS.request_seconds.labels(kind=kind).observe(elapsed_seconds)
         emit(
             LogEvent.REQUEST_DONE,
             request=call.request_id,
             program=call.program_id,
+            workspace=call.workspace or None,
             route=pending.route.name,
             server=pending.server_id,
             version=pending.server_version or None,
@@ -344,6 +354,14 @@
         )
 
 
+def count_by_workspace(call: CallRequest, outcome: str) -> None:
+    """Count a request that was admitted with the key of a workspace."""
+    if call.workspace:
+        METRICS.workspace_requests.labels(
+            workspace=call.workspace, outcome=outcome
+        ).inc()
+
+
 def check_retryable(pending: PendingCall, error: ExchangeError) -> None:
     """Count a failed attempt, and raise an error if it must be the last.
 
--- a/src/bronzepost/_internal/gateway/requests/pending_call.py
+++ b/src/bronzepost/_internal/gateway/requests/pending_call.py
@@ -4,7 +4,12 @@
 
 import xxhash
 
-from bronzepost._internal.core.gateway.entities import CallRequest, Route
+from bronzepost._internal.core.gateway.entities import (
+    CallRequest,
+    Route,
+    Workspace,
+)
+from bronzepost._internal.core.gateway.scopes import scope_id
 from bronzepost._internal.exceptions import BackendServerError
 from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
 from bronzepost._internal.gateway.callers.event_stream import EventSplitter
@@ -40,6 +45,9 @@
     ``limited_seconds`` the limits of the servers may admit the request; None if
     no limit keeps it from being sent. A stream
     goes on only at servers of ``stream_version``, the version that began it.
+    ``workspace`` is that of the caller's key. If the configuration
+    ``uses_workspaces``, servers do not get the key, and the name of the workspace
+    from the gateway only.
     """
 
     request: HttpRequest
@@ -63,6 +71,8 @@
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     turn: OpenTurn | None = None
+    workspace: Workspace | None = None
+    uses_workspaces: bool = False
 
     @property
     def may_run_again(self) -> bool:
@@ -77,8 +87,11 @@
 
         They are hashes of the target, with the body and without it. Programs and
         sessions are left out, since a caller may begin anew with the same request.
+        A request that another workspace sends too is another one.
         """
-        target = b'%b %b ' % (self.request.method, self.request.target)
+        method = self.request.method.decode('latin-1')
+        scoped_method = scope_id(self.call.workspace, method).encode('latin-1')
+        target = b'%b %b ' % (scoped_method, self.request.target)
         return (
             xxhash.xxh3_64_hexdigest(target + self.request.body),
             xxhash.xxh3_64_hexdigest(target),
--- a/src/bronzepost/_internal/gateway/servers/directory.py
+++ b/src/bronzepost/_internal/gateway/servers/directory.py
@@ -15,6 +15,7 @@
     find_only_version,
     record_versions,
 )
+from bronzepost._internal.core.gateway.workspaces import WorkspaceTable
 from bronzepost._internal.gateway.links.backend_connections import (
     ConnectionPool,
 )
@@ -34,6 +35,9 @@
         """Start without a configuration and without servers."""
         self.configuration: GatewayConfiguration | None = None
         self.routes = RouteTable(routes_by_host={})
+        self.workspaces = WorkspaceTable.build(workspaces=None)
+        # Copied from a VM of an earlier build, which knows no workspaces.
+        self.is_partial = False
         self.servers_by_id: dict[str, BackendServer] = {}
         self.in_flight_by_id: Counter[str] = Counter()
         self.prompt_parts = PartsInUse()
@@ -56,19 +60,37 @@
         """Return the version of the routes in force, 0 without any."""
         return self.configuration.version if self.configuration else 0
 
+    @property
+    def may_have_workspaces(self) -> bool:
+        """Return whether requests need keys, or may need them."""
+        return self.configuration is None or self.workspaces.is_in_force
+
     def read_limits(self) -> CallerLimits:
         """Return the limits of what callers may send now."""
         if self.configuration is None:
             return CallerLimits()
         return self.configuration.limits
 
-    def put_configuration(self, configuration: GatewayConfiguration) -> None:
-        """Put a configuration in force unless a newer one already is."""
+    def put_configuration(
+        self, configuration: GatewayConfiguration, *, is_partial: bool = False
+    ) -> None:
+        """Put a configuration in force unless a newer one already is.
+
+        One that ``is_partial`` lacks what an earlier build does not know. The
+        whole configuration of the same version goes before it.
+        """
         current = self.configuration
+        is_completed = self.is_partial and not is_partial
         if current is not None and configuration.version <= current.version:
-            return
+            if configuration.version < current.version or not is_completed:
+                return
         self.configuration = configuration
+        self.is_partial = is_partial
         self.routes = RouteTable.build(routes=configuration.routes)
+        self.workspaces = WorkspaceTable.build(
+            workspaces=configuration.workspaces
+        )
+        _log_unusable(self.workspaces, configuration.version)
         emit(
             LogEvent.ROUTES_IN_FORCE,
             version=configuration.version,
@@ -186,6 +208,15 @@
         )
 
 
+def _log_unusable(table: WorkspaceTable, version: int) -> None:
+    for workspace in table.unusable:
+        emit(
+            LogEvent.WORKSPACE_UNUSABLE,
+            workspace=workspace.name,
+            version=version,
+        )
+
+
 def _log_change(old: BackendServer | None, new: BackendServer) -> None:
     if old == new:
         return
--- a/src/bronzepost/_internal/gateway/servers/registry.py
+++ b/src/bronzepost/_internal/gateway/servers/registry.py
@@ -1,5 +1,6 @@
 """Follow the published routes and the registered backend servers."""
 
+import math
 from collections.abc import Callable, Sequence
 from typing import Final, Protocol
 
@@ -22,6 +23,9 @@
 # Servers register about once a second, and may be used for two seconds after
 # they announce that they leave.
 SERVERS_POLL_SECONDS: Final = 0.4
+# The store answers a waiting read after its wait at the latest, and a slow one some
+# 0.25 s later. If none has come for so long, a newer configuration may be in force.
+CURRENT_SECONDS: Final = 2.0
 # Pause after a failed read; short, so that the return of the store is detected
 # soon.
 RETRY_SECONDS: Final = 0.3
@@ -70,6 +74,7 @@
         self._lost_at_by_feed = dict.fromkeys(_FEEDS, read_clock())
         self._regained_at = read_clock()
         self._servers_regained_at: float = 0
+        self._configuration_read_at = -math.inf
 
     @property
     def is_store_lost(self) -> bool:
@@ -87,6 +92,13 @@
         has_routes = self._directory.configuration is not None
         return bool(self._lost_at_by_feed) or not has_routes
 
+    @property
+    def is_configuration_current(self) -> bool:
+        """Return whether the store has lately told the newest configuration."""
+        oldest = read_clock() - CURRENT_SECONDS
+        is_lost = CONFIGURATION in self._lost_at_by_feed
+        return not is_lost and self._configuration_read_at >= oldest
+
     @property
     def lacks_server_feed(self) -> bool:
         """Return whether reads of the servers fail."""
@@ -116,6 +128,7 @@
         configuration = self._registry.wait_for_configuration(WAIT_SECONDS)
         if configuration is not None:
             self._directory.put_configuration(configuration)
+        self._configuration_read_at = read_clock()
 
     def _read_servers(self) -> None:
         servers = list(self._registry.read_servers())
--- a/src/bronzepost/_internal/gateway/servers/server_calls.py
+++ b/src/bronzepost/_internal/gateway/servers/server_calls.py
@@ -308,6 +308,11 @@
         added = self._list_added_headers(pending, server)
         dropped = {name.lower() for name, _ in added}
         dropped.update(self._names.reserved, _REPLACED_HEADERS)
+        # The configuration may have changed since the request was admitted, and a
+        # key must not reach a server by either of the two.
+        is_in_force = self._directory.workspaces.is_in_force
+        if pending.uses_workspaces or is_in_force:
+            dropped.update((self._names.key, self._names.workspace))
         headers = strip_connection_headers(request.headers)
         first_line = b'%b %b HTTP/1.1' % (request.method, request.target)
         return encode_head(first_line, drop_headers(headers, dropped) + added)
@@ -328,6 +333,9 @@
         if pending.body or pending.request.method not in _BODILESS_METHODS:
             length = b'%d' % len(pending.body)
             added = (*added, (b'Content-Length', length))
+        if pending.workspace is not None:
+            name = pending.workspace.name.encode()
+            added = (*added, (names.workspace, name))
         return added
 
 
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -280,6 +280,22 @@
         'The relay was asked from an address that is no VM of the fleet.',
     )
     TUNNEL_BROKEN = 8045, INFO, 'A tunnel ended before it was open.'
+    KEY_REFUSED = 8046, INFO, 'A request was refused for its key.'
+    REFUSAL_UNCERTAIN = (
+        8047,
+        INFO,
+        'A newer configuration may allow what this VM cannot serve.',
+    )
+    SNAPSHOT_REFUSED = (
+        8048,
+        WARNING,
+        'The routes of a VM that knows no workspaces were not taken.',
+    )
+    WORKSPACE_UNUSABLE = (
+        8049,
+        WARNING,
+        'The name of a workspace cannot be sent; its keys are refused.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -67,6 +67,18 @@
             ('call', 'outcome'),
             CounterOrGauge,
         )
+        self.workspace_requests = MetricFamily(
+            'bronzepost_workspace_requests',
+            'Admitted requests by workspace and outcome.',
+            ('workspace', 'outcome'),
+            CounterOrGauge,
+        )
+        self.keys_refused = MetricFamily(
+            'bronzepost_keys_refused',
+            'Requests that were refused for their key, by the reason.',
+            ('reason',),
+            CounterOrGauge,
+        )
         logs_left_out = MetricFamily(
             'bronzepost_log_lines_left_out',
             'Log lines that were not written, to bound their volume.',
@@ -86,6 +98,8 @@
             self.server_failures,
             self.server_sends,
             self.store_calls,
+            self.workspace_requests,
+            self.keys_refused,
             logs_left_out,
         )
 
--- a/src/bronzepost/_internal/telemetry/request_timeline.py
+++ b/src/bronzepost/_internal/telemetry/request_timeline.py
@@ -22,6 +22,8 @@
     LogEvent.STORE_LOST.number,
     LogEvent.STORE_REGAINED.number,
     LogEvent.ROUTES_IN_FORCE.number,
+    LogEvent.SNAPSHOT_TAKEN.number,
+    LogEvent.SNAPSHOT_REFUSED.number,
     LogEvent.ACCOUNTS_ADOPTED.number,
     LogEvent.ACCOUNTS_HANDED_OVER.number,
     LogEvent.DRAIN_STARTED.number,
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -37,6 +37,7 @@
 from bronzepost._internal.gateway.links.server_links import ServerLinks
 from bronzepost._internal.gateway.peers.lost_members import LostMembers
 from bronzepost._internal.gateway.peers.received_reports import ReceivedReports
+from bronzepost._internal.gateway.requests.caller_access import CallerAccess
 from bronzepost._internal.gateway.requests.forwarding import Forwarder
 from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.gateway.servers.server_calls import ServerCalls
@@ -45,6 +46,7 @@
     SuspectRequests,
 )
 from tests.builders_gateway import make_member, make_server
+from tests.builders_workspaces import ScriptedSource
 
 READ_BYTES = 65536
 CALLER_TIMEOUT_SECONDS = 5.0
@@ -231,6 +233,7 @@
     server: CallerServer
     directory: Directory
     address: tuple[str, int]
+    source: ScriptedSource
 
     def call(self, content: bytes) -> 'CallerSocket':
         """Open a connection and send the bytes of a request."""
@@ -310,13 +313,20 @@
 
 @contextmanager
 def open_gateway(
-    route: Route, *backends: ScriptedServer
+    route: Route,
+    *backends: ScriptedServer,
+    configuration: GatewayConfiguration | None = None,
 ) -> Iterator[TestGateway]:
-    """Run a gateway with one route that forwards to scripted servers."""
+    """Run a gateway with one route that forwards to scripted servers.
+
+    The route is that of ``configuration``, if there is one.
+    """
     pool = ConnectionPool()
     directory = Directory(pool=pool)
+    source = ScriptedSource()
     directory.put_configuration(
-        GatewayConfiguration(
+        configuration
+        or GatewayConfiguration(
             version=1, routes=(route,), services_by_name={}, limits=LIMITS
         )
     )
@@ -326,6 +336,7 @@
     suspects = make_suspects(directory)
     forwarder = Forwarder(
         directory=directory,
+        access=CallerAccess(directory=directory, source=source, names=NAMES),
         programs=None,  # type: ignore[arg-type]
         streams=NoPeerStreams(),  # type: ignore[arg-type]
         servers=ServerCalls(
@@ -349,7 +360,10 @@
     )
     server.start()
     yield TestGateway(
-        server=server, directory=directory, address=('127.0.0.1', port)
+        server=server,
+        directory=directory,
+        address=('127.0.0.1', port),
+        source=source,
     )
     server.stop()
     for backend in backends:
