--- a/tests/builders_workspaces.py
+++ b/tests/builders_workspaces.py
@@ -1,6 +1,6 @@
 """Test data of workspaces: keys, configurations and where newer ones are."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from bronzepost._internal.core.gateway.entities import (
@@ -12,7 +12,9 @@
 from tests.builders_gateway import make_route
 
 
-def make_workspace(name: str = 'tarn', *keys: str, **changes: Any) -> Workspace:
+def make_workspace(
+    name: str = 'tarn', keys: Iterable[str] = (), **changes: Any
+) -> Workspace:
     """Return a workspace with keys, by default one that is named after it."""
     fields: dict[str, Any] = {
         'name': name,
