--- a/tests/platform/builders_platform.py
+++ b/tests/platform/builders_platform.py
@@ -84,6 +84,19 @@
     }
 
 
+def make_keyed_configuration(
+    version: int, keys_by_tenant: dict[str, list[str]]
+) -> dict[str, Any]:
+    """Return a published configuration whose requests need keys."""
+    return {
+        **make_configuration(version),
+        'tenants': [
+            {'name': name, 'apiKeys': keys}
+            for name, keys in keys_by_tenant.items()
+        ],
+    }
+
+
 def make_large_configuration(routes: int) -> dict[str, Any]:
     """Return a published configuration with ``routes`` routes on ten hosts."""
     document = make_configuration()
--- a/tests/platform/gateway_vm.py
+++ b/tests/platform/gateway_vm.py
@@ -11,7 +11,7 @@
 import testtools
 from bronzepost_platform.settings import METRICS_PORT
 from gevent.socket import socket as open_socket
-from gevent.subprocess import DEVNULL, Popen
+from gevent.subprocess import Popen
 
 from bronzepost._internal.gateway.callers.http_messages import AnswerReader
 from tests.builders_gateway_servers import CallerSocket
@@ -64,14 +64,20 @@
         test.addCleanup(shutil.rmtree, folder)
         path = Path(folder) / 'settings.json'
         path.write_bytes(settings)
-        self.process = Popen(
-            [sys.executable, str(ROOT / 'platform' / 'serve.py')],
-            env={**os.environ, 'BRONZEPOST_BOOT': str(path)},
-            stdout=DEVNULL,
-        )
+        self._log_path = Path(folder) / 'log'
+        with self._log_path.open('wb') as log:
+            self.process = Popen(
+                [sys.executable, str(ROOT / 'platform' / 'serve.py')],
+                env={**os.environ, 'BRONZEPOST_BOOT': str(path)},
+                stdout=log,
+            )
         test.addCleanup(self.process.wait)
         test.addCleanup(self.process.kill)
 
+    def read_log(self) -> bytes:
+        """Return what the process has logged."""
+        return self._log_path.read_bytes()
+
     def wait_until_ready(self) -> None:
         """Return once the process reports that it is ready."""
         with gevent.Timeout(START_TIMEOUT_SECONDS):
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's store, in the process of the test."""
 
 import base64
+import dataclasses
 import functools
 import struct
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 READ_HEADER = struct.Struct('>QQ')
 RECORD_LENGTH = struct.Struct('>I')
 POLL_INTERVAL_SECONDS = 0.02
+WITHHELD_SECONDS = 10.0
 
 Partition = tuple[str, int]
 Record = tuple[str, bytes]
@@ -22,6 +24,20 @@
 Handler = Callable[[dict[str, str], bytes], tuple[str, bytes]]
 
 
+@dataclasses.dataclass(kw_only=True)
+class StoreView:
+    """What one port of the store shows, and its failures.
+
+    With ``is_refusing`` it answers 503 and does nothing. With ``is_withholding``
+    it does not answer reads that wait for new configurations.
+    """
+
+    rewrite: Rewrite
+    address: str = ''
+    is_refusing: bool = False
+    is_withholding: bool = False
+
+
 class UnloggedHandler(WSGIHandler):
     """A request handler without an access log."""
 
@@ -47,6 +63,7 @@
         self.records: dict[Partition, list[Record]] = {}
         self._append_count = 0
         self._servers: list[WSGIServer] = []
+        self.views_by_address: dict[str, StoreView] = {}
         self.address = self.open_view(bytes)
 
     def open_view(self, rewrite: Rewrite) -> str:
@@ -54,15 +71,18 @@
 
         Return the address. A VM that reads the list there has links of its own.
         """
+        view = StoreView(rewrite=rewrite)
         server = WSGIServer(
             ('127.0.0.1', 0),
-            functools.partial(self._handle_request, rewrite),
+            functools.partial(self._handle_request, view),
             log=None,
             handler_class=UnloggedHandler,
         )
         server.start()
         self._servers.append(server)
-        return f'127.0.0.1:{server.server_port}'
+        view.address = f'127.0.0.1:{server.server_port}'
+        self.views_by_address[view.address] = view
+        return view.address
 
     def put(self, topic: str, key: str, body: Any) -> None:
         """Append a record as the operator or a backend server does."""
@@ -85,6 +105,9 @@
         self.loses_appends = False
         self.appends_per_answer = 1
         self.delay_seconds = 0
+        for view in self.views_by_address.values():
+            view.is_refusing = False
+            view.is_withholding = False
 
     def close(self) -> None:
         """Stop listening."""
@@ -92,7 +115,7 @@
             server.stop()
 
     def _handle_request(
-        self, rewrite: Rewrite, environ: dict[str, Any], start: Any
+        self, view: StoreView, environ: dict[str, Any], start: Any
     ) -> list[bytes]:
         query = {
             name: texts[0]
@@ -100,9 +123,10 @@
         }
         body = environ['wsgi.input'].read()
         gevent.sleep(self.delay_seconds)
-        if self.is_down:
+        if self.is_down or view.is_refusing:
             start('503 Down', [])
             return [b'']
+        rewrite = view.rewrite
         if query['topicName'] != 'keyed.servers':
             rewrite = bytes
         handlers: dict[str, Handler] = {
@@ -111,6 +135,9 @@
             '/api/log-read': functools.partial(self._read, rewrite),
         }
         status, content = handlers[environ['PATH_INFO']](query, body)
+        if view.is_withholding and query['topicName'] == 'keyed.op':
+            # Longer than clients wait.
+            gevent.sleep(WITHHELD_SECONDS)
         start(status, [('Content-Length', str(len(content)))])
         return [content]
 
