--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -7,7 +7,10 @@
 
 import gevent
 
-from bronzepost._internal.gateway.callers.header_names import find_header
+from bronzepost._internal.gateway.callers.header_names import (
+    find_header,
+    find_headers,
+)
 from bronzepost._internal.gateway.callers.http_messages import HttpRequest
 from tests.builders_gateway_servers import ScriptedServer
 from tests.soak.links import Link, reset_socket
@@ -108,6 +111,8 @@
             body=request.body,
             answer=b''.join(blocks),
             at=time.monotonic(),
+            workspaces=tuple(find_headers(request.headers, b'tenant')),
+            keys=tuple(find_headers(request.headers, b'x-api-key')),
         )
         self._observations.record_run(run)
         if is_deadly:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,10 +1,11 @@
 """Random faults that overlap."""
 
+import contextlib
 import dataclasses
 import random
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, Final
 
 import gevent
@@ -12,6 +13,7 @@
 from tests.soak.backends import DEADLY, STREAM_PATH, VERSIONS
 from tests.soak.links import Cut, LinkState
 from tests.soak.observations import LimitRecord
+from tests.soak.workspaces import NAMES
 from tests.soak.world import World
 
 # Longer than every timeout of a gateway.
@@ -61,6 +63,14 @@
     gevent.sleep(rng.random() * MAX_FAULT_SECONDS)
 
 
+@contextlib.contextmanager
+def note_store_trouble(world: World) -> Iterator[None]:
+    """Record when all VMs may have lost touch with the store."""
+    start = time.monotonic()
+    yield
+    world.observations.store_troubles.append((start, time.monotonic()))
+
+
 def kill_vm(world: World, rng: random.Random) -> None:
     """Kill a VM and start it again."""
     vm = rng.choice(world.vms)
@@ -104,16 +114,18 @@
 
 def stop_store(world: World, rng: random.Random) -> None:
     """Make the store refuse all calls for a while."""
-    world.store.is_down = True
-    wait_randomly(rng)
-    world.store.is_down = False
+    with note_store_trouble(world):
+        world.store.is_down = True
+        wait_randomly(rng)
+        world.store.is_down = False
 
 
 def slow_store(world: World, rng: random.Random) -> None:
     """Delay the answers of the store for a while."""
-    world.store.delay_seconds = rng.random()
-    wait_randomly(rng)
-    world.store.delay_seconds = 0
+    with note_store_trouble(world):
+        world.store.delay_seconds = rng.random()
+        wait_randomly(rng)
+        world.store.delay_seconds = 0
 
 
 def lose_appends(world: World, rng: random.Random) -> None:
@@ -241,6 +253,12 @@
         gevent.sleep(rng.random() / 2)
 
 
+def replace_key(world: World, rng: random.Random) -> None:
+    """Take a key of a workspace away, and publish another one."""
+    world.keys.replace(rng.choice(NAMES))
+    world.publish()
+
+
 FAULTS: Final[dict[str, Fault]] = {  # noqa: WPS407 - read only
     function.__name__: function
     for function in (
@@ -264,5 +282,6 @@
         send_deadly,
         lapse_entry,
         change_configuration,
+        replace_key,
     )
 }
