--- a/src/bronzepost/_internal/gateway/requests/past_versions.py
+++ b/src/bronzepost/_internal/gateway/requests/past_versions.py
@@ -59,11 +59,11 @@
         """Return the version of all streams of a service, None if unsure."""
         if self._is_mixed(service) or not self._refresh():
             return None
-        version = self._directory.find_only_version(service)
+        version = self._directory.versions.find_only(service)
         if version is None:
             version = self._find_by_readers(service)
         # This VM may have seen another version meanwhile.
-        is_seen = version == self._directory.find_seen_version(service)
+        is_seen = version == self._directory.versions.find_seen(service)
         return version if is_seen else None
 
     def answer(self, sender: str, request: FindStream) -> None:
@@ -71,7 +71,7 @@
         start_task(functools.partial(self._answer, sender, request))
 
     def _is_mixed(self, service: str) -> bool:
-        return self._directory.find_seen_version(service) is None
+        return self._directory.versions.find_seen(service) is None
 
     def _refresh(self) -> bool:
         """Return whether the list has all servers that came before this call.
@@ -95,11 +95,11 @@
         return version
 
     def _find_after_read(self, service: str) -> str | None:
-        version = self._directory.find_only_version(service)
+        version = self._directory.versions.find_only(service)
         if version is None and not self._is_mixed(service):
             # The read goes on if the request does not wait for its end.
             start_task(self._read).join(timeout=READ_WAIT_SECONDS)
-            version = self._directory.find_only_version(service)
+            version = self._directory.versions.find_only(service)
         return version
 
     def _read(self) -> None:
--- a/src/bronzepost/_internal/gateway/requests/stream_versions.py
+++ b/src/bronzepost/_internal/gateway/requests/stream_versions.py
@@ -102,7 +102,7 @@
             expires_at=read_clock() + remaining_seconds + STREAM_SECONDS,
         )
         self._unsent.add(request_id)
-        if self._directory.find_only_version(service) is None:
+        if self._directory.versions.find_only(service) is None:
             self._send_copies(request_id)
 
     def find(self, request_id: str, service: str) -> KnownStream | None:
@@ -133,7 +133,7 @@
         self._unsent.intersection_update(self._streams_by_request)
         for request_id in tuple(self._unsent):
             service = self._streams_by_request[request_id].service
-            if self._directory.find_only_version(service) is None:
+            if self._directory.versions.find_only(service) is None:
                 self._send_copies(request_id)
 
     def _ask_peers(self, request_id: str) -> KnownStream | None:
--- a/src/bronzepost/_internal/gateway/servers/directory.py
+++ b/src/bronzepost/_internal/gateway/servers/directory.py
@@ -1,7 +1,7 @@
 """The routes in force and the backend servers that requests may go to."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 
 from bronzepost._internal.core.gateway.entities import (
     BackendServer,
@@ -10,13 +10,7 @@
     GatewayConfiguration,
 )
 from bronzepost._internal.core.gateway.route_table import RouteTable
-from bronzepost._internal.core.gateway.seen_versions import (
-    SeenVersions,
-    find_only_version,
-    find_seen_version,
-    record_past_versions,
-    record_versions,
-)
+from bronzepost._internal.core.gateway.workspaces import WorkspaceTable
 from bronzepost._internal.gateway.links.backend_connections import (
     ConnectionPool,
 )
@@ -24,7 +18,9 @@
 from bronzepost._internal.gateway.servers.parts_in_use import PartsInUse
 from bronzepost._internal.gateway.servers.server_limits import ServerLimits
 from bronzepost._internal.gateway.servers.server_ratings import ServerRatings
-from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.gateway.servers.service_versions import (
+    ServiceVersions,
+)
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
@@ -36,6 +32,9 @@
         """Start without a configuration and without servers."""
         self.configuration: GatewayConfiguration | None = None
         self.routes = RouteTable(routes_by_host={})
+        self.workspaces = WorkspaceTable.build(workspaces=None)
+        # Copied from a VM of an earlier build, which knows no workspaces.
+        self.is_partial = False
         self.servers_by_id: dict[str, BackendServer] = {}
         self.in_flight_by_id: Counter[str] = Counter()
         self.prompt_parts = PartsInUse()
@@ -45,7 +44,7 @@
         # Connections to backend servers that this VM relays for others.
         self.tunnels = 0
         self._pool = pool
-        self._seen_versions = SeenVersions()
+        self.versions = ServiceVersions()
         self._misplaced_by_id: dict[str, BackendServer] = {}
         # Id and start of servers that are leaving. They stay here when their
         # entries go, since an entry may come back while the server still runs.
@@ -58,19 +57,37 @@
         """Return the version of the routes in force, 0 without any."""
         return self.configuration.version if self.configuration else 0
 
+    @property
+    def may_have_workspaces(self) -> bool:
+        """Return whether requests need keys, or may need them."""
+        return self.configuration is None or self.workspaces.is_in_force
+
     def read_limits(self) -> CallerLimits:
         """Return the limits of what callers may send now."""
         if self.configuration is None:
             return CallerLimits()
         return self.configuration.limits
 
-    def put_configuration(self, configuration: GatewayConfiguration) -> None:
-        """Put a configuration in force unless a newer one already is."""
+    def put_configuration(
+        self, configuration: GatewayConfiguration, *, is_partial: bool = False
+    ) -> None:
+        """Put a configuration in force unless a newer one already is.
+
+        One that ``is_partial`` lacks what an earlier build does not know. The
+        whole configuration of the same version goes before it.
+        """
         current = self.configuration
+        is_completed = self.is_partial and not is_partial
         if current is not None and configuration.version <= current.version:
-            return
+            if configuration.version < current.version or not is_completed:
+                return
         self.configuration = configuration
+        self.is_partial = is_partial
         self.routes = RouteTable.build(routes=configuration.routes)
+        self.workspaces = WorkspaceTable.build(
+            workspaces=configuration.workspaces
+        )
+        _log_unusable(self.workspaces, configuration.version)
         emit(
             LogEvent.ROUTES_IN_FORCE,
             version=configuration.version,
@@ -80,7 +97,7 @@
     def put_servers(self, servers: Iterable[BackendServer]) -> None:
         """Replace all servers by those that are registered now."""
         current = {server.server_id: server for server in servers}
-        record_versions(self._seen_versions, current.values(), at=read_clock())
+        self.versions.record(current.values())
         for server_id, server in current.items():
             known = self.servers_by_id.get(server_id)
             _log_change(known, server)
@@ -114,22 +131,6 @@
             return None
         return server
 
-    def find_only_version(self, service: str) -> str | None:
-        """Return the version of all streams of a service, None if unsure."""
-        return find_only_version(self._seen_versions, service, at=read_clock())
-
-    def find_seen_version(self, service: str) -> str | None:
-        """Return the one version of a service seen lately, None if several."""
-        return find_seen_version(self._seen_versions, service, at=read_clock())
-
-    def put_past_versions(
-        self, versions_by_service: Mapping[str, Iterable[str]]
-    ) -> None:
-        """Record the versions in service for as long as streams last."""
-        record_past_versions(
-            self._seen_versions, versions_by_service, at=read_clock()
-        )
-
     def list_other_versions(self, service: str, version: str) -> frozenset[str]:
         """Return the ids of a service's servers that have another version."""
         return frozenset(
@@ -188,6 +189,15 @@
         )
 
 
+def _log_unusable(table: WorkspaceTable, version: int) -> None:
+    for workspace in table.unusable:
+        emit(
+            LogEvent.WORKSPACE_UNUSABLE,
+            workspace=workspace.name,
+            version=version,
+        )
+
+
 def _log_change(old: BackendServer | None, new: BackendServer) -> None:
     if old == new:
         return
--- a/src/bronzepost/_internal/gateway/servers/registry.py
+++ b/src/bronzepost/_internal/gateway/servers/registry.py
@@ -1,5 +1,6 @@
 """Follow the published routes and the registered backend servers."""
 
+import math
 from collections.abc import Callable, Mapping, Sequence, Set
 from typing import Final, Protocol
 
@@ -24,6 +25,9 @@
 # Servers register about once a second, and may be used for two seconds after
 # they announce that they leave.
 SERVERS_POLL_SECONDS: Final = 0.4
+# The store answers a waiting read after its wait at the latest, and a slow one some
+# 0.25 s later. If none has come for so long, a newer configuration may be in force.
+CURRENT_SECONDS: Final = 2.0
 # Pause after a failed read; short, so that the return of the store is detected
 # soon.
 RETRY_SECONDS: Final = 0.3
@@ -69,6 +73,56 @@
         """
 
 
+class FeedOutages:
+    """Which feeds of the registry do not answer, and since when.
+
+    ``regained_at`` is when the first feed answered again after an outage of
+    all, and ``servers_regained_at`` when the servers did, in monotonic seconds.
+    """
+
+    def __init__(self) -> None:
+        """Count each feed as lost until its first answer."""
+        self._lost_at_by_feed = dict.fromkeys(_FEEDS, read_clock())
+        self.regained_at = read_clock()
+        self.servers_regained_at: float = 0
+
+    @property
+    def is_store_lost(self) -> bool:
+        """Return whether reads of all feeds fail."""
+        return len(self._lost_at_by_feed) == len(_FEEDS)
+
+    @property
+    def is_any_lost(self) -> bool:
+        """Return whether reads of a feed fail."""
+        return bool(self._lost_at_by_feed)
+
+    def is_lost(self, feed: str) -> bool:
+        """Return whether reads of a feed fail."""
+        return feed in self._lost_at_by_feed
+
+    def mark_lost(self, feed: str, error: LogServiceError) -> None:
+        """Record that a read of a feed has failed."""
+        if feed not in self._lost_at_by_feed:
+            self._lost_at_by_feed[feed] = read_clock()
+            emit(LogEvent.STORE_LOST, feed=feed, error=error)
+
+    def mark_available(self, feed: str) -> None:
+        """Record that a feed has answered."""
+        lost_at = self._lost_at_by_feed.pop(feed, None)
+        if lost_at is None:
+            return
+        now = read_clock()
+        if len(self._lost_at_by_feed) == len(_FEEDS) - 1:
+            self.regained_at = now
+        if feed == SERVERS:
+            self.servers_regained_at = now
+        emit(
+            LogEvent.STORE_REGAINED,
+            feed=feed,
+            away_seconds=round(now - lost_at, 3),
+        )
+
+
 class RegistryFollower:
     """Keep a directory up to date, and track outages of the registry.
 
@@ -79,34 +133,41 @@
         """Copy what ``registry`` publishes to ``directory``."""
         self._registry = registry
         self._directory = directory
-        # Each feed counts as lost until its first answer.
-        self._lost_at_by_feed = dict.fromkeys(_FEEDS, read_clock())
-        self._regained_at = read_clock()
-        self._servers_regained_at: float = 0
+        self._outages = FeedOutages()
         # When the last read of the servers that has an answer began.
         self.servers_read_at: float = 0
         self._servers_lock = BoundedSemaphore()
+        self._configuration_read_at = -math.inf
 
     @property
     def is_store_lost(self) -> bool:
         """Return whether reads of all feeds fail."""
-        return len(self._lost_at_by_feed) == len(_FEEDS)
+        return self._outages.is_store_lost
 
     @property
     def store_available_seconds(self) -> float:
         """Return for how long the store has answered, 0 while it does not."""
-        return 0 if self.is_store_lost else read_clock() - self._regained_at
+        if self._outages.is_store_lost:
+            return 0
+        return read_clock() - self._outages.regained_at
 
     @property
     def needs_snapshot(self) -> bool:
         """Return whether a peer may have newer routes or servers."""
         has_routes = self._directory.configuration is not None
-        return bool(self._lost_at_by_feed) or not has_routes
+        return self._outages.is_any_lost or not has_routes
+
+    @property
+    def is_configuration_current(self) -> bool:
+        """Return whether the store has lately told the newest configuration."""
+        oldest = read_clock() - CURRENT_SECONDS
+        is_lost = self._outages.is_lost(CONFIGURATION)
+        return not is_lost and self._configuration_read_at >= oldest
 
     @property
     def lacks_server_feed(self) -> bool:
         """Return whether reads of the servers fail."""
-        return SERVERS in self._lost_at_by_feed
+        return self._outages.is_lost(SERVERS)
 
     def start(self) -> None:
         """Start the greenlets that read the feeds."""
@@ -125,7 +186,7 @@
             try:
                 self._read_servers()
             except LogServiceError as error:
-                self._mark_lost(SERVERS, error)
+                self._outages.mark_lost(SERVERS, error)
 
     def read_past_versions(self) -> None:
         """Read which versions were in service for as long as streams last."""
@@ -137,7 +198,7 @@
         except LogServiceError as failure:
             error = failure
         if versions is not None:
-            self._directory.put_past_versions(versions)
+            self._directory.versions.record_past(versions)
         emit(
             LogEvent.SERVER_HISTORY_READ,
             is_known=versions is not None,
@@ -158,15 +219,16 @@
         try:
             read()
         except LogServiceError as error:
-            self._mark_lost(feed, error)
+            self._outages.mark_lost(feed, error)
             gevent.sleep(RETRY_SECONDS)
         else:
-            self._mark_available(feed)
+            self._outages.mark_available(feed)
 
     def _read_configuration(self) -> None:
         configuration = self._registry.wait_for_configuration(WAIT_SECONDS)
         if configuration is not None:
             self._directory.put_configuration(configuration)
+        self._configuration_read_at = read_clock()
 
     def _read_servers_alone(self) -> None:
         with self._servers_lock:
@@ -175,8 +237,11 @@
     def _read_servers(self) -> None:
         started_at = read_clock()
         servers = list(self._registry.read_servers())
-        self._mark_available(SERVERS)
-        if read_clock() < self._servers_regained_at + RETURN_GRACE_SECONDS:
+        self._outages.mark_available(SERVERS)
+        if (
+            read_clock()
+            < self._outages.servers_regained_at + RETURN_GRACE_SECONDS
+        ):
             registered = {server.server_id for server in servers}
             servers.extend(
                 server
@@ -185,23 +250,3 @@
             )
         self._directory.put_servers(servers)
         self.servers_read_at = started_at
-
-    def _mark_lost(self, feed: str, error: LogServiceError) -> None:
-        if feed not in self._lost_at_by_feed:
-            self._lost_at_by_feed[feed] = read_clock()
-            emit(LogEvent.STORE_LOST, feed=feed, error=error)
-
-    def _mark_available(self, feed: str) -> None:
-        lost_at = self._lost_at_by_feed.pop(feed, None)
-        if lost_at is None:
-            return
-        now = read_clock()
-        if len(self._lost_at_by_feed) == len(_FEEDS) - 1:
-            self._regained_at = now
-        if feed == SERVERS:
-            self._servers_regained_at = now
-        emit(
-            LogEvent.STORE_REGAINED,
-            feed=feed,
-            away_seconds=round(now - lost_at, 3),
-        )
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -290,6 +290,22 @@
         WARNING,
         'A VM of another build sends messages that this one does not know.',
     )
+    KEY_REFUSED = 8046, INFO, 'A request was refused for its key.'
+    REFUSAL_UNCERTAIN = (
+        8047,
+        INFO,
+        'A newer configuration may allow what this VM cannot serve.',
+    )
+    SNAPSHOT_REFUSED = (
+        8048,
+        WARNING,
+        'The routes of a VM that knows no workspaces were not taken.',
+    )
+    WORKSPACE_UNUSABLE = (
+        8049,
+        WARNING,
+        'The name of a workspace cannot be sent; its keys are refused.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/tests/builders_streams.py
+++ b/tests/builders_streams.py
@@ -39,7 +39,7 @@
         """Read old entries of servers, as a follower of the registry does."""
         self.history_reads += 1
         if self.past_versions is not None:
-            self.directory.put_past_versions({SERVICE: self.past_versions})
+            self.directory.versions.record_past({SERVICE: self.past_versions})
 
     def refresh_servers(self) -> None:
         """Read the list of servers, as a follower of the registry does."""
--- a/tests/platform/builders_platform.py
+++ b/tests/platform/builders_platform.py
@@ -1,5 +1,6 @@
 """Documents of the platform: settings, configurations and server entries."""
 
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import msgspec
@@ -84,6 +85,19 @@
     }
 
 
+def make_keyed_configuration(
+    version: int, keys_by_tenant: Mapping[str, Sequence[str]]
+) -> dict[str, Any]:
+    """Return a published configuration whose requests need keys."""
+    return {
+        **make_configuration(version),
+        'tenants': [
+            {'name': name, 'apiKeys': keys}
+            for name, keys in keys_by_tenant.items()
+        ],
+    }
+
+
 def make_large_configuration(routes: int) -> dict[str, Any]:
     """Return a published configuration with ``routes`` routes on ten hosts."""
     document = make_configuration()
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -456,18 +456,18 @@
 
     def test_past_versions_count_as_watched(self) -> None:
         """Guard against take-ups at the only version of a new VM's list."""
-        self.assertIsNone(self.directory.find_only_version('engines'))
+        self.assertIsNone(self.directory.versions.find_only('engines'))
         self.registry.past_versions = {'engines': frozenset(('',))}
         self.follower.read_past_versions()
-        self.assertEqual('', self.directory.find_only_version('engines'))
+        self.assertEqual('', self.directory.versions.find_only('engines'))
         self.registry.past_versions = {'engines': frozenset(('', 'v0'))}
         self.follower.read_past_versions()
-        self.assertIsNone(self.directory.find_only_version('engines'))
+        self.assertIsNone(self.directory.versions.find_only('engines'))
 
     def test_registry_that_fails_tells_no_past_versions(self) -> None:
         self.registry.is_down = True
         self.follower.read_past_versions()
-        self.assertIsNone(self.directory.find_only_version('engines'))
+        self.assertIsNone(self.directory.versions.find_only('engines'))
 
 
 class TestDirectory(testtools.TestCase):
--- a/tests/unit/test_gateway_stream_versions.py
+++ b/tests/unit/test_gateway_stream_versions.py
@@ -79,7 +79,7 @@
         super().setUp()
         self.now = START
         for module in (
-            'servers.directory',
+            'servers.service_versions',
             'requests.stream_versions',
             'requests.past_versions',
         ):
