--- a/src/bronzepost/_internal/exceptions.py
+++ b/src/bronzepost/_internal/exceptions.py
@@ -75,6 +75,21 @@
     """A peer sent a message that its protocol does not allow."""
 
 
+class UnknownMessageError(ProtocolError):
+    """A peer of another build sent a message that this build cannot decode.
+
+    ``sender`` is the peer's name, and ``kind`` the tag of the message.
+    """
+
+    def __init__(
+        self, message: str, *, step: str, sender: str, kind: str
+    ) -> None:
+        """Store who sent the message, and its kind."""
+        super().__init__(message, step=step, peer=sender)
+        self.sender = sender
+        self.kind = kind
+
+
 class LogServiceError(BronzepostError):
     """The log service did not answer, or refused the request."""
 
--- a/src/bronzepost/_internal/gateway/peers/fleet.py
+++ b/src/bronzepost/_internal/gateway/peers/fleet.py
@@ -7,13 +7,13 @@
 from typing import Any, Final
 
 from bronzepost._internal.core import membership
-from bronzepost._internal.exceptions import ProtocolError
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peers.lost_members import LostMembers
 from bronzepost._internal.gateway.peers.messages import (
     GatewayCodec,
     GatewayMessage,
 )
+from bronzepost._internal.gateway.peers.other_builds import OtherBuilds
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.peers.peers import PeerTransport
@@ -49,6 +49,7 @@
         self.own_name = own.name
         # VMs that start together may have the same boot, so the name is added.
         self.own_boot = f'{own.name}/{own.boot}'
+        self.other_builds = OtherBuilds()
         self._receivers_by_type: dict[type, ReceiveMessage] = {}
         # Cached until a member changes.
         self._serving: tuple[membership.Member, ...] | None = None
@@ -68,7 +69,9 @@
             keys=[],
         )
         self._transport = PeerTransport(
-            codec=codec, receive=self._receive, report=_report_error
+            codec=codec,
+            receive=self._receive,
+            report=self.other_builds.report_error,
         )
         self.counts = self._transport.counts
 
@@ -93,10 +96,11 @@
     def send(self, name: str, message: GatewayMessage) -> bool:
         """Queue a message to a member; return whether it was queued.
 
-        False for an unknown member or a message that the transport drops.
+        False for an unknown member, a message that the transport drops, or one
+        of a kind that the member's build does not know.
         """
         member = self._members.members_by_name.get(name)
-        if member is None:
+        if member is None or not self.other_builds.understands(name, message):
             return False
         return self._transport.send(member.peer_address, message)
 
@@ -226,10 +230,3 @@
     'dead': LogEvent.MEMBER_DEAD,
     'leaving': LogEvent.MEMBER_LEAVING,
 }
-
-
-def _report_error(error: Exception) -> None:
-    event = LogEvent.PEER_MESSAGE_DROPPED
-    if isinstance(error, ProtocolError):
-        event = LogEvent.PEER_REJECTED
-    emit(event, error=error)
--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -1,5 +1,7 @@
 """Messages between gateway processes."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final
 
 import msgspec
@@ -331,6 +333,13 @@
 )
 
 
+_ProtocolsByKind = Mapping[type[msgspec.Struct], int]
+
+# The protocol version that brought a kind of message, for kinds after version 0.
+# ``OtherBuilds`` does not let ``Fleet`` send them to VMs that report a lower version.
+PROTOCOLS_BY_KIND: Final[_ProtocolsByKind] = MappingProxyType({})
+
+
 class GatewayCodec(EnvelopeCodec[GatewayMessage]):
     """The codec of messages between gateway processes."""
 
--- a/src/bronzepost/_internal/gateway/peers/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_reports.py
@@ -114,7 +114,8 @@
         """Return the peers that have routes.
 
         Those that the store answers come first, then those with the newest
-        routes.
+        routes, and of these such with the newest build: an earlier one may not
+        have all fields of the configuration.
         """
         found = {
             name: self.received.find(name)
@@ -127,7 +128,11 @@
         }
         return sorted(
             ready,
-            key=lambda name: (not ready[name].has_store, -ready[name].version),
+            key=lambda name: (
+                not ready[name].has_store,
+                -ready[name].version,
+                -ready[name].protocol,
+            ),
         )
 
     def sort_by_store_access(self, names: Sequence[str]) -> list[str]:
--- a/src/bronzepost/_internal/gateway/peers/received_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/received_reports.py
@@ -41,6 +41,8 @@
         self._own_name = own_name
         self._started_at = read_clock()
         self._received_by_name: dict[str, tuple[float, LoadReport]] = {}
+        # Kept for silent members too: silence says nothing about a build.
+        self._protocols_by_name: dict[str, int] = {}
         self.in_flight: Counter[str] = Counter()
 
     def find(self, name: str) -> LoadReport | None:
@@ -48,8 +50,16 @@
         received = self._received_by_name.get(name)
         return None if received is None else received[1]
 
+    def find_protocol(self, name: str) -> int:
+        """Return the version of the messages that a member understands.
+
+        0 if its build states none, or if it has not reported yet.
+        """
+        return self._protocols_by_name.get(name, 0)
+
     def put(self, name: str, report: LoadReport) -> None:
         """Replace the report of a member by one that has just arrived."""
+        self._protocols_by_name[name] = report.protocol
         known = self.find(name)
         self._received_by_name[name] = (read_clock(), report)
         # Counter.update and subtract check the types of their arguments at
--- a/src/bronzepost/_internal/gateway/peers/snapshots.py
+++ b/src/bronzepost/_internal/gateway/peers/snapshots.py
@@ -12,6 +12,7 @@
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.messages import (
+    PROTOCOL,
     Snapshot,
     SnapshotRequest,
 )
@@ -36,6 +37,15 @@
     servers: tuple[BackendServer, ...]
 
 
+def decode_copy(content: bytes) -> DirectoryCopy | None:
+    """Return the content of a snapshot, or None if it cannot be decoded."""
+    try:
+        return msgspec.msgpack.decode(content, type=DirectoryCopy)
+    except msgspec.DecodeError as error:
+        emit(LogEvent.RECORD_UNREADABLE, key='snapshot', error=error)
+        return None
+
+
 class SnapshotExchange:
     """Send snapshots to peers, and get them while the store is unavailable."""
 
@@ -77,10 +87,14 @@
             self._apply(sources[0], answer)
 
     def _apply(self, name: str, answer: Snapshot) -> None:
-        snapshot = msgspec.msgpack.decode(answer.content, type=DirectoryCopy)
+        snapshot = decode_copy(answer.content)
+        if snapshot is None:
+            return
         is_newer = snapshot.configuration.version > self._directory.version
-        if is_newer:
-            self._directory.put_configuration(snapshot.configuration)
+        self._directory.put_configuration(
+            snapshot.configuration,
+            is_whole=self._reports.received.find_protocol(name) >= PROTOCOL,
+        )
         is_more_current = self._follower.lacks_server_feed and answer.has_store
         if is_more_current or not self._directory.servers_by_id:
             self._directory.put_servers(snapshot.servers)
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -73,6 +73,9 @@
         self.reports = PeerReports(
             fleet=self.fleet, directory=self.directory, follower=self.follower
         )
+        self.fleet.other_builds.find_protocol = (
+            self.reports.received.find_protocol
+        )
         calls = PeerCalls(fleet=self.fleet)
         self.budgets = BudgetKeeper(
             fleet=self.fleet, reports=self.reports, calls=calls, store=store
--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -178,9 +178,9 @@
 
     def accept_hand_over(self, sender: str, message: HandOver) -> None:
         """Take over the accounts of a home that this VM replaces."""
-        accounts = msgspec.msgpack.decode(
-            message.content, type=list[ProgramAccount]
-        )
+        accounts = decode_accounts(message.content)
+        if accounts is None:
+            return
         self.accounts.adopt(accounts, former_holder=message.former)
         if message.is_synced:
             self.accounts.is_synced = True
@@ -416,3 +416,15 @@
         reservation_id=request.reservation_id,
         tokens=request.tokens,
     )
+
+
+def decode_accounts(content: bytes) -> list[ProgramAccount] | None:
+    """Return the accounts of a hand-over, or None if they are unreadable.
+
+    The store then has what it was granted of each budget.
+    """
+    try:
+        return msgspec.msgpack.decode(content, type=list[ProgramAccount])
+    except msgspec.DecodeError as error:
+        emit(LogEvent.RECORD_UNREADABLE, key='hand_over', error=error)
+        return None
--- a/src/bronzepost/_internal/gateway/servers/directory.py
+++ b/src/bronzepost/_internal/gateway/servers/directory.py
@@ -35,6 +35,7 @@
     def __init__(self, *, pool: ConnectionPool) -> None:
         """Start without a configuration and without servers."""
         self.configuration: GatewayConfiguration | None = None
+        self._has_whole_configuration = True
         self.routes = RouteTable(routes_by_host={})
         self.servers_by_id: dict[str, BackendServer] = {}
         self.in_flight_by_id: Counter[str] = Counter()
@@ -64,11 +65,20 @@
             return CallerLimits()
         return self.configuration.limits
 
-    def put_configuration(self, configuration: GatewayConfiguration) -> None:
-        """Put a configuration in force unless a newer one already is."""
+    def put_configuration(
+        self, configuration: GatewayConfiguration, *, is_whole: bool = True
+    ) -> None:
+        """Put a configuration in force unless a newer one already is.
+
+        It is not ``is_whole`` if a VM of an earlier build sent it, which may not
+        know all fields. The same version replaces it once that is read whole.
+        """
         current = self.configuration
-        if current is not None and configuration.version <= current.version:
-            return
+        if current is not None:
+            is_completion = is_whole and not self._has_whole_configuration
+            if configuration.version < current.version + (not is_completion):
+                return
+        self._has_whole_configuration = is_whole
         self.configuration = configuration
         self.routes = RouteTable.build(routes=configuration.routes)
         emit(
--- a/src/bronzepost/_internal/node/peers/envelopes.py
+++ b/src/bronzepost/_internal/node/peers/envelopes.py
@@ -9,12 +9,15 @@
 import collections
 import hashlib
 import hmac
-from typing import Any, ClassVar, Generic, TypeVar
+from typing import Any, ClassVar, Final, Generic, TypeVar
 
 import msgspec
 import xxhash
 
-from bronzepost._internal.exceptions import ProtocolError
+from bronzepost._internal.exceptions import (
+    ProtocolError,
+    UnknownMessageError,
+)
 
 # The settings tree of 2,700 workspaces with all settings takes about 3 MB.
 DEFAULT_LIMIT_BYTES = 4_194_304
@@ -185,10 +188,7 @@
         try:
             envelope: Envelope[MessageT] = self._decoder.decode(body)
         except msgspec.DecodeError as error:
-            raise ProtocolError(
-                f'message refused: {error}; the sender may run another version',
-                step=_STEP,
-            ) from error
+            raise _build_decode_error(body, error) from error
         return envelope
 
     def _check_receiver_and_replay(self, envelope: Envelope[MessageT]) -> None:
@@ -207,6 +207,29 @@
             )
 
 
+class _Kind(msgspec.Struct, frozen=True):
+    type: str = ''
+
+
+# Decodes what all builds have in common: the envelope and the tag of a message.
+_DECODER_OF_KINDS: Final = msgspec.msgpack.Decoder(Envelope[_Kind])
+
+
+def _build_decode_error(body: bytes, error: Exception) -> ProtocolError:
+    """Return an error that names the sender and the kind, if they are legible."""
+    reason = f'message refused: {error}; the sender may run another version'
+    try:
+        envelope = _DECODER_OF_KINDS.decode(body)
+    except msgspec.DecodeError:
+        return ProtocolError(reason, step=_STEP)
+    return UnknownMessageError(
+        reason,
+        step=_STEP,
+        sender=envelope.sender,
+        kind=envelope.message.type,
+    )
+
+
 def _encode_keys(keys: list[str]) -> list[bytes]:
     return [key.encode() for key in keys[:_MAX_KEYS]] or [b'']
 
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -67,6 +67,18 @@
             ('call', 'outcome'),
             CounterOrGauge,
         )
+        self.messages_unknown = MetricFamily(
+            'bronzepost_peer_messages_unknown',
+            'Messages of VMs of other builds that could not be decoded.',
+            ('kind',),
+            CounterOrGauge,
+        )
+        self.messages_held_back = MetricFamily(
+            'bronzepost_peer_messages_held_back',
+            "Messages that were not sent, since the receiver's build is older.",
+            ('kind',),
+            CounterOrGauge,
+        )
         logs_left_out = MetricFamily(
             'bronzepost_log_lines_left_out',
             'Log lines that were not written, to bound their volume.',
@@ -86,6 +98,8 @@
             self.server_failures,
             self.server_sends,
             self.store_calls,
+            self.messages_unknown,
+            self.messages_held_back,
             logs_left_out,
         )
 
--- a/tests/platform/gateway_vm.py
+++ b/tests/platform/gateway_vm.py
@@ -5,6 +5,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import Any
 
 import gevent
 import msgspec
@@ -40,9 +41,18 @@
     """A gateway process on a loopback address of its own."""
 
     def __init__(
-        self, *, test: testtools.TestCase, number: int, store: str
+        self,
+        *,
+        test: testtools.TestCase,
+        number: int,
+        store: str,
+        root: Path = ROOT,
+        log_path: Path | None = None,
     ) -> None:
-        """Start the process; it is killed at the end of the test."""
+        """Start the process; it is killed at the end of the test.
+
+        ``root`` is a checkout of the build, and ``log_path`` where its log goes.
+        """
         ip = f'{NETWORK}.{number}'
         front, readiness, directory = find_ports(3)
         self.front = (ip, front)
@@ -64,10 +74,22 @@
         test.addCleanup(shutil.rmtree, folder)
         path = Path(folder) / 'settings.json'
         path.write_bytes(settings)
+        output: Any = DEVNULL
+        if log_path is not None:
+            output = log_path.open('ab')
+            test.addCleanup(output.close)
         self.process = Popen(
-            [sys.executable, str(ROOT / 'platform' / 'serve.py')],
-            env={**os.environ, 'BRONZEPOST_BOOT': str(path)},
-            stdout=DEVNULL,
+            [sys.executable, str(root / 'platform' / 'serve.py')],
+            env={
+                **os.environ,
+                'BRONZEPOST_BOOT': str(path),
+                'PYTHONPATH': os.pathsep.join((
+                    str(root / 'src'),
+                    str(root / 'platform'),
+                )),
+            },
+            stdout=output,
+            stderr=output,
         )
         test.addCleanup(self.process.wait)
         test.addCleanup(self.process.kill)
