--- a/src/bronzepost/_internal/gateway/peers/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_reports.py
@@ -139,6 +139,7 @@
                 ready[name].protocol < min_protocol,
                 not ready[name].has_store,
                 -ready[name].version,
+                -ready[name].protocol,
             ),
         )
 
--- a/src/bronzepost/_internal/gateway/peers/snapshots.py
+++ b/src/bronzepost/_internal/gateway/peers/snapshots.py
@@ -52,6 +52,15 @@
     knows_workspaces: bool = False
 
 
+def decode_copy(content: bytes) -> DirectoryCopy | None:
+    """Return the content of a snapshot, or None if it cannot be decoded."""
+    try:
+        return msgspec.msgpack.decode(content, type=DirectoryCopy)
+    except msgspec.DecodeError as error:
+        emit(LogEvent.RECORD_UNREADABLE, key='snapshot', error=error)
+        return None
+
+
 class SnapshotExchange:
     """Send snapshots to peers, and get them from those with newer routes."""
 
@@ -134,7 +143,9 @@
             self._apply(name, answer)
 
     def _apply(self, name: str, answer: Snapshot) -> None:
-        snapshot = msgspec.msgpack.decode(answer.content, type=DirectoryCopy)
+        snapshot = decode_copy(answer.content)
+        if snapshot is None:
+            return
         version = self._directory.version
         self._apply_configuration(name, snapshot)
         is_more_current = self._follower.lacks_server_feed and answer.has_store
@@ -150,7 +161,9 @@
             )
 
     def _apply_configuration(self, name: str, snapshot: DirectoryCopy) -> None:
-        if snapshot.configuration.version <= self._directory.version:
+        is_completed = self._directory.is_partial and snapshot.knows_workspaces
+        newest_known = self._directory.version - is_completed
+        if snapshot.configuration.version <= newest_known:
             return
         if self._may_lack_workspaces(snapshot):
             self._refuse(name, snapshot.configuration.version)
--- a/tests/platform/gateway_vm.py
+++ b/tests/platform/gateway_vm.py
@@ -40,9 +40,18 @@
     """A gateway process on a loopback address of its own."""
 
     def __init__(
-        self, *, test: testtools.TestCase, number: int, store: str
+        self,
+        *,
+        test: testtools.TestCase,
+        number: int,
+        store: str,
+        root: Path = ROOT,
+        log_path: Path | None = None,
     ) -> None:
-        """Start the process; it is killed at the end of the test."""
+        """Start the process; it is killed at the end of the test.
+
+        ``root`` is a checkout of the build, and ``log_path`` where its log goes.
+        """
         ip = f'{NETWORK}.{number}'
         front, readiness, directory = find_ports(3)
         self.front = (ip, front)
@@ -64,12 +73,20 @@
         test.addCleanup(shutil.rmtree, folder)
         path = Path(folder) / 'settings.json'
         path.write_bytes(settings)
-        self._log_path = Path(folder) / 'log'
-        with self._log_path.open('wb') as log:
+        self._log_path = log_path or Path(folder) / 'log'
+        with self._log_path.open('ab') as log:
             self.process = Popen(
-                [sys.executable, str(ROOT / 'platform' / 'serve.py')],
-                env={**os.environ, 'BRONZEPOST_BOOT': str(path)},
+                [sys.executable, str(root / 'platform' / 'serve.py')],
+                env={
+                    **os.environ,
+                    'BRONZEPOST_BOOT': str(path),
+                    'PYTHONPATH': os.pathsep.join((
+                        str(root / 'src'),
+                        str(root / 'platform'),
+                    )),
+                },
                 stdout=log,
+                stderr=log,
             )
         test.addCleanup(self.process.wait)
         test.addCleanup(self.process.kill)
