--- a/src/bronzepost/_internal/core/gateway/warm_gain.py
+++ b/src/bronzepost/_internal/core/gateway/warm_gain.py
@@ -32,8 +32,9 @@
 END_GAIN: Final = 0.02
 # A request takes part of the time on any server, so a larger gain is an error.
 MAX_GAIN: Final = 0.9
-# The gain that counts where it is being found out: it bounds how much busier than
-# the mean a server may be that is preferred.
+# The least gain that counts in the bound of the load, also where the gain is being
+# found out. The gain that is learned is the mean of hits and misses; a bound that
+# fell with it would cause more misses, and so a still smaller gain.
 TRIAL_GAIN: Final = 0.3
 # Standard errors by which a gain must be above the minimum: the decision is
 # repeated at each refresh, so two would be passed by chance now and then.
@@ -48,9 +49,12 @@
 EPOCH_SECONDS: Final = 60.0
 MIN_SECONDS: Final = 0.0001
 
-# Count, sum and sum of squares of the warm group, then of the controls, as a VM
-# reports them to its peers.
-ReportedSamples = tuple[float, float, float, float, float, float]
+# Count, sum and sum of squares of a group.
+ReportedGroup = tuple[float, float, float]
+# The warm group and the controls, as a VM reports them to its peers.
+ReportedSamples = tuple[ReportedGroup, ReportedGroup]
+# Digits after the point in reports.
+REPORTED_DIGITS: Final = 2
 
 
 class Phase(enum.StrEnum):
@@ -156,31 +160,17 @@
     samples: GainSamples, reported: ReportedSamples
 ) -> GainSamples:
     """Return the samples together with those of a peer."""
-    count, total, squares, *control = reported
-    warm = GroupSamples(count=count, total=total, squares=squares)
+    warm, control = reported
     return GainSamples(
-        warm=_add(samples.warm, warm),
-        control=_add(
-            samples.control,
-            GroupSamples(
-                count=control[0], total=control[1], squares=control[2]
-            ),
-        ),
+        warm=_add(samples.warm, _unpack(warm)),
+        control=_add(samples.control, _unpack(control)),
         at=samples.at,
     )
 
 
 def pack_samples(samples: GainSamples) -> ReportedSamples:
     """Return the samples as a VM reports them."""
-    warm, control = samples.warm, samples.control
-    return (
-        round(warm.count, 2),
-        round(warm.total, 2),
-        round(warm.squares, 2),
-        round(control.count, 2),
-        round(control.total, 2),
-        round(control.squares, 2),
-    )
+    return _pack(samples.warm), _pack(samples.control)
 
 
 def estimate_gain(samples: GainSamples) -> GainEstimate:
@@ -246,7 +236,7 @@
 def find_weight(phase: Phase, estimate: GainEstimate) -> float:
     """Return what a warm server is worth, in times of a cold request."""
     if phase is Phase.ACTIVE:
-        return max(estimate.gain, MIN_GAIN)
+        return max(estimate.gain, TRIAL_GAIN)
     return TRIAL_GAIN
 
 
@@ -318,3 +308,16 @@
         total=one.total + other.total,
         squares=one.squares + other.squares,
     )
+
+
+def _pack(samples: GroupSamples) -> ReportedGroup:
+    return (
+        round(samples.count, REPORTED_DIGITS),
+        round(samples.total, REPORTED_DIGITS),
+        round(samples.squares, REPORTED_DIGITS),
+    )
+
+
+def _unpack(reported: ReportedGroup) -> GroupSamples:
+    count, total, squares = reported
+    return GroupSamples(count=count, total=total, squares=squares)
--- a/src/bronzepost/_internal/core/gateway/warm_servers.py
+++ b/src/bronzepost/_internal/core/gateway/warm_servers.py
@@ -19,6 +19,7 @@
 
 from bronzepost._internal.core.gateway.candidates import draw_servers
 from bronzepost._internal.core.gateway.entities import BackendServer
+from bronzepost._internal.core.gateway.warm_gain import Group
 from bronzepost._internal.core.rendezvous import first_members
 
 # Time constant of the exponential decay by which older requests count less.
@@ -46,7 +47,7 @@
 RAMP_SECONDS: Final = 10.0
 # Servers that are compared for a subject that all servers have seen.
 TWO_CHOICES: Final = 2
-_HASH_RANGE: Final = 2**64
+_HASH_BITS: Final = 64
 _MILLISECONDS: Final = 1000
 
 FindNumber = Callable[[BackendServer], float]
@@ -70,11 +71,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Traffic:
-    """What turns the requests at one VM into the load of all.
+    """What turns the requests for a service at one VM into the load of all.
 
     ``request_seconds`` is the mean time of a request at a server.
     """
 
+    service: str
     vm_count: int
     request_seconds: float
 
@@ -126,6 +128,26 @@
     teaches: bool = False
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Warmth:
+    """How a request about a subject is placed.
+
+    ``group`` is None if the subject is not compared. ``choice`` is the last one,
+    at whose server ``running`` requests were in flight.
+    """
+
+    subject: str
+    request_id: str
+    group: Group | None
+    choice: WarmChoice | None = None
+    running: float = 0
+
+    @property
+    def placed(self) -> str | None:
+        """Return how the request was placed, None before that."""
+        return self.choice.placed.value if self.choice else None
+
+
 class SubjectTable:
     """The subjects of the last requests, at most ``MAX_SUBJECTS``."""
 
@@ -166,7 +188,9 @@
         decay_use(use, at=at)
         # The request itself is left out: the earlier ones alone are an unbiased
         # measure of the rate.
-        rate = max(use.uses / USE_DECAY_SECONDS, use.burst / BURST_DECAY_SECONDS)
+        rate = max(
+            use.uses / USE_DECAY_SECONDS, use.burst / BURST_DECAY_SECONDS
+        )
         needed = count_needed(rate, servers, traffic)
         use.copies = adapt_copies(use.copies, needed)
         use.uses += 1
@@ -205,7 +229,7 @@
     ``rate`` counts its requests a second at this VM.
 
     >>> from tests.builders_gateway import make_servers
-    >>> traffic = Traffic(vm_count=60, request_seconds=0.1)
+    >>> traffic = Traffic(service='tools', vm_count=60, request_seconds=0.1)
     >>> count_needed(0.5, make_servers(3), traffic)
     1.0
     """
@@ -234,34 +258,37 @@
 def choose_servers(
     use: SubjectUse,
     limits: LoadLimits,
+    warmth: Warmth,
     *,
-    is_control: bool,
     unix_seconds: float,
-    subject: str,
-    request_id: str,
 ) -> WarmChoice:
     """Return the servers that are compared for a request, with the reason."""
+    if warmth.group is None:
+        return WarmChoice()
     if is_everywhere(use):
         return WarmChoice(
             servers=draw_spread(
-                use.servers, limits, request_id=request_id, count=TWO_CHOICES
+                use.servers,
+                limits,
+                request_id=warmth.request_id,
+                count=TWO_CHOICES,
             ),
             placed=Placed.SPREAD,
         )
-    if is_control:
+    if warmth.group is Group.CONTROL:
         return WarmChoice(
             servers=draw_spread(
-                use.servers, limits, request_id=request_id, count=1
+                use.servers, limits, request_id=warmth.request_id, count=1
             ),
             placed=Placed.EXPLORED,
             teaches=use.copies == 1,
         )
-    warm = list_warm(use, limits, unix_seconds=unix_seconds, subject=subject)
+    warm = list_warm(
+        use, limits, unix_seconds=unix_seconds, subject=warmth.subject
+    )
     if not warm:
         return WarmChoice()
-    return WarmChoice(
-        servers=warm, placed=Placed.WARM, teaches=use.copies == 1
-    )
+    return WarmChoice(servers=warm, placed=Placed.WARM, teaches=use.copies == 1)
 
 
 def is_everywhere(use: SubjectUse) -> bool:
@@ -319,4 +346,4 @@
     if age_seconds >= RAMP_SECONDS:
         return True
     number = xxhash.xxh64_intdigest(subject.encode(), seed=server.born)
-    return number / _HASH_RANGE < max(age_seconds, 0) / RAMP_SECONDS
+    return number / (1 << _HASH_BITS) < max(age_seconds, 0) / RAMP_SECONDS
--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bronzepost._internal.core.gateway.warm_gain import ReportedSamples
 from bronzepost._internal.core.membership import Ack, Ping, PingRequest
 from bronzepost._internal.gateway.peers.message_parts import (
     BrokenRequest,
@@ -249,7 +250,8 @@
     use, and the recent uses of each. ``limits_by_id`` has the limits of backend
     servers that their answers have named to this process lately. The process
     cannot connect to the servers in ``unreached_ids``, and to none at all if it
-    ``is_cut_off``. It relays ``tunnels`` of other processes. ``protocol`` is the
+    ``is_cut_off``. It relays ``tunnels`` of other processes. ``samples_by_route`` has
+    the samples of the gain of warm servers on sticky routes. ``protocol`` is the
     version of the messages that it understands.
     """
 
@@ -262,6 +264,7 @@
     unreached_ids: tuple[str, ...] = ()
     is_cut_off: bool = False
     tunnels: int = 0
+    samples_by_route: dict[str, ReportedSamples] = {}
     protocol: int = 0
 
 
--- a/src/bronzepost/_internal/gateway/peers/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_reports.py
@@ -39,6 +39,8 @@
         self.received = ReceivedReports(own_name=fleet.own_name)
         self._ranking = MemberRanking()
         self._rounds = ReportRounds()
+        # The VMs that serve callers, with this one, as of the last report.
+        self.vm_count = 1
         fleet.subscribe(LoadReport, self._receive)
 
     @property
@@ -58,6 +60,7 @@
     def send(self) -> None:
         """Send a report to the peers whose turn it is."""
         self.received.recount_in_flight()
+        self.vm_count = len(self._fleet.list_serving_peers()) + 1
         in_flight = self._directory.in_flight_by_id
         report = LoadReport(
             in_flight={key: count for key, count in in_flight.items() if count},
@@ -69,6 +72,7 @@
             unreached_ids=self._directory.links.list_failing()[:MAX_UNREACHED],
             is_cut_off=self._directory.links.is_cut_off,
             tunnels=self._directory.tunnels,
+            samples_by_route=self._directory.warm_requests.list_own(),
             protocol=PROTOCOL,
         )
         # Leaving VMs get reports too: they still choose homes for the turns
@@ -164,6 +168,9 @@
     def _receive(self, sender: str, report: LoadReport) -> None:
         self.received.put(sender, report)
         self._directory.prompt_parts.put_reported(sender, report.uses_by_part)
+        self._directory.warm_requests.put_reported(
+            sender, report.samples_by_route
+        )
         for server_id, limit in report.limits_by_id.items():
             self._directory.limits.receive(server_id, limit, sender)
 
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -320,6 +320,11 @@
         kind = pending.route.kind.value
         METRICS.requests.labels(kind=kind, outcome=outcome).inc()
         METRICS.request_seconds.labels(kind=kind).observe(elapsed_seconds)
+        placed = pending.warmth and pending.warmth.placed
+        if placed:
+            METRICS.warm_requests.labels(
+                route=pending.route.name, placed=placed
+            ).inc()
         emit(
             LogEvent.REQUEST_DONE,
             request=call.request_id,
@@ -333,6 +338,7 @@
             previous_server=find_previous_server(pending) or None,
             home=pending.turn.reservation.home if pending.turn else None,
             sends=pending.sends,
+            placed=placed,
             status=pending.answer.status,
             framing=pending.framing,
             server_limit=pending.server_limit or None,
--- a/src/bronzepost/_internal/gateway/requests/pending_call.py
+++ b/src/bronzepost/_internal/gateway/requests/pending_call.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from bronzepost._internal.core.gateway.entities import CallRequest, Route
+from bronzepost._internal.core.gateway.warm_servers import Warmth
 from bronzepost._internal.exceptions import BackendServerError
 from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
 from bronzepost._internal.gateway.callers.event_stream import EventSplitter
@@ -40,6 +41,7 @@
     ``limited_seconds`` the limits of the servers may admit the request; None if
     no limit keeps it from being sent. A stream
     goes on only at servers of ``stream_version``, the version that began it.
+    ``warmth`` is None unless servers may have seen the subject of the request.
     """
 
     request: HttpRequest
@@ -63,6 +65,7 @@
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     turn: OpenTurn | None = None
+    warmth: Warmth | None = None
 
     @property
     def may_run_again(self) -> bool:
--- a/src/bronzepost/_internal/gateway/servers/directory.py
+++ b/src/bronzepost/_internal/gateway/servers/directory.py
@@ -22,6 +22,7 @@
 from bronzepost._internal.gateway.servers.parts_in_use import PartsInUse
 from bronzepost._internal.gateway.servers.server_limits import ServerLimits
 from bronzepost._internal.gateway.servers.server_ratings import ServerRatings
+from bronzepost._internal.gateway.servers.warm_requests import WarmRequests
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -40,6 +41,7 @@
         self.ratings = ServerRatings()
         self.limits = ServerLimits()
         self.links = LinkRecords()
+        self.warm_requests = WarmRequests()
         # Connections to backend servers that this VM relays for others.
         self.tunnels = 0
         self._pool = pool
@@ -69,6 +71,7 @@
             return
         self.configuration = configuration
         self.routes = RouteTable.build(routes=configuration.routes)
+        self.warm_requests.use_routes(configuration.routes)
         emit(
             LogEvent.ROUTES_IN_FORCE,
             version=configuration.version,
--- a/src/bronzepost/_internal/gateway/servers/server_calls.py
+++ b/src/bronzepost/_internal/gateway/servers/server_calls.py
@@ -242,9 +242,12 @@
         """Record an exchange that ended as its caller wanted."""
         self._record_heard(pending, server)
         self._suspects.record_answer(server, sent_at=started_at)
-        self._directory.ratings.report_exchange(
-            server.service, read_clock() - started_at
-        )
+        seconds = read_clock() - started_at
+        self._directory.ratings.report_exchange(server.service, seconds)
+        if pending.sends == 1 and head.status < HTTPStatus.BAD_REQUEST:
+            self._directory.warm_requests.record_end(
+                pending.route.name, pending.warmth, server, seconds
+            )
         self._record_latency(pending, server)
         self._record_status(head, server)
 
--- a/src/bronzepost/_internal/gateway/servers/server_placement.py
+++ b/src/bronzepost/_internal/gateway/servers/server_placement.py
@@ -1,5 +1,6 @@
 """Choose the backend server of a request from what this VM knows of servers."""
 
+import functools
 import random
 from collections.abc import Sequence, Set
 from typing import Final
@@ -16,6 +17,7 @@
     PlacementContext,
     choose_server,
 )
+from bronzepost._internal.core.gateway.warm_servers import LoadLimits, Traffic
 from bronzepost._internal.gateway.links.server_links import ServerLinks
 from bronzepost._internal.gateway.peers.peer_reports import PeerReports
 from bronzepost._internal.gateway.requests.pending_call import PendingCall
@@ -67,16 +69,51 @@
         """
         servers = self._directory.list_servers(pending.service)
         holders = self._choose_holders(pending, servers)
-        avoided_ids = self._directory.ratings.list_avoided() | avoided_ids
-        candidates = self._list_candidates(
+        avoided = self._directory.ratings.list_avoided() | avoided_ids
+        excluded_ids = self.list_excluded(pending) | excluded_ids
+        candidates = self._list_warm(
+            servers, pending, unwanted_ids=avoided | excluded_ids
+        ) or self._list_candidates(
             servers,
             holders,
             pending,
-            avoided_ids=avoided_ids,
-            excluded_ids=self.list_excluded(pending) | excluded_ids,
+            avoided_ids=avoided,
+            excluded_ids=excluded_ids,
+        )
+        chosen = choose_server(
+            candidates,
+            self._build_context(
+                pending, candidates, holders=holders, avoided_ids=avoided
+            ),
+        )
+        if chosen is not None and pending.warmth is not None:
+            pending.warmth.running = self._reports.count_in_flight(
+                chosen.server_id
+            )
+        return chosen
+
+    def list_excluded(self, pending: PendingCall) -> Set[str]:
+        """Return the ids of servers at which a request must not run.
+
+        It failed there, or they would go on with its stream at another version.
+        """
+        if pending.stream_version is None:
+            return pending.excluded_ids
+        others = self._directory.list_other_versions(
+            pending.service, pending.stream_version
         )
+        return pending.excluded_ids | others
+
+    def _build_context(
+        self,
+        pending: PendingCall,
+        candidates: Sequence[BackendServer],
+        *,
+        holders: Holders,
+        avoided_ids: frozenset[str],
+    ) -> PlacementContext:
         shared_part = pending.call.shared_part
-        context = PlacementContext(
+        return PlacementContext(
             availability_zone=self._availability_zone,
             in_flight={
                 server.server_id: self._reports.count_in_flight(
@@ -101,19 +138,67 @@
             report_age_seconds=self._reports.max_age_seconds,
             salt=random.getrandbits(_SALT_BITS),
         )
-        return choose_server(candidates, context)
 
-    def list_excluded(self, pending: PendingCall) -> Set[str]:
-        """Return the ids of servers at which a request must not run.
+    def _list_warm(
+        self,
+        servers: Sequence[BackendServer],
+        pending: PendingCall,
+        *,
+        unwanted_ids: Set[str],
+    ) -> Sequence[BackendServer]:
+        """Return the servers to which a request with a subject goes, if any."""
+        if not pending.route.is_sticky:
+            return ()
+        warm_requests = self._directory.warm_requests
+        if pending.warmth is None:
+            # A request that is sent again is not counted again.
+            pending.warmth = warm_requests.begin(
+                pending.route,
+                pending.call,
+                servers,
+                self._build_traffic(pending.service),
+            )
+        warmth = pending.warmth
+        if warmth is None:
+            return ()
+        warmth.choice = warm_requests.choose(
+            warmth, servers, self._build_limits(pending, servers, unwanted_ids)
+        )
+        return warmth.choice.servers
 
-        It failed there, or they would go on with its stream at another version.
-        """
-        if pending.stream_version is None:
-            return pending.excluded_ids
-        others = self._directory.list_other_versions(
-            pending.service, pending.stream_version
+    def _build_traffic(self, service: str) -> Traffic:
+        return Traffic(
+            service=service,
+            vm_count=self._reports.vm_count,
+            request_seconds=self._directory.ratings.find_exchange_seconds(
+                service
+            ),
         )
-        return pending.excluded_ids | others
+
+    def _build_limits(
+        self,
+        pending: PendingCall,
+        servers: Sequence[BackendServer],
+        unwanted_ids: Set[str],
+    ) -> LoadLimits:
+        warm_requests = self._directory.warm_requests
+        return LoadLimits(
+            unwanted_ids=unwanted_ids,
+            count_in_flight=self._count_at,
+            find_slots=functools.partial(self._find_slots, pending.service),
+            utilization=warm_requests.find_utilization(
+                pending.service,
+                ((self._count_at(server), server.slots) for server in servers),
+            ),
+            gain=warm_requests.find_learner(pending.route.name).weight,
+        )
+
+    def _count_at(self, server: BackendServer) -> float:
+        return self._reports.count_in_flight(server.server_id)
+
+    def _find_slots(self, service: str, server: BackendServer) -> float:
+        limited = self._find_limited_slots(service, (server,))
+        return limited.get(server.server_id, server.slots)
 
     def _list_candidates(
         self,
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -280,6 +280,16 @@
         'The relay was asked from an address that is no VM of the fleet.',
     )
     TUNNEL_BROKEN = 8045, INFO, 'A tunnel ended before it was open.'
+    STICKINESS_BEGAN = (
+        8071,
+        INFO,
+        'Requests of a route go to servers that have seen their subject.',
+    )
+    STICKINESS_ENDED = (
+        8072,
+        INFO,
+        'Warm servers are no faster; a route is served without regard to them.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -80,12 +80,25 @@
             ('name',),
             CounterOrGauge,
         )
+        self.warm_requests = MetricFamily(
+            'bronzepost_warm_requests',
+            'Requests about a subject by route and how they were placed.',
+            ('route', 'placed'),
+            CounterOrGauge,
+        )
+        self.warm_gain = MetricFamily(
+            'bronzepost_warm_gain',
+            'The share of its time that a request saves on a warm server.',
+            ('route',),
+            CounterOrGauge,
+        )
         self._counters = (
             self.requests,
             self.refusals,
             self.server_failures,
             self.server_sends,
             self.store_calls,
+            self.warm_requests,
             logs_left_out,
         )
 
@@ -109,7 +122,8 @@
 
         for counter in self._counters:
             yield _build_family(core.CounterMetricFamily, counter)
-        yield _build_family(core.GaugeMetricFamily, self.state)
+        for gauge in (self.state, self.warm_gain):
+            yield _build_family(core.GaugeMetricFamily, gauge)
         histogram = core.HistogramMetricFamily(
             self.request_seconds.name,
             self.request_seconds.description,
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -163,15 +163,19 @@
 
 
 def decode_test_call(headers: Headers) -> CallRequest:
-    """Decode only the request id, from the product's default header."""
+    """Decode only the request id and the subject."""
     request_id = find_header(headers, NAMES.request_id) or b''
-    return CallRequest(request_id=request_id.decode())
+    subject = find_header(headers, b'subject') or b''
+    return CallRequest(
+        request_id=request_id.decode(), affinity_key=subject.decode()
+    )
 
 
 class NoPeerReports:
     """The load reports of a gateway without peers."""
 
     max_age_seconds: float = 0
+    vm_count: int = 1
 
     def count_in_flight(self, _server_id: str) -> int:
         """Return no requests for any server."""
--- a/tests/builders_warm_load.py
+++ b/tests/builders_warm_load.py
@@ -12,6 +12,7 @@
 import random
 import statistics
 from collections.abc import Callable, Mapping, Sequence
+from types import MappingProxyType
 
 from bronzepost._internal.core.gateway import warm_gain, warm_servers
 from bronzepost._internal.core.gateway.candidates import (
@@ -55,7 +56,7 @@
     utilization: float = 0.6
     subjects: int = 4000
     kept_subjects: int = 300
-    skew: float = 0.0
+    skew: float = 0
     gain: float = 0.5
     seconds: float = 40
     measured_from: float = 10
@@ -177,7 +178,7 @@
             )
             for number in range(load.servers)
         }
-        self._listed = tuple(s.entry for s in self._servers.values())
+        self._listed = tuple(server.entry for server in self._servers.values())
         self._vms = [
             _Vm(name=f'vm-{number}', subjects=warm_servers.SubjectTable())
             for number in range(load.vms)
@@ -190,7 +191,7 @@
             )
         )
         self._view: Mapping[str, float] = {}
-        self._utilization = 0.0
+        self._utilization: float = 0
         self._seconds = load.request_seconds
         self._outcome = WarmOutcome()
         self._numbers = itertools.count()
@@ -239,9 +240,9 @@
         if self._learner.refresh(at=at):
             self._outcome.phases.append((at - START, self._learner.phase))
         if at >= START + self._load.measured_from:
-            self._outcome.busy_by_server.update(
-                {key: self._in_flight[key] for key in self._servers}
-            )
+            self._outcome.busy_by_server.update({
+                key: self._in_flight[key] for key in self._servers
+            })
 
     def _remove_server(self, _at: float) -> None:
         self._listed = self._listed[1:]
@@ -260,7 +261,7 @@
         if following < START + load.seconds:
             self._schedule(following, self._arrive)
         is_hot = self._is_between(at, load.hot_from, load.hot_until)
-        if is_hot and self._random.random() < 0.5:
+        if is_hot and self._random.randrange(2):
             subject = HOT
         else:
             number = self._random.choices(
@@ -320,9 +321,7 @@
         if server.queue:
             server.queue.popleft()(at)
 
-    def _choose(
-        self, request: _Request, vm: _Vm, at: float
-    ) -> BackendServer:
+    def _choose(self, request: _Request, vm: _Vm, at: float) -> BackendServer:
         if self._way == 'hashing':
             return next(
                 warm_servers.rank_servers(self._listed, request.subject)
@@ -361,38 +360,67 @@
     def _list_warm(
         self, request: _Request, vm: _Vm, at: float
     ) -> tuple[BackendServer, ...]:
-        request.group = warm_gain.choose_group(
-            self._learner.phase,
-            request.subject,
-            unix_seconds=at,
-            point=self._random.random(),
+        warmth = warm_servers.Warmth(
+            subject=request.subject,
+            request_id=f'q-{request.number}',
+            group=warm_gain.choose_group(
+                self._learner.phase,
+                request.subject,
+                unix_seconds=at,
+                point=self._random.random(),
+            ),
         )
         use = vm.subjects.record(
             request.subject,
             self._listed,
             warm_servers.Traffic(
-                vm_count=self._load.vms, request_seconds=self._seconds
+                service='tools',
+                vm_count=self._load.vms,
+                request_seconds=self._seconds,
             ),
             at=at,
         )
         limits = warm_servers.LoadLimits(
             unwanted_ids=frozenset(),
-            count_in_flight=lambda server: self._view.get(
-                server.server_id, 0
-            ),
+            count_in_flight=lambda server: self._view.get(server.server_id, 0),
             find_slots=lambda server: server.slots,
             utilization=self._utilization,
             gain=self._learner.weight,
         )
-        if request.group is None:
-            return ()
         choice = warm_servers.choose_servers(
-            use,
-            limits,
-            is_control=request.group is warm_gain.Group.CONTROL,
-            unix_seconds=at,
-            subject=request.subject,
-            request_id=f'q-{request.number}',
+            use, limits, warmth, unix_seconds=at
         )
+        request.group = warmth.group
         request.is_teaching = choice.teaches
         return choice.servers
+
+
+BASE = WarmLoad()
+LARGE = dataclasses.replace(
+    BASE, vms=195, servers=120, subjects=30_000, seconds=20, measured_from=8
+)
+# The loads of the design note's table, by name.
+LOADS = MappingProxyType({
+    'uniform': BASE,
+    'Zipf 0.7': dataclasses.replace(BASE, skew=0.7),
+    'Zipf 1.2': dataclasses.replace(BASE, skew=1.2),
+    'half for one': dataclasses.replace(
+        BASE, skew=0.7, hot_from=15, hot_until=30
+    ),
+    'slow server': dataclasses.replace(
+        BASE, skew=0.7, slow_from=15, slow_factor=4
+    ),
+    'server restarts': dataclasses.replace(
+        BASE, skew=0.7, gone_from=15, gone_until=20
+    ),
+    'no gain': dataclasses.replace(
+        BASE, skew=0.7, gain=0, seconds=100, measured_from=70
+    ),
+    '3 servers': dataclasses.replace(
+        BASE, servers=3, vms=10, view_seconds=0.4, subjects=1000, skew=0.7
+    ),
+    '195 VMs, Zipf 0.7': dataclasses.replace(LARGE, skew=0.7),
+    '195 VMs, half for one': dataclasses.replace(
+        LARGE, skew=0.7, hot_from=8, hot_until=16
+    ),
+})
