--- a/tests/builders_warm_load.py
+++ b/tests/builders_warm_load.py
@@ -403,6 +403,9 @@
 LOADS = MappingProxyType({
     'uniform': BASE,
     'Zipf 0.7': dataclasses.replace(BASE, skew=0.7),
+    'Zipf 0.7, new reports': dataclasses.replace(
+        BASE, vms=10, view_seconds=0.4, skew=0.7
+    ),
     'Zipf 1.2': dataclasses.replace(BASE, skew=1.2),
     'half for one': dataclasses.replace(
         BASE, skew=0.7, hot_from=15, hot_until=30
