Explain where a request would go now, without sending it

Operators could only see where a request had gone. The plan of a request is now apart from its recording, a page beside the metrics shows it with the parts of each cost, and bronzepost placement prints it.

--- a/src/bronzepost/_internal/cli/main.py
+++ b/src/bronzepost/_internal/cli/main.py
@@ -11,6 +11,7 @@
 from bronzepost._internal.cli.commands.drain import DrainCommand
 from bronzepost._internal.cli.commands.endpoints import EndpointsCommand
 from bronzepost._internal.cli.commands.explain import ExplainCommand
+from bronzepost._internal.cli.commands.placement import PlacementCommand
 from bronzepost._internal.cli.commands.programs import ProgramsCommand
 from bronzepost._internal.cli.commands.replay import ReplayCommand
 from bronzepost._internal.cli.commands.runners import RunnersCommand
@@ -46,6 +47,7 @@
         | StatusCommand
         | ReplayCommand
         | ExplainCommand
+        | PlacementCommand
         | VersionCommand
     ]
 
--- a/src/bronzepost/_internal/gateway/callers/pages.py
+++ b/src/bronzepost/_internal/gateway/callers/pages.py
@@ -50,12 +50,23 @@
 
     ``render`` is called with the parameters of the query string.
 
+    Raises:
+        OSError: if the address cannot be bound.
+    """
+    return start_pages_server(address, {path: render})
+
+
+def start_pages_server(
+    address: str, pages: Mapping[str, RenderPage]
+) -> CallerServer:
+    """Start to answer GET requests for several pages, by their paths.
+
     Raises:
         OSError: if the address cannot be bound.
     """
     server = CallerServer(
         address=address,
-        answer=functools.partial(_answer, path, render),
+        answer=functools.partial(_answer, pages),
         read_limits=lambda: PAGE_LIMITS,
     )
     server.start()
@@ -63,15 +74,19 @@
 
 
 def _answer(
-    path: str, render: RenderPage, request: HttpRequest, answer: CallerAnswer
+    pages: Mapping[str, RenderPage], request: HttpRequest, answer: CallerAnswer
 ) -> None:
     try:
-        page = _render(path, render, request)
+        page = _render(pages, request)
     except RefusedError as error:
         emit(LogEvent.CALL_REFUSED, error=error, code=error.code)
         answer.refuse(error)
     except Exception as error:  # noqa: BLE001
-        emit(LogEvent.GREENLET_FAILED, error=error, step=path)
+        emit(
+            LogEvent.GREENLET_FAILED,
+            error=error,
+            step=request.target.decode('latin-1'),
+        )
         answer.refuse(_build_internal_error())
     else:
         head = AnswerHead(
@@ -85,9 +100,10 @@
         answer.send_whole(head, page.body)
 
 
-def _render(path: str, render: RenderPage, request: HttpRequest) -> Page:
+def _render(pages: Mapping[str, RenderPage], request: HttpRequest) -> Page:
     target, _, query = request.target.decode('latin-1').partition('?')
-    if target != path:
+    render = pages.get(target)
+    if render is None:
         raise _refuse(HTTPStatus.NOT_FOUND, target)
     if request.method != HTTPMethod.GET.encode():
         raise _refuse(HTTPStatus.METHOD_NOT_ALLOWED, target)
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -2,7 +2,7 @@
 
 import functools
 import signal
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final
 
 import gevent
@@ -11,6 +11,7 @@
 from bronzepost._internal.exceptions import SettingsError
 from bronzepost._internal.gateway.callers.caller_connections import CallerServer
 from bronzepost._internal.gateway.callers.header_names import HeaderNames
+from bronzepost._internal.gateway.callers.pages import Page
 from bronzepost._internal.gateway.links.backend_connections import (
     ConnectionPool,
 )
@@ -27,6 +28,7 @@
     DecodeCall,
     Forwarder,
 )
+from bronzepost._internal.gateway.requests.placement_page import PlacementPage
 from bronzepost._internal.gateway.requests.stream_versions import StreamVersions
 from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.gateway.servers.registry import (
@@ -110,6 +112,11 @@
             suspects=self._access.suspects,
             decode_call=decode_call,
         )
+        self._placement_page = PlacementPage(
+            forwarder=self.forwarder,
+            explainer=self._access.explainer,
+            decode_call=decode_call,
+        )
         self.callers = CallerServer(
             address=settings.caller_address,
             answer=self.forwarder.answer,
@@ -139,6 +146,10 @@
         )
         return [member.caller_address for member in ordered]
 
+    def explain_placement(self, query: Mapping[str, str]) -> Page:
+        """Return where the request of a query would go now."""
+        return self._placement_page.render(query)
+
     def list_states(self) -> dict[str, float]:
         """Return the values of the metric ``bronzepost_state`` by name."""
         directory = self.directory
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -93,18 +93,23 @@
         call = self._decode_call(request.headers)
         try:
             self._serve(
-                self._create_pending_call(request, call, answer, started_at)
+                self.create_pending_call(request, call, answer, started_at)
             )
         except RefusedError as error:
             self._refuse(call, answer, error, started_at)
 
-    def _create_pending_call(
+    def create_pending_call(
         self,
         request: HttpRequest,
         call: CallRequest,
         answer: CallerAnswer,
         started_at: float,
     ) -> PendingCall:
+        """Return a request that is to be forwarded on its route.
+
+        Raises:
+            RefusedError: if it has no route.
+        """
         if self._directory.configuration is None:
             raise refuse_starting()
         route = self._directory.routes.find_route(
--- a/src/bronzepost/_internal/gateway/servers/parts_in_use.py
+++ b/src/bronzepost/_internal/gateway/servers/parts_in_use.py
@@ -71,26 +71,26 @@
             self._refresh(at)
         known = self._holders_by_part.get(key)
         if known is None or known.servers is not servers:
-            known = self._find_holders(key, servers, memory_tokens)
+            known = find_holders(
+                key, servers, self._total, memory_tokens=memory_tokens
+            )
             self._holders_by_part[key] = known
         return known
 
-    def _find_holders(
-        self, part_id: str, servers: Servers, memory_tokens: int
+    def peek_holders(
+        self, part: PromptPart, servers: Servers, memory_tokens: int
     ) -> Holders:
-        copies_by_part = shared_parts.plan_copies(
-            self._total, engines=len(servers), memory_tokens=memory_tokens
-        )
-        copies = copies_by_part[part_id]
-        holder_ids = shared_parts.choose_holders(
-            (server.server_id for server in servers), part_id, copies
+        """Return the engines of a part, without recording a use.
+
+        A part that is not in use is taken to be used once.
+        """
+        total = self._total
+        if part.part_id not in total:
+            use = shared_parts.add_use(None, part, at=read_clock())
+            total = {**total, part.part_id: use}
+        return find_holders(
+            part.part_id, servers, total, memory_tokens=memory_tokens
         )
-        engines = servers
-        if copies < len(servers):
-            engines = tuple(
-                server for server in servers if server.server_id in holder_ids
-            )
-        return Holders(engines=engines, server_ids=holder_ids, servers=servers)
 
     def _refresh(self, at: float) -> None:
         oldest = at - shared_parts.IN_USE_SECONDS
@@ -107,3 +107,26 @@
         )
         self._refreshed_at = at
         self._holders_by_part = {}
+
+
+def find_holders(
+    part_id: str,
+    servers: Servers,
+    total: shared_parts.PartTable,
+    *,
+    memory_tokens: int,
+) -> Holders:
+    """Return the engines that keep a part of those in use."""
+    copies_by_part = shared_parts.plan_copies(
+        total, engines=len(servers), memory_tokens=memory_tokens
+    )
+    copies = copies_by_part[part_id]
+    holder_ids = shared_parts.choose_holders(
+        (server.server_id for server in servers), part_id, copies
+    )
+    engines = servers
+    if copies < len(servers):
+        engines = tuple(
+            server for server in servers if server.server_id in holder_ids
+        )
+    return Holders(engines=engines, server_ids=holder_ids, servers=servers)
--- a/src/bronzepost/_internal/gateway/servers/server_access.py
+++ b/src/bronzepost/_internal/gateway/servers/server_access.py
@@ -11,6 +11,9 @@
 from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peers.peer_reports import PeerReports
 from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.placement_explainer import (
+    PlacementExplainer,
+)
 from bronzepost._internal.gateway.servers.server_calls import ServerCalls
 from bronzepost._internal.gateway.servers.server_permits import ServerPermits
 from bronzepost._internal.gateway.servers.suspect_requests import (
@@ -68,6 +71,10 @@
             availability_zone=settings.availability_zone,
         )
 
+        self.explainer = PlacementExplainer(
+            directory=directory, plans=self.calls.plans, suspects=self.suspects
+        )
+
     def start(self) -> None:
         """Start all parts.
 
--- a/src/bronzepost/_internal/gateway/servers/server_calls.py
+++ b/src/bronzepost/_internal/gateway/servers/server_calls.py
@@ -38,6 +38,7 @@
     find_max_idle_seconds,
     find_previous_server,
 )
+from bronzepost._internal.gateway.servers.server_plans import ServerPlans
 from bronzepost._internal.gateway.servers.suspect_requests import (
     SuspectRequests,
 )
@@ -74,12 +75,18 @@
         """
         self._directory = directory
         self._reports = reports
-        self._placement = ServerPlacement(
+        self.plans = ServerPlans(
             directory=directory,
-            reports=reports,
+            placement=ServerPlacement(
+                directory=directory,
+                reports=reports,
+                links=links,
+                vm_name=vm_name,
+                availability_zone=availability_zone,
+            ),
+            permits=permits,
+            suspects=suspects,
             links=links,
-            vm_name=vm_name,
-            availability_zone=availability_zone,
         )
         self._permits = permits
         self._suspects = suspects
@@ -101,20 +108,13 @@
         self._suspects.check(pending)
         if self._suspects.is_suspect(pending):
             return self._choose_isolated(pending)
-        isolated_ids = self._suspects.list_avoided(pending.service)
-        unreachable_ids = self._list_unreachable(pending)
         denied_ids: set[str] = set()
         while True:  # noqa: WPS457 - each server is denied once
-            blocked_ids = self._permits.list_blocked() - {
-                find_previous_server(pending)
-            }
-            server = self._placement.choose(
-                pending,
-                avoided_ids=blocked_ids | isolated_ids,
-                excluded_ids=denied_ids | unreachable_ids,
-            )
+            blocked_ids = self.plans.list_blocked(pending)
+            plan = self.plans.plan(pending, denied_ids, blocked_ids=blocked_ids)
+            server = plan.choose()
             if server is None or server.server_id in blocked_ids:
-                return self._choose_limited(pending, unreachable_ids)
+                return self._choose_limited(pending)
             if self._permits.acquire(
                 server.server_id, find_patience(pending, server)
             ):
@@ -134,6 +134,10 @@
         pending.server_id = server.server_id
         pending.server_version = server.version
         pending.sends += 1
+        if pending.warmth is not None:
+            pending.warmth.running = self._reports.count_in_flight(
+                server.server_id
+            )
         METRICS.server_sends.labels(server=server.server_id).inc()
         step = f'forward {pending.call.request_id}'
         started_at = read_clock()
@@ -174,9 +178,9 @@
         # Another suspect may have crashed the server in the meantime.
         self._suspects.check(pending)
         server = self._suspects.find_isolated(pending.service)
-        excluded_ids = self._placement.list_excluded(
+        excluded_ids = self.plans.list_excluded(
             pending
-        ) | self._list_unreachable(pending)
+        ) | self.plans.list_unreachable(pending)
         if server is None or server.server_id in excluded_ids:
             self._suspects.log_suspect(pending)
             raise refuse_suspect(pending)
@@ -184,9 +188,7 @@
             raise refuse_suspect(pending)
         return server
 
-    def _choose_limited(
-        self, pending: PendingCall, unreachable_ids: frozenset[str]
-    ) -> BackendServer | None:
+    def _choose_limited(self, pending: PendingCall) -> BackendServer | None:
         """Return the server at which a request has its turn soon, if any.
 
         Raises:
@@ -195,13 +197,10 @@
         patience = find_target_wait(pending)
         denied_ids: set[str] = set()
         while True:  # noqa: WPS457 - each server is denied once
-            server = self._placement.choose(
-                pending,
-                avoided_ids=frozenset(),
-                excluded_ids=denied_ids | unreachable_ids,
-            )
+            plan = self.plans.plan(pending, denied_ids, blocked_ids=None)
+            server = plan.choose()
             if server is None:
-                self._explain_refusal(pending, denied_ids, unreachable_ids)
+                self._explain_refusal(pending, denied_ids)
                 return None
             server_id = server.server_id
             is_soon = self._permits.find_wait(server_id) <= patience
@@ -210,10 +209,7 @@
             denied_ids.add(server_id)
 
     def _explain_refusal(
-        self,
-        pending: PendingCall,
-        denied_ids: set[str],
-        unreachable_ids: frozenset[str],
+        self, pending: PendingCall, denied_ids: set[str]
     ) -> None:
         """Record for how long the limits of servers keep a request out.
 
@@ -223,15 +219,11 @@
         pending.limited_seconds = min(
             map(self._permits.find_wait, denied_ids), default=None
         )
-        if unreachable_ids and pending.limited_seconds is None:
+        if pending.limited_seconds is None and self.plans.list_unreachable(
+            pending
+        ):
             raise refuse_no_link(pending)
 
-    def _list_unreachable(self, pending: PendingCall) -> frozenset[str]:
-        return self.links.list_unreachable(
-            self._directory.list_servers(pending.service),
-            find_max_idle_seconds(pending),
-        )
-
     def _record_end(
         self,
         pending: PendingCall,
--- a/src/bronzepost/_internal/gateway/servers/server_limits.py
+++ b/src/bronzepost/_internal/gateway/servers/server_limits.py
@@ -1,5 +1,6 @@
 """The limits that backend servers have named to this VM and to its peers."""
 
+import math
 from collections.abc import Mapping, Sequence
 from typing import Final
 
@@ -84,6 +85,11 @@
         """
         return rules.find_rate(self._limits_by_id, server_id, at=read_clock())
 
+    def find_known_rate(self, server_id: str) -> float | None:
+        """Return the rate of a server that has a limit, None for others."""
+        rate = self.find_rate(server_id)
+        return None if math.isinf(rate) else rate
+
     def count(self) -> int:
         """Return the number of servers that have a limit."""
         return sum(
--- a/src/bronzepost/_internal/gateway/servers/server_placement.py
+++ b/src/bronzepost/_internal/gateway/servers/server_placement.py
@@ -1,5 +1,6 @@
 """Choose the backend server of a request from what this VM knows of servers."""
 
+import dataclasses
 import functools
 import random
 from collections.abc import Sequence, Set
@@ -34,6 +35,19 @@
 _SALT_BITS: Final = 32
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PlacementPlan:
+    """The servers that are compared for a request, and what is known of them."""
+
+    candidates: Sequence[BackendServer]
+    context: PlacementContext
+    excluded_ids: Set[str]
+
+    def choose(self) -> BackendServer | None:
+        """Return the server for the request, or None if there is none."""
+        return choose_server(self.candidates, self.context)
+
+
 class ServerPlacement:
     """Choose among the servers of a service by load, caches and distance."""
 
@@ -55,20 +69,28 @@
         # Cached until a server of the service changes.
         self._subset_by_service: dict[str, Holders] = {}
 
-    def choose(
+    def plan(
         self,
         pending: PendingCall,
         *,
         avoided_ids: Set[str],
         excluded_ids: Set[str],
-    ) -> BackendServer | None:
-        """Return the server for a request, or None if there is none.
+        is_recorded: bool = True,
+    ) -> PlacementPlan:
+        """Return the servers that are compared for a request.
 
         One of ``avoided_ids`` is chosen only if there is no other, and one of
-        ``excluded_ids`` never.
+        ``excluded_ids`` never. The use of its subject and of its shared part
+        counts if it ``is_recorded``.
         """
         servers = self._directory.list_servers(pending.service)
-        holders = self._choose_holders(pending, servers)
+        if not is_recorded:
+            pending.warmth = self._directory.warm_requests.peek(
+                pending.route, pending.call, pending.service
+            )
+        holders = self._choose_holders(
+            pending, servers, is_recorded=is_recorded
+        )
         avoided = self._directory.ratings.list_avoided() | avoided_ids
         excluded_ids = self.list_excluded(pending) | excluded_ids
         candidates = self._list_warm(
@@ -80,17 +102,13 @@
             avoided_ids=avoided,
             excluded_ids=excluded_ids,
         )
-        chosen = choose_server(
-            candidates,
-            self._build_context(
+        return PlacementPlan(
+            candidates=candidates,
+            context=self._build_context(
                 pending, candidates, holders=holders, avoided_ids=avoided
             ),
+            excluded_ids=excluded_ids,
         )
-        if chosen is not None and pending.warmth is not None:
-            pending.warmth.running = self._reports.count_in_flight(
-                chosen.server_id
-            )
-        return chosen
 
     def list_excluded(self, pending: PendingCall) -> Set[str]:
         """Return the ids of servers at which a request must not run.
@@ -239,12 +257,18 @@
         return slots_by_id
 
     def _choose_holders(
-        self, pending: PendingCall, servers: Sequence[BackendServer]
+        self,
+        pending: PendingCall,
+        servers: Sequence[BackendServer],
+        *,
+        is_recorded: bool,
     ) -> Holders:
         shared_part = pending.call.shared_part
         if shared_part is None:
             return self._choose_subset(pending.service, servers)
-        return self._directory.prompt_parts.choose_holders(
+        parts = self._directory.prompt_parts
+        find = parts.choose_holders if is_recorded else parts.peek_holders
+        return find(
             shared_part,
             servers,
             self._directory.find_engine(pending.service).memory_tokens,
--- a/src/bronzepost/_internal/gateway/servers/suspect_requests.py
+++ b/src/bronzepost/_internal/gateway/servers/suspect_requests.py
@@ -87,7 +87,7 @@
         Raises:
             RefusedError: if it does; it also says whether it has run now.
         """
-        if self._has_any(pending, rules.is_deadly, rules.is_deadly_target):
+        if self.is_deadly(pending):
             self._log_verdict(pending)
             raise refuse_deadly(pending)
 
@@ -104,6 +104,10 @@
             down=sorted(self._find_down(pending.service)),
         )
 
+    def is_deadly(self, pending: PendingCall) -> bool:
+        """Return whether a request crashes servers, and is refused."""
+        return self._has_any(pending, rules.is_deadly, rules.is_deadly_target)
+
     def is_suspect(self, pending: PendingCall) -> bool:
         """Return whether a request may have crashed a server."""
         return self._has_any(pending, rules.is_suspect, rules.is_suspect)
--- a/src/bronzepost/_internal/gateway/servers/warm_requests.py
+++ b/src/bronzepost/_internal/gateway/servers/warm_requests.py
@@ -31,6 +31,10 @@
 REFRESH_SECONDS: Final = 0.5
 
 
+# Controls are the requests with the smallest points.
+LARGEST_POINT: Final = 1.0
+
+
 class WarmRequests:
     """What this VM knows of subjects, and of the gain of each sticky route.
 
@@ -98,6 +102,24 @@
             ),
         )
 
+    def peek(self, route: Route, call: CallRequest, service: str) -> Warmth:
+        """Return how most requests about a subject are placed now.
+
+        Nothing is counted. Without a subject, or while its gain is not looked
+        for, the request has no group.
+        """
+        learner = self.find_learner(route.name)
+        subject = find_subject(route, call, service)
+        group = None
+        if subject:
+            group = warm_gain.choose_group(
+                learner.phase,
+                subject,
+                unix_seconds=time.time(),
+                point=LARGEST_POINT,
+            )
+        return Warmth(subject=subject, request_id=call.request_id, group=group)
+
     def choose(
         self,
         warmth: Warmth,
@@ -115,6 +137,10 @@
             unix_seconds=time.time(),
         )
 
+    def count_subjects(self) -> int:
+        """Return the number of subjects in the table."""
+        return len(self._subjects)
+
     def find_learner(self, route: str) -> warm_gain.GainLearner:
         """Return what is known of the gain of a route."""
         return self._learners.get(route) or warm_gain.GainLearner()
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -38,7 +38,11 @@
 from bronzepost._internal.gateway.peers.lost_members import LostMembers
 from bronzepost._internal.gateway.peers.received_reports import ReceivedReports
 from bronzepost._internal.gateway.requests.forwarding import Forwarder
+from bronzepost._internal.gateway.requests.placement_page import PlacementPage
 from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.placement_explainer import (
+    PlacementExplainer,
+)
 from bronzepost._internal.gateway.servers.server_calls import ServerCalls
 from bronzepost._internal.gateway.servers.server_permits import ServerPermits
 from bronzepost._internal.gateway.servers.suspect_requests import (
@@ -235,6 +239,7 @@
     server: CallerServer
     directory: Directory
     address: tuple[str, int]
+    placement_page: PlacementPage
 
     def call(self, content: bytes) -> 'CallerSocket':
         """Open a connection and send the bytes of a request."""
@@ -328,20 +333,21 @@
         _register(number, backend) for number, backend in enumerate(backends)
     ])
     suspects = make_suspects(directory)
+    servers = ServerCalls(
+        directory=directory,
+        reports=NoPeerReports(),  # type: ignore[arg-type]
+        permits=make_permits(directory),
+        suspects=suspects,
+        links=make_links(directory, pool),
+        names=NAMES,
+        vm_name='hall-a-1',
+        availability_zone='hall-a',
+    )
     forwarder = Forwarder(
         directory=directory,
         programs=None,  # type: ignore[arg-type]
         streams=NoPeerStreams(),  # type: ignore[arg-type]
-        servers=ServerCalls(
-            directory=directory,
-            reports=NoPeerReports(),  # type: ignore[arg-type]
-            permits=make_permits(directory),
-            suspects=suspects,
-            links=make_links(directory, pool),
-            names=NAMES,
-            vm_name='hall-a-1',
-            availability_zone='hall-a',
-        ),
+        servers=servers,
         suspects=suspects,
         decode_call=decode_test_call,
     )
@@ -353,7 +359,16 @@
     )
     server.start()
     yield TestGateway(
-        server=server, directory=directory, address=('127.0.0.1', port)
+        server=server,
+        directory=directory,
+        address=('127.0.0.1', port),
+        placement_page=PlacementPage(
+            forwarder=forwarder,
+            explainer=PlacementExplainer(
+                directory=directory, plans=servers.plans, suspects=suspects
+            ),
+            decode_call=decode_test_call,
+        ),
     )
     server.stop()
     for backend in backends:
--- a/tests/unit/test_gateway_warm_requests.py
+++ b/tests/unit/test_gateway_warm_requests.py
@@ -1,6 +1,7 @@
 """A gateway sends requests about a subject to warm servers, without peers."""
 
 import collections
+import itertools
 from typing import Any
 from unittest import mock
 
@@ -35,6 +36,8 @@
 COLD_SECONDS = 0.03
 WARM_SECONDS = 0.005
 KEPT_SUBJECTS = 3
+# Controls are drawn by the id of the request.
+REQUEST_NUMBERS = itertools.count()
 
 
 class RememberingServer(ScriptedServer):
@@ -72,7 +75,9 @@
 def call(gateway: TestGateway, subject: str, count: int = 1) -> None:
     """Send requests about a subject, one after the other."""
     for _ in range(count):
-        content = make_request(b'Subject: %b' % subject.encode())
+        content = make_request(b'Subject: %b' % subject.encode()).replace(
+            b'q-1', b'q-%d' % next(REQUEST_NUMBERS)
+        )
         gateway.call(content).read_answer()
 
 
