--- a/tests/unit/test_gateway_placement_page.py
+++ b/tests/unit/test_gateway_placement_page.py
@@ -1,5 +1,7 @@
 """The explanation of a placement agrees with what is then sent."""
 
+import contextlib
+import io
 import json
 from collections.abc import Callable
 from typing import Any
@@ -8,14 +10,21 @@
 import testtools
 from testtools.matchers import HasLength
 
+from bronzepost._internal.cli.exit_codes import ExitCode
+from bronzepost._internal.cli.main import run_command_line
 from bronzepost._internal.core.gateway.entities import Route, RouteKind
 from bronzepost._internal.exceptions import RefusedError
+from bronzepost._internal.gateway.callers.pages import start_pages_server
+from bronzepost._internal.gateway.requests.placement_page import (
+    PLACEMENT_PATH,
+)
 from bronzepost._internal.gateway.servers.server_permits import ServerPermits
 from tests.builders_gateway import make_route
 from tests.builders_gateway_servers import (
     ScriptedServer,
     TestGateway,
     answer_with,
+    find_port,
     make_answer,
     make_request,
     open_gateway,
@@ -144,3 +153,49 @@
                 gateway.placement_page.render,
                 {'host': 'desk.example', 'path': '/other'},
             )
+
+
+class TestPlacementCommand(testtools.TestCase):
+    """Operators ask a running gateway with ``bronzepost placement``."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.address = f'127.0.0.1:{find_port()}'
+
+    def run_command(self, *arguments: str) -> tuple[int, str]:
+        """Return the exit code and the output of the command."""
+        output = io.StringIO()
+        server = ScriptedServer(script=answer_with(OK))
+        with open_gateway(STICKY, server) as gateway:
+            pages = start_pages_server(
+                self.address, {PLACEMENT_PATH: gateway.placement_page.render}
+            )
+            self.addCleanup(pages.stop)
+            with contextlib.redirect_stdout(output):
+                exit_code = run_command_line([
+                    'placement',
+                    '--address',
+                    self.address,
+                    *arguments,
+                ])
+        self.assertEqual([], server.requests)
+        return exit_code, output.getvalue()
+
+    def test_table(self) -> None:
+        exit_code, text = self.run_command('desk.example', '/chat/x')
+        self.assertEqual(0, exit_code)
+        self.assertIn('decision', text)
+        self.assertIn('s-0', text.splitlines()[-1])
+
+    def test_json(self) -> None:
+        exit_code, text = self.run_command(
+            'desk.example', '/chat/x', '--header', 'Subject: o-1', '--json'
+        )
+        self.assertEqual(0, exit_code)
+        answer = json.loads(text)
+        self.assertEqual('s-0', answer['server'])
+        self.assertEqual('undecided', answer['stickiness'])
+
+    def test_unknown_route(self) -> None:
+        exit_code, _ = self.run_command('other.example', '/')
+        self.assertEqual(ExitCode.REFUSED, exit_code)
