--- a/src/bronzepost/_internal/gateway/requests/caller_access.py
+++ b/src/bronzepost/_internal/gateway/requests/caller_access.py
@@ -1,6 +1,7 @@
 """Which requests of callers the configuration allows, and for which workspace."""
 
 import dataclasses
+from http import HTTPStatus
 from typing import Protocol
 
 from bronzepost._internal.core.gateway.entities import (
@@ -99,6 +100,46 @@
             uses_workspaces=self._directory.workspaces.is_in_force,
         )
 
+    def preview(
+        self, request: HttpRequest, call: CallRequest, workspace_name: str
+    ) -> Access:
+        """Return the route of a request that a workspace might send.
+
+        Keys are left out and nothing is recorded.
+
+        Raises:
+            RefusedError: if the configuration has no such route or workspace.
+        """
+        if self._directory.configuration is None:
+            raise refuse_starting()
+        route = self._directory.routes.find_route(
+            host=request.host, target=request.target.decode('latin-1')
+        )
+        if route is None:
+            raise refuse_access(AccessProblem.NO_ROUTE)
+        workspace = None
+        if workspace_name:
+            workspace = self._find_workspace(workspace_name)
+        return Access(
+            call=scope_call(call, workspace),
+            route=route,
+            workspace=workspace,
+            uses_workspaces=self._directory.workspaces.is_in_force,
+        )
+
+    def _find_workspace(self, name: str) -> Workspace:
+        configuration = self._directory.configuration
+        workspaces = (configuration and configuration.workspaces) or ()
+        for workspace in workspaces:
+            if workspace.name == name:
+                return workspace
+        raise RefusedError(
+            f'the configuration has no workspace {name}',
+            code='no_workspace',
+            status=HTTPStatus.NOT_FOUND,
+            step='find workspace',
+        )
+
     def _decide(self, request: HttpRequest) -> AccessDecision:
         return decide_access(
             self._directory.routes,
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -103,18 +103,19 @@
             return
         try:
             self._serve(
-                self._create_pending_call(request, access, answer, started_at)
+                self.create_pending_call(request, access, answer, started_at)
             )
         except RefusedError as error:
             self._refuse(access.call, answer, error, started_at)
 
-    def _create_pending_call(
+    def create_pending_call(
         self,
         request: HttpRequest,
         access: Access,
         answer: CallerAnswer,
         started_at: float,
     ) -> PendingCall:
+        """Return a request that is to be forwarded on its route."""
         call, route = access.call, access.route
         timeout_seconds = route.timeout_seconds
         if call.deadline_seconds is not None:
@@ -329,6 +330,11 @@
         METRICS.requests.labels(kind=kind, outcome=outcome).inc()
         count_by_workspace(call, outcome)
         METRICS.request_seconds.labels(kind=kind).observe(elapsed_seconds)
+        placed = pending.warmth and pending.warmth.placed
+        if placed:
+            METRICS.warm_requests.labels(
+                route=pending.route.name, placed=placed
+            ).inc()
         emit(
             LogEvent.REQUEST_DONE,
             request=call.request_id,
@@ -343,6 +349,7 @@
             previous_server=find_previous_server(pending) or None,
             home=pending.turn.reservation.home if pending.turn else None,
             sends=pending.sends,
+            placed=placed,
             status=pending.answer.status,
             framing=pending.framing,
             server_limit=pending.server_limit or None,
--- a/src/bronzepost/_internal/gateway/requests/pending_call.py
+++ b/src/bronzepost/_internal/gateway/requests/pending_call.py
@@ -10,6 +10,7 @@
     Workspace,
 )
 from bronzepost._internal.core.gateway.scopes import scope_id
+from bronzepost._internal.core.gateway.warm_servers import Warmth
 from bronzepost._internal.exceptions import BackendServerError
 from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
 from bronzepost._internal.gateway.callers.event_stream import EventSplitter
@@ -48,6 +49,7 @@
     ``workspace`` is that of the caller's key. If the configuration
     ``uses_workspaces``, servers do not get the key, and the name of the workspace
     from the gateway only.
+    ``warmth`` is None unless servers may have seen the subject of the request.
     """
 
     request: HttpRequest
@@ -73,6 +75,7 @@
     turn: OpenTurn | None = None
     workspace: Workspace | None = None
     uses_workspaces: bool = False
+    warmth: Warmth | None = None
 
     @property
     def may_run_again(self) -> bool:
--- a/src/bronzepost/_internal/gateway/servers/directory.py
+++ b/src/bronzepost/_internal/gateway/servers/directory.py
@@ -21,6 +21,7 @@
 from bronzepost._internal.gateway.servers.service_versions import (
     ServiceVersions,
 )
+from bronzepost._internal.gateway.servers.warm_requests import WarmRequests
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
@@ -41,6 +42,7 @@
         self.ratings = ServerRatings()
         self.limits = ServerLimits()
         self.links = LinkRecords()
+        self.warm_requests = WarmRequests()
         # Connections to backend servers that this VM relays for others.
         self.tunnels = 0
         self._pool = pool
@@ -88,6 +90,7 @@
             workspaces=configuration.workspaces
         )
         _log_unusable(self.workspaces, configuration.version)
+        self.warm_requests.use_routes(configuration.routes)
         emit(
             LogEvent.ROUTES_IN_FORCE,
             version=configuration.version,
--- a/src/bronzepost/_internal/gateway/servers/server_placement.py
+++ b/src/bronzepost/_internal/gateway/servers/server_placement.py
@@ -1,5 +1,7 @@
 """Choose the backend server of a request from what this VM knows of servers."""
 
+import dataclasses
+import functools
 import random
 from collections.abc import Sequence, Set
 from typing import Final
@@ -16,6 +18,7 @@
     PlacementContext,
     choose_server,
 )
+from bronzepost._internal.core.gateway.warm_servers import LoadLimits, Traffic
 from bronzepost._internal.gateway.links.server_links import ServerLinks
 from bronzepost._internal.gateway.peers.peer_reports import PeerReports
 from bronzepost._internal.gateway.requests.pending_call import PendingCall
@@ -32,6 +35,19 @@
 _SALT_BITS: Final = 32
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PlacementPlan:
+    """The servers that are compared for a request, and what is known of them."""
+
+    candidates: Sequence[BackendServer]
+    context: PlacementContext
+    excluded_ids: Set[str]
+
+    def choose(self) -> BackendServer | None:
+        """Return the server for the request, or None if there is none."""
+        return choose_server(self.candidates, self.context)
+
+
 class ServerPlacement:
     """Choose among the servers of a service by load, caches and distance."""
 
@@ -53,30 +69,69 @@
         # Cached until a server of the service changes.
         self._subset_by_service: dict[str, Holders] = {}
 
-    def choose(
+    def plan(
         self,
         pending: PendingCall,
         *,
         avoided_ids: Set[str],
         excluded_ids: Set[str],
-    ) -> BackendServer | None:
-        """Return the server for a request, or None if there is none.
+        is_recorded: bool = True,
+    ) -> PlacementPlan:
+        """Return the servers that are compared for a request.
 
         One of ``avoided_ids`` is chosen only if there is no other, and one of
-        ``excluded_ids`` never.
+        ``excluded_ids`` never. The use of its subject and of its shared part
+        counts if it ``is_recorded``.
         """
         servers = self._directory.list_servers(pending.service)
-        holders = self._choose_holders(pending, servers)
-        avoided_ids = self._directory.ratings.list_avoided() | avoided_ids
-        candidates = self._list_candidates(
+        if not is_recorded:
+            pending.warmth = self._directory.warm_requests.peek(
+                pending.route, pending.call, pending.service
+            )
+        holders = self._choose_holders(
+            pending, servers, is_recorded=is_recorded
+        )
+        avoided = self._directory.ratings.list_avoided() | avoided_ids
+        excluded_ids = self.list_excluded(pending) | excluded_ids
+        candidates = self._list_warm(
+            servers, pending, unwanted_ids=avoided | excluded_ids
+        ) or self._list_candidates(
             servers,
             holders,
             pending,
-            avoided_ids=avoided_ids,
-            excluded_ids=self.list_excluded(pending) | excluded_ids,
+            avoided_ids=avoided,
+            excluded_ids=excluded_ids,
         )
+        return PlacementPlan(
+            candidates=candidates,
+            context=self._build_context(
+                pending, candidates, holders=holders, avoided_ids=avoided
+            ),
+            excluded_ids=excluded_ids,
+        )
+
+    def list_excluded(self, pending: PendingCall) -> Set[str]:
+        """Return the ids of servers at which a request must not run.
+
+        It failed there, or they would go on with its stream at another version.
+        """
+        if pending.stream_version is None:
+            return pending.excluded_ids
+        others = self._directory.list_other_versions(
+            pending.service, pending.stream_version
+        )
+        return pending.excluded_ids | others
+
+    def _build_context(
+        self,
+        pending: PendingCall,
+        candidates: Sequence[BackendServer],
+        *,
+        holders: Holders,
+        avoided_ids: frozenset[str],
+    ) -> PlacementContext:
         shared_part = pending.call.shared_part
-        context = PlacementContext(
+        return PlacementContext(
             availability_zone=self._availability_zone,
             in_flight={
                 server.server_id: self._reports.count_in_flight(
@@ -101,19 +156,67 @@
             report_age_seconds=self._reports.max_age_seconds,
             salt=random.getrandbits(_SALT_BITS),
         )
-        return choose_server(candidates, context)
 
-    def list_excluded(self, pending: PendingCall) -> Set[str]:
-        """Return the ids of servers at which a request must not run.
+    def _list_warm(
+        self,
+        servers: Sequence[BackendServer],
+        pending: PendingCall,
+        *,
+        unwanted_ids: Set[str],
+    ) -> Sequence[BackendServer]:
+        """Return the servers to which a request with a subject goes, if any."""
+        if not pending.route.is_sticky:
+            return ()
+        warm_requests = self._directory.warm_requests
+        if pending.warmth is None:
+            # A request that is sent again is not counted again.
+            pending.warmth = warm_requests.begin(
+                pending.route,
+                pending.call,
+                servers,
+                self._build_traffic(pending.service),
+            )
+        warmth = pending.warmth
+        if warmth is None:
+            return ()
+        warmth.choice = warm_requests.choose(
+            warmth, servers, self._build_limits(pending, servers, unwanted_ids)
+        )
+        return warmth.choice.servers
 
-        It failed there, or they would go on with its stream at another version.
-        """
-        if pending.stream_version is None:
-            return pending.excluded_ids
-        others = self._directory.list_other_versions(
-            pending.service, pending.stream_version
+    def _build_traffic(self, service: str) -> Traffic:
+        return Traffic(
+            service=service,
+            vm_count=self._reports.vm_count,
+            request_seconds=self._directory.ratings.find_exchange_seconds(
+                service
+            ),
         )
-        return pending.excluded_ids | others
+
+    def _build_limits(
+        self,
+        pending: PendingCall,
+        servers: Sequence[BackendServer],
+        unwanted_ids: Set[str],
+    ) -> LoadLimits:
+        warm_requests = self._directory.warm_requests
+        return LoadLimits(
+            unwanted_ids=unwanted_ids,
+            count_in_flight=self._count_at,
+            find_slots=functools.partial(self._find_slots, pending.service),
+            utilization=warm_requests.find_utilization(
+                pending.service,
+                ((self._count_at(server), server.slots) for server in servers),
+            ),
+            gain=warm_requests.find_learner(pending.route.name).weight,
+        )
+
+    def _count_at(self, server: BackendServer) -> float:
+        return self._reports.count_in_flight(server.server_id)
+
+    def _find_slots(self, service: str, server: BackendServer) -> float:
+        limited = self._find_limited_slots(service, (server,))
+        return limited.get(server.server_id, server.slots)
 
     def _list_candidates(
         self,
@@ -154,12 +257,18 @@
         return slots_by_id
 
     def _choose_holders(
-        self, pending: PendingCall, servers: Sequence[BackendServer]
+        self,
+        pending: PendingCall,
+        servers: Sequence[BackendServer],
+        *,
+        is_recorded: bool,
     ) -> Holders:
         shared_part = pending.call.shared_part
         if shared_part is None:
             return self._choose_subset(pending.service, servers)
-        return self._directory.prompt_parts.choose_holders(
+        parts = self._directory.prompt_parts
+        find = parts.choose_holders if is_recorded else parts.peek_holders
+        return find(
             shared_part,
             servers,
             self._directory.find_engine(pending.service).memory_tokens,
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -306,6 +306,16 @@
         WARNING,
         'The name of a workspace cannot be sent; its keys are refused.',
     )
+    STICKINESS_BEGAN = (
+        8071,
+        INFO,
+        'Requests of a route go to servers that have seen their subject.',
+    )
+    STICKINESS_ENDED = (
+        8072,
+        INFO,
+        'Warm servers are no faster; a route is served without regard to them.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -104,6 +104,18 @@
             ('name',),
             CounterOrGauge,
         )
+        self.warm_requests = MetricFamily(
+            'bronzepost_warm_requests',
+            'Requests about a subject by route and how they were placed.',
+            ('route', 'placed'),
+            CounterOrGauge,
+        )
+        self.warm_gain = MetricFamily(
+            'bronzepost_warm_gain',
+            'The share of its time that a request saves on a warm server.',
+            ('route',),
+            CounterOrGauge,
+        )
         self._counters = (
             self.requests,
             self.refusals,
@@ -114,6 +126,7 @@
             self.keys_refused,
             self.messages_unknown,
             self.messages_held_back,
+            self.warm_requests,
             logs_left_out,
         )
 
@@ -137,7 +150,8 @@
 
         for counter in self._counters:
             yield _build_family(core.CounterMetricFamily, counter)
-        yield _build_family(core.GaugeMetricFamily, self.state)
+        for gauge in (self.state, self.warm_gain):
+            yield _build_family(core.GaugeMetricFamily, gauge)
         histogram = core.HistogramMetricFamily(
             self.request_seconds.name,
             self.request_seconds.description,
