Bound what a VM holds for slow callers and servers

A caller that read slowly kept its server's answer unread until the server cut it off, lost the answer at the deadline of the request, and was disconnected by TCP_USER_TIMEOUT (5.3 s after its window had closed, trial on the loopback). What was held for callers was neither counted nor bounded. Answers now go through a counted queue that is sent at the caller's pace, large bodies get room before they are read, and above two marks requests are refused as not run.

--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -10,11 +10,23 @@
 from gevent.server import StreamServer
 
 from bronzepost._internal.core.gateway.entities import CallerLimits
+from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.exceptions import ProtocolError, RefusedError
+from bronzepost._internal.gateway.callers.body_account import BodyAccount
+from bronzepost._internal.gateway.callers.caller_outbox import (
+    CallerOutbox,
+    WaitContext,
+)
 from bronzepost._internal.gateway.callers.header_names import (
     Headers,
     strip_connection_headers,
 )
+from bronzepost._internal.gateway.callers.held_memory import (
+    HeldMemory,
+    MemoryShortError,
+    count_refused,
+    refuse_memory,
+)
 from bronzepost._internal.gateway.callers.http_messages import (
     AnswerHead,
     HttpRequest,
@@ -29,10 +41,18 @@
 )
 from bronzepost._internal.refusal_bodies import encode_refusal
 from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.exposition import METRICS
 from bronzepost._internal.telemetry.logs import emit
 
-# A caller that acknowledges no data for this long counts as disconnected.
-USER_TIMEOUT_MS: Final = 5000
+# A caller that acknowledges no data for this long counts as disconnected. Linux
+# also ends a connection by it whose window is closed for as long, though the caller
+# acknowledges, so it is as long as a slow caller may take.
+USER_TIMEOUT_MS: Final = 30_000
+# For how long a caller may go on sending a body that is refused. Closing a connection
+# with unread bytes resets it, and the refusal would be lost.
+LINGER_SECONDS: Final = 2.0
+# The greenlet, the parser and the sockets' state of an open connection.
+CONNECTION_BYTES: Final = 16384
 LISTEN_BACKLOG: Final = 1024
 _READ_BYTES: Final = 65536
 # The libev event mask for a readable descriptor.
@@ -52,12 +72,21 @@
     ``status`` is the HTTP status, 0 until the head has been written.
     """
 
-    def __init__(self, *, sock: Any, is_http11: bool, keep_alive: bool) -> None:
+    def __init__(
+        self,
+        *,
+        sock: Any,
+        is_http11: bool,
+        keep_alive: bool,
+        memory: HeldMemory,
+    ) -> None:
         """Write to a connection, to be kept open if ``keep_alive`` is true."""
+        self.memory = memory
         self.status = 0
         self.is_complete = False
         self.keep_alive = keep_alive
         self._sock = sock
+        self._outbox = CallerOutbox(sock=sock, memory=memory)
         self._is_http11 = is_http11
         self._is_chunked = False
         self._ends_with_close = False
@@ -67,6 +96,15 @@
         """Return whether the head of the answer has been written."""
         return self.status > 0
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether the caller has to read before the rest can be sent."""
+        return self._outbox.has_unsent
+
+    def wait_in(self, wait_context: WaitContext) -> None:
+        """Enter a context while the caller has to read before a write."""
+        self._outbox.wait_context = wait_context
+
     def start(self, head: AnswerHead) -> None:
         """Write the head of a backend server's answer.
 
@@ -91,18 +129,29 @@
             self.start(head)
 
     def write(self, block: bytes) -> None:
-        """Write a block of the body."""
+        """Write a block of the body; wait if too much of it is unread."""
         if block:
             self._send(encode_chunk(block) if self._is_chunked else block)
 
     def finish(self) -> None:
-        """End the answer."""
+        """End the answer; ``flush`` sends what the caller has not read yet."""
         if self._is_chunked:
             self._send(encode_chunk(b''))
-        if self._ends_with_close:
-            self._reset_on_close(is_reset=False)
         self.is_complete = True
 
+    def flush(self) -> None:
+        """Return when all that was written has been sent."""
+        try:
+            self._outbox.flush()
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+        if self._ends_with_close and self.is_complete:
+            self._reset_on_close(is_reset=False)
+
+    def close(self) -> None:
+        """Drop what has not been sent."""
+        self._outbox.close()
+
     def send_whole(self, head: AnswerHead, body: bytes) -> None:
         """Write the whole answer of a backend server."""
         length = b'%d' % len(body)
@@ -146,7 +195,7 @@
 
     def _send(self, content: bytes) -> None:
         try:
-            self._sock.sendall(content)
+            self._outbox.send(content)
         except OSError as error:
             raise CallerGoneError(str(error)) from error
 
@@ -163,18 +212,22 @@
         self._sock = sock
         self._server = server
         self._limits = limits
+        self._memory = server.memory
+        self._body = BodyAccount(self._memory)
         self._reader = RequestReader(
-            header_bytes=limits.header_bytes, body_bytes=limits.body_bytes
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            reserve=self._body.reserve,
         )
 
     def serve(self) -> None:
         """Serve requests until the caller or the gateway closes."""
-        while True:
-            request = self._read_request()
-            if request is None:
-                return
-            if not self._answer(request):
-                return
+        held = self._memory.open(HeldKind.CONNECTIONS)
+        with held, contextlib.closing(self._body):
+            held.resize(CONNECTION_BYTES)
+            is_open = True
+            while is_open:
+                is_open = self._serve_next()
 
     def close_idle(self) -> None:
         """Close the connection unless it has a request, running or unread."""
@@ -196,17 +249,46 @@
         finally:
             self._sock.settimeout(timeout)
 
-    def _answer(self, request: HttpRequest) -> bool:
+    def _serve_next(self) -> bool:
+        """Serve a request; return whether the connection stays open."""
+        answer = self._answer_next()
+        if answer is None:
+            return False
+        with contextlib.closing(answer):
+            self._flush(answer)
+        self.is_idle = True
+        return answer.is_complete and answer.keep_alive
+
+    def _answer_next(self) -> CallerAnswer | None:
+        """Answer a request, which is no longer in memory on return."""
+        request = self._read_request()
+        if request is None:
+            return None
+        self._body.complete(len(request.body))
+        with contextlib.closing(self._body):
+            return self._answer(request)
+
+    def _flush(self, answer: CallerAnswer) -> None:
+        if answer.has_unsent:
+            with self._watch_caller():
+                answer.flush()
+        else:
+            answer.flush()
+
+    def _answer(self, request: HttpRequest) -> CallerAnswer:
         self.is_idle = False
         answer = CallerAnswer(
             sock=self._sock,
             is_http11=request.is_http11,
             keep_alive=request.keep_alive and not self._server.is_draining,
+            memory=self._memory,
         )
-        with self._watch_caller():
-            self._server.answer(request, answer)
-        self.is_idle = True
-        return answer.is_complete and answer.keep_alive
+        with contextlib.ExitStack() as stack:
+            stack.callback(answer.close)
+            with self._watch_caller():
+                self._server.answer(request, answer)
+            stack.pop_all()
+        return answer
 
     @contextlib.contextmanager
     def _watch_caller(self) -> Iterator[None]:
@@ -232,6 +314,9 @@
             while not reader.requests:
                 if not self._read_more():
                     return None
+        except MemoryShortError as error:
+            self._refuse_body(error)
+            return None
         except MessageTooLargeError as error:
             self._refuse(error.status, error)
             return None
@@ -245,6 +330,7 @@
         if self._is_closed or not received:
             return False
         self._reader.feed(received)
+        self._body.count_arrived(self._reader.body_bytes)
         if self._reader.expects_continue:
             self._sock.sendall(b'HTTP/1.1 100 Continue\r\n\r\n')
         return True
@@ -272,26 +358,66 @@
 
     def _refuse(self, status: HTTPStatus, error: ProtocolError) -> None:
         emit(LogEvent.REQUEST_UNREADABLE, error=error, status=status.value)
-        answer = CallerAnswer(sock=self._sock, is_http11=True, keep_alive=False)
-        refusal = RefusedError(
-            error.message, code='bad_request', status=status, step=error.step
+        self._send_refusal(
+            RefusedError(
+                error.message,
+                code='bad_request',
+                status=status,
+                step=error.step,
+            )
+        )
+
+    def _refuse_body(self, error: MemoryShortError) -> None:
+        refusal = refuse_memory()
+        count_refused('body')
+        METRICS.refusals.labels(code=refusal.code, run=refusal.run.value).inc()
+        emit(
+            LogEvent.BODY_REFUSED,
+            error=error,
+            held=self._memory.held_bytes,
+            announced=self._memory.bytes_by_kind[HeldKind.ANNOUNCED],
+        )
+        self._send_refusal(refusal)
+
+    def _send_refusal(self, refusal: RefusedError) -> None:
+        """Refuse a request that was not read to its end."""
+        self._body.close()
+        answer = CallerAnswer(
+            sock=self._sock,
+            is_http11=True,
+            keep_alive=False,
+            memory=self._memory,
         )
-        answer.refuse(refusal)
+        with contextlib.closing(answer):
+            answer.refuse(refusal)
+            answer.flush()
+        with gevent.Timeout(LINGER_SECONDS, exception=False):
+            self._sock.shutdown(socket.SHUT_WR)
+            is_sending = True
+            while is_sending:
+                is_sending = bool(self._sock.recv(_READ_BYTES))
 
 
 class CallerServer:
     """Listen for callers and pass their requests to a handler."""
 
     def __init__(
-        self, *, address: str, answer: AnswerRequest, read_limits: ReadLimits
+        self,
+        *,
+        address: str,
+        answer: AnswerRequest,
+        read_limits: ReadLimits,
+        memory: HeldMemory | None = None,
     ) -> None:
         """Prepare to listen on ``IP:PORT``; ``start`` binds the address.
 
-        ``read_limits`` is called for each connection that is accepted.
+        ``read_limits`` is called for each connection that is accepted. What
+        callers have not read is counted in ``memory``, by itself if it is None.
         """
         host, _, port = address.rpartition(':')
         self.answer = answer
         self.is_draining = False
+        self.memory = memory or HeldMemory()
         self._read_limits = read_limits
         self._connections: set[CallerConnection] = set()
         self._server = StreamServer(
--- a/src/bronzepost/_internal/gateway/callers/delivery.py
+++ b/src/bronzepost/_internal/gateway/callers/delivery.py
@@ -1,11 +1,14 @@
 """Send answers of backend servers to callers."""
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final
 
+from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
+from bronzepost._internal.gateway.callers.event_stream import EventSplitter
 from bronzepost._internal.gateway.callers.header_names import drop_headers
+from bronzepost._internal.gateway.callers.held_memory import HeldBytes
 from bronzepost._internal.gateway.callers.http_messages import AnswerHead
 from bronzepost._internal.gateway.links.backend_exchange import BackendExchange
 from bronzepost._internal.gateway.requests.pending_call import PendingCall
@@ -23,11 +26,14 @@
     """Send an answer when it is complete; send a large one as it arrives."""
     buffered = b''
     blocks = exchange.read_blocks()
-    for block in blocks:
-        buffered += block
-        if len(buffered) > MAX_BUFFERED_BODY_BYTES:
-            deliver_blocks(answer, head, buffered, blocks)
-            return
+    with answer.memory.open(HeldKind.ANSWERS) as held:
+        for block in blocks:
+            buffered += block
+            held.resize(len(buffered))
+            if len(buffered) > MAX_BUFFERED_BODY_BYTES:
+                held.close()
+                deliver_blocks(answer, head, buffered, blocks)
+                return
     answer.send_whole(head, buffered)
 
 
@@ -64,26 +70,41 @@
     """
     head = drop_length(head)
     answer = pending.answer
-    pending.events.drop_partial_event()
+    events = pending.events
+    events.drop_partial_event()
+    with answer.memory.open(HeldKind.ANSWERS) as held:
+        for complete_events in _read_events(events, exchange, held):
+            if complete_events:
+                if not answer.is_started:
+                    begin_stream(pending)
+                answer.ensure_started(head)
+                answer.write(complete_events)
+        answer.ensure_started(head)
+        answer.write(events.pop_partial_event())
+        save_turn(pending)
+    answer.finish()
+
+
+def _read_events(
+    events: EventSplitter, exchange: BackendExchange, held: HeldBytes
+) -> Iterator[bytes]:
+    """Yield the events that each block completes, and check the size of the next.
+
+    Raises:
+        ExchangeError: if the stream breaks off, or ends inside an event.
+    """
     for block in exchange.read_blocks():
-        complete_events = pending.events.feed(block)
-        if complete_events:
-            if not answer.is_started:
-                begin_stream(pending)
-            answer.ensure_started(head)
-            answer.write(complete_events)
-        if pending.events.partial_bytes > MAX_EVENT_BYTES:
+        complete_events = events.feed(block)
+        held.resize(events.partial_bytes + events.kept_bytes)
+        yield complete_events
+        if events.partial_bytes > MAX_EVENT_BYTES:
             raise exchange.break_off(
                 f'an event has more than {MAX_EVENT_BYTES} bytes'
             )
     # The connection or the last chunk may end a stream that its server has not
     # finished.
-    if pending.events.is_inside_event:
+    if events.is_inside_event:
         raise exchange.break_off('the stream ends inside an event')
-    answer.ensure_started(head)
-    answer.write(pending.events.pop_partial_event())
-    save_turn(pending)
-    answer.finish()
 
 
 def drop_length(head: AnswerHead) -> AnswerHead:
--- a/src/bronzepost/_internal/gateway/callers/event_stream.py
+++ b/src/bronzepost/_internal/gateway/callers/event_stream.py
@@ -10,14 +10,16 @@
 _COMMENT: Final = b':'
 _ID_FIELD: Final = b'id:'
 _DATA_FIELD: Final = b'data:'
+# The size of the data of an event in memory beyond its content.
+_DATA_OVERHEAD_BYTES: Final = 41
 
 
 class EventSplitter:
     """Split the blocks of an event stream into complete events.
 
     ``event_count`` is the number of complete events, ``last_id`` the id of the
-    last one. ``event_data`` holds the data of each, with its lines joined by
-    line feeds. ``trailing_bytes`` is the number of bytes after the last complete
+    last one. If ``keeps_data`` is true, ``event_data`` holds the data of each, with
+    its lines joined by line feeds, in ``kept_bytes``. ``trailing_bytes`` is the number of bytes after the last complete
     event when the stream ended or broke off. The first event was complete at
     ``first_at``, in monotonic seconds.
     """
@@ -26,7 +28,9 @@
         """Start with an empty stream."""
         self.last_id = b''
         self.event_count = 0
+        self.keeps_data = True
         self.event_data: list[bytes] = []
+        self.kept_bytes = 0
         self.trailing_bytes = 0
         self._partial_event = b''
         self.first_at: float = 0
@@ -89,4 +93,7 @@
                 self.last_id = line[len(_ID_FIELD) :].strip()
             elif line.startswith(_DATA_FIELD):
                 data.append(line[len(_DATA_FIELD) :].removeprefix(b' '))
-        self.event_data.append(b'\n'.join(data))
+        if self.keeps_data:
+            joined = b'\n'.join(data)
+            self.event_data.append(joined)
+            self.kept_bytes += len(joined) + _DATA_OVERHEAD_BYTES
--- a/src/bronzepost/_internal/gateway/callers/http_messages.py
+++ b/src/bronzepost/_internal/gateway/callers/http_messages.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import enum
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
 
@@ -23,6 +24,8 @@
 # Bytes that a server may send without a part of the answer: headers, interim
 # answers, late answers to earlier requests, extensions and trailers of chunks.
 MAX_OVERHEAD_BYTES: Final = 262144
+# A body whose length is not announced gets room in steps of this size.
+_RESERVE_STEP_BYTES: Final = 262144
 _MIN_FINAL_STATUS: Final = 200
 # Colon, space and CRLF of a header line.
 _HEADER_OVERHEAD_BYTES: Final = 4
@@ -93,11 +96,23 @@
     """Parse the bytes of a caller's connection into requests.
 
     ``expects_continue`` is set while the caller waits for an interim answer
-    (100 Continue) before it sends the body.
+    (100 Continue) before it sends the body. ``body_bytes`` of the current body
+    have arrived.
     """
 
-    def __init__(self, *, header_bytes: int, body_bytes: int) -> None:
-        """Limit the size of the headers and of the body."""
+    def __init__(
+        self,
+        *,
+        header_bytes: int,
+        body_bytes: int,
+        reserve: Callable[[int], None] | None = None,
+    ) -> None:
+        """Limit the size of the headers and of the body.
+
+        ``reserve`` is called before the bytes of a body are read, with the whole
+        size as far as it is known, and may raise a ``ProtocolError``.
+        """
+        self._reserve = reserve or (lambda _size: None)
         self.requests: collections.deque[HttpRequest] = collections.deque()
         self.expects_continue = False
         self._limits = (header_bytes, body_bytes)
@@ -146,18 +161,22 @@
 
     def on_headers_complete(self) -> None:
         """Set ``expects_continue`` if the request has an Expect header."""
-        expectation = find_header(tuple(self._headers), b'expect')
-        self.expects_continue = expectation is not None
+        headers = tuple(self._headers)
+        self.expects_continue = find_header(headers, b'expect') is not None
+        length = int(find_header(headers, b'content-length') or 0)
+        self._check_body_size(length)
+        if length:
+            self._reserved_bytes = length
+            self._reserve(length)
 
     def on_body(self, block: bytes) -> None:
         """Add a block of the body."""
         self.expects_continue = False
-        self._body_size += len(block)
-        if self._body_size > self._limits[1]:
-            raise MessageTooLargeError(
-                f'the body is larger than {self._limits[1]} bytes',
-                status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            )
+        self.body_bytes += len(block)
+        self._check_body_size(self.body_bytes)
+        if self.body_bytes > self._reserved_bytes:
+            self._reserved_bytes = self.body_bytes + _RESERVE_STEP_BYTES
+            self._reserve(self._reserved_bytes)
         self._blocks.append(block)
 
     def on_message_complete(self) -> None:
@@ -174,14 +193,24 @@
                 is_http11=self._parser.get_http_version() == '1.1',
             )
         )
+        # The blocks are not kept beside the body while the request runs.
+        self._blocks.clear()
 
     def _reset(self) -> None:
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._blocks: list[bytes] = []
-        self._body_size = 0
+        self.body_bytes = 0
+        self._reserved_bytes = 0
         self._head_size = 0
 
+    def _check_body_size(self, size: int) -> None:
+        if size > self._limits[1]:
+            raise MessageTooLargeError(
+                f'the body is larger than {self._limits[1]} bytes',
+                status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            )
+
     def _add_head_size(self, size: int) -> None:
         self._head_size += size
         if self._head_size > self._limits[0]:
--- a/src/bronzepost/_internal/gateway/links/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/links/backend_connections.py
@@ -14,7 +14,10 @@
 from bronzepost._internal.exceptions import ExchangeError
 from bronzepost._internal.gateway.callers.header_names import find_header
 from bronzepost._internal.gateway.callers.http_messages import AnswerReader
-from bronzepost._internal.gateway.links.tcp_options import set_tcp_options
+from bronzepost._internal.gateway.links.tcp_options import (
+    set_tcp_options,
+    set_user_timeout,
+)
 from bronzepost._internal.node.clock import read_clock
 
 # A TCP handshake within a region takes a few milliseconds. A lost SYN is sent
@@ -23,6 +26,8 @@
 # Data that a backend server does not acknowledge, or does not read, for this long
 # breaks the connection. A sound server may be silent for a second or two.
 USER_TIMEOUT_MS: Final = 2500
+# The same while a server reads a large body slowly. Lost links are found by probes.
+SLOW_READ_TIMEOUT_MS: Final = 15_000
 # How long an idle connection is used if the server sends no Keep-Alive timeout.
 DEFAULT_KEEP_ALIVE_SECONDS: Final = 4.0
 # An idle connection is not used within this time before the server closes it,
@@ -54,6 +59,22 @@
         """
         self.sock.sendall(content)
 
+    def send_at_pace(self, content: memoryview) -> None:
+        """Send all bytes, also to a server that reads slowly.
+
+        Raises:
+            OSError: if the connection is broken, or if the server reads nothing for
+                ``SLOW_READ_TIMEOUT_MS``.
+        """
+        sent = 0
+        with contextlib.suppress(BlockingIOError):
+            # No flags and no timeout.
+            sent = self.sock.send(content, 0, 0)
+        if sent < len(content):
+            set_user_timeout(self.sock, SLOW_READ_TIMEOUT_MS)
+            self.sock.sendall(content[sent:])
+            set_user_timeout(self.sock, USER_TIMEOUT_MS)
+
     def receive(self) -> bytes:
         """Return the next bytes, or no bytes after an orderly close.
 
--- a/src/bronzepost/_internal/gateway/links/backend_exchange.py
+++ b/src/bronzepost/_internal/gateway/links/backend_exchange.py
@@ -20,6 +20,8 @@
 # block. A larger one is sent by a separate greenlet, because the server may
 # answer before it has read the body.
 _MAX_INLINE_BODY_BYTES: Final = 4096
+# The part of a large body that is sent with the head. The rest is not copied.
+_FIRST_BLOCK_BYTES: Final = 16384
 
 
 class BackendExchange:
@@ -71,7 +73,7 @@
                 the request may have run.
         """
         if len(body) > _MAX_INLINE_BODY_BYTES:
-            self._sender = gevent.spawn(self._send_in_background, head + body)
+            self._sender = gevent.spawn(self._send_in_background, head, body)
             return
         try:
             self._connection.send(head + body)
@@ -132,10 +134,13 @@
         except ProtocolError as error:
             raise self._build_error(error) from error
 
-    def _send_in_background(self, content: bytes) -> bool:
+    def _send_in_background(self, head: bytes, body: bytes) -> bool:
         # If the connection is broken, reading the answer raises the error.
         with contextlib.suppress(OSError):
-            self._connection.send(content)
+            self._connection.send(head + body[:_FIRST_BLOCK_BYTES])
+            rest = memoryview(body)[_FIRST_BLOCK_BYTES:]
+            if rest:
+                self._connection.send_at_pace(rest)
             return True
         return False
 
--- a/src/bronzepost/_internal/gateway/links/relay_server.py
+++ b/src/bronzepost/_internal/gateway/links/relay_server.py
@@ -12,10 +12,12 @@
 from gevent.server import StreamServer
 
 from bronzepost._internal.core.gateway.entities import BackendServer
+from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.exceptions import ExchangeError, ProtocolError
 from bronzepost._internal.gateway.callers.caller_connections import (
     LISTEN_BACKLOG,
 )
+from bronzepost._internal.gateway.callers.held_memory import HeldMemory
 from bronzepost._internal.gateway.links.backend_connections import (
     BackendConnection,
 )
@@ -99,7 +101,11 @@
             send_frame(sock, TunnelAnswer(verdict=verdict))
             if connection is not None:
                 with contextlib.closing(connection):
-                    Tunnel(caller=sock, server=connection.sock).run()
+                    Tunnel(
+                        caller=sock,
+                        server=connection.sock,
+                        memory=self._directory.memory,
+                    ).run()
 
     @contextlib.contextmanager
     def _count_tunnel(self) -> Any:
@@ -115,7 +121,8 @@
         server = self._find_server(request)
         if server is None:
             return None, TunnelVerdict.UNKNOWN_SERVER
-        if self._directory.tunnels > MAX_TUNNELS:
+        is_short = self._directory.memory.is_full
+        if is_short or self._directory.tunnels > MAX_TUNNELS:
             return None, TunnelVerdict.BUSY
         if self._directory.links.is_cut_off:
             return None, TunnelVerdict.CUT_OFF
@@ -141,8 +148,9 @@
     end of an answer that has no length.
     """
 
-    def __init__(self, *, caller: Any, server: Any) -> None:
+    def __init__(self, *, caller: Any, server: Any, memory: HeldMemory) -> None:
         """Join the socket of a VM with that of a backend server."""
+        self._memory = memory
         self._caller = caller
         self._server = server
         self._is_broken = False
@@ -159,10 +167,16 @@
                 # The VM reads the rest of the answer and closes.
                 upload.join(CLOSE_TIMEOUT_SECONDS)
 
+    def _pass_on(self, receiver: Any, block: bytes) -> None:
+        """Send a block; the next one is read when the receiver has taken it."""
+        with self._memory.open(HeldKind.TUNNELS) as held:
+            held.resize(len(block))
+            receiver.sendall(block)
+
     def _upload(self) -> None:
         try:
             while block := self._caller.recv(_READ_BYTES):
-                self._server.sendall(block)
+                self._pass_on(self._server, block)
         except OSError:
             # The error of a reset comes once; the end of the connection that is
             # read after it looks orderly.
@@ -173,7 +187,7 @@
 
     def _download(self) -> None:
         while block := self._server.recv(_READ_BYTES):
-            self._caller.sendall(block)
+            self._pass_on(self._caller, block)
         if not self._is_broken:
             set_reset_on_close(self._caller, is_reset=False)
             self._caller.shutdown(socket.SHUT_WR)
--- a/src/bronzepost/_internal/gateway/links/tcp_options.py
+++ b/src/bronzepost/_internal/gateway/links/tcp_options.py
@@ -22,6 +22,14 @@
         )
 
 
+def set_user_timeout(sock: Any, user_timeout_ms: int) -> None:
+    """Set the timeout for acknowledgements and for a closed window."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
+        )
+
+
 def set_reset_on_close(sock: Any, *, is_reset: bool) -> None:
     """Set whether closing a socket resets its connection.
 
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -8,9 +8,11 @@
 import gevent
 from gevent.event import Event
 
+from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.exceptions import SettingsError
 from bronzepost._internal.gateway.callers.caller_connections import CallerServer
 from bronzepost._internal.gateway.callers.header_names import HeaderNames
+from bronzepost._internal.gateway.callers.held_memory import HeldMemory
 from bronzepost._internal.gateway.links.backend_connections import (
     ConnectionPool,
 )
@@ -47,6 +49,8 @@
 STOP_MARGIN_SECONDS: Final = 0.5
 _POLL_SECONDS: Final = 0.05
 IDLE_CHECK_SECONDS: Final = 1.0
+# Turns are kept for a minute, so their sum changes slowly.
+TURN_COUNT_SECONDS: Final = 1.0
 
 
 class Gateway:
@@ -65,7 +69,8 @@
         """Build the components; ``start`` opens the addresses."""
         self.settings = settings
         self.pool = pool
-        self.directory = Directory(pool=pool)
+        self._memory = HeldMemory(memory_bytes=settings.memory_bytes)
+        self.directory = Directory(pool=pool, memory=self._memory)
         self.fleet = Fleet(settings=settings)
         self.follower = RegistryFollower(
             registry=registry, directory=self.directory
@@ -114,7 +119,9 @@
             address=settings.caller_address,
             answer=self.forwarder.answer,
             read_limits=self.directory.read_limits,
+            memory=self._memory,
         )
+        self._turns_held = self._memory.open(HeldKind.TURNS)
         self._stopped = Event()
 
     @property
@@ -153,6 +160,10 @@
             'members': len(self.fleet.list_serving()),
             'store_away': float(self.follower.is_store_lost),
             'requests_under_way': self.callers.count_busy(),
+            'caller_connections': self.callers.count_open(),
+            'memory_pressure': self._memory.pressure.value,
+            'memory_held_peak_bytes': self._memory.peak_bytes,
+            'memory_budget_bytes': self._memory.budget.total_bytes,
             'programs_held': self.budgets.count_programs(),
             'turns_held': len(self.turns.turns_by_id),
             'streams_known': self.streams.count(),
@@ -162,6 +173,11 @@
             'peer_messages_received': self.fleet.counts.received,
         }
 
+    def list_held_bytes(self) -> dict[str, int]:
+        """Return the values of the metric ``bronzepost_held_bytes`` by kind."""
+        held = self._memory.bytes_by_kind
+        return {kind.value: held[kind] for kind in HeldKind}
+
     def start(self) -> None:
         """Start all components, which opens the addresses.
 
@@ -183,6 +199,7 @@
         for component in components:
             component.start()
         start_loop(self._close_idle_connections, IDLE_CHECK_SECONDS)
+        start_loop(self._count_turns, TURN_COUNT_SECONDS)
         emit(LogEvent.NODE_STARTED, address=self.settings.caller_address)
 
     def wait(self) -> None:
@@ -216,6 +233,10 @@
     def _count_open(self) -> int:
         return self.callers.count_open() + self.directory.tunnels
 
+    def _count_turns(self) -> None:
+        self._turns_held.resize(self.turns.count_bytes())
+        self._memory.use_limit(self.settings.memory_bytes)
+
     def _close_idle_connections(self) -> None:
         self.pool.close_expired(read_clock())
 
--- a/src/bronzepost/_internal/gateway/programs/turn_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_keeper.py
@@ -34,6 +34,9 @@
 # is a minute.
 RENEW_SECONDS: Final = 30.0
 RETRY_AFTER_SECONDS: Final = 0.3
+# The size of a turn in memory beyond its content, and of each id of an ancestor.
+TURN_OVERHEAD_BYTES: Final = 400
+ANCESTOR_BYTES: Final = 80
 
 
 class TurnKeeper:
@@ -112,6 +115,16 @@
         self._copies.send(turn, program_id)
         start_task(lambda: self._renew_chain(turn))
 
+    def count_bytes(self) -> int:
+        """Return the memory that the turns take on this VM."""
+        return sum(
+            len(turn.prompt)
+            + len(turn.answer)
+            + ANCESTOR_BYTES * len(turn.ancestors)
+            + TURN_OVERHEAD_BYTES
+            for turn in self.turns_by_id.values()
+        )
+
     def _renew_chain(self, turn: Turn) -> None:
         known = filter(None, map(self.turns_by_id.get, turn.ancestors))
         with gevent.Timeout(RENEW_SECONDS, exception=False):
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -5,13 +5,12 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-import gevent
-
 from bronzepost._internal.core.gateway.entities import (
     BackendServer,
     CallRequest,
     RouteKind,
 )
+from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.core.gateway.route_table import choose_service
 from bronzepost._internal.core.retry_budget import RetryBudget
 from bronzepost._internal.exceptions import (
@@ -28,6 +27,11 @@
     deliver_stream,
 )
 from bronzepost._internal.gateway.callers.header_names import Headers
+from bronzepost._internal.gateway.callers.held_memory import (
+    HeldBytes,
+    count_refused,
+    refuse_memory,
+)
 from bronzepost._internal.gateway.callers.http_messages import HttpRequest
 from bronzepost._internal.gateway.callers.refusals import (
     refuse_broken_answer,
@@ -39,6 +43,7 @@
 )
 from bronzepost._internal.gateway.loops import start_task
 from bronzepost._internal.gateway.programs.program_state import ProgramState
+from bronzepost._internal.gateway.requests.deadline import Deadline
 from bronzepost._internal.gateway.requests.hedging import HedgedRequest
 from bronzepost._internal.gateway.requests.pending_call import (
     DeadlinePassedError,
@@ -107,6 +112,9 @@
     ) -> PendingCall:
         if self._directory.configuration is None:
             raise refuse_starting()
+        if self._directory.memory.is_full:
+            count_refused('request')
+            raise refuse_memory()
         route = self._directory.routes.find_route(
             host=request.host, target=request.target.decode('latin-1')
         )
@@ -127,15 +135,12 @@
         )
 
     def _serve(self, pending: PendingCall) -> None:
-        timeout = gevent.Timeout(
-            max(pending.remaining_seconds, 0), DeadlinePassedError()
-        )
+        prompt = self._directory.memory.open(HeldKind.PROMPTS)
         try:
-            with timeout:
+            with start_deadline(pending), prompt:
                 self._suspects.check(pending)
                 self._bind_resumed_stream(pending)
-                self._open_turn(pending)
-                pending.opened_at = read_clock()
+                self._open_turn(pending, prompt)
                 self._forward(pending)
         except DeadlinePassedError:
             self._refuse_after_deadline(pending)
@@ -148,12 +153,17 @@
         finally:
             self._close_turn(pending)
 
-    def _open_turn(self, pending: PendingCall) -> None:
+    def _open_turn(self, pending: PendingCall, prompt: HeldBytes) -> None:
+        pending.events.keeps_data = False
         if pending.call.is_turn and pending.route.kind is RouteKind.STREAM:
+            pending.events.keeps_data = pending.route.keeps_history
             pending.turn = self._programs.open_turn(
                 pending.call, pending.route, pending.body
             )
             pending.body = pending.turn.prompt
+            if pending.body is not pending.request.body:
+                prompt.resize(len(pending.body))
+        pending.opened_at = read_clock()
 
     def _close_turn(self, pending: PendingCall) -> None:
         if pending.turn is not None:
@@ -344,6 +354,16 @@
         )
 
 
+def start_deadline(pending: PendingCall) -> Deadline:
+    """Return the limit of the time of a request."""
+    deadline = Deadline(pending.remaining_seconds, DeadlinePassedError())
+    if pending.route.kind is not RouteKind.STREAM:
+        # The server has done its work when a large answer arrives, and the time in
+        # which the caller does not read is not the server's.
+        pending.answer.wait_in(deadline.pause)
+    return deadline
+
+
 def check_retryable(pending: PendingCall, error: ExchangeError) -> None:
     """Count a failed attempt, and raise an error if it must be the last.
 
--- a/src/bronzepost/_internal/gateway/requests/hedging.py
+++ b/src/bronzepost/_internal/gateway/requests/hedging.py
@@ -7,13 +7,14 @@
 
 import contextlib
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Final
 
 import gevent
 from gevent.queue import Empty, Queue
 
 from bronzepost._internal.core.gateway.entities import BackendServer
+from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.core.retry_budget import RetryBudget
 from bronzepost._internal.exceptions import ExchangeError, RefusedError
 from bronzepost._internal.gateway.callers.caller_connections import (
@@ -193,13 +194,26 @@
     ) -> AttemptResult:
         buffered = b''
         blocks = exchange.read_blocks()
-        for block in blocks:
-            buffered += block
-            if len(buffered) > MAX_BUFFERED_BODY_BYTES:
-                if self._delivering is not None:
-                    return AttemptResult(server=server)
-                self._delivering = server
-                self._pending.server_id = server.server_id
-                deliver_blocks(self._pending.answer, head, buffered, blocks)
-                return AttemptResult(server=server, is_delivered=True)
-        return AttemptResult(server=server, head=head, body=buffered)
+        with self._pending.answer.memory.open(HeldKind.ANSWERS) as held:
+            for block in blocks:
+                buffered += block
+                held.resize(len(buffered))
+                if len(buffered) > MAX_BUFFERED_BODY_BYTES:
+                    break
+            else:
+                return AttemptResult(server=server, head=head, body=buffered)
+        return self._deliver_large(server, head, buffered, blocks)
+
+    def _deliver_large(
+        self,
+        server: BackendServer,
+        head: AnswerHead,
+        buffered: bytes,
+        blocks: Iterable[bytes],
+    ) -> AttemptResult:
+        if self._delivering is not None:
+            return AttemptResult(server=server)
+        self._delivering = server
+        self._pending.server_id = server.server_id
+        deliver_blocks(self._pending.answer, head, buffered, blocks)
+        return AttemptResult(server=server, is_delivered=True)
--- a/src/bronzepost/_internal/gateway/servers/directory.py
+++ b/src/bronzepost/_internal/gateway/servers/directory.py
@@ -15,6 +15,7 @@
     find_only_version,
     record_versions,
 )
+from bronzepost._internal.gateway.callers.held_memory import HeldMemory
 from bronzepost._internal.gateway.links.backend_connections import (
     ConnectionPool,
 )
@@ -30,8 +31,11 @@
 class Directory:
     """The current configuration and backend servers, with their health."""
 
-    def __init__(self, *, pool: ConnectionPool) -> None:
+    def __init__(
+        self, *, pool: ConnectionPool, memory: HeldMemory | None = None
+    ) -> None:
         """Start without a configuration and without servers."""
+        self.memory = memory or HeldMemory()
         self.configuration: GatewayConfiguration | None = None
         self.routes = RouteTable(routes_by_host={})
         self.servers_by_id: dict[str, BackendServer] = {}
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -280,6 +280,18 @@
         'The relay was asked from an address that is no VM of the fleet.',
     )
     TUNNEL_BROKEN = 8045, INFO, 'A tunnel ended before it was open.'
+    MEMORY_SHORT = (
+        8076,
+        WARNING,
+        'This VM holds so much for others that it refuses requests.',
+    )
+    MEMORY_REGAINED = 8077, INFO, 'This VM refuses fewer requests or none.'
+    BODY_REFUSED = 8078, INFO, 'A large body was refused before it was read.'
+    ENGINES_FILLED = (
+        8079,
+        INFO,
+        'A request needs more memory than one engine of its service has.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -67,6 +67,18 @@
             ('call', 'outcome'),
             CounterOrGauge,
         )
+        self.memory_refusals = MetricFamily(
+            'bronzepost_memory_refusals',
+            'Requests that were refused for lack of memory of the VM.',
+            ('kind',),
+            CounterOrGauge,
+        )
+        self.held_bytes = MetricFamily(
+            'bronzepost_held_bytes',
+            'Bytes that the VM holds for others, see docs/design/memory.md.',
+            ('kind',),
+            CounterOrGauge,
+        )
         logs_left_out = MetricFamily(
             'bronzepost_log_lines_left_out',
             'Log lines that were not written, to bound their volume.',
@@ -86,6 +98,7 @@
             self.server_failures,
             self.server_sends,
             self.store_calls,
+            self.memory_refusals,
             logs_left_out,
         )
 
@@ -109,7 +122,8 @@
 
         for counter in self._counters:
             yield _build_family(core.CounterMetricFamily, counter)
-        yield _build_family(core.GaugeMetricFamily, self.state)
+        for gauge in (self.state, self.held_bytes):
+            yield _build_family(core.GaugeMetricFamily, gauge)
         histogram = core.HistogramMetricFamily(
             self.request_seconds.name,
             self.request_seconds.description,
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -25,6 +25,7 @@
     Headers,
     find_header,
 )
+from bronzepost._internal.gateway.callers.held_memory import HeldMemory
 from bronzepost._internal.gateway.callers.http_messages import (
     AnswerReader,
     HttpRequest,
@@ -310,11 +311,11 @@
 
 @contextmanager
 def open_gateway(
-    route: Route, *backends: ScriptedServer
+    route: Route, *backends: ScriptedServer, memory: HeldMemory | None = None
 ) -> Iterator[TestGateway]:
     """Run a gateway with one route that forwards to scripted servers."""
     pool = ConnectionPool()
-    directory = Directory(pool=pool)
+    directory = Directory(pool=pool, memory=memory)
     directory.put_configuration(
         GatewayConfiguration(
             version=1, routes=(route,), services_by_name={}, limits=LIMITS
@@ -346,6 +347,7 @@
         address=f'127.0.0.1:{port}',
         answer=forwarder.answer,
         read_limits=directory.read_limits,
+        memory=directory.memory,
     )
     server.start()
     yield TestGateway(
