Keep the running requests of an engine within its memory

An engine crashes if the requests that it holds exceed its memory, and a request that is larger was sent to each engine in turn, which rejected it as if full. Prompts and maximum outputs of this VM's requests are counted by engine, those of other VMs with the mean of the service; a full engine gets no further request while another has room, and a request larger than an engine is refused as not run.

--- a/src/bronzepost/_internal/gateway/callers/refusals.py
+++ b/src/bronzepost/_internal/gateway/callers/refusals.py
@@ -104,6 +104,19 @@
     return state_run(error, pending)
 
 
+def refuse_large_prompt(pending: PendingCall) -> RefusedError:
+    """Return the error for a request that is larger than an engine's memory."""
+    error = RefusedError(
+        f'no backend server of {pending.service} has memory for the prompt and'
+        ' the answer',
+        code='engine_memory',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='choose backend server',
+        retry_after_seconds=RETENTION_SECONDS,
+    )
+    return state_run(error, pending)
+
+
 def refuse_suspect(pending: PendingCall) -> RefusedError:
     """Return the error for a suspect that has to wait until servers are back."""
     error = RefusedError(
--- a/src/bronzepost/_internal/gateway/servers/server_calls.py
+++ b/src/bronzepost/_internal/gateway/servers/server_calls.py
@@ -32,6 +32,7 @@
     PendingCall,
 )
 from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.engine_memory import EngineMemory
 from bronzepost._internal.gateway.servers.server_permits import ServerPermits
 from bronzepost._internal.gateway.servers.server_placement import (
     ServerPlacement,
@@ -81,6 +82,9 @@
             vm_name=vm_name,
             availability_zone=availability_zone,
         )
+        self._engines = EngineMemory(
+            directory=directory, reports=reports, placement=self._placement
+        )
         self._permits = permits
         self._suspects = suspects
         self.links = links
@@ -99,6 +103,7 @@
         if pending.remaining_seconds < MIN_REMAINING_SECONDS:
             raise DeadlinePassedError
         self._suspects.check(pending)
+        self._engines.check(pending)
         if self._suspects.is_suspect(pending):
             return self._choose_isolated(pending)
         isolated_ids = self._suspects.list_avoided(pending.service)
@@ -108,7 +113,7 @@
             blocked_ids = self._permits.list_blocked() - {
                 find_previous_server(pending)
             }
-            server = self._placement.choose(
+            server = self._engines.choose(
                 pending,
                 avoided_ids=blocked_ids | isolated_ids,
                 excluded_ids=denied_ids | unreachable_ids,
@@ -137,7 +142,7 @@
         METRICS.server_sends.labels(server=server.server_id).inc()
         step = f'forward {pending.call.request_id}'
         started_at = read_clock()
-        with self._count_in_flight(server):
+        with self._count_in_flight(server), self._engines.hold(pending, server):
             connection = self.links.acquire(
                 server,
                 request_id=pending.call.request_id,
@@ -195,7 +200,7 @@
         patience = find_target_wait(pending)
         denied_ids: set[str] = set()
         while True:  # noqa: WPS457 - each server is denied once
-            server = self._placement.choose(
+            server = self._engines.choose(
                 pending,
                 avoided_ids=frozenset(),
                 excluded_ids=denied_ids | unreachable_ids,
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -287,7 +287,7 @@
     )
     MEMORY_REGAINED = 8077, INFO, 'This VM refuses fewer requests or none.'
     BODY_REFUSED = 8078, INFO, 'A large body was refused before it was read.'
-    ENGINES_FILLED = (
+    ENGINE_TOO_SMALL = (
         8079,
         INFO,
         'A request needs more memory than one engine of its service has.',
