--- a/src/bronzepost/_internal/core/gateway/held_bytes.py
+++ b/src/bronzepost/_internal/core/gateway/held_bytes.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import math
 from typing import Final
 
 # The resident memory that a process needs without what it holds for others, the
@@ -116,6 +117,20 @@
     return reached
 
 
+def find_range(budget: MemoryBudget, pressure: Pressure) -> tuple[float, float]:
+    """Return between which held bytes a pressure lasts.
+
+    The first are not within the range, the second are.
+    """
+    marks = budget.marks
+    lowest = LEAVE_FACTOR * marks.get(pressure, -math.inf)
+    highest = min(
+        (mark for other, mark in marks.items() if other > pressure),
+        default=math.inf,
+    )
+    return lowest, highest
+
+
 def has_room_for_body(
     budget: MemoryBudget,
     *,
--- a/src/bronzepost/_internal/gateway/callers/held_memory.py
+++ b/src/bronzepost/_internal/gateway/callers/held_memory.py
@@ -9,6 +9,7 @@
     HeldKind,
     MemoryBudget,
     Pressure,
+    find_range,
     has_room_for_body,
     judge_pressure,
     may_queue,
@@ -39,6 +40,7 @@
         self.held_bytes = 0
         self.peak_bytes = 0
         self._budget = plan_budget(memory_bytes)
+        self._range = find_range(self._budget, self.pressure)
 
     @property
     def budget(self) -> MemoryBudget:
@@ -65,8 +67,11 @@
         if kind is HeldKind.ANNOUNCED:
             return
         self.held_bytes += delta
-        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
-        self._judge()
+        if self.held_bytes > self.peak_bytes:
+            self.peak_bytes = self.held_bytes
+        lowest, highest = self._range
+        if not lowest < self.held_bytes <= highest:
+            self._judge()
 
     def has_room_for_body(self, body_bytes: int, own_bytes: int) -> bool:
         """Return whether a body may be read; ``own_bytes`` are held for it."""
--- a/tests/unit/test_gateway_held_bytes.py
+++ b/tests/unit/test_gateway_held_bytes.py
@@ -7,6 +7,7 @@
     HeldKind,
     MemoryBudget,
     Pressure,
+    find_range,
     has_room_for_body,
     judge_pressure,
     may_queue,
@@ -58,6 +59,14 @@
         ):
             self.assertIs(expected, self.judge(held, Pressure.NONE))
 
+    def test_range_agrees_with_the_marks(self) -> None:
+        """Guard against a pressure that is not judged when it changes."""
+        for previous in Pressure:
+            lowest, highest = find_range(BUDGET, previous)
+            for held in range(0, 1_000_000, 5000):
+                is_same = self.judge(held, previous) is previous
+                self.assertEqual(lowest < held <= highest, is_same)
+
     def test_pressure_ends_below_the_mark_where_it_began(self) -> None:
         """Guard against requests that are refused and admitted by turns."""
         self.assertIs(Pressure.FULL, self.judge(730_000, Pressure.FULL))
