--- a/tests/builders_slow_readers.py
+++ b/tests/builders_slow_readers.py
@@ -93,10 +93,16 @@
 
 
 class SlowServer:
-    """A backend server that reads bodies evenly in a time, and their digest."""
+    """A backend server that reads bodies evenly in a time, and their digest.
 
-    def __init__(self, *, body_bytes: int, seconds: float) -> None:
+    It reads nothing for ``pause_seconds`` at first.
+    """
+
+    def __init__(
+        self, *, body_bytes: int, seconds: float, pause_seconds: float = 0
+    ) -> None:
         """Listen with a small window on a free port."""
+        self._pause_seconds = pause_seconds
         self.version = 'v1'
         self._body_bytes = body_bytes
         self._seconds = seconds
@@ -119,6 +125,7 @@
         digest = hashlib.sha256()
         block = received.partition(b'\r\n\r\n')[2]
         rest = self._body_bytes
+        gevent.sleep(self._pause_seconds)
         started_at = gevent.get_hub().loop.now()
         while True:
             digest.update(block)
--- a/tests/unit/test_gateway_slow_readers.py
+++ b/tests/unit/test_gateway_slow_readers.py
@@ -49,6 +49,10 @@
 # A VM of medium size.
 VM_BYTES = 256_000_000
 SEND_BUFFER_BYTES = 8192
+# More than the timeouts for data that is not acknowledged, to servers and, before
+# callers could be slow, to callers.
+PAUSE_SECONDS = 4.0
+CALLER_PAUSE_SECONDS = 6.5
 WAIT_SECONDS = 30.0
 
 
@@ -172,6 +176,18 @@
             gevent.sleep(0.2)
             self.assertEqual(0, memory.bytes_by_kind[HeldKind.UNSENT])
 
+    def test_caller_who_reads_nothing_for_a_while(self) -> None:
+        """Guard against TCP_USER_TIMEOUT, which ends a closed window."""
+        backend = ScriptedServer(
+            script=send_in_blocks(ANSWER_BYTES, is_chunked=False)
+        )
+        route = make_route(kind=RouteKind.NON_IDEMPOTENT)
+        with open_gateway(route, backend) as gateway:
+            reader = SlowReader(gateway.address)
+            gevent.sleep(CALLER_PAUSE_SECONDS)
+            reader.read_rest()
+        self.assertIs(True, reader.answer.is_complete)
+
     def test_caller_who_reads_nothing_is_given_up(self) -> None:
         """Guard against memory that is held for ever."""
         self.patch(caller_outbox, 'STALL_SECONDS', 0.5)
@@ -193,8 +209,19 @@
     """A server may read a large body slowly."""
 
     def test_body_is_sent_at_the_pace_of_the_server(self) -> None:
+        """Guard against a body that is given up because its server is slow."""
+        self.check_body(SlowServer(body_bytes=BODY_BYTES, seconds=4.0))
+
+    def test_server_that_reads_nothing_for_a_while(self) -> None:
         """Guard against TCP_USER_TIMEOUT, which ends a closed window."""
-        backend = SlowServer(body_bytes=BODY_BYTES, seconds=4.0)
+        self.check_body(
+            SlowServer(
+                body_bytes=BODY_BYTES, seconds=0.1, pause_seconds=PAUSE_SECONDS
+            )
+        )
+
+    def check_body(self, backend: SlowServer) -> None:
+        """Send a body, which is held until the server has read it."""
         route = make_route(kind=RouteKind.NON_IDEMPOTENT, timeout_seconds=9.0)
         body = make_body(BODY_BYTES)
         with open_gateway(route, backend) as gateway:  # type: ignore[arg-type]
