Test that announced bodies count, and start no timer without unread bytes

Without the check at the headers no test failed, since bodies got room as they arrived; a test now announces bodies and sends none, and fails without the check. A flush of an answer that the socket has taken returns at once, so most requests start no timer for it.

--- a/src/bronzepost/_internal/gateway/callers/caller_outbox.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_outbox.py
@@ -71,6 +71,9 @@
         Raises:
             OSError: if the connection is broken or the caller reads too slowly.
         """
+        self._check()
+        if not self.has_unsent:
+            return
         error = TimeoutError(f'unread bytes after {FLUSH_SECONDS:g} s')
         with gevent.Timeout(FLUSH_SECONDS, error):
             while self.has_unsent:
--- a/tests/unit/test_gateway_slow_readers.py
+++ b/tests/unit/test_gateway_slow_readers.py
@@ -9,7 +9,10 @@
 from gevent.socket import socket as open_socket
 
 from bronzepost._internal.core.gateway.entities import RouteKind
-from bronzepost._internal.core.gateway.held_bytes import HeldKind
+from bronzepost._internal.core.gateway.held_bytes import (
+    LARGE_BODY_MARK,
+    HeldKind,
+)
 from bronzepost._internal.gateway.callers import (
     caller_connections,
     caller_outbox,
@@ -274,6 +277,26 @@
         self.assertEqual(b'ok', small.pop_body())
         self.assertEqual([b'small'], [req.body for req in backend.requests])
 
+    def test_announced_bodies_count_before_they_arrive(self) -> None:
+        """Guard against many large bodies that are admitted at once."""
+        head = make_request(method=b'POST', body=make_body(BODY_BYTES))
+        head = head[: head.index(b'\r\n\r\n') + 4]
+        memory = HeldMemory()
+        _, opened = self.open(memory)
+        with opened as gateway:
+            fitting = int(LARGE_BODY_MARK * memory.budget.total_bytes)
+            callers = [gateway.call(head) for _ in range(fitting // BODY_BYTES)]
+            gevent.sleep(0.05)
+            announced = memory.bytes_by_kind[HeldKind.ANNOUNCED]
+            self.assertEqual(len(callers) * BODY_BYTES, announced)
+            refused = gateway.call(head).read_answer()
+            self.assertIn(b'memory_short', refused.pop_body())
+            self.assertEqual(b'ok', self.call(gateway, b'small').pop_body())
+            for caller in callers:
+                caller.sock.close()
+            gevent.sleep(0.05)
+        self.assertEqual(0, memory.bytes_by_kind[HeldKind.ANNOUNCED])
+
     def test_all_requests_are_refused_at_the_second_mark(self) -> None:
         memory = HeldMemory()
         self.fill(memory, 0.85)
