--- a/src/bronzepost/_internal/gateway/requests/caller_access.py
+++ b/src/bronzepost/_internal/gateway/requests/caller_access.py
@@ -20,6 +20,10 @@
     HeaderNames,
     find_headers,
 )
+from bronzepost._internal.gateway.callers.held_memory import (
+    count_refused,
+    refuse_memory,
+)
 from bronzepost._internal.gateway.callers.http_messages import HttpRequest
 from bronzepost._internal.gateway.callers.refusals import (
     refuse_access,
@@ -83,10 +87,14 @@
         """Return the route and the workspace of a request.
 
         Raises:
-            RefusedError: if the configuration does not allow it.
+            RefusedError: if the configuration does not allow it, or if this VM
+                holds too much for others.
         """
         if self._directory.configuration is None:
             raise refuse_starting()
+        if self._directory.memory.is_full:
+            count_refused('request')
+            raise refuse_memory()
         decision = self._decide(request)
         if decision.problem is not None and self._source.may_lag:
             self._source.catch_up()
--- a/src/bronzepost/_internal/gateway/servers/directory.py
+++ b/src/bronzepost/_internal/gateway/servers/directory.py
@@ -11,6 +11,7 @@
 )
 from bronzepost._internal.core.gateway.route_table import RouteTable
 from bronzepost._internal.core.gateway.workspaces import WorkspaceTable
+from bronzepost._internal.gateway.callers.held_memory import HeldMemory
 from bronzepost._internal.gateway.links.backend_connections import (
     ConnectionPool,
 )
@@ -29,8 +30,11 @@
 class Directory:
     """The current configuration and backend servers, with their health."""
 
-    def __init__(self, *, pool: ConnectionPool) -> None:
+    def __init__(
+        self, *, pool: ConnectionPool, memory: HeldMemory | None = None
+    ) -> None:
         """Start without a configuration and without servers."""
+        self.memory = memory or HeldMemory()
         self.configuration: GatewayConfiguration | None = None
         self.routes = RouteTable(routes_by_host={})
         self.workspaces = WorkspaceTable.build(workspaces=None)
--- a/src/bronzepost/_internal/gateway/servers/server_calls.py
+++ b/src/bronzepost/_internal/gateway/servers/server_calls.py
@@ -32,6 +32,7 @@
     PendingCall,
 )
 from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.engine_memory import EngineMemory
 from bronzepost._internal.gateway.servers.server_permits import ServerPermits
 from bronzepost._internal.gateway.servers.server_placement import (
     ServerPlacement,
@@ -75,6 +76,7 @@
         """
         self._directory = directory
         self._reports = reports
+        self._engines = EngineMemory(directory=directory, reports=reports)
         self.plans = ServerPlans(
             directory=directory,
             placement=ServerPlacement(
@@ -87,6 +89,7 @@
             permits=permits,
             suspects=suspects,
             links=links,
+            engines=self._engines,
         )
         self._permits = permits
         self._suspects = suspects
@@ -106,6 +109,7 @@
         if pending.remaining_seconds < MIN_REMAINING_SECONDS:
             raise DeadlinePassedError
         self._suspects.check(pending)
+        self._engines.check(pending)
         if self._suspects.is_suspect(pending):
             return self._choose_isolated(pending)
         denied_ids: set[str] = set()
@@ -141,7 +145,7 @@
         METRICS.server_sends.labels(server=server.server_id).inc()
         step = f'forward {pending.call.request_id}'
         started_at = read_clock()
-        with self._count_in_flight(server):
+        with self._count_in_flight(server), self._engines.hold(pending, server):
             connection = self.links.acquire(
                 server,
                 request_id=pending.call.request_id,
--- a/src/bronzepost/_internal/gateway/servers/server_plans.py
+++ b/src/bronzepost/_internal/gateway/servers/server_plans.py
@@ -6,6 +6,7 @@
 from bronzepost._internal.gateway.links.server_links import ServerLinks
 from bronzepost._internal.gateway.requests.pending_call import PendingCall
 from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.engine_memory import EngineMemory
 from bronzepost._internal.gateway.servers.server_permits import ServerPermits
 from bronzepost._internal.gateway.servers.server_placement import (
     PlacementPlan,
@@ -29,8 +30,10 @@
         permits: ServerPermits,
         suspects: SuspectRequests,
         links: ServerLinks,
+        engines: EngineMemory,
     ) -> None:
         """Plan with what this VM knows of servers."""
+        self._engines = engines
         self._directory = directory
         self._placement = placement
         self._permits = permits
@@ -68,12 +71,17 @@
         if blocked_ids is not None:
             isolated_ids = self._suspects.list_avoided(pending.service)
             avoided_ids = blocked_ids | isolated_ids
-        return self._placement.plan(
+        excluded_ids = denied_ids | self.list_unreachable(pending)
+        plan = self._placement.plan(
             pending,
             avoided_ids=avoided_ids,
-            excluded_ids=denied_ids | self.list_unreachable(pending),
+            excluded_ids=excluded_ids,
             is_recorded=is_recorded,
         )
+        server = plan.choose()
+        if server is None or not self._engines.is_full(pending, server):
+            return plan
+        return self._plan_with_room(pending, plan, avoided_ids, excluded_ids)
 
     def list_excluded(self, pending: PendingCall) -> Set[str]:
         """Return the ids of servers at which a request must not run."""
@@ -82,3 +90,26 @@
     def find_wait(self, server: BackendServer) -> float:
         """Return the seconds until a server may be asked for again."""
         return self._permits.find_wait(server.server_id)
+
+    def _plan_with_room(
+        self,
+        pending: PendingCall,
+        plan: PlacementPlan,
+        avoided_ids: Set[str],
+        excluded_ids: Set[str],
+    ) -> PlacementPlan:
+        """Return a plan for an engine whose memory has room, if there is one.
+
+        All engines are looked at only if the best one is full.
+        """
+        unwanted_ids = avoided_ids | self._engines.list_full(pending)
+        other = self._placement.plan(
+            pending,
+            avoided_ids=unwanted_ids,
+            excluded_ids=excluded_ids,
+            is_recorded=False,
+        )
+        server = other.choose()
+        if server is None or server.server_id in unwanted_ids:
+            return plan
+        return other
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -316,6 +316,18 @@
         INFO,
         'Warm servers are no faster; a route is served without regard to them.',
     )
+    MEMORY_SHORT = (
+        8076,
+        WARNING,
+        'This VM holds so much for others that it refuses requests.',
+    )
+    MEMORY_REGAINED = 8077, INFO, 'This VM refuses fewer requests or none.'
+    BODY_REFUSED = 8078, INFO, 'A large body was refused before it was read.'
+    ENGINE_TOO_SMALL = (
+        8079,
+        INFO,
+        'A request needs more memory than one engine of its service has.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -91,6 +91,18 @@
             ('kind',),
             CounterOrGauge,
         )
+        self.memory_refusals = MetricFamily(
+            'bronzepost_memory_refusals',
+            'Requests that were refused for lack of memory of the VM.',
+            ('kind',),
+            CounterOrGauge,
+        )
+        self.held_bytes = MetricFamily(
+            'bronzepost_held_bytes',
+            'Bytes that the VM holds for others, see docs/design/memory.md.',
+            ('kind',),
+            CounterOrGauge,
+        )
         logs_left_out = MetricFamily(
             'bronzepost_log_lines_left_out',
             'Log lines that were not written, to bound their volume.',
@@ -127,6 +139,7 @@
             self.messages_unknown,
             self.messages_held_back,
             self.warm_requests,
+            self.memory_refusals,
             logs_left_out,
         )
 
@@ -150,7 +163,7 @@
 
         for counter in self._counters:
             yield _build_family(core.CounterMetricFamily, counter)
-        for gauge in (self.state, self.warm_gain):
+        for gauge in (self.state, self.warm_gain, self.held_bytes):
             yield _build_family(core.GaugeMetricFamily, gauge)
         histogram = core.HistogramMetricFamily(
             self.request_seconds.name,
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -25,6 +25,7 @@
     Headers,
     find_header,
 )
+from bronzepost._internal.gateway.callers.held_memory import HeldMemory
 from bronzepost._internal.gateway.callers.http_messages import (
     AnswerReader,
     HttpRequest,
@@ -325,13 +326,14 @@
     route: Route,
     *backends: ScriptedServer,
     configuration: GatewayConfiguration | None = None,
+    memory: HeldMemory | None = None,
 ) -> Iterator[TestGateway]:
     """Run a gateway with one route that forwards to scripted servers.
 
     The route is that of ``configuration``, if there is one.
     """
     pool = ConnectionPool()
-    directory = Directory(pool=pool)
+    directory = Directory(pool=pool, memory=memory)
     source = ScriptedSource()
     directory.put_configuration(
         configuration
@@ -368,6 +370,7 @@
         address=f'127.0.0.1:{port}',
         answer=forwarder.answer,
         read_limits=directory.read_limits,
+        memory=directory.memory,
     )
     server.start()
     yield TestGateway(
