Show refused keys in explain, and ask peers in one order again

A test that removed the preference for newer builds broke nothing: the check for newer versions asks each peer in turn. The preference is removed, and a test shows that explain prints a refused key with its route and reason; the tests of keys pass.

--- a/src/bronzepost/_internal/gateway/peers/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_reports.py
@@ -120,8 +120,7 @@
         """Return the peers that have routes.
 
         Those that the store answers come first, then those with the newest
-        routes. VMs of earlier builds come last if there may be workspaces, which
-        they leave out.
+        routes.
         """
         found = {
             name: self.received.find(name)
@@ -132,14 +131,9 @@
             for name, report in found.items()
             if report is not None and report.is_ready
         }
-        min_protocol = int(self._directory.may_have_workspaces)
         return sorted(
             ready,
-            key=lambda name: (
-                ready[name].protocol < min_protocol,
-                not ready[name].has_store,
-                -ready[name].version,
-            ),
+            key=lambda name: (not ready[name].has_store, -ready[name].version),
         )
 
     def sort_by_store_access(self, names: Sequence[str]) -> list[str]:
--- a/tests/unit/test_request_timeline.py
+++ b/tests/unit/test_request_timeline.py
@@ -72,6 +72,42 @@
     def list_numbers(self, lines: tuple[LogLine, ...]) -> list[int]:
         return [line.number for line in lines]
 
+    def test_refusal_for_a_key_is_shown(self) -> None:
+        """Guard against a refused key whose reason and route are not found."""
+        texts = (
+            make_log_line(LogEvent.SNAPSHOT_TAKEN, 1, 'vm-a', version=8),
+            make_log_line(
+                LogEvent.KEY_REFUSED,
+                2,
+                'vm-a',
+                request=REQUEST,
+                route='r-chat',
+                reason='key_unknown',
+                version=8,
+            ),
+            make_log_line(
+                LogEvent.REQUEST_REFUSED,
+                2,
+                'vm-a',
+                request=REQUEST,
+                code='key_unknown',
+                seconds=0,
+            ),
+        )
+        lines = [line for line in map(read_line, texts) if line is not None]
+        timeline = build_timeline(lines, REQUEST)
+        self.assertEqual(
+            [
+                LogEvent.SNAPSHOT_TAKEN.number,
+                LogEvent.KEY_REFUSED.number,
+                LogEvent.REQUEST_REFUSED.number,
+            ],
+            self.list_numbers(timeline.lines),
+        )
+        refused = timeline.lines[1].fields
+        self.assertEqual('r-chat', refused['route'])
+        self.assertEqual('key_unknown', refused['reason'])
+
     def test_lines_of_two_vms_are_in_order(self) -> None:
         """Guard against an order by the wrong clock of the home VM."""
         expected = [
