Test that a cold start and repeated requests teach no gain

Two guards of the learned gain could be removed without a failing test: the time of the trial, and samples of requests that were sent once only.

--- a/tests/unit/test_gateway_warm_requests.py
+++ b/tests/unit/test_gateway_warm_requests.py
@@ -149,6 +149,20 @@
         self.assertIn('bronzepost_warm_gain{route="r-1"}', text)
         self.assertIn('placed="explored",route="r-1"', text)
 
+    def test_repeated_request_teaches_nothing(self) -> None:
+        """Its time depends on the server that did not take it."""
+        servers = [
+            ScriptedServer(script=answer_with(answer))
+            for answer in (OK, OK, FULL)
+        ]
+        with (
+            mock.patch('random.random', lambda: 0.99),
+            open_gateway(STICKY, *servers) as gateway,
+        ):
+            call(gateway, find_distant_subject(), 3)
+            samples = gateway.directory.warm_requests.list_own()
+        self.assertEqual(0, samples['r-1'][0][0])
+
     def test_routes_that_are_gone_are_forgotten(self) -> None:
         """Guard against memory that grows with each published route."""
         known = WarmRequests()
--- a/tests/unit/test_gateway_warm_servers.py
+++ b/tests/unit/test_gateway_warm_servers.py
@@ -231,6 +231,12 @@
         self.assertTrue(learner.refresh(at=TRIAL_SECONDS))
         self.assertIs(Phase.IDLE, learner.phase)
 
+    def test_cold_start_decides_nothing(self) -> None:
+        """Guard against giving up before any server can be warm."""
+        learner = GainLearner()
+        feed(learner, warm=0.1, control=0.1, begin=0)
+        self.assertFalse(learner.refresh(at=TRIAL_SECONDS / 2))
+
     def test_stickiness_ends_when_the_gain_goes(self) -> None:
         learner = GainLearner()
         feed(learner, warm=0.05, control=0.1, begin=0)
