Correct the figures in the example of count_needed

The example still had the rate that fits half of a server's slots for a subject; it is a quarter now. The example runs, and all four of the module pass.

--- a/src/bronzepost/_internal/core/gateway/warm_servers.py
+++ b/src/bronzepost/_internal/core/gateway/warm_servers.py
@@ -230,7 +230,7 @@
 
     >>> from tests.builders_gateway import make_servers
     >>> traffic = Traffic(service='tools', vm_count=60, request_seconds=0.1)
-    >>> count_needed(0.5, make_servers(3), traffic)
+    >>> count_needed(1, make_servers(3), traffic)
     1.0
     """
     if not servers:
