Place requests by loads that peers carry on and by shared speeds

Cause: at 87 VMs a report reaches all peers in 1.4 s, so VMs choose engines by loads that have changed, and a VM sends to one of 24 engines once in seven seconds, so it does not know which are slow. Change: in fleets of more than 25 VMs reports carry on the 12 newest loads; VMs report what they measured at engines that differ by over 10%, and services of more than eight are rated by the sum; the margin for moves follows the age of loads; metrics and events show slow engines.

--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bronzepost._internal.core.gateway.load_view import RelayedLoads
 from bronzepost._internal.core.membership import Ack, Ping, PingRequest
 from bronzepost._internal.gateway.peers.message_parts import (
     BrokenRequest,
@@ -239,7 +240,13 @@
     alive: tuple[tuple[str, float], ...] = ()
 
 
-class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag='load_report'):
+class LoadReport(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='load_report',
+    omit_defaults=True,
+):
     """The load and the state of a gateway process.
 
     ``in_flight`` counts its unanswered requests by backend server.
@@ -250,7 +257,11 @@
     servers that their answers have named to this process lately. The process
     cannot connect to the servers in ``unreached_ids``, and to none at all if it
     ``is_cut_off``. It relays ``tunnels`` of other processes. ``protocol`` is the
-    version of the messages that it understands.
+    version of the messages that it understands. ``speeds_by_id`` has the mean
+    microseconds per event that it measured at engines that differ from others,
+    and the weight of each in streams. ``relayed_loads`` carries on the age in
+    milliseconds and the requests in flight of other VMs, where reports do not
+    go to all peers. VMs of a version without the last two fields ignore them.
     """
 
     in_flight: dict[str, int]
@@ -263,6 +274,8 @@
     is_cut_off: bool = False
     tunnels: int = 0
     protocol: int = 0
+    speeds_by_id: dict[str, tuple[int, float]] = {}
+    relayed_loads: RelayedLoads = {}
 
 
 class SnapshotRequest(
--- a/src/bronzepost/_internal/gateway/peers/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_reports.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 import gevent
+import msgspec
 import xxhash
 
 from bronzepost._internal.gateway.loops import start_loop
@@ -11,8 +12,9 @@
 from bronzepost._internal.gateway.peers.member_ranking import MemberRanking
 from bronzepost._internal.gateway.peers.messages import PROTOCOL, LoadReport
 from bronzepost._internal.gateway.peers.received_reports import (
+    MAX_REPORT_PEERS,
     ReceivedReports,
-    find_report_age,
+    find_load_age,
     find_report_interval,
     find_silence_cutoff,
 )
@@ -70,11 +72,19 @@
             is_cut_off=self._directory.links.is_cut_off,
             tunnels=self._directory.tunnels,
             protocol=PROTOCOL,
+            speeds_by_id=self._directory.engine_ratings.list_reported(),
         )
         # Leaving VMs get reports too: they still choose homes for the turns
         # that they serve.
         names = self._fleet.list_live_peers()
-        for name in self._rounds.choose(names, report, at=read_clock()):
+        chosen = self._rounds.choose(names, report, at=read_clock())
+        if len(names) > MAX_REPORT_PEERS:
+            # They are added after the choice: a report that differs from the
+            # last one only in them need not be sent.
+            report = msgspec.structs.replace(
+                report, relayed_loads=self.received.list_relayed()
+            )
+        for name in chosen:
             self._fleet.send(name, report)
 
     def rank_homes(self, key: str) -> tuple[str, ...]:
@@ -147,8 +157,8 @@
 
     @property
     def max_age_seconds(self) -> float:
-        """Return how old the reports of peers may be."""
-        return find_report_age(len(self._fleet.list_serving_peers()))
+        """Return how old the loads of peers may be."""
+        return find_load_age(len(self._fleet.list_serving_peers()))
 
     def count_in_flight(self, server_id: str) -> int:
         """Return the requests in flight of all VMs at a backend server."""
@@ -164,6 +174,7 @@
     def _receive(self, sender: str, report: LoadReport) -> None:
         self.received.put(sender, report)
         self._directory.prompt_parts.put_reported(sender, report.uses_by_part)
+        self._directory.engine_ratings.put_reported(sender, report.speeds_by_id)
         for server_id, limit in report.limits_by_id.items():
             self._directory.limits.receive(server_id, limit, sender)
 
--- a/src/bronzepost/_internal/gateway/peers/received_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/received_reports.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from bronzepost._internal.core.gateway.load_view import LoadView, RelayedLoads
 from bronzepost._internal.gateway.peers.messages import LoadReport
 from bronzepost._internal.node.clock import read_clock
 
@@ -24,8 +25,6 @@
 # VMs that disagree on which ones are silent use two homes for one program, and
 # SWIM detects a dead VM within two seconds anyway.
 MISS_PROBABILITY: Final = 0.0001
-# Older reports say nothing about the current load.
-STALE_REPORT_SECONDS: Final = 1.5
 # Limits the messages that a VM sends; with more peers each report goes to some
 # of them in turn.
 MAX_REPORT_PEERS: Final = 24
@@ -41,7 +40,12 @@
         self._own_name = own_name
         self._started_at = read_clock()
         self._received_by_name: dict[str, tuple[float, LoadReport]] = {}
-        self.in_flight: Counter[str] = Counter()
+        self._loads = LoadView()
+
+    @property
+    def in_flight(self) -> Counter[str]:
+        """Return the requests in flight of all peers by backend server."""
+        return self._loads.in_flight
 
     def find(self, name: str) -> LoadReport | None:
         """Return the last report of a member."""
@@ -50,15 +54,12 @@
 
     def put(self, name: str, report: LoadReport) -> None:
         """Replace the report of a member by one that has just arrived."""
-        known = self.find(name)
-        self._received_by_name[name] = (read_clock(), report)
-        # Counter.update and subtract check the types of their arguments at
-        # several times the cost of these few additions.
-        if known is not None:
-            for server_id, count in known.in_flight.items():
-                self.in_flight[server_id] -= count
-        for server_id, count in report.in_flight.items():
-            self.in_flight[server_id] += count
+        at = read_clock()
+        self._received_by_name[name] = (at, report)
+        self._loads.put(name, report.in_flight, at=at)
+        self._loads.put_relayed(
+            report.relayed_loads, own_name=self._own_name, at=at
+        )
 
     def forget(self, name: str) -> None:
         """Drop the report of a member, so that it counts as silent.
@@ -66,15 +67,15 @@
         Its requests stay in ``in_flight`` until the next recount.
         """
         self._received_by_name.pop(name, None)
+        self._loads.forget(name)
 
     def recount_in_flight(self) -> None:
-        """Sum the requests in flight of all reports that are not stale."""
-        oldest = read_clock() - STALE_REPORT_SECONDS
-        total: Counter[str] = Counter()
-        for at, report in self._received_by_name.values():
-            if at >= oldest:
-                total.update(report.in_flight)
-        self.in_flight = total
+        """Sum the requests in flight of all loads that are not stale."""
+        self._loads.recount(at=read_clock())
+
+    def list_relayed(self) -> RelayedLoads:
+        """Return the loads of other VMs that a report carries on."""
+        return self._loads.list_relayed(at=read_clock())
 
     def list_silent(self, names: Sequence[str]) -> frozenset[str]:
         """Return the silent ones of ``names``, which are all members."""
@@ -112,6 +113,15 @@
     return rounds * find_report_interval(peers)
 
 
+def find_load_age(peers: int) -> float:
+    """Return how old the loads of ``peers`` may be, in seconds.
+
+    Peers carry loads on, so most have come after two report intervals even if
+    it takes longer until each VM has reported to all others itself.
+    """
+    return min(find_report_age(peers), 2 * find_report_interval(peers))
+
+
 @functools.lru_cache
 def find_silence_timeout(peers: int) -> float:
     """Return the seconds without a report after which a peer is silent.
--- a/src/bronzepost/_internal/gateway/servers/directory.py
+++ b/src/bronzepost/_internal/gateway/servers/directory.py
@@ -19,6 +19,7 @@
     ConnectionPool,
 )
 from bronzepost._internal.gateway.links.link_records import LinkRecords
+from bronzepost._internal.gateway.servers.engine_ratings import EngineRatings
 from bronzepost._internal.gateway.servers.parts_in_use import PartsInUse
 from bronzepost._internal.gateway.servers.server_limits import ServerLimits
 from bronzepost._internal.gateway.servers.server_ratings import ServerRatings
@@ -38,6 +39,7 @@
         self.in_flight_by_id: Counter[str] = Counter()
         self.prompt_parts = PartsInUse()
         self.ratings = ServerRatings()
+        self.engine_ratings = EngineRatings()
         self.limits = ServerLimits()
         self.links = LinkRecords()
         # Connections to backend servers that this VM relays for others.
@@ -178,6 +180,7 @@
         self._pool.close_address(server.address)
         self._misplaced_by_id.pop(server.server_id, None)
         self.ratings.forget(server.server_id)
+        self.engine_ratings.forget(server)
         self.links.forget(server.server_id)
         emit(
             LogEvent.SERVER_GONE,
--- a/src/bronzepost/_internal/gateway/servers/server_calls.py
+++ b/src/bronzepost/_internal/gateway/servers/server_calls.py
@@ -270,6 +270,11 @@
                 seconds_per_event=pending.events.seconds_per_event,
                 running=running,
             )
+            self._directory.engine_ratings.record(
+                server,
+                seconds_per_event=pending.events.seconds_per_event,
+                running=running,
+            )
 
     @contextmanager
     def _count_in_flight(self, server: BackendServer) -> Iterator[None]:
--- a/src/bronzepost/_internal/gateway/servers/server_placement.py
+++ b/src/bronzepost/_internal/gateway/servers/server_placement.py
@@ -1,10 +1,11 @@
 """Choose the backend server of a request from what this VM knows of servers."""
 
 import random
-from collections.abc import Sequence, Set
+from collections.abc import Mapping, Sequence, Set
 from typing import Final
 
 from bronzepost._internal.core.gateway.candidates import (
+    MAX_COMPARED_SERVERS,
     choose_candidates,
     choose_subset,
 )
@@ -91,8 +92,8 @@
                 pending.service
             ),
             holder_ids=holders.server_ids,
-            latency_ratio_by_id=self._directory.ratings.compute_latency_ratios(
-                candidates
+            latency_ratio_by_id=self._find_ratios(
+                pending.service, servers, candidates
             ),
             slots_by_id=self._find_limited_slots(pending.service, candidates),
             avoided_ids=avoided_ids,
@@ -138,6 +139,20 @@
             return candidates
         return (previous, *candidates)
 
+    def _find_ratios(
+        self,
+        service: str,
+        servers: Sequence[BackendServer],
+        candidates: Sequence[BackendServer],
+    ) -> Mapping[str, float]:
+        """Return how much slower than others the candidates are, by id.
+
+        Each VM sends often enough to all engines of a small service.
+        """
+        if len(servers) <= MAX_COMPARED_SERVERS:
+            return self._directory.ratings.compute_latency_ratios(candidates)
+        return self._directory.engine_ratings.find_ratios(service, servers)
+
     def _find_limited_slots(
         self, service: str, candidates: Sequence[BackendServer]
     ) -> dict[str, float]:
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -280,6 +280,8 @@
         'The relay was asked from an address that is no VM of the fleet.',
     )
     TUNNEL_BROKEN = 8045, INFO, 'A tunnel ended before it was open.'
+    ENGINE_SLOW = 8063, WARNING, 'An engine streams more slowly than others.'
+    ENGINE_RECOVERED = 8064, INFO, 'An engine streams as fast as others again.'
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -80,6 +80,19 @@
             ('name',),
             CounterOrGauge,
         )
+        self.engine_slowness = MetricFamily(
+            'bronzepost_engine_slowness',
+            'Time per event of an engine over the median of its service.',
+            ('server',),
+            CounterOrGauge,
+        )
+        self.engine_load = MetricFamily(
+            'bronzepost_engine_load',
+            'Load of an engine over its fair share by speed.',
+            ('server',),
+            CounterOrGauge,
+        )
+        self._gauges = (self.state, self.engine_slowness, self.engine_load)
         self._counters = (
             self.requests,
             self.refusals,
@@ -109,7 +122,8 @@
 
         for counter in self._counters:
             yield _build_family(core.CounterMetricFamily, counter)
-        yield _build_family(core.GaugeMetricFamily, self.state)
+        for gauge in self._gauges:
+            yield _build_family(core.GaugeMetricFamily, gauge)
         histogram = core.HistogramMetricFamily(
             self.request_seconds.name,
             self.request_seconds.description,
--- a/src/bronzepost/_internal/telemetry/instruments.py
+++ b/src/bronzepost/_internal/telemetry/instruments.py
@@ -93,6 +93,10 @@
             self._children_by_labels[key] = child
         return child
 
+    def clear(self) -> None:
+        """Drop all children, for gauges of things that come and go."""
+        self._children_by_labels.clear()
+
     def __iter__(self) -> Iterator[tuple[Labels, MetricT]]:
         """Return the label values and the child of each combination."""
         return iter(tuple(self._children_by_labels.items()))
