--- a/src/bronzepost/_internal/gateway/peers/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_reports.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 import gevent
+import msgspec
 import xxhash
 
 from bronzepost._internal.core.gateway.configuration_lag import (
@@ -15,8 +16,9 @@
 from bronzepost._internal.gateway.peers.member_ranking import MemberRanking
 from bronzepost._internal.gateway.peers.messages import PROTOCOL, LoadReport
 from bronzepost._internal.gateway.peers.received_reports import (
+    MAX_REPORT_PEERS,
     ReceivedReports,
-    find_report_age,
+    find_load_age,
     find_report_interval,
     find_silence_cutoff,
 )
@@ -80,11 +82,19 @@
             tunnels=self._directory.tunnels,
             samples_by_route=self._directory.warm_requests.list_own(),
             protocol=PROTOCOL,
+            speeds_by_id=self._directory.engine_ratings.list_reported(),
         )
         # Leaving VMs get reports too: they still choose homes for the turns
         # that they serve.
         names = self._fleet.list_live_peers()
-        for name in self._rounds.choose(names, report, at=read_clock()):
+        chosen = self._rounds.choose(names, report, at=read_clock())
+        if len(names) > MAX_REPORT_PEERS:
+            # They are added after the choice: a report that differs from the
+            # last one only in them need not be sent.
+            report = msgspec.structs.replace(
+                report, relayed_loads=self.received.list_relayed()
+            )
+        for name in chosen:
             self._fleet.send(name, report)
 
     def rank_homes(self, key: str) -> tuple[str, ...]:
@@ -161,8 +171,8 @@
 
     @property
     def max_age_seconds(self) -> float:
-        """Return how old the reports of peers may be."""
-        return find_report_age(len(self._fleet.list_serving_peers()))
+        """Return how old the loads of peers may be."""
+        return find_load_age(len(self._fleet.list_serving_peers()))
 
     def count_in_flight(self, server_id: str) -> int:
         """Return the requests in flight of all VMs at a backend server."""
@@ -188,6 +198,7 @@
         self._directory.warm_requests.put_reported(
             sender, report.samples_by_route
         )
+        self._directory.engine_ratings.put_reported(sender, report.speeds_by_id)
         for server_id, limit in report.limits_by_id.items():
             self._directory.limits.receive(server_id, limit, sender)
 
--- a/src/bronzepost/_internal/gateway/servers/server_placement.py
+++ b/src/bronzepost/_internal/gateway/servers/server_placement.py
@@ -3,10 +3,11 @@
 import dataclasses
 import functools
 import random
-from collections.abc import Sequence, Set
+from collections.abc import Mapping, Sequence, Set
 from typing import Final
 
 from bronzepost._internal.core.gateway.candidates import (
+    MAX_COMPARED_SERVERS,
     choose_candidates,
     choose_subset,
 )
@@ -146,9 +147,7 @@
                 pending.service
             ),
             holder_ids=holders.server_ids,
-            latency_ratio_by_id=self._directory.ratings.compute_latency_ratios(
-                candidates
-            ),
+            latency_ratio_by_id=self._find_ratios(pending.service, candidates),
             slots_by_id=self._find_limited_slots(pending.service, candidates),
             avoided_ids=avoided_ids,
             connected_ids=self._list_connected(pending, candidates),
@@ -241,6 +240,20 @@
             return candidates
         return (previous, *candidates)
 
+    def _find_ratios(
+        self,
+        service: str,
+        candidates: Sequence[BackendServer],
+    ) -> Mapping[str, float]:
+        """Return how much slower than others the candidates are, by id.
+
+        Each VM sends often enough to all engines of a small service.
+        """
+        servers = self._directory.list_servers(service)
+        if len(servers) <= MAX_COMPARED_SERVERS:
+            return self._directory.ratings.compute_latency_ratios(candidates)
+        return self._directory.engine_ratings.find_ratios(service, servers)
+
     def _find_limited_slots(
         self, service: str, candidates: Sequence[BackendServer]
     ) -> dict[str, float]:
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -328,6 +328,8 @@
         INFO,
         'A request needs more memory than one engine of its service has.',
     )
+    ENGINE_SLOW = 8063, WARNING, 'An engine streams more slowly than others.'
+    ENGINE_RECOVERED = 8064, INFO, 'An engine streams as fast as others again.'
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -128,6 +128,25 @@
             ('route',),
             CounterOrGauge,
         )
+        self.engine_slowness = MetricFamily(
+            'bronzepost_engine_slowness',
+            'Time per event of an engine over the median of its service.',
+            ('server',),
+            CounterOrGauge,
+        )
+        self.engine_load = MetricFamily(
+            'bronzepost_engine_load',
+            'Load of an engine over its fair share by speed.',
+            ('server',),
+            CounterOrGauge,
+        )
+        self._gauges = (
+            self.state,
+            self.held_bytes,
+            self.warm_gain,
+            self.engine_slowness,
+            self.engine_load,
+        )
         self._counters = (
             self.requests,
             self.refusals,
@@ -163,7 +182,7 @@
 
         for counter in self._counters:
             yield _build_family(core.CounterMetricFamily, counter)
-        for gauge in (self.state, self.warm_gain, self.held_bytes):
+        for gauge in self._gauges:
             yield _build_family(core.GaugeMetricFamily, gauge)
         histogram = core.HistogramMetricFamily(
             self.request_seconds.name,
