--- /dev/null
+++ b/src/bronzepost/_internal/core/gateway/store_pace.py
@@ -0,0 +1,433 @@
+"""Decide which write to the store goes next, and when.
+
+All writes of a VM share its access to the store. While the store answers, a write
+goes at once. After refusals or silence one write at a time tries again, with growing
+pauses, and what has waited is then released at the VM's share of the rate that the
+store takes. Retries of each write by itself would keep the store overloaded after
+its return.
+"""
+
+import dataclasses
+import enum
+import math
+from collections.abc import Collection, Mapping, Sequence
+from typing import Final
+
+# A store has more than one partition, so that fewer failures may be those of
+# partitions that are down alone: each turn has two.
+HOLD_AFTER_LOCATIONS: Final = 3
+# Pauses grow by this factor until the longest one (exponential backoff).
+_PAUSE_FACTOR: Final = 2.0
+# Bounds the exponent; the longest pause is reached long before.
+_MAX_DOUBLINGS: Final = 16
+# Pauses are spread between this part of their length and all of it, so that VMs
+# that were refused at once do not try again at once.
+_SHORTEST_PAUSE_SHARE: Final = 0.5
+# Share of the store's rate that all VMs together use for what has waited. The rest
+# is for the budgets and turns of programs that go on meanwhile.
+RELEASE_SHARE: Final = 0.8
+# Share of the store's rate for attempts of all VMs while it refuses. It bounds what
+# refused calls cost in a long outage of a large fleet.
+PROBE_SHARE: Final = 0.1
+# Writes a second of a VM whose share is less, so that it makes progress.
+MIN_RATE: Final = 1.0
+# A refusal by rate halves the pace, down to this part of it. Each stored write then
+# restores a tenth of the whole (additive increase, multiplicative decrease).
+_MIN_RATE_FACTOR: Final = 0.125
+_RATE_STEP: Final = 0.1
+# A failed location that nothing was written to for this long counts as untried.
+FAILURE_RETENTION_SECONDS: Final = 5.0
+# Limits of one append and of one of its records on the platform ("callBytes" and
+# "recordBytes"), less what the lengths and keys of its records take.
+MAX_APPEND_BYTES: Final = 2_000_000
+
+
+# A topic and a partition of it.
+Location = tuple[str, int]
+
+
+class Priority(enum.IntEnum):
+    """Kinds of writes, the most urgent first."""
+
+    BUDGET = 0
+    TURN = 1
+    SWEEP = 2
+
+
+class Outcome(enum.StrEnum):
+    """How an attempt ended.
+
+    ``LIMITED`` is a refusal because all calls together are beyond the rate.
+    """
+
+    ANSWERED = 'answered'
+    REFUSED = 'refused'
+    LIMITED = 'limited'
+    SILENT = 'silent'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PaceLimits:
+    """The longest times between attempts of this VM, and its rate.
+
+    ``rate`` is its share of the store's writes a second. Pauses between attempts
+    grow from ``first_pause`` to ``longest_pause`` seconds.
+    """
+
+    rate: float
+    first_pause: float
+    longest_pause: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LocationFailure:
+    """Failed attempts at a location in a row, and when the next one is due."""
+
+    failures: int
+    next_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WaitingWrite:
+    """A write that may go to one of ``locations``, the first one preferred.
+
+    It is of no use after ``deadline_at``. ``size`` is in bytes.
+    """
+
+    key: str
+    locations: tuple[Location, ...]
+    deadline_at: float = math.inf
+    size: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Batch:
+    """Writes that go into one append."""
+
+    location: Location
+    keys: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreAccess:
+    """What a VM knows of its access to the store.
+
+    ``unanswered`` are the locations that have failed since the last answer. Writes
+    are held since ``held_since``, None if they are not. While they are held or
+    ``is_paced``, no attempt begins before ``next_at``. ``probes`` are the failed
+    attempts while writes are held. ``rate_factor`` lowers the pace after refusals
+    by rate.
+    """
+
+    failures_by_location: Mapping[Location, LocationFailure] = (
+        dataclasses.field(default_factory=dict)
+    )
+    unanswered: frozenset[Location] = frozenset()
+    held_since: float | None = None
+    probes: int = 0
+    is_paced: bool = False
+    next_at: float = 0
+    rate_factor: float = 1.0
+
+    @property
+    def is_held(self) -> bool:
+        """Return whether only one attempt at a time may begin."""
+        return self.held_since is not None
+
+    @property
+    def is_calm(self) -> bool:
+        """Return whether writes begin as soon as they come."""
+        return not (self.is_held or self.is_paced)
+
+
+def share_limits(
+    *, store_rate: float, vms: int, first_pause: float, longest_pause: float
+) -> PaceLimits:
+    """Return the limits of one of several VMs that share a store.
+
+    >>> share_limits(
+    ...     store_rate=1500, vms=10, first_pause=0.1, longest_pause=0.5
+    ... )
+    PaceLimits(rate=120.0, first_pause=0.1, longest_pause=0.5)
+    """
+    return PaceLimits(
+        rate=max(store_rate * RELEASE_SHARE / vms, MIN_RATE),
+        first_pause=first_pause,
+        longest_pause=max(longest_pause, vms / (store_rate * PROBE_SHARE)),
+    )
+
+
+def find_pause(failures: int, limits: PaceLimits, spread: float) -> float:
+    """Return the seconds between a failure and the next attempt.
+
+    ``failures`` counts those in a row. ``spread`` is a random number between 0
+    and 1.
+    """
+    doublings = min(max(failures - 1, 0), _MAX_DOUBLINGS)
+    pause = min(
+        limits.first_pause * _PAUSE_FACTOR**doublings, limits.longest_pause
+    )
+    varying = 1 - _SHORTEST_PAUSE_SHARE
+    return pause * (_SHORTEST_PAUSE_SHARE + varying * spread)
+
+
+def choose_batch(
+    access: StoreAccess,
+    waiting: Sequence[WaitingWrite],
+    busy: Collection[Location],
+    *,
+    at: float,
+) -> Batch | None:
+    """Return the append that goes next, or None if none may begin now.
+
+    ``waiting`` are the writes that no attempt is under way for, and ``busy`` the
+    locations of attempts that are. Other writes to the same location join the most
+    urgent one, as far as one append holds them.
+    """
+    is_probe_under_way = access.is_held and bool(busy)
+    if is_probe_under_way or (not access.is_calm and at < access.next_at):
+        return None
+    choices = [
+        (_rank(access, write, location), location)
+        for write in waiting
+        for location in _list_due(access, write, busy, at)[:1]
+    ]
+    if not choices:
+        return None
+    _, location = min(choices)
+    return Batch(location=location, keys=_join(waiting, location))
+
+
+def begin_attempt(
+    access: StoreAccess, limits: PaceLimits, *, at: float
+) -> StoreAccess:
+    """Return the access after an attempt has begun, which uses up its turn."""
+    if not access.is_paced:
+        return access
+    interval = 1 / (limits.rate * access.rate_factor)
+    return dataclasses.replace(
+        access, next_at=max(access.next_at, at) + interval
+    )
+
+
+def record_outcome(
+    access: StoreAccess,
+    location: Location,
+    outcome: Outcome,
+    limits: PaceLimits,
+    *,
+    at: float,
+    spread: float,
+) -> StoreAccess:
+    """Return the access after an attempt has ended.
+
+    ``spread`` is a random number between 0 and 1.
+    """
+    if outcome is Outcome.ANSWERED:
+        return _record_answer(access, location, limits, at)
+    if outcome is Outcome.LIMITED:
+        factor = max(access.rate_factor / 2, _MIN_RATE_FACTOR)
+        pause = (_SHORTEST_PAUSE_SHARE + spread) / (limits.rate * factor)
+        return dataclasses.replace(
+            access,
+            is_paced=True,
+            rate_factor=factor,
+            next_at=max(access.next_at, at + pause),
+        )
+    return _record_failure(access, location, limits, at, spread)
+
+
+def end_pace(access: StoreAccess, *, at: float) -> StoreAccess:
+    """Return the access once nothing waits: the next write goes at once.
+
+    A turn that was used just now is waited for, so that many writes one after
+    another do not leave the pace.
+    """
+    if not access.is_paced or access.is_held or at < access.next_at:
+        return access
+    return dataclasses.replace(access, is_paced=False, rate_factor=1)
+
+
+def expect_return(access: StoreAccess, *, until: float) -> StoreAccess:
+    """Return the access of a VM that has learned that the store answers again.
+
+    The next attempt is due at ``until`` at the latest.
+    """
+    if not access.is_held:
+        return access
+    return dataclasses.replace(
+        access,
+        failures_by_location=_make_due(access, until),
+        next_at=min(access.next_at, until),
+        probes=0,
+    )
+
+
+def may_begin(
+    access: StoreAccess,
+    busy: Collection[Location],
+    *,
+    at: float,
+    priority: Priority,
+) -> bool:
+    """Return whether a call that cannot wait may begin.
+
+    Calls for budgets and reads of turns take a turn in advance while the pace is
+    kept, and are made at a location that failed alone, since callers wait for them.
+    Sweeps come after all that waits.
+    """
+    if priority is Priority.SWEEP:
+        return access.is_calm
+    return not access.is_held or (at >= access.next_at and not busy)
+
+
+def needs_peer(access: StoreAccess, write: WaitingWrite) -> bool:
+    """Return whether a peer may store a write that this VM cannot."""
+    return access.is_held or all(
+        location in access.failures_by_location for location in write.locations
+    )
+
+
+def find_next_time(
+    access: StoreAccess, waiting: Sequence[WaitingWrite]
+) -> float:
+    """Return when an attempt that is not under way yet is due next.
+
+    Infinite if nothing waits. The time may have passed, if an attempt under way
+    holds back the next one.
+    """
+    due = [
+        getattr(access.failures_by_location.get(location), 'next_at', 0)
+        for write in waiting
+        for location in write.locations
+    ]
+    earliest: float = min(due, default=math.inf)
+    return earliest if access.is_calm else max(earliest, access.next_at)
+
+
+def expect_wait(
+    access: StoreAccess, *, waiting: int, rate: float, at: float
+) -> float:
+    """Return the seconds after which a write that comes now is expected to be stored.
+
+    The store is expected to stay away for as long again as it has been away. What
+    waits then goes first, at ``rate`` writes a second.
+    """
+    if access.is_calm:
+        return 0
+    away = 0 if access.held_since is None else at - access.held_since
+    return away + (waiting + 1) / rate
+
+
+def _rank(
+    access: StoreAccess, write: WaitingWrite, location: Location
+) -> tuple[int, float, str]:
+    # While writes are held, locations that have not failed tell the most.
+    failure = access.failures_by_location.get(location)
+    failures = failure.failures if failure and access.is_held else 0
+    return failures, write.deadline_at, write.key
+
+
+def _list_due(
+    access: StoreAccess,
+    write: WaitingWrite,
+    busy: Collection[Location],
+    at: float,
+) -> list[Location]:
+    failures = access.failures_by_location
+    due = [
+        location
+        for location in write.locations
+        if location not in busy
+        and (location not in failures or failures[location].next_at <= at)
+    ]
+    return sorted(
+        due,
+        key=lambda location: (
+            failures[location].next_at if location in failures else 0
+        ),
+    )
+
+
+def _join(
+    waiting: Sequence[WaitingWrite], location: Location
+) -> tuple[str, ...]:
+    joined: list[str] = []
+    free = MAX_APPEND_BYTES
+    for write in sorted(waiting, key=lambda listed: listed.deadline_at):
+        if location in write.locations and (write.size <= free or not joined):
+            joined.append(write.key)
+            free -= write.size
+    return tuple(joined)
+
+
+def _record_answer(
+    access: StoreAccess, location: Location, limits: PaceLimits, at: float
+) -> StoreAccess:
+    oldest = at - FAILURE_RETENTION_SECONDS
+    failures = {
+        key: failure
+        for key, failure in access.failures_by_location.items()
+        if key != location and failure.next_at > oldest
+    }
+    answered = dataclasses.replace(
+        access,
+        failures_by_location=failures,
+        unanswered=frozenset(),
+        rate_factor=min(access.rate_factor + _RATE_STEP, 1),
+    )
+    if not access.is_held:
+        return answered
+    # What failed in an outage of the whole store says nothing about partitions.
+    return dataclasses.replace(
+        answered,
+        failures_by_location={},
+        held_since=None,
+        probes=0,
+        is_paced=True,
+        next_at=at + 1 / limits.rate,
+    )
+
+
+def _record_failure(
+    access: StoreAccess,
+    location: Location,
+    limits: PaceLimits,
+    at: float,
+    spread: float,
+) -> StoreAccess:
+    before = access.failures_by_location.get(location)
+    count = before.failures + 1 if before else 1
+    failure = LocationFailure(
+        failures=count, next_at=at + find_pause(count, limits, spread)
+    )
+    failed = dataclasses.replace(
+        access,
+        failures_by_location={
+            **access.failures_by_location,
+            location: failure,
+        },
+        unanswered=access.unanswered | {location},
+    )
+    if not access.is_held and len(failed.unanswered) < HOLD_AFTER_LOCATIONS:
+        return failed
+    if access.is_held and at < access.next_at:
+        # It began before the writes were held.
+        return failed
+    probes = access.probes + 1
+    return dataclasses.replace(
+        failed,
+        held_since=at if access.held_since is None else access.held_since,
+        is_paced=False,
+        probes=probes,
+        next_at=at + find_pause(probes, limits, spread),
+    )
+
+
+def _make_due(
+    access: StoreAccess, at: float
+) -> dict[Location, LocationFailure]:
+    return {
+        location: dataclasses.replace(failure, next_at=min(failure.next_at, at))
+        for location, failure in access.failures_by_location.items()
+    }
--- a/src/bronzepost/_internal/exceptions.py
+++ b/src/bronzepost/_internal/exceptions.py
@@ -146,3 +146,11 @@
         """Store the seconds after which to retry."""
         super().__init__(message, step=step, peer=peer)
         self.retry_after_seconds = retry_after_seconds
+
+
+class LogLimitedError(LogRefusedError):
+    """The log service refused a request because there were too many of them."""
+
+
+class LogHeldError(LogRefusedError):
+    """The request was not sent, since the log service refused others just now."""
--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -132,17 +132,25 @@
 
 
 class StoreTurn(msgspec.Struct, frozen=True, kw_only=True, tag='store_turn'):
-    """Ask a peer to write a turn for a VM that the store does not answer."""
+    """Ask a peer to write turns for a VM that the store does not answer.
+
+    Builds that do not know ``more`` write the first turn only.
+    """
 
     call_id: int
     content: bytes
+    more: tuple[bytes, ...] = ()
 
 
 class TurnStored(msgspec.Struct, frozen=True, kw_only=True, tag='turn_stored'):
-    """Answer to ``StoreTurn``: whether the store has confirmed the turn."""
+    """Answer to ``StoreTurn``: whether the store has confirmed the first turn.
+
+    ``stored_ids`` are those of all confirmed turns, empty from earlier builds.
+    """
 
     call_id: int
     is_stored: bool
+    stored_ids: tuple[str, ...] = ()
 
 
 class FindTurns(msgspec.Struct, frozen=True, kw_only=True, tag='find_turns'):
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent.event import Event
 
+from bronzepost._internal.core.gateway.store_pace import Priority
 from bronzepost._internal.exceptions import SettingsError
 from bronzepost._internal.gateway.callers.caller_connections import CallerServer
 from bronzepost._internal.gateway.callers.header_names import HeaderNames
@@ -22,6 +23,7 @@
 from bronzepost._internal.gateway.programs.budget_keeper import BudgetKeeper
 from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
 from bronzepost._internal.gateway.programs.program_state import ProgramState
+from bronzepost._internal.gateway.programs.store_pace import StorePace
 from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
 from bronzepost._internal.gateway.requests.forwarding import (
     DecodeCall,
@@ -74,11 +76,23 @@
             fleet=self.fleet, directory=self.directory, follower=self.follower
         )
         calls = PeerCalls(fleet=self.fleet)
+        pace = StorePace(
+            fleet=self.fleet,
+            writes_per_second=settings.store_writes_per_second,
+            reads_per_second=settings.store_reads_per_second,
+        )
         self.budgets = BudgetKeeper(
-            fleet=self.fleet, reports=self.reports, calls=calls, store=store
+            fleet=self.fleet,
+            reports=self.reports,
+            calls=calls,
+            store=pace.open_store(store, Priority.BUDGET),
         )
         self.turns = TurnKeeper(
-            fleet=self.fleet, reports=self.reports, calls=calls, store=store
+            fleet=self.fleet,
+            reports=self.reports,
+            calls=calls,
+            store=store,
+            pace=pace,
         )
         self.snapshots = SnapshotExchange(
             fleet=self.fleet,
@@ -155,6 +169,8 @@
             'requests_under_way': self.callers.count_busy(),
             'programs_held': self.budgets.count_programs(),
             'turns_held': len(self.turns.turns_by_id),
+            'store_turns_waiting': len(self.turns.queue.turns_by_key),
+            'store_oldest_wait_seconds': self.turns.queue.oldest_seconds,
             'streams_known': self.streams.count(),
             'server_connections_opened': self.pool.opened_count,
             'peer_messages_sent': self.fleet.counts.sent,
--- a/src/bronzepost/_internal/gateway/programs/allowance_writer.py
+++ b/src/bronzepost/_internal/gateway/programs/allowance_writer.py
@@ -13,6 +13,7 @@
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 from bronzepost._internal.exceptions import (
     AmbiguousAppendError,
+    LogHeldError,
     LogServiceError,
 )
 from bronzepost._internal.gateway.peers.messages import ReserveTokens
@@ -139,6 +140,10 @@
             return any(
                 self._try_batch(needed) for _ in range(MAX_APPEND_ATTEMPTS)
             )
+        except LogHeldError:
+            # Nothing was sent, so what this VM knows of the partition holds. The
+            # refusals before it are logged.
+            return False
         except LogServiceError as error:
             self._end_offset = None
             emit(
--- a/src/bronzepost/_internal/gateway/programs/program_state.py
+++ b/src/bronzepost/_internal/gateway/programs/program_state.py
@@ -1,6 +1,7 @@
 """The state of programs between their turns: budgets and histories."""
 
 import dataclasses
+import math
 import time
 from http import HTTPStatus
 
@@ -17,16 +18,21 @@
     Reservation,
 )
 from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
+from bronzepost._internal.node.clock import read_clock
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class OpenTurn:
-    """A turn that may run: its full prompt, ancestors and reserved tokens."""
+    """A turn that may run: its full prompt, ancestors and reserved tokens.
+
+    The time of its request ends at ``deadline_at``, in monotonic seconds.
+    """
 
     call: CallRequest
     prompt: bytes
     ancestors: tuple[str, ...]
     reservation: Reservation
+    deadline_at: float
 
 
 class ProgramState:
@@ -45,6 +51,8 @@
         Raises:
             RefusedError: if the turn may not run; it has not run.
         """
+        seconds = call.deadline_seconds
+        deadline_at = math.inf if seconds is None else read_clock() + seconds
         ancestors: tuple[str, ...] = ()
         if route.keeps_history:
             if call.resume_after:
@@ -58,6 +66,7 @@
             reservation=self._budgets.reserve(
                 call, needs_store=route.keeps_history
             ),
+            deadline_at=deadline_at,
         )
 
     def save_turn(
@@ -77,7 +86,9 @@
             answer=join_answer(events.event_data),
             ends_at=time.time() + route.retention_seconds,
         )
-        self._turns.keep(completed, turn.call.program_id)
+        self._turns.keep(
+            completed, turn.call.program_id, deadline_at=turn.deadline_at
+        )
 
     def close_turn(self, turn: OpenTurn, tokens: int, server_id: str) -> None:
         """Settle a turn: ``tokens`` were generated, the rest is freed."""
--- a/src/bronzepost/_internal/gateway/programs/turn_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_keeper.py
@@ -1,6 +1,7 @@
 """Store the turns of programs, and find those that a turn continues from."""
 
 import dataclasses
+import math
 import time
 from http import HTTPStatus
 from typing import Final
@@ -9,12 +10,15 @@
 
 from bronzepost._internal.core.gateway.entities import CallRequest
 from bronzepost._internal.core.gateway.histories import Turn, list_chain
+from bronzepost._internal.core.gateway.store_pace import Priority
 from bronzepost._internal.exceptions import RefusedError
 from bronzepost._internal.gateway.loops import start_loop, start_task
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peers.peer_reports import PeerReports
 from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
+from bronzepost._internal.gateway.programs.store_pace import StorePace
+from bronzepost._internal.gateway.programs.store_queue import StoreQueue
 from bronzepost._internal.gateway.programs.turn_copies import TurnCopies
 from bronzepost._internal.gateway.programs.turn_search import TurnSearch
 from bronzepost._internal.gateway.programs.turn_store import TurnStore
@@ -46,12 +50,20 @@
         reports: PeerReports,
         calls: PeerCalls,
         store: KeyedStore,
+        pace: StorePace | None = None,
     ) -> None:
-        """Keep turns in ``store``, with copies on members of ``fleet``."""
+        """Keep turns in ``store``, with copies on members of ``fleet``.
+
+        ``pace`` is that of all calls of this VM to the store, None if nothing else
+        calls it.
+        """
         self.turns_by_id: dict[str, Turn] = {}
         self._fleet = fleet
         self._reports = reports
-        self._store = TurnStore(store=store)
+        pace = pace or StorePace(fleet=fleet)
+        turns = TurnStore(store=pace.open_store(store, Priority.TURN))
+        self._swept = TurnStore(store=pace.open_store(store, Priority.SWEEP))
+        self.queue = StoreQueue(store=store, lane=pace.writes, reports=reports)
         self._copies = TurnCopies(
             fleet=fleet,
             reports=reports,
@@ -59,14 +71,19 @@
             partitions=store.partitions,
         )
         self._writer = TurnWriter(
-            fleet=fleet, reports=reports, calls=calls, store=self._store
+            fleet=fleet,
+            reports=reports,
+            calls=calls,
+            store=turns,
+            queue=self.queue,
+            lane=pace.writes,
         )
         self._search = TurnSearch(
             turns_by_id=self.turns_by_id,
             fleet=fleet,
             reports=reports,
             copies=self._copies,
-            store=self._store,
+            store=turns,
         )
         self._partitions = store.partitions
 
@@ -99,12 +116,15 @@
             raise refuse_unknown_turn()
         return list_chain(self.turns_by_id[call.previous_turn])
 
-    def keep(self, turn: Turn, program_id: str) -> None:
+    def keep(
+        self, turn: Turn, program_id: str, *, deadline_at: float = math.inf
+    ) -> None:
         """Return once the store has a turn; the caller sets the timeout.
 
-        Copies on peers are not enough: all VMs may lose power at once.
+        Copies on peers are not enough: all VMs may lose power at once. Of turns
+        that wait, those with the earliest ``deadline_at`` are written first.
         """
-        self._writer.write(turn)
+        self._writer.write(turn, deadline_at=deadline_at)
         self.turns_by_id[turn.turn_id] = turn
         # With a copy the home of the program finds the turn without the store.
         # It is sent after the write, so that peers have no copy of a turn whose
@@ -138,7 +158,7 @@
         for partition in range(self._partitions):
             ranked = self._reports.rank_homes(f'budgets-{partition}')
             if self._reports.has_store and ranked[0] == self._fleet.own_name:
-                self._store.sweep(partition, oldest=oldest)
+                self._swept.sweep(partition, oldest=oldest)
 
 
 def refuse_unknown_turn() -> RefusedError:
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -280,6 +280,16 @@
         'The relay was asked from an address that is no VM of the fleet.',
     )
     TUNNEL_BROKEN = 8045, INFO, 'A tunnel ended before it was open.'
+    STORE_WRITES_HELD = (
+        8057,
+        WARNING,
+        'Writes wait: the store refuses this VM or does not answer it.',
+    )
+    STORE_WRITES_CAUGHT_UP = (
+        8058,
+        INFO,
+        'What waited for the store has been written.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -67,6 +67,12 @@
             ('call', 'outcome'),
             CounterOrGauge,
         )
+        self.store_attempts = MetricFamily(
+            'bronzepost_store_attempts',
+            'Attempts to write to the store or to read from it, by outcome.',
+            ('kind', 'outcome'),
+            CounterOrGauge,
+        )
         logs_left_out = MetricFamily(
             'bronzepost_log_lines_left_out',
             'Log lines that were not written, to bound their volume.',
@@ -86,6 +92,7 @@
             self.server_failures,
             self.server_sends,
             self.store_calls,
+            self.store_attempts,
             logs_left_out,
         )
 
--- a/tests/builders_losses.py
+++ b/tests/builders_losses.py
@@ -9,6 +9,7 @@
 import gevent
 
 from bronzepost._internal.core.gateway.entities import CallRequest
+from bronzepost._internal.core.gateway.store_pace import Priority
 from bronzepost._internal.exceptions import (
     AmbiguousAppendError,
     LogRefusedError,
@@ -22,11 +23,13 @@
 from bronzepost._internal.gateway.programs.keyed_store import (
     KeyedPartition,
     KeyedRecord,
+    KeyedStore,
 )
 from bronzepost._internal.gateway.programs.program_state import (
     OpenTurn,
     ProgramState,
 )
+from bronzepost._internal.gateway.programs.store_pace import StorePace
 from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
 from tests.builders_gateway import MemoryStore, make_route, make_turn_call
 
@@ -38,10 +41,17 @@
 CALL_TIMEOUT_SECONDS: Final = 0.15
 # Timeouts of the gateway by module and name, scaled in the same way.
 TIMEOUTS: Final = (
-    ('turn_writer', 'PEER_WRITE_DELAY_SECONDS', 0.06),
+    ('store_lane', 'SILENT_SECONDS', 0.06),
     ('turn_writer', 'STORE_CHECK_SECONDS', 0.03),
     ('turn_copies', 'PEER_READ_TIMEOUT_SECONDS', 0.05),
-    ('turn_writer', 'RETRY_SECONDS', 0.02),
+    ('turn_writer', 'RETRY_SECONDS', 0.01),
+    ('turn_writer', 'PEER_PAUSE_SECONDS', 0.05),
+    ('turn_writer', '_ANSWER_MARGIN_SECONDS', 0.005),
+    ('store_lane', 'RETURN_SPREAD_SECONDS', 0.01),
+    ('store_pace', 'FIRST_PAUSE_SECONDS', 0.01),
+    ('store_pace', 'LONGEST_PAUSE_SECONDS', 0.05),
+    ('store_queue', 'RETURN_CHECK_SECONDS', 0.005),
+    ('store_queue', 'MIN_TIMER_SECONDS', 0.002),
     ('turn_writer', 'PEER_WRITE_TIMEOUT_SECONDS', 0.05),
     ('budget_keeper', 'RESERVE_TIMEOUT_SECONDS', 0.1),
     ('home', 'GRANT_TIMEOUT_SECONDS', 0.05),
@@ -178,10 +188,13 @@
             'fleet': cast(Fleet, self),
             'reports': cast(PeerReports, self),
             'calls': PeerCalls(fleet=cast(Fleet, self)),
-            'store': StoreClient(vm=self),
         }
-        self.turns = TurnKeeper(**parts)
-        self.budgets = BudgetKeeper(**parts)
+        store = cast(KeyedStore, StoreClient(vm=self))
+        pace = StorePace(fleet=cast(Fleet, self))
+        self.turns = TurnKeeper(**parts, store=store, pace=pace)
+        self.budgets = BudgetKeeper(
+            **parts, store=pace.open_store(store, Priority.BUDGET)
+        )
         self.programs = ProgramState(budgets=self.budgets, turns=self.turns)
 
     @property
--- a/tests/unit/test_gateway_turns.py
+++ b/tests/unit/test_gateway_turns.py
@@ -15,11 +15,9 @@
 from bronzepost._internal.gateway.peers.messages import StoreTurn, TurnStored
 from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.programs.store_lane import SILENT_SECONDS
 from bronzepost._internal.gateway.programs.turn_copies import TurnCopies
 from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
-from bronzepost._internal.gateway.programs.turn_writer import (
-    PEER_WRITE_DELAY_SECONDS,
-)
 from tests.builders_gateway import MemoryStore, make_turn_call
 
 WAIT_SECONDS = 0.05
@@ -212,7 +210,7 @@
         hanging.append_delay_seconds = HANG_SECONDS
         self.keepers['c'] = self.start('c', store=hanging)
         self.vms_by_name['c'].has_store = True
-        self.keep('c').get(timeout=PEER_WRITE_DELAY_SECONDS + WAIT_SECONDS * 4)
+        self.keep('c').get(timeout=SILENT_SECONDS + WAIT_SECONDS * 4)
         self.assertIn('t', self.store.list_keys('turns'))
 
     def test_vm_without_peers_retries_the_write_of_a_refused_turn(
@@ -243,7 +241,7 @@
         refused = self.store.make_view()
         refused.is_down = True
         self.keepers['c'] = self.start('c', store=refused)
-        self.keep('c').get(timeout=PEER_WRITE_DELAY_SECONDS / 2)
+        self.keep('c').get(timeout=SILENT_SECONDS / 2)
         self.assertIn('t', self.store.list_keys('turns'))
 
     def test_turn_answered_in_an_outage_outlives_all_vms(self) -> None:
--- a/tests/unit/test_loss_of_all_vms.py
+++ b/tests/unit/test_loss_of_all_vms.py
@@ -21,6 +21,9 @@
     allowance_writer,
     budget_keeper,
     home,
+    store_lane,
+    store_pace,
+    store_queue,
     turn_copies,
     turn_writer,
 )
@@ -44,6 +47,9 @@
 MODULES: Final = MappingProxyType({
     'budget_keeper': budget_keeper,
     'home': home,
+    'store_lane': store_lane,
+    'store_pace': store_pace,
+    'store_queue': store_queue,
     'turn_copies': turn_copies,
     'turn_writer': turn_writer,
 })
