Write what waits for the store through one queue on each VM

Each waiting turn made ten appends a second by itself, so the store went on refusing for two to three seconds after an outage. Now a VM makes one attempt at a time while it is refused and then releases what waits at its share of the rate.

--- a/src/bronzepost/_internal/core/gateway/store_pace.py
+++ b/src/bronzepost/_internal/core/gateway/store_pace.py
@@ -31,10 +31,17 @@
 PROBE_SHARE: Final = 0.1
 # Writes a second of a VM whose share is less, so that it makes progress.
 MIN_RATE: Final = 1.0
-# A refusal by rate halves the pace, down to this part of it. Each stored write then
-# restores a tenth of the whole (additive increase, multiplicative decrease).
-_MIN_RATE_FACTOR: Final = 0.125
-_RATE_STEP: Final = 0.1
+# While answers are prompt, each one raises the pace by the share of the VM, so that
+# what other VMs leave unused is used. Late answers mean that the store queues: the
+# pace stays, and goes back to the share before the store refuses, which it does when
+# 2 s of work wait (delay-based congestion control). A refusal by rate halves it.
+RATE_STEP: Final = 1.0
+MAX_RATE_FACTOR: Final = 8.0
+MIN_RATE_FACTOR: Final = 0.125
+# An append takes 4 ms; one that takes longer than this has waited for others.
+PROMPT_SECONDS: Final = 0.1
+# A quarter of what may wait at the store.
+LATE_SECONDS: Final = 0.5
 # A failed location that nothing was written to for this long counts as untried.
 FAILURE_RETENTION_SECONDS: Final = 5.0
 # Limits of one append and of one of its records on the platform ("callBytes" and
@@ -115,8 +122,8 @@
     ``unanswered`` are the locations that have failed since the last answer. Writes
     are held since ``held_since``, None if they are not. While they are held or
     ``is_paced``, no attempt begins before ``next_at``. ``probes`` are the failed
-    attempts while writes are held. ``rate_factor`` lowers the pace after refusals
-    by rate.
+    attempts while writes are held. The pace is ``rate_factor`` times the share of
+    the VM.
     """
 
     failures_by_location: Mapping[Location, LocationFailure] = (
@@ -210,7 +217,34 @@
     )
 
 
-def record_outcome(
+def record_answer(
+    access: StoreAccess,
+    location: Location,
+    *,
+    at: float,
+    seconds: float,
+) -> StoreAccess:
+    """Return the access after the store has answered an attempt.
+
+    The answer took ``seconds``.
+    """
+    oldest = at - FAILURE_RETENTION_SECONDS
+    if not access.is_held:
+        return dataclasses.replace(
+            access,
+            failures_by_location={
+                key: failure
+                for key, failure in access.failures_by_location.items()
+                if key != location and failure.next_at > oldest
+            },
+            unanswered=frozenset(),
+            rate_factor=_adapt_rate(access.rate_factor, seconds),
+        )
+    # What failed in an outage of the whole store says nothing about partitions.
+    return StoreAccess(is_paced=True, next_at=at)
+
+
+def record_failure(
     access: StoreAccess,
     location: Location,
     outcome: Outcome,
@@ -219,22 +253,33 @@
     at: float,
     spread: float,
 ) -> StoreAccess:
-    """Return the access after an attempt has ended.
+    """Return the access after an attempt was refused or got no answer.
 
     ``spread`` is a random number between 0 and 1.
     """
-    if outcome is Outcome.ANSWERED:
-        return _record_answer(access, location, limits, at)
     if outcome is Outcome.LIMITED:
-        factor = max(access.rate_factor / 2, _MIN_RATE_FACTOR)
+        factor = max(min(access.rate_factor, 1) / 2, MIN_RATE_FACTOR)
         pause = (_SHORTEST_PAUSE_SHARE + spread) / (limits.rate * factor)
         return dataclasses.replace(
             access,
-            is_paced=True,
+            is_paced=not access.is_held,
             rate_factor=factor,
             next_at=max(access.next_at, at + pause),
         )
-    return _record_failure(access, location, limits, at, spread)
+    before = access.failures_by_location.get(location)
+    count = before.failures + 1 if before else 1
+    failure = LocationFailure(
+        failures=count, next_at=at + find_pause(count, limits, spread)
+    )
+    failed = dataclasses.replace(
+        access,
+        failures_by_location={
+            **access.failures_by_location,
+            location: failure,
+        },
+        unanswered=access.unanswered | {location},
+    )
+    return _hold(failed, limits, at, spread)
 
 
 def end_pace(access: StoreAccess, *, at: float) -> StoreAccess:
@@ -253,13 +298,17 @@
 
     The next attempt is due at ``until`` at the latest.
     """
-    if not access.is_held:
-        return access
+    failures = {
+        location: LocationFailure(
+            failures=1, next_at=min(failure.next_at, until)
+        )
+        for location, failure in access.failures_by_location.items()
+    }
+    next_at = access.next_at
+    if access.is_held:
+        next_at = min(next_at, until)
     return dataclasses.replace(
-        access,
-        failures_by_location=_make_due(access, until),
-        next_at=min(access.next_at, until),
-        probes=0,
+        access, failures_by_location=failures, next_at=next_at, probes=0
     )
 
 
@@ -361,73 +410,26 @@
     return tuple(joined)
 
 
-def _record_answer(
-    access: StoreAccess, location: Location, limits: PaceLimits, at: float
-) -> StoreAccess:
-    oldest = at - FAILURE_RETENTION_SECONDS
-    failures = {
-        key: failure
-        for key, failure in access.failures_by_location.items()
-        if key != location and failure.next_at > oldest
-    }
-    answered = dataclasses.replace(
-        access,
-        failures_by_location=failures,
-        unanswered=frozenset(),
-        rate_factor=min(access.rate_factor + _RATE_STEP, 1),
-    )
-    if not access.is_held:
-        return answered
-    # What failed in an outage of the whole store says nothing about partitions.
-    return dataclasses.replace(
-        answered,
-        failures_by_location={},
-        held_since=None,
-        probes=0,
-        is_paced=True,
-        next_at=at + 1 / limits.rate,
-    )
+def _adapt_rate(factor: float, seconds: float) -> float:
+    if seconds <= PROMPT_SECONDS:
+        return min(factor + RATE_STEP, MAX_RATE_FACTOR)
+    return factor if seconds <= LATE_SECONDS else min(factor, 1)
 
 
-def _record_failure(
-    access: StoreAccess,
-    location: Location,
-    limits: PaceLimits,
-    at: float,
-    spread: float,
+def _hold(
+    access: StoreAccess, limits: PaceLimits, at: float, spread: float
 ) -> StoreAccess:
-    before = access.failures_by_location.get(location)
-    count = before.failures + 1 if before else 1
-    failure = LocationFailure(
-        failures=count, next_at=at + find_pause(count, limits, spread)
-    )
-    failed = dataclasses.replace(
-        access,
-        failures_by_location={
-            **access.failures_by_location,
-            location: failure,
-        },
-        unanswered=access.unanswered | {location},
-    )
-    if not access.is_held and len(failed.unanswered) < HOLD_AFTER_LOCATIONS:
-        return failed
-    if access.is_held and at < access.next_at:
-        # It began before the writes were held.
-        return failed
+    """Return the access with writes held if enough locations have failed."""
+    # A failed attempt that began before the writes were held is no probe.
+    is_late = access.is_held and at < access.next_at
+    is_alone = len(access.unanswered) < HOLD_AFTER_LOCATIONS
+    if is_late or (is_alone and not access.is_held):
+        return access
     probes = access.probes + 1
     return dataclasses.replace(
-        failed,
+        access,
         held_since=at if access.held_since is None else access.held_since,
         is_paced=False,
         probes=probes,
         next_at=at + find_pause(probes, limits, spread),
     )
-
-
-def _make_due(
-    access: StoreAccess, at: float
-) -> dict[Location, LocationFailure]:
-    return {
-        location: dataclasses.replace(failure, next_at=min(failure.next_at, at))
-        for location, failure in access.failures_by_location.items()
-    }
--- a/src/bronzepost/_internal/gateway/programs/store_lane.py
+++ b/src/bronzepost/_internal/gateway/programs/store_lane.py
@@ -16,7 +16,8 @@
     begin_attempt,
     expect_return,
     may_begin,
-    record_outcome,
+    record_answer,
+    record_failure,
 )
 from bronzepost._internal.exceptions import (
     LogHeldError,
@@ -35,9 +36,9 @@
 # After this time without an answer the store counts as silent. An append takes
 # 4 ms, and about 250 ms while the store is slow (documentation of the platform).
 SILENT_SECONDS: Final = 0.6
-# When a VM learns that the store answers again, it tries within this time. VMs
-# learn of it within the same 0.3 s, so this adds little to their spread.
-RETURN_SPREAD_SECONDS: Final = 0.1
+# When a VM learns that the store answers again, it tries within this time. VMs whose
+# reads failed at the same moment may repeat them, and learn of it, at the same moment.
+RETURN_SPREAD_SECONDS: Final = 0.05
 
 
 class StoreLane:
@@ -99,12 +100,17 @@
             lane=self, location=location, mark_silent=mark_silent
         )
 
-    def record(self, location: Location, outcome: Outcome) -> None:
-        """Record how an attempt ended, or that it has no answer yet."""
-        METRICS.store_attempts.labels(
-            kind=self._kind, outcome=outcome.value
-        ).inc()
-        self.access = record_outcome(
+    def record_answer(self, location: Location, seconds: float) -> None:
+        """Record that the store has answered an attempt after some seconds."""
+        self._count(Outcome.ANSWERED)
+        self.access = record_answer(
+            self.access, location, at=read_clock(), seconds=seconds
+        )
+
+    def record_failure(self, location: Location, outcome: Outcome) -> None:
+        """Record that an attempt was refused, or that it has no answer yet."""
+        self._count(outcome)
+        self.access = record_failure(
             self.access,
             location,
             outcome,
@@ -118,6 +124,11 @@
         for receive in self._receivers:
             receive()
 
+    def _count(self, outcome: Outcome) -> None:
+        METRICS.store_attempts.labels(
+            kind=self._kind, outcome=outcome.value
+        ).inc()
+
 
 class StoreAttempt:
     """A call to the store that is under way."""
@@ -133,6 +144,7 @@
         self._lane = lane
         self._location = location
         self._mark_silent = mark_silent
+        self._began_at = read_clock()
         self._silence = gevent.spawn_later(SILENT_SECONDS, self._record_silence)
 
     def run(self, call: Callable[[], _Answer]) -> _Answer:
@@ -151,19 +163,25 @@
             except LogServiceError as error:
                 self._record_error(error)
                 raise
-            self._lane.record(self._location, Outcome.ANSWERED)
+            seconds = read_clock() - self._began_at
+            self._lane.record_answer(self._location, seconds)
             return answer
 
     def _record_error(self, error: LogServiceError) -> None:
         outcome = _classify(error)
+        if outcome is Outcome.ANSWERED:
+            self._lane.record_answer(
+                self._location, read_clock() - self._began_at
+            )
+            return
         if outcome is Outcome.SILENT and self._silence.ready():
             return
-        self._lane.record(self._location, outcome)
+        self._lane.record_failure(self._location, outcome)
 
     def _record_silence(self) -> None:
         if self._mark_silent is not None:
             self._mark_silent()
-        self._lane.record(self._location, Outcome.SILENT)
+        self._lane.record_failure(self._location, Outcome.SILENT)
         self._lane.notify()
 
 
--- a/src/bronzepost/_internal/gateway/programs/turn_writer.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_writer.py
@@ -181,15 +181,15 @@
     def _store_for_peer(self, turns: Sequence[Turn]) -> list[str]:
         seconds = PEER_WRITE_TIMEOUT_SECONDS - _ANSWER_MARGIN_SECONDS
         deadline_at = read_clock() + seconds
-        queued = [
-            self._queue.add(turn, deadline_at=deadline_at, is_foreign=True)
-            for turn in turns
-        ]
         with contextlib.ExitStack() as stack:
-            for each in queued:
-                stack.callback(self._queue.remove, each)
-            gevent.wait([each.ended for each in queued], timeout=seconds)
-        return [each.turn_id for each in queued if each.is_stored]
+            asked = [
+                self._queue.add(turn, deadline_at=deadline_at, is_foreign=True)
+                for turn in turns
+            ]
+            for queued in asked:
+                stack.callback(self._queue.remove, queued)
+            gevent.wait([turn.ended for turn in asked], timeout=seconds)
+        return [turn.turn_id for turn in asked if turn.is_stored]
 
 
 def _log_unstored(queued: QueuedTurn) -> None:
--- a/tests/unit/test_gateway_turns.py
+++ b/tests/unit/test_gateway_turns.py
@@ -1,6 +1,7 @@
 """Turns with complete answers survive the loss of all VMs."""
 
 import dataclasses
+import functools
 from collections.abc import Callable
 from typing import Any, cast
 from unittest import mock
@@ -90,8 +91,8 @@
             return None
 
 
-class TestTurns(testtools.TestCase):
-    """A turn with a complete answer is in the store."""
+class TurnsCase(testtools.TestCase):
+    """Three VMs that keep turns in one store."""
 
     def setUp(self) -> None:
         """Start three VMs and a store."""
@@ -129,6 +130,10 @@
         call = make_turn_call(previous_turn='t')
         return self.keepers[name].find_chain(call)
 
+
+class TestTurns(TurnsCase):
+    """A turn with a complete answer is in the store."""
+
     def test_turn_is_found_in_the_store(self) -> None:
         self.keepers['a'].keep(self.make_turn(), 'p-1')
         self.assertIn('t', self.store.list_keys('turns'))
@@ -258,6 +263,83 @@
         self.assertEqual(is_answered, is_kept)
 
 
+class TestCrowds(TurnsCase):
+    """Turns that wait together, on a VM that the store refuses."""
+
+    def setUp(self) -> None:
+        """Count the messages and the calls of a VM that is refused."""
+        super().setUp()
+        self.refused = self.store.make_view()
+        self.refused.is_down = True
+        self.keepers['c'] = self.start('c', store=self.refused)
+        self.messages: list[tuple[str, Any]] = []
+        self.send = self.vms_by_name['c'].send
+        self.vms_by_name['c'].send = self.record  # type: ignore[method-assign]
+
+    def record(self, name: str, message: Any) -> bool:
+        """Send a message and record it if it asks for writes."""
+        if isinstance(message, StoreTurn):
+            self.messages.append((name, message))
+        return self.send(name, message)
+
+    def keep_crowd(self, count: int) -> list[Any]:
+        """Return greenlets that keep so many turns."""
+        turns = [
+            dataclasses.replace(self.make_turn(), turn_id=f't{number}')
+            for number in range(count)
+        ]
+        keeping = [
+            gevent.spawn(self.keepers['c'].keep, turn, 'p-1') for turn in turns
+        ]
+        self.addCleanup(gevent.killall, keeping)
+        return keeping
+
+    def test_crowd_goes_to_a_peer_in_few_messages(self) -> None:
+        """Each turn once asked a peer by itself, ten times a second."""
+        gevent.joinall(self.keep_crowd(8), timeout=STORE_OR_PEER_SECONDS)
+        stored = self.store.list_keys('turns')
+        self.assertEqual({f't{number}' for number in range(8)}, stored)
+        self.assertTrue(len(self.messages) <= 3)
+
+    def test_peers_that_store_nothing_are_not_asked_again_at_once(
+        self,
+    ) -> None:
+        """Guards against messages of a whole fleet in an outage."""
+        self.store.is_down = True
+        gevent.joinall(self.keep_crowd(8), timeout=SILENT_SECONDS / 2)
+        names = [name for name, _ in self.messages]
+        self.assertEqual(sorted(set(names)), sorted(names))
+
+    def test_refused_crowd_makes_few_calls(self) -> None:
+        """Each turn once made ten appends a second."""
+        self.store.is_down = True
+        self.vms_by_name = {'c': self.vms_by_name['c']}
+        calls = mock.Mock(wraps=self.refused, partitions=12)
+        self.keepers['c'] = self.start('c', store=calls)
+        gevent.joinall(self.keep_crowd(20), timeout=SILENT_SECONDS)
+        self.assertTrue(calls.append_keyed.call_count <= 24 + 6)
+        self.assertEqual(0, calls.find_record.call_count)
+
+    def test_answer_of_an_earlier_build_is_for_the_first_turn(self) -> None:
+        """Such a build ignores the other turns of the message."""
+        crowd = self.keep_crowd(2)
+        for name in ('a', 'b'):
+            peer = self.vms_by_name[name]
+            peer.receivers[StoreTurn] = functools.partial(
+                self.answer_as_earlier_build, peer
+            )
+        gevent.joinall(crowd, timeout=STORE_OR_PEER_SECONDS)
+        self.assertEqual([True, True], [each.successful() for each in crowd])
+        contents = {message.content for _, message in self.messages}
+        self.assertEqual(2, len(contents))
+
+    def answer_as_earlier_build(
+        self, peer: Vm, sender: str, message: StoreTurn
+    ) -> None:
+        """Confirm the first turn only."""
+        peer.send(sender, TurnStored(call_id=message.call_id, is_stored=True))
+
+
 class TestPeerAnswers(testtools.TestCase):
     """Answers are matched to requests by call id."""
 
