Keep rejected writes apart and note the pace of the store

A record that the store rejects for its size held all writes of its VM, since any refusal counted as an outage; 4xx other than 429 now pause its location only, and it is not joined with others.

--- a/src/bronzepost/_internal/core/gateway/store_pace.py
+++ b/src/bronzepost/_internal/core/gateway/store_pace.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 import math
+import operator
 from collections.abc import Collection, Mapping, Sequence
 from typing import Final
 
@@ -44,9 +45,11 @@
 LATE_SECONDS: Final = 0.5
 # A failed location that nothing was written to for this long counts as untried.
 FAILURE_RETENTION_SECONDS: Final = 5.0
-# Limits of one append and of one of its records on the platform ("callBytes" and
-# "recordBytes"), less what the lengths and keys of its records take.
+# Limits of one append and of one of its records on the platform ("callBytes" of
+# 2,097,152 and "recordBytes" of 262,144), less what lengths and keys take. A larger
+# record goes alone, since the store rejects an append as a whole.
 MAX_APPEND_BYTES: Final = 2_000_000
+MAX_RECORD_BYTES: Final = 260_000
 
 
 # A topic and a partition of it.
@@ -64,12 +67,14 @@
 class Outcome(enum.StrEnum):
     """How an attempt ended.
 
-    ``LIMITED`` is a refusal because all calls together are beyond the rate.
+    ``LIMITED`` is a refusal because all calls together are beyond the rate, and
+    ``REJECTED`` one of this write only, as for its size.
     """
 
     ANSWERED = 'answered'
     REFUSED = 'refused'
     LIMITED = 'limited'
+    REJECTED = 'rejected'
     SILENT = 'silent'
 
 
@@ -195,14 +200,14 @@
     if is_probe_under_way or (not access.is_calm and at < access.next_at):
         return None
     choices = [
-        (_rank(access, write, location), location)
+        (_rank(access, write, location), location, write)
         for write in waiting
         for location in _list_due(access, write, busy, at)[:1]
     ]
     if not choices:
         return None
-    _, location = min(choices)
-    return Batch(location=location, keys=_join(waiting, location))
+    _, location, first = min(choices, key=operator.itemgetter(0))
+    return Batch(location=location, keys=_join(first, waiting, location))
 
 
 def begin_attempt(
@@ -277,7 +282,12 @@
             **access.failures_by_location,
             location: failure,
         },
-        unanswered=access.unanswered | {location},
+    )
+    if outcome is Outcome.REJECTED:
+        # The store answers.
+        return dataclasses.replace(failed, unanswered=frozenset())
+    failed = dataclasses.replace(
+        failed, unanswered=failed.unanswered | {location}
     )
     return _hold(failed, limits, at, spread)
 
@@ -354,20 +364,6 @@
     return earliest if access.is_calm else max(earliest, access.next_at)
 
 
-def expect_wait(
-    access: StoreAccess, *, waiting: int, rate: float, at: float
-) -> float:
-    """Return the seconds after which a write that comes now is expected to be stored.
-
-    The store is expected to stay away for as long again as it has been away. What
-    waits then goes first, at ``rate`` writes a second.
-    """
-    if access.is_calm:
-        return 0
-    away = 0 if access.held_since is None else at - access.held_since
-    return away + (waiting + 1) / rate
-
-
 def _rank(
     access: StoreAccess, write: WaitingWrite, location: Location
 ) -> tuple[int, float, str]:
@@ -399,12 +395,15 @@
 
 
 def _join(
-    waiting: Sequence[WaitingWrite], location: Location
+    first: WaitingWrite, waiting: Sequence[WaitingWrite], location: Location
 ) -> tuple[str, ...]:
-    joined: list[str] = []
-    free = MAX_APPEND_BYTES
+    joined = [first.key]
+    free = MAX_APPEND_BYTES - first.size
+    if first.size > MAX_RECORD_BYTES:
+        return tuple(joined)
     for write in sorted(waiting, key=lambda listed: listed.deadline_at):
-        if location in write.locations and (write.size <= free or not joined):
+        is_fitting = write.size <= min(free, MAX_RECORD_BYTES)
+        if write is not first and location in write.locations and is_fitting:
             joined.append(write.key)
             free -= write.size
     return tuple(joined)
--- a/src/bronzepost/_internal/exceptions.py
+++ b/src/bronzepost/_internal/exceptions.py
@@ -154,3 +154,7 @@
 
 class LogHeldError(LogRefusedError):
     """The request was not sent, since the log service refused others just now."""
+
+
+class LogRejectedError(LogRefusedError):
+    """The log service rejected this request, for example because of its size."""
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -78,6 +78,7 @@
         calls = PeerCalls(fleet=self.fleet)
         pace = StorePace(
             fleet=self.fleet,
+            reports=self.reports,
             writes_per_second=settings.store_writes_per_second,
             reads_per_second=settings.store_reads_per_second,
         )
--- a/src/bronzepost/_internal/gateway/programs/store_lane.py
+++ b/src/bronzepost/_internal/gateway/programs/store_lane.py
@@ -23,6 +23,7 @@
     LogHeldError,
     LogLimitedError,
     LogRefusedError,
+    LogRejectedError,
     LogServiceError,
 )
 from bronzepost._internal.gateway.programs.keyed_store import (
@@ -190,6 +191,8 @@
         return Outcome.ANSWERED
     if isinstance(error, LogLimitedError):
         return Outcome.LIMITED
+    if isinstance(error, LogRejectedError):
+        return Outcome.REJECTED
     if isinstance(error, LogRefusedError):
         return Outcome.REFUSED
     return Outcome.SILENT
--- a/src/bronzepost/_internal/gateway/programs/store_pace.py
+++ b/src/bronzepost/_internal/gateway/programs/store_pace.py
@@ -9,6 +9,7 @@
     share_limits,
 )
 from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
 from bronzepost._internal.gateway.programs.keyed_store import (
     KeyedPartition,
     KeyedRecord,
@@ -32,11 +33,17 @@
         self,
         *,
         fleet: Fleet,
+        reports: PeerReports,
         writes_per_second: float = DEFAULT_CALLS_PER_SECOND,
         reads_per_second: float = DEFAULT_CALLS_PER_SECOND,
     ) -> None:
-        """Share rates of the store with the serving members of ``fleet``."""
+        """Share rates of the store with the serving members of ``fleet``.
+
+        ``reports`` tell whether the store answers the reads of routes and servers.
+        """
         self._fleet = fleet
+        self._reports = reports
+        self._had_store = True
         self.writes = StoreLane(
             kind='write', find_limits=lambda: self._share(writes_per_second)
         )
@@ -48,6 +55,14 @@
         """Return ``store`` with the calls of one kind paced."""
         return PacedStore(store=store, pace=self, priority=priority)
 
+    def note_return(self) -> None:
+        """Try again soon if the store has begun to answer other reads."""
+        has_store = self._reports.has_store
+        if has_store and not self._had_store:
+            self.writes.expect_return()
+            self.reads.expect_return()
+        self._had_store = has_store
+
     def _share(self, store_rate: float) -> PaceLimits:
         return share_limits(
             store_rate=store_rate,
@@ -75,6 +90,7 @@
 
     def read_partition(self, topic: str, partition: int) -> KeyedPartition:
         """Return the newest record of each key of a partition."""
+        self._pace.note_return()
         lane = self._pace.reads
         lane.check((topic, partition), self._priority)
         return lane.begin((topic, partition)).run(
@@ -85,6 +101,7 @@
         self, topic: str, partition: int, key: str
     ) -> KeyedRecord | None:
         """Return the newest record of a key, or None if there is none."""
+        self._pace.note_return()
         lane = self._pace.reads
         lane.check((topic, partition), self._priority)
         return lane.begin((topic, partition)).run(
@@ -100,6 +117,7 @@
         expected_end: int | None = None,
     ) -> int:
         """Append records atomically and return the offset after the last."""
+        self._pace.note_return()
         lane = self._pace.writes
         lane.check((topic, partition), self._priority)
         return lane.begin((topic, partition)).run(
--- a/src/bronzepost/_internal/gateway/programs/store_queue.py
+++ b/src/bronzepost/_internal/gateway/programs/store_queue.py
@@ -23,15 +23,12 @@
     LogServiceError,
 )
 from bronzepost._internal.gateway.loops import start_task
-from bronzepost._internal.gateway.peers.peer_reports import PeerReports
 from bronzepost._internal.gateway.programs.keyed_store import (
     KeyedRecord,
     KeyedStore,
 )
-from bronzepost._internal.gateway.programs.store_lane import (
-    StoreAttempt,
-    StoreLane,
-)
+from bronzepost._internal.gateway.programs.store_lane import StoreAttempt
+from bronzepost._internal.gateway.programs.store_pace import StorePace
 from bronzepost._internal.gateway.programs.turn_store import (
     encode_turn,
     list_locations,
@@ -71,19 +68,16 @@
 class StoreQueue:
     """Write turns to the store as its state allows, several in one append."""
 
-    def __init__(
-        self, *, store: KeyedStore, lane: StoreLane, reports: PeerReports
-    ) -> None:
-        """Append to ``store``; the writes of the VM share ``lane``."""
+    def __init__(self, *, store: KeyedStore, pace: StorePace) -> None:
+        """Append to ``store`` at the ``pace`` of all writes of this VM."""
         self.turns_by_key: dict[str, QueuedTurn] = {}
         self._store = store
-        self._lane = lane
-        self._reports = reports
+        self._pace = pace
+        self._lane = pace.writes
         self._numbers = itertools.count()
-        self._had_store = True
         self._is_held = False
         self._timer: Any = None
-        lane.subscribe(self._dispatch)
+        pace.writes.subscribe(self._dispatch)
 
     @property
     def oldest_seconds(self) -> float:
@@ -133,7 +127,7 @@
         self.remove(queued)
 
     def _dispatch(self) -> None:
-        self._note_return()
+        self._pace.note_return()
         self._give_up_foreign()
         batch = self._choose()
         while batch is not None:
@@ -204,12 +198,6 @@
         for turn in appended.turns:
             self.mark_stored(turn)
 
-    def _note_return(self) -> None:
-        has_store = self._reports.has_store
-        if has_store and not self._had_store:
-            self._lane.expect_return()
-        self._had_store = has_store
-
     def _log_change(self) -> None:
         access = self._lane.access
         waiting = len(self.turns_by_key)
--- a/src/bronzepost/_internal/gateway/programs/turn_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_keeper.py
@@ -60,10 +60,10 @@
         self.turns_by_id: dict[str, Turn] = {}
         self._fleet = fleet
         self._reports = reports
-        pace = pace or StorePace(fleet=fleet)
+        pace = pace or StorePace(fleet=fleet, reports=reports)
         turns = TurnStore(store=pace.open_store(store, Priority.TURN))
         self._swept = TurnStore(store=pace.open_store(store, Priority.SWEEP))
-        self.queue = StoreQueue(store=store, lane=pace.writes, reports=reports)
+        self.queue = StoreQueue(store=store, pace=pace)
         self._copies = TurnCopies(
             fleet=fleet,
             reports=reports,
