--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -330,6 +330,16 @@
     )
     ENGINE_SLOW = 8063, WARNING, 'An engine streams more slowly than others.'
     ENGINE_RECOVERED = 8064, INFO, 'An engine streams as fast as others again.'
+    STORE_WRITES_HELD = (
+        8057,
+        WARNING,
+        'Writes wait: the store refuses this VM or does not answer it.',
+    )
+    STORE_WRITES_CAUGHT_UP = (
+        8058,
+        INFO,
+        'What waited for the store has been written.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -103,6 +103,12 @@
             ('kind',),
             CounterOrGauge,
         )
+        self.store_attempts = MetricFamily(
+            'bronzepost_store_attempts',
+            'Attempts to write to the store or to read from it, by outcome.',
+            ('kind', 'outcome'),
+            CounterOrGauge,
+        )
         logs_left_out = MetricFamily(
             'bronzepost_log_lines_left_out',
             'Log lines that were not written, to bound their volume.',
@@ -159,6 +165,7 @@
             self.messages_held_back,
             self.warm_requests,
             self.memory_refusals,
+            self.store_attempts,
             logs_left_out,
         )
 
