Share the quotas of workspaces over all VMs (in work)

A VM lends its share of the quotas to the owner of each partition, which admits requests by the sum of the shares lent to it. Not wired, and without tests yet.

--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -10,6 +10,7 @@
     Fingerprints,
     NamedLimit,
 )
+from bronzepost._internal.gateway.peers.quota_messages import QuotaMessage
 from bronzepost._internal.node.peers.envelopes import Envelope, EnvelopeCodec
 
 # The version of the messages of this build: 1 has keys and quotas of workspaces.
@@ -320,6 +321,7 @@
     | _TurnMessage
     | _StreamMessage
     | _PermitMessage
+    | QuotaMessage
     | CrashNews
     | _StateMessage
 )
--- a/src/bronzepost/_internal/gateway/peers/peer_calls.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_calls.py
@@ -21,6 +21,7 @@
     TurnsFound,
     TurnStored,
 )
+from bronzepost._internal.gateway.peers.quota_messages import QuotaDecided
 
 # A peer in the same region answers in a few milliseconds. After this timeout
 # it is taken for paused or stopped, and the next one is asked.
@@ -34,6 +35,7 @@
     AllowancesFound,
     AllowanceReplicated,
     PermitDecided,
+    QuotaDecided,
     Snapshot,
     StreamFound,
     TokensReserved,
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces over all VMs."""
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/quotas/share_lender.py
@@ -0,0 +1,212 @@
+"""The loans of this VM's share of the quotas to the owners of partitions."""
+
+import dataclasses
+import math
+from collections.abc import Iterable
+from typing import Final
+
+from bronzepost._internal.core.gateway.quota_shares import (
+    Lending,
+    find_loan_seconds,
+    find_renewal_seconds,
+    is_returned,
+)
+from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.quota_messages import (
+    LendShares,
+    SharesHeld,
+)
+from bronzepost._internal.gateway.quotas.quota_owners import QuotaOwners
+from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
+
+# An owner that has not answered this many renewals is silent.
+MISSED_RENEWALS: Final = 2
+# A silent owner is tried again after this time: a link that works one way only
+# works again after some seconds, or not for long.
+AVOID_SECONDS: Final = 5.0
+_MICROSECONDS: Final = 1_000_000
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Contact:
+    """The exchange of messages with an owner, in this VM's monotonic seconds.
+
+    ``clock`` is the last reading of the owner's clock, received at ``heard_at``,
+    in its process ``epoch``. ``unanswered_at`` is the time of the first message
+    that it has not answered.
+    """
+
+    sent_at: float = -math.inf
+    heard_at: float = -math.inf
+    unanswered_at: float = math.inf
+    epoch: int = 0
+    clock: float | None = None
+    is_echo_old: bool = True
+
+
+class ShareLender:
+    """Lend the share of each partition to its owner, as long as it is needed."""
+
+    def __init__(self, *, fleet: Fleet, owners: QuotaOwners) -> None:
+        """Start with nothing lent, and hear the owners."""
+        self._fleet = fleet
+        self._owners = owners
+        self._lendings_by_partition: dict[int, Lending] = {}
+        self._contacts_by_owner: dict[str, Contact] = {}
+        self._partitions: frozenset[int] = frozenset()
+        self._number = 0
+        fleet.subscribe(SharesHeld, self._receive)
+
+    def find_borrower(self, partition: int, *, at: float) -> str:
+        """Return the VM that this VM's share is lent to; empty if to none."""
+        lending = self._lendings_by_partition.get(partition)
+        if lending is None or lending.ends_at <= at:
+            return ''
+        return lending.owner
+
+    def count_lent(self) -> int:
+        """Return the number of partitions of which the share is lent."""
+        return len(self._lendings_by_partition)
+
+    def update(self, partitions: frozenset[int], *, at: float) -> None:
+        """Lend the shares of partitions, recall others, and renew what is due."""
+        self._partitions = partitions
+        self._end_loans(at)
+        self._avoid_silent(at)
+        changed = self._place_loans(at)
+        renewal_seconds = find_renewal_seconds(self._owners.count_vms())
+        for owner in self._list_owners():
+            is_due = at - self._find_contact(owner).sent_at >= renewal_seconds
+            if owner in changed or is_due:
+                self._send(owner, at)
+
+    def leave(self) -> None:
+        """Recall all loans, since the others divide the share of this VM now."""
+        self.update(frozenset(), at=read_clock())
+
+    def _place_loans(self, at: float) -> set[str]:
+        """Begin and recall loans; return the owners to be told."""
+        changed: set[str] = set()
+        for partition in self._partitions | self._lendings_by_partition.keys():
+            owner = self._find_owner(partition, at)
+            lending = self._lendings_by_partition.get(partition)
+            if lending is None and owner:
+                changed.add(owner)
+                self._lendings_by_partition[partition] = Lending(
+                    owner=owner,
+                    first_number=self._number + 1,
+                    ends_at=at + find_loan_seconds(self._owners.count_vms()),
+                )
+            elif lending and _is_to_recall(lending, owner):
+                changed.add(lending.owner)
+                self._lendings_by_partition[partition] = dataclasses.replace(
+                    lending, is_recalled=True
+                )
+        return changed
+
+    def _find_owner(self, partition: int, at: float) -> str:
+        """Return the VM to lend to; empty if this VM uses its share itself."""
+        if partition not in self._partitions:
+            return ''
+        if not self._owners.has_share(at=at):
+            return ''
+        owner = self._owners.find(partition, at=at)
+        return '' if owner == self._fleet.own_name else owner
+
+    def _end_loans(self, at: float) -> None:
+        self._lendings_by_partition = {
+            partition: lending
+            for partition, lending in self._lendings_by_partition.items()
+            if lending.ends_at > at
+        }
+
+    def _avoid_silent(self, at: float) -> None:
+        patience = MISSED_RENEWALS * find_renewal_seconds(
+            self._owners.count_vms()
+        )
+        for owner in self._list_owners():
+            contact = self._find_contact(owner)
+            if at - contact.unanswered_at >= patience:
+                contact.unanswered_at = math.inf
+                self._owners.avoid(owner, seconds=AVOID_SECONDS, at=at)
+                emit(LogEvent.QUOTA_OWNER_SILENT, member=owner)
+
+    def _send(self, owner: str, at: float) -> None:
+        lent = self._list_partitions(owner, is_recalled=False)
+        contact = self._find_contact(owner)
+        vms = self._owners.count_vms()
+        seconds = find_loan_seconds(vms)
+        for partition in lent:
+            lending = self._lendings_by_partition[partition]
+            self._lendings_by_partition[partition] = dataclasses.replace(
+                lending, ends_at=at + seconds
+            )
+        contact.sent_at = at
+        contact.unanswered_at = min(contact.unanswered_at, at)
+        contact.is_echo_old = at - contact.heard_at > seconds / 2
+        self._number = max(self._number + 1, int(at * _MICROSECONDS))
+        message = LendShares(
+            number=self._number,
+            partitions=lent,
+            share=1 / vms,
+            seconds=seconds,
+            recalled=self._list_partitions(owner, is_recalled=True),
+            epoch=contact.epoch,
+            echo=contact.clock,
+        )
+        self._fleet.send(owner, message)
+
+    def _receive(self, sender: str, message: SharesHeld) -> None:
+        now = read_clock()
+        contact = self._find_contact(sender)
+        is_newer = contact.clock is None or message.clock >= contact.clock
+        if message.epoch != contact.epoch or is_newer:
+            contact.epoch = message.epoch
+            contact.clock = message.clock
+            contact.heard_at = now
+        contact.unanswered_at = math.inf
+        if self._take_back(sender, message, now):
+            self.update(self._partitions, at=now)
+        elif contact.is_echo_old and sender in self._list_owners():
+            # The loans count once the owner has its reading back.
+            self._send(sender, now)
+
+    def _take_back(self, owner: str, message: SharesHeld, at: float) -> bool:
+        """Take back the shares that an owner has returned, if there are any."""
+        returned = [
+            partition
+            for partition in message.returned
+            if is_returned(
+                self._lendings_by_partition.get(partition),
+                owner=owner,
+                number=message.number,
+            )
+        ]
+        for partition in returned:
+            lending = self._lendings_by_partition.pop(partition)
+            if not lending.is_recalled:
+                # It is stopping, and would return the next loan as well.
+                self._owners.avoid(owner, seconds=AVOID_SECONDS, at=at)
+        return bool(returned)
+
+    def _find_contact(self, owner: str) -> Contact:
+        return self._contacts_by_owner.setdefault(owner, Contact())
+
+    def _list_owners(self) -> Iterable[str]:
+        lendings = self._lendings_by_partition.values()
+        return {lending.owner: None for lending in lendings}
+
+    def _list_partitions(
+        self, owner: str, *, is_recalled: bool
+    ) -> tuple[int, ...]:
+        return tuple(
+            partition
+            for partition, lending in self._lendings_by_partition.items()
+            if lending.owner == owner and lending.is_recalled == is_recalled
+        )
+
+
+def _is_to_recall(lending: Lending, owner: str) -> bool:
+    return lending.owner != owner and not lending.is_recalled
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -280,6 +280,27 @@
         'The relay was asked from an address that is no VM of the fleet.',
     )
     TUNNEL_BROKEN = 8045, INFO, 'A tunnel ended before it was open.'
+    QUOTA_OWNER_SILENT = (
+        8050,
+        WARNING,
+        'The VM that decides on a quota does not answer.',
+    )
+    QUOTAS_OWNED = 8051, INFO, 'This VM decides on the quotas of partitions.'
+    QUOTAS_GIVEN_UP = (
+        8052,
+        INFO,
+        'Another VM decides on the quotas of partitions.',
+    )
+    QUOTA_SHARE_PAUSED = (
+        8053,
+        INFO,
+        'This VM uses no share of the quotas until it knows the other VMs.',
+    )
+    QUOTA_EXCEEDED = (
+        8054,
+        INFO,
+        'A workspace began to ask for more than its quota.',
+    )
     SNAPSHOT_TAKEN = (
         8026,
         INFO,
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -67,6 +67,12 @@
             ('call', 'outcome'),
             CounterOrGauge,
         )
+        self.quota_requests = MetricFamily(
+            'bronzepost_quota_requests',
+            'Requests of workspaces with a quota by what was decided.',
+            ('workspace', 'outcome'),
+            CounterOrGauge,
+        )
         logs_left_out = MetricFamily(
             'bronzepost_log_lines_left_out',
             'Log lines that were not written, to bound their volume.',
@@ -86,6 +92,7 @@
             self.server_failures,
             self.server_sends,
             self.store_calls,
+            self.quota_requests,
             logs_left_out,
         )
 
