Admit, charge and refund the requests of workspaces in the forwarder

A request takes the token of its workspace before the tokens of its turn; a further send takes one more, and one that was not run returns its token. Requests without a workspace need none.

--- a/src/bronzepost/_internal/gateway/callers/refusals.py
+++ b/src/bronzepost/_internal/gateway/callers/refusals.py
@@ -92,6 +92,20 @@
     )
 
 
+def refuse_over_quota(reason: str, wait_seconds: float) -> RefusedError:
+    """Return the error for a request that its workspace has no token for.
+
+    The wait is the time of the next free token that no other caller was told.
+    """
+    return RefusedError(
+        'the workspace has used its quota',
+        code=reason,
+        status=HTTPStatus.TOO_MANY_REQUESTS,
+        step='check quota',
+        retry_after_seconds=wait_seconds,
+    )
+
+
 def refuse_deadly(pending: PendingCall) -> RefusedError:
     """Return the error for a request that crashes the servers that run it."""
     error = RefusedError(
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -23,6 +23,10 @@
 from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
 from bronzepost._internal.gateway.programs.program_state import ProgramState
 from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
+from bronzepost._internal.gateway.quotas.call_quotas import CallQuotas
+from bronzepost._internal.gateway.quotas.workspace_quotas import (
+    WorkspaceQuotas,
+)
 from bronzepost._internal.gateway.requests.forwarding import (
     DecodeCall,
     Forwarder,
@@ -102,12 +106,19 @@
             pool=pool,
             names=names,
         )
+        self._quotas = WorkspaceQuotas(
+            fleet=self.fleet,
+            reports=self.reports,
+            calls=calls,
+            directory=self.directory,
+        )
         self.forwarder = Forwarder(
             directory=self.directory,
             programs=ProgramState(budgets=self.budgets, turns=self.turns),
             streams=self.streams,
             servers=self._access.calls,
             suspects=self._access.suspects,
+            quotas=CallQuotas(quotas=self._quotas),
             decode_call=decode_call,
         )
         self.callers = CallerServer(
@@ -160,6 +171,7 @@
             'peer_messages_sent': self.fleet.counts.sent,
             'peer_messages_dropped': self.fleet.counts.dropped,
             'peer_messages_received': self.fleet.counts.received,
+            **self._quotas.list_states(),
         }
 
     def start(self) -> None:
@@ -176,6 +188,7 @@
             self.budgets,
             self.turns,
             self.streams,
+            self._quotas,
             self._access,
             self.snapshots,
             self.callers,
@@ -196,6 +209,7 @@
         emit(LogEvent.DRAIN_STARTED)
         self.callers.drain()
         self.budgets.leave()
+        self._quotas.leave()
         self.fleet.leave()
         gevent.spawn(self._finish)
 
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -39,6 +39,7 @@
 )
 from bronzepost._internal.gateway.loops import start_task
 from bronzepost._internal.gateway.programs.program_state import ProgramState
+from bronzepost._internal.gateway.quotas.call_quotas import CallQuotas
 from bronzepost._internal.gateway.requests.hedging import HedgedRequest
 from bronzepost._internal.gateway.requests.pending_call import (
     DeadlinePassedError,
@@ -73,6 +74,7 @@
         streams: StreamVersions,
         servers: ServerCalls,
         suspects: SuspectRequests,
+        quotas: CallQuotas,
         decode_call: DecodeCall,
     ) -> None:
         """Create a forwarder.
@@ -84,6 +86,7 @@
         self._streams = streams
         self._servers = servers
         self._suspects = suspects
+        self._quotas = quotas
         self._decode_call = decode_call
         self._retries = RetryBudget()
 
@@ -146,9 +149,16 @@
             self._suspects.record_run(pending)
             self._record_outcome(pending, 'answered')
         finally:
+            self._quotas.close(pending)
             self._close_turn(pending)
 
     def _open_turn(self, pending: PendingCall) -> None:
+        """Take the token of the workspace, then those of the turn, if it is one.
+
+        Raises:
+            RefusedError: if the request must not be sent now.
+        """
+        self._quotas.admit(pending)
         if pending.call.is_turn and pending.route.kind is RouteKind.STREAM:
             pending.turn = self._programs.open_turn(
                 pending.call, pending.route, pending.body
@@ -171,6 +181,7 @@
                 servers=self._servers,
                 retries=self._retries,
                 record_failure=self._record_failure,
+                record_send=self._quotas.record_send,
             )
             hedged_request.run()
             return
@@ -196,6 +207,7 @@
                 version=server.version,
                 events=pending.events.event_count,
             )
+        self._quotas.record_send(pending)
         with self._servers.open_exchange(pending, server) as (exchange, head):
             if is_stream and head.status == HTTPStatus.OK:
                 deliver_stream(
@@ -250,6 +262,9 @@
         self, pending: PendingCall, server: BackendServer, error: Exception
     ) -> None:
         pending.excluded_ids.add(server.server_id)
+        was_sent = getattr(error, 'was_sent', False)
+        if not was_sent:
+            self._quotas.record_not_run(pending)
         event = LogEvent.REQUEST_NOT_RUN
         if isinstance(error, ExchangeError):
             event = LogEvent.EXCHANGE_BROKEN
@@ -265,7 +280,7 @@
             event,
             request=pending.call.request_id,
             server=server.server_id,
-            was_sent=getattr(error, 'was_sent', False),
+            was_sent=was_sent,
             fingerprint=pending.fingerprints[0],
             target_fingerprint=pending.fingerprints[1],
             events=pending.events.event_count,
--- a/src/bronzepost/_internal/gateway/requests/hedging.py
+++ b/src/bronzepost/_internal/gateway/requests/hedging.py
@@ -41,6 +41,7 @@
 # without load answers sooner.
 MIN_HEDGE_DELAY_SECONDS: Final = 0.05
 
+RecordSend = Callable[[PendingCall], None]
 RecordFailure = Callable[[PendingCall, BackendServer, Exception], None]
 
 
@@ -69,16 +70,19 @@
         servers: ServerCalls,
         retries: RetryBudget,
         record_failure: RecordFailure,
+        record_send: RecordSend,
     ) -> None:
         """Prepare a request.
 
         ``retries`` limits the hedges of all requests. ``record_failure`` is
-        called for each server that does not answer.
+        called for each server that does not answer, ``record_send`` before each
+        send.
         """
         self._pending = pending
         self._servers = servers
         self._retries = retries
         self._record_failure = record_failure
+        self._record_send = record_send
         self._results: Queue = Queue()
         self._attempts: list[Any] = []
         # The server whose large answer is being passed on.
@@ -181,6 +185,7 @@
         return server
 
     def _run_attempt(self, server: BackendServer) -> None:
+        self._record_send(self._pending)
         try:
             with self._servers.open_exchange(self._pending, server) as opened:
                 result = self._read_answer(server, *opened)
--- a/src/bronzepost/_internal/gateway/requests/pending_call.py
+++ b/src/bronzepost/_internal/gateway/requests/pending_call.py
@@ -4,7 +4,11 @@
 
 import xxhash
 
-from bronzepost._internal.core.gateway.entities import CallRequest, Route
+from bronzepost._internal.core.gateway.entities import (
+    CallRequest,
+    Route,
+    Workspace,
+)
 from bronzepost._internal.exceptions import BackendServerError
 from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
 from bronzepost._internal.gateway.callers.event_stream import EventSplitter
@@ -39,7 +43,9 @@
     ``server_limit`` the limit that it named, as the server wrote it. After
     ``limited_seconds`` the limits of the servers may admit the request; None if
     no limit keeps it from being sent. A stream
-    goes on only at servers of ``stream_version``, the version that began it.
+    goes on only at servers of ``stream_version``, the version that began it. The
+    caller is of ``workspace``, None where there are none, and its last send had
+    its token at ``token_at``.
     """
 
     request: HttpRequest
@@ -60,6 +66,8 @@
     server_limit: str = ''
     limited_seconds: float | None = None
     stream_version: str | None = None
+    workspace: Workspace | None = None
+    token_at: float = 0
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     turn: OpenTurn | None = None
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -37,6 +37,8 @@
 from bronzepost._internal.gateway.links.server_links import ServerLinks
 from bronzepost._internal.gateway.peers.lost_members import LostMembers
 from bronzepost._internal.gateway.peers.received_reports import ReceivedReports
+from bronzepost._internal.gateway.quotas.call_quotas import CallQuotas
+from bronzepost._internal.gateway.quotas.workspace_quotas import QuotaDecision
 from bronzepost._internal.gateway.requests.forwarding import Forwarder
 from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.gateway.servers.server_calls import ServerCalls
@@ -300,6 +302,20 @@
     )
 
 
+class NoQuotas:
+    """Quotas of a deployment without workspaces: all requests are admitted."""
+
+    def admit(self, _workspace: Any, **_: Any) -> QuotaDecision:
+        """Admit a request."""
+        return QuotaDecision(is_granted=True)
+
+    def charge(self, _workspace: Any) -> None:
+        """Do nothing."""
+
+    def refund(self, _workspace: Any, **_: Any) -> None:
+        """Do nothing."""
+
+
 def make_suspects(directory: Directory) -> SuspectRequests:
     """Return the suspect requests of a gateway without peers."""
     return SuspectRequests(
@@ -339,6 +355,7 @@
             availability_zone='hall-a',
         ),
         suspects=suspects,
+        quotas=CallQuotas(quotas=NoQuotas()),  # type: ignore[arg-type]
         decode_call=decode_test_call,
     )
     port = find_port()
--- a/tests/builders_quotas.py
+++ b/tests/builders_quotas.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -23,6 +24,8 @@
 from bronzepost._internal.gateway.peers.messages import LoadReport
 from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peers.peer_reports import PeerReports
+from bronzepost._internal.gateway.peers.quota_messages import QuotaDecided
+from bronzepost._internal.gateway.quotas.quota_owners import find_partition
 from bronzepost._internal.gateway.quotas.workspace_quotas import (
     TICK_SECONDS,
     QuotaDecision,
@@ -140,9 +143,10 @@
 
     def receive(self, sender: str, message: Any) -> None:
         """Take a message, in virtual time of this VM."""
-        if type(message) in self._receivers:
+        receive = self._receivers.get(message.__class__)
+        if receive is not None:
             with self._world.act_as(self):
-                self._receivers[type(message)](sender, message)
+                receive(sender, message)
 
     def find(self, name: str) -> LoadReport | None:
         """Return the report of a member."""
@@ -171,7 +175,7 @@
         self._answers: dict[int, Any] = {}
         self._ids = itertools.count(1)
         vm.subscribe(
-            _find_answer_type(),
+            QuotaDecided,
             lambda _sender, answer: self._answers.update({
                 answer.call_id: answer
             }),
@@ -214,7 +218,8 @@
         self._current: QuotaVm | None = None
         self._waited: float = 0
         self.rng = random.Random(vms)
-        self._protocols = [*protocols, *([1] * vms)][:vms]
+        padded = itertools.chain(protocols, itertools.repeat(1))
+        self._protocols = tuple(itertools.islice(padded, vms))
 
     @contextlib.contextmanager
     def run_clock(self) -> Iterator[Self]:
@@ -232,7 +237,8 @@
     @contextlib.contextmanager
     def act_as(self, vm: QuotaVm) -> Iterator[None]:
         """Let a VM's clock be read."""
-        before, self._current = self._current, vm
+        before = self._current
+        self._current = vm
         try:
             yield
         finally:
@@ -279,7 +285,8 @@
         vm.is_frozen = False
         vm.clock_offset -= stood_still
         self._down_at.pop(vm.own_name, None)
-        inbox, vm.inbox = vm.inbox, []
+        inbox = vm.inbox
+        vm.inbox = []
         for sender, message in inbox:
             vm.receive(sender, message)
         self.call_later(JOINED_AFTER_SECONDS, lambda: self._announce(vm))
@@ -303,9 +310,8 @@
         """Let all messages arrive again."""
         self._cut_at = {}
         for vm in self.list_running():
-            self.call_later(
-                JOINED_AFTER_SECONDS, lambda vm=vm: self._announce(vm)
-            )
+            announce = functools.partial(self._announce, vm)
+            self.call_later(JOINED_AFTER_SECONDS, announce)
 
     def put_workspaces(self, *workspaces: Workspace) -> None:
         """Let a configuration with workspaces be in force at all VMs."""
@@ -331,9 +337,7 @@
         with self.act_as(vm):
             decision = vm.quotas.admit(self.workspaces[workspace], **options)
         if decision.is_granted:
-            self.sent_at_by_workspace[workspace].append(
-                self.now + self._waited
-            )
+            self.sent_at_by_workspace[workspace].append(self.now + self._waited)
         return decision
 
     def load(
@@ -350,7 +354,7 @@
         while at < self.now + seconds:
             self.call_later(
                 at - self.now,
-                lambda: self._send_any(workspace, vms, options),
+                functools.partial(self._send_any, workspace, vms, options),
             )
             at += self.rng.expovariate(rate)
 
@@ -421,7 +425,8 @@
     def find_owner(self, workspace: str = 'w') -> QuotaVm:
         """Return the VM that holds the most of a workspace's quota."""
         return max(
-            self.list_running(), key=lambda vm: self._read_capacity(vm, workspace)
+            self.list_running(),
+            key=lambda vm: self._read_capacity(vm, workspace),
         )
 
     def _read_capacity(self, vm: QuotaVm, workspace: str) -> float:
@@ -501,10 +506,6 @@
 
 def find_capacity(vm: QuotaVm, workspace: str) -> float:
     """Return the part of a quota that a VM holds now, by its own clock."""
-    from bronzepost._internal.gateway.quotas.quota_owners import (  # noqa: PLC0415
-        find_partition,
-    )
-
     buckets = vm.quotas._buckets  # noqa: SLF001
     return buckets.find_held(find_partition(workspace)).capacity
 
@@ -512,11 +513,3 @@
 def find_bound(workspace: Workspace) -> float:
     """Return the requests that a window of a workspace may have."""
     return workspace.rate_per_second * WINDOW_SECONDS + workspace.burst
-
-
-def _find_answer_type() -> type:
-    from bronzepost._internal.gateway.peers.quota_messages import (  # noqa: PLC0415
-        QuotaDecided,
-    )
-
-    return QuotaDecided
