--- a/src/bronzepost/_internal/gateway/quotas/share_lender.py
+++ b/src/bronzepost/_internal/gateway/quotas/share_lender.py
@@ -1,7 +1,6 @@
 """The loans of this VM's share of the quotas to the owners of partitions."""
 
 import dataclasses
-import math
 from collections.abc import Iterable
 from typing import Final
 
@@ -16,6 +15,7 @@
     LendShares,
     SharesHeld,
 )
+from bronzepost._internal.gateway.quotas.owner_contacts import OwnerContacts
 from bronzepost._internal.gateway.quotas.quota_owners import QuotaOwners
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
@@ -29,23 +29,6 @@
 _MICROSECONDS: Final = 1_000_000
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Contact:
-    """The exchange of messages with an owner, in this VM's monotonic seconds.
-
-    ``clock`` is the last reading of the owner's clock, received at ``heard_at``,
-    in its process ``epoch``. ``unanswered_at`` is the time of the first message
-    that it has not answered.
-    """
-
-    sent_at: float = -math.inf
-    heard_at: float = -math.inf
-    unanswered_at: float = math.inf
-    epoch: int = 0
-    clock: float | None = None
-    is_echo_old: bool = True
-
-
 class ShareLender:
     """Lend the share of each partition to its owner, as long as it is needed."""
 
@@ -54,8 +37,9 @@
         self._fleet = fleet
         self._owners = owners
         self._lendings_by_partition: dict[int, Lending] = {}
-        self._contacts_by_owner: dict[str, Contact] = {}
+        self._contacts = OwnerContacts()
         self._partitions: frozenset[int] = frozenset()
+        self._greeted: set[str] = set()
         self._number = 0
         fleet.subscribe(SharesHeld, self._receive)
 
@@ -75,10 +59,11 @@
         self._partitions = partitions
         self._end_loans(at)
         self._avoid_silent(at)
+        self._greeted = set()
         changed = self._place_loans(at)
         renewal_seconds = find_renewal_seconds(self._owners.count_vms())
         for owner in self._list_owners():
-            is_due = at - self._find_contact(owner).sent_at >= renewal_seconds
+            is_due = at - self._contacts.find(owner).sent_at >= renewal_seconds
             if owner in changed or is_due:
                 self._send(owner, at)
 
@@ -94,11 +79,7 @@
             lending = self._lendings_by_partition.get(partition)
             if lending is None and owner:
                 changed.add(owner)
-                self._lendings_by_partition[partition] = Lending(
-                    owner=owner,
-                    first_number=self._number + 1,
-                    ends_at=at + find_loan_seconds(self._owners.count_vms()),
-                )
+                self._lend(partition, owner, at)
             elif lending and _is_to_recall(lending, owner):
                 changed.add(lending.owner)
                 self._lendings_by_partition[partition] = dataclasses.replace(
@@ -106,6 +87,19 @@
                 )
         return changed
 
+    def _lend(self, partition: int, owner: str, at: float) -> None:
+        self._lendings_by_partition[partition] = Lending(
+            owner=owner,
+            first_number=self._number + 1,
+            ends_at=at + find_loan_seconds(self._owners.count_vms()),
+        )
+
+    def _find_substitute(self, partition: int, at: float) -> str:
+        """Return the VM that keeps a loan until the owner is in touch."""
+        borrower = self.find_borrower(partition, at=at)
+        is_able = borrower in self._owners.rank(partition, at=at)
+        return borrower if is_able else ''
+
     def _find_owner(self, partition: int, at: float) -> str:
         """Return the VM to lend to; empty if this VM uses its share itself."""
         if partition not in self._partitions:
@@ -113,7 +107,14 @@
         if not self._owners.has_share(at=at):
             return ''
         owner = self._owners.find(partition, at=at)
-        return '' if owner == self._fleet.own_name else owner
+        if owner in {'', self._fleet.own_name}:
+            return ''
+        oldest = at - find_loan_seconds(self._owners.count_vms()) / 2
+        if self._contacts.find(owner).heard_at >= oldest:
+            return owner
+        # It is greeted first, and the share is used until it answers.
+        self._greeted.add(owner)
+        return self._find_substitute(partition, at)
 
     def _end_loans(self, at: float) -> None:
         self._lendings_by_partition = {
@@ -126,16 +127,13 @@
         patience = MISSED_RENEWALS * find_renewal_seconds(
             self._owners.count_vms()
         )
-        for owner in self._list_owners():
-            contact = self._find_contact(owner)
-            if at - contact.unanswered_at >= patience:
-                contact.unanswered_at = math.inf
-                self._owners.avoid(owner, seconds=AVOID_SECONDS, at=at)
-                emit(LogEvent.QUOTA_OWNER_SILENT, member=owner)
+        for owner in self._contacts.pop_unanswered(before=at - patience):
+            self._owners.avoid(owner, seconds=AVOID_SECONDS, at=at)
+            emit(LogEvent.QUOTA_OWNER_SILENT, member=owner)
 
     def _send(self, owner: str, at: float) -> None:
         lent = self._list_partitions(owner, is_recalled=False)
-        contact = self._find_contact(owner)
+        contact = self._contacts.find(owner)
         vms = self._owners.count_vms()
         seconds = find_loan_seconds(vms)
         for partition in lent:
@@ -143,9 +141,7 @@
             self._lendings_by_partition[partition] = dataclasses.replace(
                 lending, ends_at=at + seconds
             )
-        contact.sent_at = at
-        contact.unanswered_at = min(contact.unanswered_at, at)
-        contact.is_echo_old = at - contact.heard_at > seconds / 2
+        contact.record_sent(at, oldest_echo_at=at - seconds / 2)
         self._number = max(self._number + 1, int(at * _MICROSECONDS))
         message = LendShares(
             number=self._number,
@@ -160,14 +156,10 @@
 
     def _receive(self, sender: str, message: SharesHeld) -> None:
         now = read_clock()
-        contact = self._find_contact(sender)
-        is_newer = contact.clock is None or message.clock >= contact.clock
-        if message.epoch != contact.epoch or is_newer:
-            contact.epoch = message.epoch
-            contact.clock = message.clock
-            contact.heard_at = now
-        contact.unanswered_at = math.inf
-        if self._take_back(sender, message, now):
+        contact = self._contacts.find(sender)
+        contact.record_answer(message, at=now)
+        has_returned = self._take_back(sender, message, now)
+        if has_returned or sender in self._greeted:
             self.update(self._partitions, at=now)
         elif contact.is_echo_old and sender in self._list_owners():
             # The loans count once the owner has its reading back.
@@ -191,12 +183,9 @@
                 self._owners.avoid(owner, seconds=AVOID_SECONDS, at=at)
         return bool(returned)
 
-    def _find_contact(self, owner: str) -> Contact:
-        return self._contacts_by_owner.setdefault(owner, Contact())
-
     def _list_owners(self) -> Iterable[str]:
         lendings = self._lendings_by_partition.values()
-        return {lending.owner: None for lending in lendings}
+        return self._greeted.union(lending.owner for lending in lendings)
 
     def _list_partitions(
         self, owner: str, *, is_recalled: bool
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -138,7 +138,6 @@
                 self._suspects.check(pending)
                 self._bind_resumed_stream(pending)
                 self._open_turn(pending)
-                pending.opened_at = read_clock()
                 self._forward(pending)
         except DeadlinePassedError:
             self._refuse_after_deadline(pending)
@@ -149,7 +148,6 @@
             self._suspects.record_run(pending)
             self._record_outcome(pending, 'answered')
         finally:
-            self._quotas.close(pending)
             self._close_turn(pending)
 
     def _open_turn(self, pending: PendingCall) -> None:
@@ -164,8 +162,10 @@
                 pending.call, pending.route, pending.body
             )
             pending.body = pending.turn.prompt
+        pending.opened_at = read_clock()
 
     def _close_turn(self, pending: PendingCall) -> None:
+        self._quotas.close(pending)
         if pending.turn is not None:
             tokens = pending.events.event_count * (
                 self._directory.find_engine(pending.service).tokens_per_event
