--- a/src/bronzepost/_internal/core/gateway/quota_shares.py
+++ b/src/bronzepost/_internal/core/gateway/quota_shares.py
@@ -14,12 +14,15 @@
 
 from bronzepost._internal.core.gateway.quotas import CapacityStep, add_step
 
-# The shares of an owner that is lost are unused for this long at most.
-LOAN_SECONDS: Final = 2.0
+# The shares of an owner that is lost are unused for this long at most. A renewal
+# repeats a clock reading of the one before, so a loan lasts for 1.1 s after a
+# renewal at the least, and a second one arrives in it if the next is lost.
+LOAN_SECONDS: Final = 1.6
 RENEWAL_SECONDS: Final = 0.5
 # The renewals that an owner receives a second from all VMs, at most.
 MAX_RENEWALS_PER_SECOND: Final = 100
-# A loan outlasts one renewal that is lost, and the time of an echo.
+# Where renewals are slower, a loan outlasts the time of an echo and of the next
+# renewal, and half of one more: its messages are sent again by TCP.
 RENEWALS_PER_LOAN: Final = 2.5
 
 
--- a/src/bronzepost/_internal/gateway/quotas/owner_contacts.py
+++ b/src/bronzepost/_internal/gateway/quotas/owner_contacts.py
@@ -12,7 +12,8 @@
 
     ``clock`` is the last reading of the owner's clock, received at ``heard_at``,
     in its process ``epoch``. ``unanswered_at`` is the time of the first message
-    that it has not answered.
+    that it has not answered; no loan is renewed until it has. Once it answers, a
+    renewal may be due at once.
     """
 
     sent_at: float = -math.inf
@@ -20,13 +21,19 @@
     unanswered_at: float = math.inf
     epoch: int = 0
     clock: float | None = None
-    is_echo_old: bool = True
+    is_renewal_due: bool = False
+
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the owner has answered the last message."""
+        return math.isinf(self.unanswered_at)
 
     def record_sent(self, at: float, *, oldest_echo_at: float) -> None:
         """Record a message to the owner, with its last reading as the echo."""
         self.sent_at = at
+        is_echo_old = self.heard_at < oldest_echo_at
+        self.is_renewal_due = is_echo_old or not self.is_answered
         self.unanswered_at = min(self.unanswered_at, at)
-        self.is_echo_old = self.heard_at < oldest_echo_at
 
     def record_answer(self, message: SharesHeld, *, at: float) -> None:
         """Record an answer of the owner, unless a newer one came before it."""
--- a/src/bronzepost/_internal/gateway/quotas/share_lender.py
+++ b/src/bronzepost/_internal/gateway/quotas/share_lender.py
@@ -132,8 +132,10 @@
             emit(LogEvent.QUOTA_OWNER_SILENT, member=owner)
 
     def _send(self, owner: str, at: float) -> None:
-        lent = self._list_partitions(owner, is_recalled=False)
         contact = self._contacts.find(owner)
+        lent: tuple[int, ...] = ()
+        if contact.is_answered:
+            lent = self._list_partitions(owner, is_recalled=False)
         vms = self._owners.count_vms()
         seconds = find_loan_seconds(vms)
         for partition in lent:
@@ -161,8 +163,8 @@
         has_returned = self._take_back(sender, message, now)
         if has_returned or sender in self._greeted:
             self.update(self._partitions, at=now)
-        elif contact.is_echo_old and sender in self._list_owners():
-            # The loans count once the owner has its reading back.
+        elif contact.is_renewal_due and sender in self._list_owners():
+            # The owner counts the loans from a newer reading.
             self._send(sender, now)
 
     def _take_back(self, owner: str, message: SharesHeld, at: float) -> bool:
--- a/src/bronzepost/_internal/gateway/quotas/workspace_quotas.py
+++ b/src/bronzepost/_internal/gateway/quotas/workspace_quotas.py
@@ -49,8 +49,8 @@
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
-# A loan is due within this time after its owner has changed.
-TICK_SECONDS: Final = 0.2
+# Renewals are late by this time at most, and the VMs see a new owner in it.
+TICK_SECONDS: Final = 0.1
 # Further VMs hold no more than this one's own share.
 MAX_OWNERS_ASKED: Final = 2
 # A VM that has not answered a request is not asked again for this long, so that
--- a/tests/builders_quotas.py
+++ b/tests/builders_quotas.py
@@ -43,6 +43,9 @@
 JOINED_AFTER_SECONDS: Final = 0.5
 # By then the VMs of a new fleet use their shares.
 SETTLE_SECONDS: Final = 10.0
+# The retries of a caller's request.
+MAX_TRIES: Final = 2
+WATCH_SECONDS: Final = 0.1
 _MODULES: Final = (
     'quotas.quota_buckets',
     'quotas.quota_log',
@@ -195,6 +198,27 @@
     act: Callable[[], None] = dataclasses.field(compare=False)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Program:
+    world: 'QuotaWorld'
+    number: int
+    turns: int
+    pause: float
+    done: list[int]
+
+    def take_turn(self, tries: int) -> None:
+        vm = self.world.rng.choice(self.world.list_running())
+        decision = self.world.send(vm, is_first_turn=not self.done[self.number])
+        if decision.is_granted:
+            self.done[self.number] += 1
+            if self.done[self.number] < self.turns:
+                turn = functools.partial(self.take_turn, 0)
+                self.world.call_later(self.pause, turn)
+        elif tries < MAX_TRIES:
+            turn = functools.partial(self.take_turn, tries + 1)
+            self.world.call_later(decision.retry_after_seconds, turn)
+
+
 class QuotaWorld:
     """VMs that admit requests; ``sent_at_by_workspace`` has the times.
 
@@ -219,6 +243,8 @@
         self._waited: float = 0
         self.rng = random.Random(vms)
         padded = itertools.chain(protocols, itertools.repeat(1))
+        # The largest sum of the usable shares of a workspace ``w``.
+        self.peak_capacity: float = 0
         self._protocols = tuple(itertools.islice(padded, vms))
 
     @contextlib.contextmanager
@@ -232,6 +258,7 @@
             stack.enter_context(mock.patch(target, self._sleep))
             for number, protocol in enumerate(self._protocols):
                 self.start_vm(f'vm-{number:03}', protocol=protocol, join=0)
+            self._watch()
             yield self
 
     @contextlib.contextmanager
@@ -280,6 +307,15 @@
         self._down_at[vm.own_name] = self.now
         self.call_later(DEAD_AFTER_SECONDS, lambda: self._bury(vm))
 
+    def stop(self, vm: QuotaVm) -> None:
+        """Let a process stop by plan; the others know at once."""
+        with self.act_as(vm):
+            vm.quotas.leave()
+        for other in self.list_running():
+            if other is not vm and vm.own_name in other.members:
+                with self.act_as(other):
+                    other.change_member(vm.own_name, MemberState.LEAVING)
+
     def wake(self, vm: QuotaVm, *, stood_still: float = 0) -> None:
         """Let a process go on; its clock may have stood still for a time."""
         vm.is_frozen = False
@@ -374,6 +410,28 @@
         )
         heapq.heappush(self._events, event)
 
+    def run_programs(
+        self, *, rate: float, seconds: float, turns: int, pause: float
+    ) -> list[int]:
+        """Start programs of ``w``; return the turns that each has had so far.
+
+        A refused turn comes again twice, when it was told to.
+        """
+        done: list[int] = []
+        at = self.rng.expovariate(rate)
+        while at < seconds:
+            program = _Program(
+                world=self,
+                number=len(done),
+                turns=turns,
+                pause=pause,
+                done=done,
+            )
+            done.append(0)
+            self.call_later(at, functools.partial(program.take_turn, 0))
+            at += self.rng.expovariate(rate)
+        return done
+
     def deliver(self, sender: QuotaVm, name: str, message: Any) -> bool:
         """Deliver a message, unless it is lost or its receiver is frozen."""
         receiver = self.vms_by_name.get(name)
@@ -433,6 +491,10 @@
         with self.act_as(vm):
             return find_capacity(vm, workspace)
 
+    def _watch(self) -> None:
+        self.peak_capacity = max(self.peak_capacity, self.sum_capacity())
+        self.call_later(WATCH_SECONDS, self._watch)
+
     def _send_any(
         self,
         workspace: str,
