Prove that a share of the quotas has one user at any time

A model of one share, its lender and two owners with clocks of their own is proved by induction over restarts, recalls and late messages.

--- a/tests/unit/test_model.py
+++ b/tests/unit/test_model.py
@@ -22,6 +22,7 @@
     budgets,
     configuration,
     leases,
+    quota_shares,
     specification,
     systems,
     trace_replay,
@@ -231,3 +232,19 @@
             system = budgets.build_budgets(without=guard)
             trace = systems.find_counterexample(system, DEPTH)
             self.assertNotEqual([], trace, guard)
+
+
+class QuotaShareModelTest(TestCase):
+    """Guard the shares of quotas, their loans and their takeover."""
+
+    def test_share_has_one_user_at_any_time(self) -> None:
+        """Guard against loans that outlast their lender's patience."""
+        system = quota_shares.build_quota_shares()
+        self.assertEqual([], systems.find_unproved(system))
+
+    def test_share_needs_every_guard(self) -> None:
+        """Guard against a specification that holds without its guards."""
+        for guard in quota_shares.GUARDS:
+            system = quota_shares.build_quota_shares(without=guard)
+            trace = systems.find_counterexample(system, DEPTH)
+            self.assertNotEqual([], trace, guard)
