--- a/tests/builders_quotas.py
+++ b/tests/builders_quotas.py
@@ -243,6 +243,8 @@
         self._waited: float = 0
         self.rng = random.Random(vms)
         padded = itertools.chain(protocols, itertools.repeat(1))
+        # The seconds by which messages of a sender to a receiver are late.
+        self.delays: dict[tuple[str, str], float] = {}
         # The largest sum of the usable shares of a workspace ``w``.
         self.peak_capacity: float = 0
         self._protocols = tuple(itertools.islice(padded, vms))
@@ -437,7 +439,14 @@
         receiver = self.vms_by_name.get(name)
         if receiver is None or receiver.is_killed:
             return False
-        if (sender.own_name, name) in self._cut_at:
+        link = (sender.own_name, name)
+        if link in self._cut_at:
+            return True
+        if self.delays.get(link):
+            late = functools.partial(
+                self._deliver_late, receiver, sender.own_name, message
+            )
+            self.call_later(self.delays[link], late)
             return True
         if receiver.is_frozen:
             receiver.inbox.append((sender.own_name, message))
@@ -445,6 +454,12 @@
             receiver.receive(sender.own_name, message)
         return True
 
+    def _deliver_late(
+        self, receiver: QuotaVm, sender: str, message: Any
+    ) -> None:
+        if receiver.is_running:
+            receiver.receive(sender, message)
+
     def find_silence(self, name: str, receiver: str) -> float:
         """Return for how long nothing of a VM has reached another."""
         since = min(
--- a/tests/unit/test_gateway_quota_vms.py
+++ b/tests/unit/test_gateway_quota_vms.py
@@ -351,6 +351,20 @@
             self.assertAlmostEqual(0.6, world.sum_capacity())
             self.assertEqual([[], [], [], []], inbox)
 
+    def test_late_renewals_have_ended(self) -> None:
+        """Messages to the owner are late by 1 and 3 s, its answers are not."""
+        for seconds in (1, 3):
+            with run_world(10) as world:
+                owner, others = split_owner(world)
+                world.load(rate=LOAD, seconds=25)
+                for other in others:
+                    link = (other.own_name, owner.own_name)
+                    world.delays[link] = seconds
+                world.run(15)
+                world.delays.clear()
+                world.run(10)
+                self.check_bound(world)
+
     def test_late_loan_does_not_return(self) -> None:
         """A renewal arrives after the recall that was sent after it."""
         with run_world(3) as world:
--- a/tests/unit/test_gateway_quotas.py
+++ b/tests/unit/test_gateway_quotas.py
@@ -214,11 +214,12 @@
             capacities[vm] = min(share, 1 - sum(capacities) + capacities[vm])
             steps[vm] = add_step(steps[vm], at=at, capacity=capacities[vm])
             for index in range(3):
-                buckets[index], taken = take_some(
+                bucket, taken = take_some(
                     settle(buckets[index], steps[index], at=at),
                     capacities[index],
                     tries,
                 )
+                buckets[index] = bucket
                 times.extend(itertools.repeat(at, taken))
         bound = rate * WINDOW_SECONDS + burst + len(buckets)
         for first in times:
