Bound the time in which a VM that starts has no share of the quotas

It waited for two loans, 21 s at 410 VMs; one is enough by the model. Members that grow all the time delay it to three times the start at most. A test guards the epochs of readings: it fails without them.

--- a/src/bronzepost/_internal/gateway/quotas/quota_owners.py
+++ b/src/bronzepost/_internal/gateway/quotas/quota_owners.py
@@ -20,12 +20,16 @@
 # Spreads the owners over the VMs; a lender has a loan at each of the owners.
 PARTITIONS: Final = 16
 # A VM that starts has a seed list of up to 3 s before, and its own entry reaches
-# all others by gossip in two more. VMs that have not heard of it use shares of
+# all others by gossip in two more. Where loans are longer, it waits for the end of
+# those of its former process. VMs that have not heard of it use shares of
 # which it has a part.
 MIN_START_SECONDS: Final = 5.0
 # No VM was heard of for the first time for this long: seeds are old by 3 s, and
 # those that join are named to this VM within a second.
 STABLE_SECONDS: Final = 2.0
+# VMs that are restarted one after the other make the members grow all the time. By
+# three times the start, a VM has heard of all that started before it.
+MAX_START_FACTOR: Final = 3
 # After a longer pause a VM may not have heard of VMs that started in it. They
 # wait for twice as long before they use a share.
 MAX_PAUSE_SECONDS: Final = 2.5
@@ -45,6 +49,7 @@
         self._vms = 0
         self._observed_at = at
         self._settled_at = at + MIN_START_SECONDS
+        self._latest_at = self._settled_at
         self.is_leaving = False
 
     def find(self, partition: int, *, at: float) -> str:
@@ -83,14 +88,16 @@
     def observe(self, *, at: float) -> None:
         """Record that this VM runs, and how many VMs it knows."""
         vms = self.count_vms()
-        start_seconds = max(MIN_START_SECONDS, find_loan_seconds(vms) * 2 + 1)
+        start_seconds = max(MIN_START_SECONDS, find_loan_seconds(vms) + 1)
         if self._is_paused(at):
             emit(LogEvent.QUOTA_SHARE_PAUSED, seconds=at - self._observed_at)
             self._settled_at = max(self._settled_at, at + STABLE_SECONDS)
         elif self._vms == 0:
             self._settled_at = at + start_seconds
+            self._latest_at = at + start_seconds * MAX_START_FACTOR
         elif vms > self._vms and at < self._settled_at:
-            self._settled_at = max(self._settled_at, at + STABLE_SECONDS)
+            stable_at = max(self._settled_at, at + STABLE_SECONDS)
+            self._settled_at = min(stable_at, self._latest_at)
         self._vms = vms
         self._observed_at = at
 
--- a/tests/unit/test_gateway_quota_vms.py
+++ b/tests/unit/test_gateway_quota_vms.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+import msgspec
 import testtools
 from testtools.matchers import GreaterThan, LessThan
 
@@ -30,6 +31,7 @@
     QuotaVm,
     QuotaWorld,
     find_bound,
+    find_capacity,
     make_workspace,
 )
 
@@ -365,6 +367,22 @@
                 world.run(10)
                 self.check_bound(world)
 
+    def test_reading_of_a_former_process_does_not_count(self) -> None:
+        """Guard against a new VM of the same name, with another clock."""
+        with run_world(3) as world:
+            owner, (lender, _) = split_owner(world)
+            renewals = record_messages(owner, LendShares)
+            world.run(1)
+            last = renewals[-1][1]
+            world.kill(owner)
+            restarted = world.start_vm(owner.own_name)
+            restarted.receive(
+                lender.own_name,
+                msgspec.structs.replace(last, number=last.number + 1),
+            )
+            with world.act_as(restarted):
+                self.assertEqual(0, find_capacity(restarted, 'w'))
+
     def test_late_loan_does_not_return(self) -> None:
         """A renewal arrives after the recall that was sent after it."""
         with run_world(3) as world:
