Refuse with 503 where no VM can decide on a quota

429 over_quota is for workspaces that have used their quota; a request whose owner does not answer gets quota_undecided.

--- a/src/bronzepost/_internal/gateway/callers/refusals.py
+++ b/src/bronzepost/_internal/gateway/callers/refusals.py
@@ -92,20 +92,31 @@
     )
 
 
-def refuse_over_quota(reason: str, wait_seconds: float) -> RefusedError:
-    """Return the error for a request that its workspace has no token for.
+def refuse_over_quota(wait_seconds: float) -> RefusedError:
+    """Return the error for a request beyond the quota of its workspace.
 
     The wait is the time of the next free token that no other caller was told.
     """
     return RefusedError(
         'the workspace has used its quota',
-        code=reason,
+        code='over_quota',
         status=HTTPStatus.TOO_MANY_REQUESTS,
         step='check quota',
         retry_after_seconds=wait_seconds,
     )
 
 
+def refuse_quota_undecided(wait_seconds: float) -> RefusedError:
+    """Return the error if no VM that has a share of the quota answers."""
+    return RefusedError(
+        'no VM with a share of the quota of the workspace answers',
+        code='quota_undecided',
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        step='check quota',
+        retry_after_seconds=wait_seconds,
+    )
+
+
 def refuse_deadly(pending: PendingCall) -> RefusedError:
     """Return the error for a request that crashes the servers that run it."""
     error = RefusedError(
--- a/src/bronzepost/_internal/gateway/quotas/call_quotas.py
+++ b/src/bronzepost/_internal/gateway/quotas/call_quotas.py
@@ -2,8 +2,12 @@
 
 from typing import Final
 
-from bronzepost._internal.gateway.callers.refusals import refuse_over_quota
+from bronzepost._internal.gateway.callers.refusals import (
+    refuse_over_quota,
+    refuse_quota_undecided,
+)
 from bronzepost._internal.gateway.quotas.workspace_quotas import (
+    UNDECIDED,
     WorkspaceQuotas,
 )
 from bronzepost._internal.gateway.requests.pending_call import PendingCall
@@ -25,7 +29,7 @@
         """Take the token for the first send of a request.
 
         Raises:
-            RefusedError: if the workspace is over its quota.
+            RefusedError: if the workspace is over its quota, or nobody knows.
         """
         call = pending.call
         decision = self._quotas.admit(
@@ -33,10 +37,10 @@
             is_first_turn=call.is_turn and call.is_first_turn,
             max_wait_seconds=pending.route.target_seconds * MAX_WAIT_SHARE,
         )
+        if decision.reason == UNDECIDED:
+            raise refuse_quota_undecided(decision.retry_after_seconds)
         if not decision.is_granted:
-            raise refuse_over_quota(
-                decision.reason, decision.retry_after_seconds
-            )
+            raise refuse_over_quota(decision.retry_after_seconds)
         pending.token_at = read_clock()
 
     def record_send(self, pending: PendingCall) -> None:
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -302,18 +302,26 @@
     )
 
 
-class NoQuotas:
-    """Quotas of a deployment without workspaces: all requests are admitted."""
+class ScriptedQuotas:
+    """Quotas that decide all requests alike, and record what is called."""
+
+    def __init__(self, **decision: Any) -> None:
+        """Admit all requests, unless the fields of a decision are given."""
+        self.calls: list[str] = []
+        self._decision = QuotaDecision(**(decision or {'is_granted': True}))
 
     def admit(self, _workspace: Any, **_: Any) -> QuotaDecision:
-        """Admit a request."""
-        return QuotaDecision(is_granted=True)
+        """Return the decision."""
+        self.calls.append('admit')
+        return self._decision
 
     def charge(self, _workspace: Any) -> None:
-        """Do nothing."""
+        """Record a further send."""
+        self.calls.append('charge')
 
     def refund(self, _workspace: Any, **_: Any) -> None:
-        """Do nothing."""
+        """Record a send that was not run."""
+        self.calls.append('refund')
 
 
 def make_suspects(directory: Directory) -> SuspectRequests:
@@ -326,7 +334,9 @@
 
 @contextmanager
 def open_gateway(
-    route: Route, *backends: ScriptedServer
+    route: Route,
+    *backends: ScriptedServer,
+    quotas: ScriptedQuotas | None = None,
 ) -> Iterator[TestGateway]:
     """Run a gateway with one route that forwards to scripted servers."""
     pool = ConnectionPool()
@@ -355,7 +365,9 @@
             availability_zone='hall-a',
         ),
         suspects=suspects,
-        quotas=CallQuotas(quotas=NoQuotas()),  # type: ignore[arg-type]
+        quotas=CallQuotas(
+            quotas=quotas or ScriptedQuotas()  # type: ignore[arg-type]
+        ),
         decode_call=decode_test_call,
     )
     port = find_port()
--- a/tests/builders_quotas.py
+++ b/tests/builders_quotas.py
@@ -310,9 +310,12 @@
         self.call_later(DEAD_AFTER_SECONDS, lambda: self._bury(vm))
 
     def stop(self, vm: QuotaVm) -> None:
-        """Let a process stop by plan; the others know at once."""
+        """Let a process stop by plan; the others hear of it by gossip."""
         with self.act_as(vm):
             vm.quotas.leave()
+        self.call_later(JOINED_AFTER_SECONDS, lambda: self._leave(vm))
+
+    def _leave(self, vm: QuotaVm) -> None:
         for other in self.list_running():
             if other is not vm and vm.own_name in other.members:
                 with self.act_as(other):
