--- a/tests/unit/test_gateway_quota_vms.py
+++ b/tests/unit/test_gateway_quota_vms.py
@@ -236,6 +236,16 @@
             world.run(18)
             self.check_used(world, 0.95, after=start)
 
+    def test_stopping_lender_recalls_its_share(self) -> None:
+        """Guard against a share that is still lent when others divide it."""
+        with run_world(10) as world:
+            _, others = split_owner(world)
+            world.stop(others[0])
+            world.run(TICK_SECONDS)
+            self.assertAlmostEqual(0.9, world.sum_capacity())
+            world.run(2)
+            self.assertAlmostEqual(1, world.sum_capacity())
+
     def test_frozen_owner_uses_no_loan_that_has_ended(self) -> None:
         """The owner is frozen for 0.5 to 8 s, and asked by callers after it."""
         for is_lost in (False, True):
