--- a/src/bronzepost/_internal/core/gateway/quota_shares.py
+++ b/src/bronzepost/_internal/core/gateway/quota_shares.py
@@ -63,13 +63,14 @@
     """The loan of this VM's share of a partition to ``owner``.
 
     It ends at ``ends_at`` by this VM's clock. It began with the message
-    ``first_number``. The share does not return before its end unless the owner
-    says so.
+    ``first_number``, and was last renewed at the owner's process ``epoch``. The share
+    does not return before its end unless the owner says so.
     """
 
     owner: str
     first_number: int
     ends_at: float
+    epoch: int = 0
     is_recalled: bool = False
 
 
@@ -139,14 +140,18 @@
     )
 
 
-def is_returned(lending: Lending | None, *, owner: str, number: int) -> bool:
+def is_returned(
+    lending: Lending | None, *, owner: str, epoch: int, number: int
+) -> bool:
     """Return whether a message of an owner ends a loan.
 
     The owner has to have received the loan: a message that it sent before may
-    be late. ``number`` is that of the last message of the lender it received.
+    be late, also one of its process before. ``number`` is that of the last message
+    of the lender that it received.
     """
     return (
         lending is not None
         and lending.owner == owner
+        and lending.epoch == epoch
         and number >= lending.first_number
     )
--- a/src/bronzepost/_internal/gateway/quotas/share_lender.py
+++ b/src/bronzepost/_internal/gateway/quotas/share_lender.py
@@ -90,6 +90,7 @@
     def _lend(self, partition: int, owner: str, at: float) -> None:
         self._lendings_by_partition[partition] = Lending(
             owner=owner,
+            epoch=self._contacts.find(owner).epoch,
             first_number=self._number + 1,
             ends_at=at + find_loan_seconds(self._owners.count_vms()),
         )
@@ -140,8 +141,11 @@
         seconds = find_loan_seconds(vms)
         for partition in lent:
             lending = self._lendings_by_partition[partition]
+            # A message before it may have lent the share for longer.
             self._lendings_by_partition[partition] = dataclasses.replace(
-                lending, ends_at=at + seconds
+                lending,
+                ends_at=max(lending.ends_at, at + seconds),
+                epoch=contact.epoch,
             )
         contact.record_sent(at, oldest_echo_at=at - seconds / 2)
         self._number = max(self._number + 1, int(at * _MICROSECONDS))
@@ -175,6 +179,7 @@
             if is_returned(
                 self._lendings_by_partition.get(partition),
                 owner=owner,
+                epoch=message.epoch,
                 number=message.number,
             )
         ]
--- a/tests/unit/test_gateway_quota_vms.py
+++ b/tests/unit/test_gateway_quota_vms.py
@@ -236,6 +236,33 @@
             world.run(18)
             self.check_used(world, 0.95, after=start)
 
+    def test_owners_that_stop_one_after_the_other(self) -> None:
+        """Guard against a burst at each VM that becomes the owner."""
+        with run_world(10) as world:
+            start = world.now
+            world.load(rate=LOAD, seconds=20)
+            world.run(5)
+            for _ in range(4):
+                world.stop(world.find_owner())
+                world.run(1.2)
+            world.run(10)
+            self.check_used(world, 0.9, after=start)
+
+    def test_paused_vm_uses_no_share_of_a_smaller_fleet(self) -> None:
+        """A VM of three is frozen while six others start."""
+        with run_world(3) as world:
+            _, (frozen, _) = split_owner(world)
+            world.freeze(frozen)
+            for number in range(6):
+                world.start_vm(f'new-{number}')
+            world.run(8)
+            world.load(rate=LOAD, seconds=10)
+            world.wake(frozen)
+            world.run(0.2)
+            self.assertThat(world.sum_capacity(), LessThan(MOST_CAPACITY))
+            world.run(10)
+            self.check_bound(world)
+
     def test_stopping_lender_recalls_its_share(self) -> None:
         """Guard against a share that is still lent when others divide it."""
         with run_world(10) as world:
--- a/tests/unit/test_gateway_quotas.py
+++ b/tests/unit/test_gateway_quotas.py
@@ -11,10 +11,12 @@
 from bronzepost._internal.core.gateway.quota_shares import (
     HeldLoan,
     HeldShares,
+    Lending,
     advance,
     drop_loan,
     find_loan_seconds,
     find_renewal_seconds,
+    is_returned,
     put_loan,
     set_own_share,
 )
@@ -275,3 +277,15 @@
                 find_loan_seconds(vms) / find_renewal_seconds(vms),
                 GreaterThan(2.0),
             )
+
+    def test_late_return_does_not_end_a_loan(self) -> None:
+        """Guard against a return that was sent before the loan began.
+
+        It may also be of the owner's process before, whose loan has ended.
+        """
+        lending = Lending(owner='b', first_number=5, ends_at=9, epoch=2)
+        self.assertTrue(is_returned(lending, owner='b', epoch=2, number=5))
+        self.assertFalse(is_returned(lending, owner='b', epoch=2, number=4))
+        self.assertFalse(is_returned(lending, owner='b', epoch=1, number=6))
+        self.assertFalse(is_returned(lending, owner='c', epoch=2, number=6))
+        self.assertFalse(is_returned(None, owner='b', epoch=2, number=6))
