--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Final
+from typing import Final, get_args
 
 import msgspec
 
@@ -14,6 +14,7 @@
     Fingerprints,
     NamedLimit,
 )
+from bronzepost._internal.gateway.peers.quota_messages import QuotaMessage
 from bronzepost._internal.node.peers.envelopes import Envelope, EnvelopeCodec
 
 # The version of the messages of this build: 1 has keys and quotas of workspaces.
@@ -352,6 +353,7 @@
     | _TurnMessage
     | _StreamMessage
     | _PermitMessage
+    | QuotaMessage
     | CrashNews
     | _StateMessage
 )
@@ -361,7 +363,9 @@
 
 # The protocol version that brought a kind of message, for kinds after version 0.
 # ``OtherBuilds`` does not let ``Fleet`` send them to VMs that report a lower version.
-PROTOCOLS_BY_KIND: Final[_ProtocolsByKind] = MappingProxyType({})
+PROTOCOLS_BY_KIND: Final[_ProtocolsByKind] = MappingProxyType(
+    dict.fromkeys(get_args(QuotaMessage), 1)
+)
 
 
 class GatewayCodec(EnvelopeCodec[GatewayMessage]):
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -28,6 +28,10 @@
 from bronzepost._internal.gateway.programs.program_state import ProgramState
 from bronzepost._internal.gateway.programs.store_pace import StorePace
 from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
+from bronzepost._internal.gateway.quotas.call_quotas import CallQuotas
+from bronzepost._internal.gateway.quotas.workspace_quotas import (
+    WorkspaceQuotas,
+)
 from bronzepost._internal.gateway.requests.caller_access import CallerAccess
 from bronzepost._internal.gateway.requests.forwarding import (
     DecodeCall,
@@ -132,6 +136,12 @@
         access = CallerAccess(
             directory=self.directory, source=self.snapshots, names=names
         )
+        self._quotas = WorkspaceQuotas(
+            fleet=self.fleet,
+            reports=self.reports,
+            calls=calls,
+            directory=self.directory,
+        )
         self.forwarder = Forwarder(
             directory=self.directory,
             access=access,
@@ -139,6 +149,7 @@
             streams=self.streams,
             servers=self._access.calls,
             suspects=self._access.suspects,
+            quotas=CallQuotas(quotas=self._quotas),
             decode_call=decode_call,
         )
         self._placement_page = PlacementPage(
@@ -209,6 +220,7 @@
             'peer_messages_sent': self.fleet.counts.sent,
             'peer_messages_dropped': self.fleet.counts.dropped,
             'peer_messages_received': self.fleet.counts.received,
+            **self._quotas.list_states(),
         }
 
     def list_held_bytes(self) -> dict[str, int]:
@@ -230,6 +242,7 @@
             self.budgets,
             self.turns,
             self.streams,
+            self._quotas,
             self._access,
             self.snapshots,
             self.callers,
@@ -251,6 +264,7 @@
         emit(LogEvent.DRAIN_STARTED)
         self.callers.drain()
         self.budgets.leave()
+        self._quotas.leave()
         self.fleet.leave()
         gevent.spawn(self._finish)
 
--- a/src/bronzepost/_internal/gateway/requests/deadline.py
+++ b/src/bronzepost/_internal/gateway/requests/deadline.py
@@ -6,6 +6,11 @@
 
 import gevent
 
+from bronzepost._internal.core.gateway.entities import RouteKind
+from bronzepost._internal.gateway.requests.pending_call import (
+    DeadlinePassedError,
+    PendingCall,
+)
 from bronzepost._internal.node.clock import read_clock
 
 
@@ -62,3 +67,13 @@
         self._remaining_seconds = max(
             self._remaining_seconds - elapsed_seconds, 0
         )
+
+
+def start_deadline(pending: PendingCall) -> Deadline:
+    """Return the limit of the time of a request."""
+    deadline = Deadline(pending.remaining_seconds, DeadlinePassedError())
+    if pending.route.kind is not RouteKind.STREAM:
+        # The server has done its work when a large answer arrives, and the time in
+        # which the caller does not read is not the server's.
+        pending.answer.wait_in(deadline.pause)
+    return deadline
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -37,11 +37,12 @@
 )
 from bronzepost._internal.gateway.loops import start_task
 from bronzepost._internal.gateway.programs.program_state import ProgramState
+from bronzepost._internal.gateway.quotas.call_quotas import CallQuotas
 from bronzepost._internal.gateway.requests.caller_access import (
     Access,
     CallerAccess,
 )
-from bronzepost._internal.gateway.requests.deadline import Deadline
+from bronzepost._internal.gateway.requests.deadline import start_deadline
 from bronzepost._internal.gateway.requests.hedging import HedgedRequest
 from bronzepost._internal.gateway.requests.pending_call import (
     DeadlinePassedError,
@@ -77,6 +78,7 @@
         streams: StreamVersions,
         servers: ServerCalls,
         suspects: SuspectRequests,
+        quotas: CallQuotas,
         decode_call: DecodeCall,
     ) -> None:
         """Create a forwarder.
@@ -90,6 +92,7 @@
         self._streams = streams
         self._servers = servers
         self._suspects = suspects
+        self._quotas = quotas
         self._decode_call = decode_call
         self._retries = RetryBudget()
 
@@ -154,6 +157,12 @@
             self._close_turn(pending)
 
     def _open_turn(self, pending: PendingCall, prompt: HeldBytes) -> None:
+        """Take the token of the workspace, then those of the turn, if it is one.
+
+        Raises:
+            RefusedError: if the request must not be sent now.
+        """
+        self._quotas.admit(pending)
         pending.events.keeps_data = False
         if pending.call.is_turn and pending.route.kind is RouteKind.STREAM:
             pending.events.keeps_data = pending.route.keeps_history
@@ -166,6 +175,7 @@
         pending.opened_at = read_clock()
 
     def _close_turn(self, pending: PendingCall) -> None:
+        self._quotas.close(pending)
         if pending.turn is not None:
             tokens = pending.events.event_count * (
                 self._directory.find_engine(pending.service).tokens_per_event
@@ -181,6 +191,7 @@
                 servers=self._servers,
                 retries=self._retries,
                 record_failure=self._record_failure,
+                record_send=self._quotas.record_send,
             )
             hedged_request.run()
             return
@@ -206,6 +217,7 @@
                 version=server.version,
                 events=pending.events.event_count,
             )
+        self._quotas.record_send(pending)
         with self._servers.open_exchange(pending, server) as (exchange, head):
             if is_stream and head.status == HTTPStatus.OK:
                 deliver_stream(
@@ -260,6 +272,9 @@
         self, pending: PendingCall, server: BackendServer, error: Exception
     ) -> None:
         pending.excluded_ids.add(server.server_id)
+        was_sent = getattr(error, 'was_sent', False)
+        if not was_sent:
+            self._quotas.record_not_run(pending)
         event = LogEvent.REQUEST_NOT_RUN
         if isinstance(error, ExchangeError):
             event = LogEvent.EXCHANGE_BROKEN
@@ -275,7 +290,7 @@
             event,
             request=pending.call.request_id,
             server=server.server_id,
-            was_sent=getattr(error, 'was_sent', False),
+            was_sent=was_sent,
             fingerprint=pending.fingerprints[0],
             target_fingerprint=pending.fingerprints[1],
             events=pending.events.event_count,
@@ -372,16 +387,6 @@
         ).inc()
 
 
-def start_deadline(pending: PendingCall) -> Deadline:
-    """Return the limit of the time of a request."""
-    deadline = Deadline(pending.remaining_seconds, DeadlinePassedError())
-    if pending.route.kind is not RouteKind.STREAM:
-        # The server has done its work when a large answer arrives, and the time in
-        # which the caller does not read is not the server's.
-        pending.answer.wait_in(deadline.pause)
-    return deadline
-
-
 def check_retryable(pending: PendingCall, error: ExchangeError) -> None:
     """Count a failed attempt, and raise an error if it must be the last.
 
--- a/src/bronzepost/_internal/gateway/requests/pending_call.py
+++ b/src/bronzepost/_internal/gateway/requests/pending_call.py
@@ -49,6 +49,7 @@
     ``workspace`` is that of the caller's key. If the configuration
     ``uses_workspaces``, servers do not get the key, and the name of the workspace
     from the gateway only.
+    The last send had its token of the quota at ``token_at``.
     ``warmth`` is None unless servers may have seen the subject of the request.
     """
 
@@ -70,6 +71,7 @@
     server_limit: str = ''
     limited_seconds: float | None = None
     stream_version: str | None = None
+    token_at: float = 0
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     turn: OpenTurn | None = None
--- a/src/bronzepost/_internal/telemetry/exposition.py
+++ b/src/bronzepost/_internal/telemetry/exposition.py
@@ -109,6 +109,12 @@
             ('kind', 'outcome'),
             CounterOrGauge,
         )
+        self.quota_requests = MetricFamily(
+            'bronzepost_quota_requests',
+            'Requests of workspaces with a quota by what was decided.',
+            ('workspace', 'outcome'),
+            CounterOrGauge,
+        )
         logs_left_out = MetricFamily(
             'bronzepost_log_lines_left_out',
             'Log lines that were not written, to bound their volume.',
@@ -166,6 +172,7 @@
             self.warm_requests,
             self.memory_refusals,
             self.store_attempts,
+            self.quota_requests,
             logs_left_out,
         )
 
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -38,6 +38,8 @@
 from bronzepost._internal.gateway.links.server_links import ServerLinks
 from bronzepost._internal.gateway.peers.lost_members import LostMembers
 from bronzepost._internal.gateway.peers.received_reports import ReceivedReports
+from bronzepost._internal.gateway.quotas.call_quotas import CallQuotas
+from bronzepost._internal.gateway.quotas.workspace_quotas import QuotaDecision
 from bronzepost._internal.gateway.requests.caller_access import CallerAccess
 from bronzepost._internal.gateway.requests.forwarding import Forwarder
 from bronzepost._internal.gateway.requests.placement_page import PlacementPage
@@ -313,6 +315,28 @@
     )
 
 
+class ScriptedQuotas:
+    """Quotas that decide all requests alike, and record what is called."""
+
+    def __init__(self, **decision: Any) -> None:
+        """Admit all requests, unless the fields of a decision are given."""
+        self.calls: list[str] = []
+        self._decision = QuotaDecision(**(decision or {'is_granted': True}))
+
+    def admit(self, _workspace: Any, **_: Any) -> QuotaDecision:
+        """Return the decision."""
+        self.calls.append('admit')
+        return self._decision
+
+    def charge(self, _workspace: Any) -> None:
+        """Record a further send."""
+        self.calls.append('charge')
+
+    def refund(self, _workspace: Any, **_: Any) -> None:
+        """Record a send that was not run."""
+        self.calls.append('refund')
+
+
 def make_suspects(directory: Directory) -> SuspectRequests:
     """Return the suspect requests of a gateway without peers."""
     return SuspectRequests(
@@ -327,6 +351,7 @@
     *backends: ScriptedServer,
     configuration: GatewayConfiguration | None = None,
     memory: HeldMemory | None = None,
+    quotas: ScriptedQuotas | None = None,
 ) -> Iterator[TestGateway]:
     """Run a gateway with one route that forwards to scripted servers.
 
@@ -363,6 +388,9 @@
         streams=NoPeerStreams(),  # type: ignore[arg-type]
         servers=servers,
         suspects=suspects,
+        quotas=CallQuotas(
+            quotas=quotas or ScriptedQuotas()  # type: ignore[arg-type]
+        ),
         decode_call=decode_test_call,
     )
     port = find_port()
