--- a/src/bronzepost/_internal/gateway/quotas/call_quotas.py
+++ b/src/bronzepost/_internal/gateway/quotas/call_quotas.py
@@ -13,9 +13,12 @@
 from bronzepost._internal.gateway.requests.pending_call import PendingCall
 from bronzepost._internal.node.clock import read_clock
 
-# The part of the target latency for which a request waits for its turn. A caller
-# that is refused within a quarter of it may still be served in time later.
-MAX_WAIT_SHARE: Final = 0.2
+# The part of the target latency for which the first turn of a program waits for its
+# token. A caller that is refused within a quarter of it may still be served in time
+# later.
+FIRST_TURN_WAIT_SHARE: Final = 0.2
+# The part for other requests: one that is refused twice ends its whole program.
+WAIT_SHARE: Final = 1.0
 
 
 class CallQuotas:
@@ -31,11 +34,12 @@
         Raises:
             RefusedError: if the workspace is over its quota, or nobody knows.
         """
-        call = pending.call
+        is_first_turn = pending.call.is_turn and pending.call.is_first_turn
+        share = FIRST_TURN_WAIT_SHARE if is_first_turn else WAIT_SHARE
         decision = self._quotas.admit(
             pending.workspace,
-            is_first_turn=call.is_turn and call.is_first_turn,
-            max_wait_seconds=pending.route.target_seconds * MAX_WAIT_SHARE,
+            is_first_turn=is_first_turn,
+            max_wait_seconds=pending.route.target_seconds * share,
         )
         if decision.reason == UNDECIDED:
             raise refuse_quota_undecided(decision.retry_after_seconds)
