Name no header of the users' platform in the command of placements

Cause: an example in the command and one in its page used the header by which the users' platform names a subject; only platform/ knows these names. Measured: the tests of the page and of the command line pass.

--- a/src/bronzepost/_internal/cli/commands/placement.py
+++ b/src/bronzepost/_internal/cli/commands/placement.py
@@ -19,7 +19,7 @@
         'Nothing is sent. Costs are in times of a request on an idle server;'
         ' the columns after them are the parts of the cost.\n\n'
         'Example: `bronzepost placement --address 127.0.0.1:9102 shop.example'
-        ' /orders --header "Affinity-Key: o-7"`'
+        ' /orders --header "Subject: o-7"`'
     ),
 )
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/bronzepost/_internal/gateway/requests/placement_page.py
+++ b/src/bronzepost/_internal/gateway/requests/placement_page.py
@@ -83,8 +83,8 @@
 def read_header(line: str) -> tuple[bytes, bytes]:
     """Return name and value of a header line.
 
-    >>> read_header('Affinity-Key: o-7')
-    (b'Affinity-Key', b'o-7')
+    >>> read_header('Subject: o-7')
+    (b'Subject', b'o-7')
     """
     name, _, text = line.partition(':')
     return name.strip().encode('latin-1'), text.strip().encode('latin-1')
