--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,7 +21,7 @@
 EVENTS = 8
 TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
 BUDGET = 8 * TURN_TOKENS
-OUTAGE_S = 7.0
+OUTAGE_S = 4.5
 KILL_AFTER_S = 1.0
 # Turns before the outage; they leave one turn of the budget.
 EARLY_TURNS = 7
@@ -114,7 +114,7 @@
             home = find_home()
             home.kill()
             await asyncio.sleep(1.5)
-            sending = asyncio.ensure_future(send_turns(100, 4.0))
+            sending = asyncio.ensure_future(send_turns(100, 2.0))
             await asyncio.sleep(KILLED_S - 1.5)
             home.start()
             await sending
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,8 @@
-"""A faulty runner that sends additional bytes after a complete response."""
+"""A runner leaves just after a machine has been stopped and started by plan."""
 
 import asyncio
 import itertools
+import signal
 import sys
 from pathlib import Path
 
@@ -17,83 +18,108 @@
 )
 from common.standins import Runner, Store, send_request  # noqa: E402
 
-# One of the two runners spoils one of so many of its responses.
-SPOILED = 50
-REQUESTS = 400
-ADDITIONAL = (
-    b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\n'
-    b'leftover'
-)
+DRAIN_TIMEOUT_S = 2.0
+CONTACT_S = 3.0
+# From the first list of runners that the machine reads to the removal.
+LEAVES_AFTER_S = 0.2
+# How long the runner serves on after its entry is removed.
+LINGER_S = 2.68
+WORK_S = 0.15
 
 
-class FaultyRunner(Runner):
-    """Sends additional bytes after some responses, before it reads on."""
+class WatchedStore(Store):
+    """Tells when a machine lists the runners, which it does at its start."""
 
-    is_faulty = False
-    _answered = 0
+    def __init__(self):
+        super().__init__()
+        self.listed = asyncio.Event()
 
-    async def _answer(self, writer, first, headers, body):
-        if getattr(writer, 'owes', False):
-            writer.owes = False
-            self._record.write(f'bytes    additional ones from {self.runner_id}')
-            writer.write(ADDITIONAL)
-        await super()._answer(writer, first, headers, body)
-        self._answered += 1
-        writer.owes = self.is_faulty and self._answered % SPOILED == 0
+    def _list_newest(self, records, query):
+        if query['topicName'] == 'keyed.servers':
+            self.listed.set()
+        return super()._list_newest(records, query)
 
 
 async def main(record, trouble):
     network = choose_network()
-    store = Store()
+    store = WatchedStore()
     await store.start(f'{network}.1')
     route = make_route('r-book', '/book/', 'non_idempotent', 'desks', attempts=1)
     store.put('op', 'config', make_configuration([route]))
     runners = [
-        FaultyRunner(
-            store=store, record=record, upstream='desks', runner_id=f'i-{number}'
+        Runner(
+            store=store, record=record, upstream='desks',
+            runner_id=f'i-{number}', work_s=WORK_S,
         )
-        for number in range(2)
+        for number in range(3)
     ]
-    runners[0].is_faulty = trouble
     for runner in runners:
         await runner.start(f'{network}.2')
     deployment = Deployment(
-        record=record, store=store, network=network, count=2
+        record=record, store=store, network=network, count=3
     )
+    restarted = deployment.vms[0]
+    leaving = runners[0]
+    numbers = itertools.count(1)
+    sent_at = {}
     answers = {}
+    sends = []
 
-    async def send_one(number):
-        name = f'book-{number}'
-        vm = deployment.vms[number % len(deployment.vms)]
+    async def send_one():
+        name = f'book-{next(numbers)}'
+        sent_at[name] = record.now()
         answers[name] = await send_request(
-            record, vm.front, request_id=name, path='/book/x',
+            record, restarted.front, request_id=name, path='/book/x',
             host=HOST, headers=('Deadline-Ms: 2000',), body=b'{}',
         )
 
     try:
         deployment.start()
         await deployment.wait_until_ready()
-        await asyncio.sleep(1.5)
-        numbers = itertools.count()
-        for _ in range(REQUESTS // 4):
-            await asyncio.gather(*(send_one(next(numbers)) for _ in range(4)))
+        await asyncio.sleep(4.0)
+        if trouble:
+            restarted.signal(signal.SIGTERM)
+            await restarted.wait_for_end()
+            store.listed.clear()
+            restarted.start()
+            started_at = record.now()
+            await store.listed.wait()
+        else:
+            started_at = record.now() - CONTACT_S
+        await asyncio.sleep(LEAVES_AFTER_S)
+        leaving.remove_entry()
+        removed_at = record.now()
+        record.write(f'entry    {leaving.runner_id} removed, it never drains')
+        while record.now() < removed_at + LINGER_S:
+            if record.now() > removed_at + 1.0:
+                sends.append(asyncio.ensure_future(send_one()))
             await asyncio.sleep(0.02)
+        leaving.stop()
+        record.write(f'end      {leaving.runner_id}')
+        await asyncio.gather(*sends)
     finally:
         deployment.close()
         for runner in runners:
             runner.stop()
         store.stop()
-    served = [name for name, answer in answers.items() if answer.status == 200]
-    if len(served) < REQUESTS // 2:
+    served = sum(answer.status == 200 for answer in answers.values())
+    if served < len(answers) // 2:
         raise RuntimeError('requests are not served')
-    mixed = [n for n in served if 'server-stamp' not in answers[n].headers]
-    for name in mixed:
+    late = [
+        run
+        for run in leaving.runs
+        if run.at > removed_at + DRAIN_TIMEOUT_S
+        and sent_at[run.request_id] > started_at + CONTACT_S
+    ]
+    for run in late:
         record.write(
-            f'result   {name} got 200 without a Server-Stamp, body'
-            f' {answers[name].body!r}'
+            f'result   {run.request_id} reached {leaving.runner_id}'
+            f' {run.at - removed_at:.3f} s after the removal; the machine had'
+            f' run for {sent_at[run.request_id] - started_at:.3f} s when it was'
+            f' sent; answer {answers[run.request_id].status}'
         )
-    record.write(f'result   {len(mixed)} of {len(served)} successes are foreign')
-    return bool(mixed)
+    record.write(f'result   {len(late)} requests reached the runner too late')
+    return bool(late)
 
 
 if __name__ == '__main__':
