--- a/review/5/case.py
+++ b/review/5/case.py
@@ -91,9 +91,9 @@
         removed_at = record.now()
         record.write(f'entry    {leaving.runner_id} removed, it never drains')
         while record.now() < removed_at + LINGER_S:
-            if record.now() > removed_at + 1.0:
+            if record.now() > removed_at + 1.5:
                 sends.append(asyncio.ensure_future(send_one()))
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(0.01)
         leaving.stop()
         record.write(f'end      {leaving.runner_id}')
         await asyncio.gather(*sends)
