--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,6 +20,7 @@
 DRAIN_TIMEOUT_S = 2.0
 # How long the old runners serve on after they have reported draining.
 LINGER_S = 4.0
+RELEASE_GAP_S = 2.0
 # Bytes that can't be read: cut off inside a list.
 UNREADABLE = b'{"extra":' + b'[' * 4000
 
@@ -45,6 +46,7 @@
     )
     numbers = itertools.count(1)
     results = []
+    drained_at = {}
     sends = []
 
     async def send_one():
@@ -79,12 +81,14 @@
             await runner.start(f'{network}.2')
             record.write(f'entry    {runner.runner_id} ready')
         await send_for(2.5)
+        # One after the other, each a share of 0.5 of the old runners.
         for runner in old:
             runner.state = 'draining'
             runner.write_entry()
+            drained_at[runner] = record.now()
             record.write(f'entry    {runner.runner_id} draining')
-        drained_at = record.now()
-        await send_for(LINGER_S)
+            await send_for(RELEASE_GAP_S)
+        await send_for(LINGER_S - RELEASE_GAP_S)
         for runner in old:
             runner.remove_entry()
             runner.stop()
@@ -103,8 +107,8 @@
         run
         for runner in old
         for run in runner.runs
-        if run.at > drained_at + DRAIN_TIMEOUT_S
-        and sent_at_by_id[run.request_id] > drained_at + DRAIN_TIMEOUT_S
+        if run.at > drained_at[runner] + DRAIN_TIMEOUT_S
+        and sent_at_by_id[run.request_id] > drained_at[runner] + DRAIN_TIMEOUT_S
     ]
     after = [answer for _, sent_at, answer in results if sent_at > gone_at + 1.0]
     served = sum(answer.status == 200 for answer in after)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,6 +18,8 @@
 )
 from common.standins import Runner, Store, send_request  # noqa: E402
 
+# One of seven is taken away, a share of 0.14.
+RUNNERS = 7
 DRAIN_TIMEOUT_S = 2.0
 CONTACT_S = 3.0
 # From the first list of runners that the machine reads to the removal.
@@ -51,7 +53,7 @@
             store=store, record=record, upstream='desks',
             runner_id=f'i-{number}', work_s=WORK_S,
         )
-        for number in range(3)
+        for number in range(RUNNERS)
     ]
     for runner in runners:
         await runner.start(f'{network}.2')
@@ -91,9 +93,9 @@
         removed_at = record.now()
         record.write(f'entry    {leaving.runner_id} removed, it never drains')
         while record.now() < removed_at + LINGER_S:
-            if record.now() > removed_at + 1.5:
+            if record.now() > removed_at + 2.0:
                 sends.append(asyncio.ensure_future(send_one()))
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(0.005)
         leaving.stop()
         record.write(f'end      {leaving.runner_id}')
         await asyncio.gather(*sends)
