Keep the chain of a turn as long as the turn

Turns are stored for 30 s beyond their retention, so an ancestor that is not renewed outlasts the next turn. The same cause on related paths: a renewal ran after the answer and was lost with its VM; ancestors that left the memory during a long turn were not renewed; an unanswered renewal counted as stored by the older record.

--- a/src/bronzepost/_internal/core/gateway/histories.py
+++ b/src/bronzepost/_internal/core/gateway/histories.py
@@ -9,7 +9,8 @@
     """A turn with its complete answer.
 
     ``ancestors`` are the ids of the turns before it, oldest first.
-    ``ends_at`` is the Unix time in seconds at which its retention ends.
+    ``ends_at`` is the Unix time in seconds until which the turn is kept, at least
+    the end of its retention.
     """
 
     turn_id: str
--- a/src/bronzepost/_internal/gateway/programs/program_state.py
+++ b/src/bronzepost/_internal/gateway/programs/program_state.py
@@ -25,12 +25,13 @@
 class OpenTurn:
     """A turn that may run: its full prompt, ancestors and reserved tokens.
 
-    The time of its request ends at ``deadline_at``, in monotonic seconds.
+    The time of its request ends at ``deadline_at``, in monotonic seconds. The
+    ancestors are held here, since a long turn may outlast their retention.
     """
 
     call: CallRequest
     prompt: bytes
-    ancestors: tuple[str, ...]
+    ancestors: tuple[Turn, ...]
     reservation: Reservation
     deadline_at: float
 
@@ -53,12 +54,13 @@
         """
         seconds = call.deadline_seconds
         deadline_at = math.inf if seconds is None else read_clock() + seconds
-        ancestors: tuple[str, ...] = ()
+        ancestors: tuple[Turn, ...] = ()
         if route.keeps_history:
             if call.resume_after:
                 raise refuse_resume()
-            ancestors = self._turns.find_chain(call)
-            prompt = build_prompt(ancestors, self._turns.turns_by_id, prompt)
+            chain = self._turns.find_chain(call)
+            ancestors = self._turns.list_turns(chain)
+            prompt = build_prompt(chain, self._turns.turns_by_id, prompt)
         return OpenTurn(
             call=call,
             prompt=prompt,
@@ -81,13 +83,16 @@
             return
         completed = Turn(
             turn_id=turn.call.turn_id,
-            ancestors=turn.ancestors,
+            ancestors=tuple(before.turn_id for before in turn.ancestors),
             prompt=body,
             answer=join_answer(events.event_data),
             ends_at=time.time() + route.retention_seconds,
         )
         self._turns.keep(
-            completed, turn.call.program_id, deadline_at=turn.deadline_at
+            completed,
+            turn.call.program_id,
+            chain=turn.ancestors,
+            deadline_at=turn.deadline_at,
         )
 
     def close_turn(self, turn: OpenTurn, tokens: int, server_id: str) -> None:
--- a/src/bronzepost/_internal/gateway/programs/store_queue.py
+++ b/src/bronzepost/_internal/gateway/programs/store_queue.py
@@ -52,9 +52,11 @@
     ``under_way`` counts its attempts that are not silent yet. It ``is_unanswered``
     if the store may have it although no attempt was answered. It ``is_foreign`` if
     another VM asked for it; such a turn is given up when the store refuses it here.
+    ``ends_at`` is that of the turn, which tells a renewal from earlier records.
     """
 
     turn_id: str
+    ends_at: float
     write: WaitingWrite
     record: KeyedRecord
     since: float
@@ -101,6 +103,7 @@
         record = KeyedRecord(key=turn.turn_id, content=encode_turn(turn))
         queued = QueuedTurn(
             turn_id=turn.turn_id,
+            ends_at=turn.ends_at,
             write=WaitingWrite(
                 key=key,
                 locations=list_locations(turn.turn_id, self._store.partitions),
--- a/src/bronzepost/_internal/gateway/programs/turn_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_keeper.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 import time
+from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Final
 
@@ -12,7 +13,7 @@
 from bronzepost._internal.core.gateway.histories import Turn, list_chain
 from bronzepost._internal.core.gateway.store_pace import Priority
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.gateway.loops import start_loop, start_task
+from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peers.peer_reports import PeerReports
@@ -33,10 +34,10 @@
 # with the end of the answer, which waits for the store for a few seconds, and
 # the clocks of VMs differ.
 RETENTION_MARGIN_SECONDS: Final = 10.0
-# The turns of a chain are kept as long as its last one. A turn that would end
-# more than this before the last one is written again; the retention of turns
-# is a minute.
-RENEW_SECONDS: Final = 30.0
+# Turns are stored for this long beyond their retention. A turn that is continued
+# from within this time of its last write outlasts the retention of the next turn,
+# so it is not written again with each turn of a long chain.
+RENEWAL_INTERVAL_SECONDS: Final = 30.0
 RETRY_AFTER_SECONDS: Final = 0.3
 # The size of a turn in memory beyond its content, and of each id of an ancestor.
 TURN_OVERHEAD_BYTES: Final = 400
@@ -119,21 +120,45 @@
             raise refuse_unknown_turn()
         return list_chain(self.turns_by_id[call.previous_turn])
 
+    def list_turns(self, turn_ids: Iterable[str]) -> tuple[Turn, ...]:
+        """Return turns that are in memory.
+
+        Raises:
+            KeyError: if one of them is not.
+        """
+        return tuple(self.turns_by_id[turn_id] for turn_id in turn_ids)
+
     def keep(
-        self, turn: Turn, program_id: str, *, deadline_at: float = math.inf
+        self,
+        turn: Turn,
+        program_id: str,
+        *,
+        chain: Iterable[Turn] = (),
+        deadline_at: float = math.inf,
     ) -> None:
         """Return once the store has a turn; the caller sets the timeout.
 
+        Turns of ``chain``, those before the turn, that would be removed before
+        its retention ends are written again beside it. A renewal after the
+        answer could be lost with this VM.
+
         Copies on peers are not enough: all VMs may lose power at once. Of turns
         that wait, those with the earliest ``deadline_at`` are written first.
         """
-        self._writer.write(turn, deadline_at=deadline_at)
-        self.turns_by_id[turn.turn_id] = turn
+        newest = (self.turns_by_id.get(old.turn_id, old) for old in chain)
+        expiring = [old for old in newest if old.ends_at < turn.ends_at]
+        stored_until = turn.ends_at + RENEWAL_INTERVAL_SECONDS
+        turn, *renewed = (
+            dataclasses.replace(kept, ends_at=stored_until)
+            for kept in (turn, *expiring)
+        )
+        self._writer.write(turn, *renewed, deadline_at=deadline_at)
+        for kept in (turn, *renewed):
+            self.turns_by_id[kept.turn_id] = kept
         # With a copy the home of the program finds the turn without the store.
         # It is sent after the write, so that peers have no copy of a turn whose
         # answer broke off.
         self._copies.send(turn, program_id)
-        start_task(lambda: self._renew_chain(turn))
 
     def count_bytes(self) -> int:
         """Return the memory that the turns take on this VM."""
@@ -145,19 +170,12 @@
             for turn in self.turns_by_id.values()
         )
 
-    def _renew_chain(self, turn: Turn) -> None:
-        known = filter(None, map(self.turns_by_id.get, turn.ancestors))
-        with gevent.Timeout(RENEW_SECONDS, exception=False):
-            for ancestor in known:
-                if ancestor.ends_at < turn.ends_at - RENEW_SECONDS:
-                    renewed = dataclasses.replace(
-                        ancestor, ends_at=turn.ends_at
-                    )
-                    self._writer.write(renewed)
-                    self.turns_by_id[renewed.turn_id] = renewed
-
     def _drop_expired(self) -> None:
-        oldest = time.time() - RETENTION_MARGIN_SECONDS
+        # The store alone keeps turns beyond their retention, which would take half
+        # as much memory again here.
+        oldest = (
+            time.time() - RETENTION_MARGIN_SECONDS + RENEWAL_INTERVAL_SECONDS
+        )
         expired = [
             turn.turn_id
             for turn in self.turns_by_id.values()
--- a/src/bronzepost/_internal/gateway/programs/turn_writer.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_writer.py
@@ -79,31 +79,43 @@
         lane.subscribe(self._ask_peers_if_stuck)
         fleet.subscribe(StoreTurn, self._receive_request)
 
-    def write(self, turn: Turn, *, deadline_at: float = math.inf) -> None:
-        """Return once the store has a turn; the caller sets the timeout.
+    def write(self, *turns: Turn, deadline_at: float = math.inf) -> None:
+        """Return once the store has all turns; the caller sets the timeout.
 
         Turns with the earliest ``deadline_at``, in monotonic seconds, go first.
         """
+        with contextlib.ExitStack() as stack:
+            waiting = [self._begin(turn, deadline_at, stack) for turn in turns]
+            self._ask_peers_if_stuck()
+            for queued in waiting:
+                queued.ended.wait()
+
+    def _begin(
+        self, turn: Turn, deadline_at: float, stack: contextlib.ExitStack
+    ) -> QueuedTurn:
+        """Begin to write a turn; ``stack`` ends it."""
         queued = self._queue.add(turn, deadline_at=deadline_at)
         checks = gevent.spawn_later(
             STORE_CHECK_SECONDS, self._check_store, queued
         )
-        with contextlib.ExitStack() as stack:
-            stack.callback(_log_unstored, queued)
-            stack.callback(self._queue.remove, queued)
-            stack.callback(checks.kill, block=False)
-            self._ask_peers_if_stuck()
-            queued.ended.wait()
+        stack.callback(_log_unstored, queued)
+        stack.callback(self._queue.remove, queued)
+        stack.callback(checks.kill, block=False)
+        return queued
 
     def _check_store(self, queued: QueuedTurn) -> None:
         while not queued.is_stored:
             # A refused attempt has stored nothing, so it is not looked for.
             may_have = queued.under_way or queued.is_unanswered
-            if may_have and self._reports.has_store:
-                if self._store.read((queued.turn_id,)):
-                    self._queue.mark_stored(queued)
+            if may_have and self._reports.has_store and self._is_found(queued):
+                self._queue.mark_stored(queued)
             gevent.sleep(STORE_CHECK_SECONDS)
 
+    def _is_found(self, queued: QueuedTurn) -> bool:
+        # A renewed turn has an older record, which must not be taken for this one.
+        found = map(decode_turn, self._store.read((queued.turn_id,)))
+        return any(turn and turn.ends_at >= queued.ends_at for turn in found)
+
     def _ask_peers_if_stuck(self) -> None:
         if not self._is_asking and self._list_stuck():
             self._is_asking = True
--- a/tests/unit/test_gateway_turns.py
+++ b/tests/unit/test_gateway_turns.py
@@ -19,6 +19,7 @@
 from bronzepost._internal.gateway.programs.store_lane import SILENT_SECONDS
 from bronzepost._internal.gateway.programs.turn_copies import TurnCopies
 from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
+from bronzepost._internal.gateway.programs.turn_store import TurnStore
 from tests.builders_gateway import MemoryStore, make_turn_call
 
 WAIT_SECONDS = 0.05
@@ -26,6 +27,10 @@
 STORE_OR_PEER_SECONDS = 0.7
 # Longer than any timeout of the tests.
 HANG_SECONDS = 10.0
+# The end of the last turn's retention, a Unix time.
+LAST_END = 2e10
+# A program that pauses this long between two turns may return after each of them.
+EARLIER = 28.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -202,13 +207,72 @@
             self.make_turn(), turn_id='first', ends_at=1
         )
         last = dataclasses.replace(self.make_turn(), ancestors=('first',))
-        for turn in (first, last):
-            self.keepers['a'].keep(turn, 'p-1')
+        self.keepers['a'].keep(first, 'p-1')
+        self.keepers['a'].keep(last, 'p-1', chain=(first,))
         for name in ('a', 'b', 'c'):
             self.keepers[name].start()
         gevent.sleep(WAIT_SECONDS)
         self.assertEqual(('first', 't'), self.find('b'))
 
+    def test_swept_chain_lasts_until_the_retention_of_its_last_turn(
+        self,
+    ) -> None:
+        """Earlier turns were swept up to 20 s before the last one's end."""
+        first = dataclasses.replace(
+            self.make_turn(), turn_id='first', ends_at=LAST_END - EARLIER
+        )
+        self.keepers['a'].keep(first, 'p-1')
+        self.keepers['a'].keep(self.make_last_turn(), 'p-1', chain=(first,))
+        self.assertEqual(('first', 't'), self.find_when_it_ends())
+
+    def test_chain_is_renewed_before_the_answer_ends(self) -> None:
+        """A VM killed after the answer never renewed the chain."""
+        first = dataclasses.replace(
+            self.make_turn(), turn_id='first', ends_at=LAST_END / 2
+        )
+        own_store = self.store.make_view()
+        self.keepers['a'] = self.start('a', store=own_store)
+        self.vms_by_name['a'].has_store = True
+        self.keepers['a'].keep(first, 'p-1')
+        self.keepers['a'].keep(self.make_last_turn(), 'p-1', chain=(first,))
+        # What the VM still does reaches neither the store nor other VMs.
+        own_store.is_down = True
+        self.vms_by_name['a'].vms_by_name = {}
+        self.assertEqual(('first', 't'), self.find_when_it_ends())
+
+    def test_chain_of_a_turn_that_outlasts_it_is_stored_again(self) -> None:
+        """A chain that expired while a long turn ran was not renewed."""
+        first = dataclasses.replace(
+            self.make_turn(), turn_id='first', ends_at=1
+        )
+        self.keepers['b'].keep(self.make_last_turn(), 'p-1', chain=(first,))
+        self.assertEqual(('first', 't'), self.find_when_it_ends())
+
+    def test_older_record_is_not_taken_for_a_renewal(self) -> None:
+        """An unanswered renewal counted as stored by the record before it."""
+        self.keepers['a'].keep(self.make_turn(), 'p-1')
+        self.store.append_delay_seconds = HANG_SECONDS
+        renewed = dataclasses.replace(self.make_turn(), ends_at=3e10)
+        keeping = gevent.spawn(self.keepers['a'].keep, renewed, 'p-1')
+        self.addCleanup(keeping.kill)
+        gevent.sleep(SILENT_SECONDS + STORE_OR_PEER_SECONDS)
+        self.assertFalse(keeping.ready())
+
+    def make_last_turn(self) -> Turn:
+        return dataclasses.replace(
+            self.make_turn(), ancestors=('first',), ends_at=LAST_END
+        )
+
+    def find_when_it_ends(self) -> tuple[str, ...]:
+        """Return the chain of the last turn, as a VM finds it after a sweep.
+
+        All VMs that had copies are gone.
+        """
+        TurnStore(store=self.store).sweep(0, oldest=LAST_END)
+        self.vms_by_name.clear()
+        self.keepers['d'] = self.start('d')
+        return self.find('d')
+
     def test_peer_writes_a_turn_while_the_store_hangs(self) -> None:
         """The turn must not wait for an append that gets no answer."""
         hanging = self.store.make_view()
