Let most VMs agree to the last part of a budget

Cause: a home granted without the store on top of what it knew to be granted. A new home had not read the store, and a group of two VMs agreed with itself.

The store alone no longer grants the last part of a budget, as large as what may be granted without it. Tokens of that pool need the agreement of most VMs, those lost lately included.

The longer array of test_longer_array_of_a_newer_build moves behind the new fields; it guards the same.

--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -7,15 +7,16 @@
 home. The unused part of an idle program's allowance is returned with an append
 too, because an allowance that a lost VM did not return counts as spent.
 
-During an outage of the store, a home may grant itself provisional allowances,
-of which only other VMs hold copies. A home that is replaced hands its accounts
+The store alone does not grant the last part of a budget, the pool. Most VMs have
+to agree to each claim on it. During an outage of the store, a home may grant itself
+provisional allowances from the pool, of which only other VMs hold copies. A home that is replaced hands its accounts
 over to the next home. If all VMs are lost during an outage, the VMs that start
 afterwards assume that each program has spent all that may have been granted
 provisionally, except for one turn.
 """
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from typing import Final
 
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
@@ -106,13 +107,12 @@
 def size_allowance(account: ProgramAccount, *, missing: int) -> int:
     """Return the tokens of a grant to a holder that lacks ``missing`` tokens.
 
-    It is 0 if nothing is missing, and at most the rest of the budget.
+    It is 0 if nothing is missing, and at most what the store may grant.
     """
     if missing <= 0:
         return 0
     share = int(account.budget * ALLOWANCE_SHARE)
-    grantable = max(account.budget - account.granted, 0)
-    return min(max(missing, share), grantable)
+    return min(max(missing, share), max(account.grantable, 0))
 
 
 def grant_allowance(
@@ -211,33 +211,96 @@
     )
 
 
+def keep_pool(
+    account: ProgramAccount, *, turn_tokens: int, needs_store: bool
+) -> ProgramAccount:
+    """Return the account with the pool from which turns are granted provisionally.
+
+    After a loss of all VMs nothing is granted provisionally, so there is none.
+    """
+    if account.is_after_loss:
+        return dataclasses.replace(account, pool_tokens=0)
+    limit = find_provisional_limit(
+        account, turn_tokens=turn_tokens, needs_store=needs_store
+    )
+    pool = max(account.pool_tokens, min(limit, account.budget))
+    return dataclasses.replace(account, pool_tokens=pool)
+
+
+def size_claim(
+    account: ProgramAccount, *, missing: int, has_store: bool
+) -> int:
+    """Return the tokens to claim from the pool for a holder that lacks ``missing``.
+
+    Without the store only what is missing: a share of the budget would use up
+    the pool. With it, the part that the store may not grant, and as much as one
+    append grants, so that not each turn needs the agreement of other VMs.
+    """
+    if not has_store:
+        return missing
+    lacking = missing - max(account.grantable, 0)
+    share = int(account.budget * ALLOWANCE_SHARE)
+    left = min(
+        account.pool_tokens - account.pooled, account.budget - account.granted
+    )
+    return max(lacking, min(share, left))
+
+
 def is_within_limits(account: ProgramAccount, *, max_provisional: int) -> bool:
     """Return whether an account keeps to its budget and a provisional limit."""
-    return (
-        account.provisional <= max_provisional
-        and account.granted <= account.budget
-    )
+    provisional = max(account.provisional, account.pooled)
+    return provisional <= max_provisional and account.granted <= account.budget
 
 
 def grant_provisionally(
     account: ProgramAccount, *, holder: str, tokens: int
 ) -> ProgramAccount:
-    """Return the account with a further allowance that is not in the store."""
+    """Return the account with a further allowance from the pool."""
     claimed = account.find_total(holder) + tokens
-    return merge_claim(account, holder=holder, tokens=claimed)
+    pooled = account.pooled_by_holder.get(holder, 0) + tokens
+    return merge_claim(account, holder=holder, tokens=claimed, pooled=pooled)
 
 
-def confirm_provisional(account: ProgramAccount) -> ProgramAccount:
-    """Return the account with its provisional allowances as stored ones."""
+def confirm_provisional(
+    account: ProgramAccount, *, holder: str
+) -> ProgramAccount:
+    """Return the account with a holder's provisional allowances as stored ones.
+
+    Those of other holders stay claims: most VMs may not have agreed to them, and
+    their holders would take a stored allowance for one that they may spend.
+    """
+    own = account.adopted | {holder, LOST_GRANTS_HOLDER}
     confirmed = {
-        holder: account.find_total(holder)
-        for holder in account.claimed_by_holder
+        name: account.find_total(name)
+        for name in own & account.claimed_by_holder.keys()
     }
     return dataclasses.replace(
         account, granted_by_holder={**account.granted_by_holder, **confirmed}
     )
 
 
+def drop_claims(account: ProgramAccount, holders: Set[str]) -> ProgramAccount:
+    """Return the account without the claims of holders.
+
+    Peers keep copies of claims that most VMs did not agree to. A holder that
+    learned of its own from them would spend it.
+    """
+    claimed, pooled = (
+        {
+            holder: tokens
+            for holder, tokens in tokens_by_holder.items()
+            if holder not in holders
+        }
+        for tokens_by_holder in (
+            account.claimed_by_holder,
+            account.pooled_by_holder,
+        )
+    )
+    return dataclasses.replace(
+        account, claimed_by_holder=claimed, pooled_by_holder=pooled
+    )
+
+
 def settle_tokens(
     account: ProgramAccount, *, reservation_id: str, tokens: int
 ) -> ProgramAccount:
@@ -264,6 +327,13 @@
         return stored
     return dataclasses.replace(
         account,
+        pool_tokens=max(account.pool_tokens, stored.pool_tokens),
+        pooled_by_holder=merge_totals(
+            account.pooled_by_holder, stored.pooled_by_holder
+        ),
+        claimed_by_holder=merge_totals(
+            account.claimed_by_holder, stored.claimed_by_holder
+        ),
         granted_by_holder=merge_totals(
             account.granted_by_holder, stored.granted_by_holder
         ),
@@ -283,12 +353,17 @@
     tokens: int,
     stored: int = 0,
     returned: int = 0,
+    pooled: int = 0,
 ) -> ProgramAccount:
     """Return the account, updated with the totals that a holder reports.
 
     ``tokens`` is all that the holder was granted, ``stored`` the part of it
-    that the store has, and ``returned`` the part that the holder has returned.
+    that the store has, ``pooled`` the part from the pool, and ``returned`` the
+    part that the holder has returned.
     """
+    pooled_by_holder = account.pooled_by_holder
+    if pooled:
+        pooled_by_holder = merge_totals(pooled_by_holder, {holder: pooled})
     granted_by_holder = account.granted_by_holder
     if stored:
         granted_by_holder = merge_totals(granted_by_holder, {holder: stored})
@@ -301,6 +376,7 @@
         account,
         granted_by_holder=granted_by_holder,
         returned_by_holder=returned_by_holder,
+        pooled_by_holder=pooled_by_holder,
         claimed_by_holder=merge_totals(
             account.claimed_by_holder, {holder: tokens}
         ),
@@ -342,10 +418,10 @@
     if account is None:
         return dataclasses.replace(received, adopted=adopted)
     is_after_loss = account.is_after_loss
+    # The former home knows which of its own claims most VMs have agreed to.
+    account = drop_claims(account, adopted)
     merged = merge_stored(account, received)
-    claimed = merge_totals(
-        account.claimed_by_holder, received.claimed_by_holder
-    )
+    claimed = dict(merged.claimed_by_holder)
     if is_loss_assessed(received):
         # The former home knew the program. This VM may only have assumed a
         # loss.
--- a/src/bronzepost/_internal/core/gateway/program_account.py
+++ b/src/bronzepost/_internal/core/gateway/program_account.py
@@ -16,6 +16,8 @@
       ones included.
     - ``returned_by_holder``: the part of its allowances that it returned.
     - ``spent_by_holder``: tokens that turns are known to have generated.
+    - ``pooled_by_holder``: the part of its allowances that most VMs have agreed
+      to. The store alone may not grant the last ``pool_tokens`` of the budget.
 
     ``spent`` and ``reserved_by_id`` are those of this VM. It may also spend the
     allowances of the ``adopted`` holders, whose accounts it took over. ``most``
@@ -44,6 +46,10 @@
     used_at: float = 0
     is_after_loss: bool = False
     most: int = 0
+    pooled_by_holder: Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+    pool_tokens: int = 0
 
     @property
     def granted(self) -> int:
@@ -51,6 +57,20 @@
         holders = self.granted_by_holder.keys() | self.claimed_by_holder.keys()
         return sum(map(self.find_allowance, holders))
 
+    @property
+    def pooled(self) -> int:
+        """Return the tokens that most VMs have agreed to."""
+        return sum(self.pooled_by_holder.values())
+
+    @property
+    def grantable(self) -> int:
+        """Return the tokens that the store may grant without other VMs.
+
+        Negative if more is granted, as from a budget that was changed.
+        """
+        kept_back = max(self.pool_tokens - self.pooled, 0)
+        return self.budget - kept_back - self.granted
+
     @property
     def provisional(self) -> int:
         """Return the allowances of all VMs together that the store lacks."""
--- a/src/bronzepost/_internal/gateway/peers/lost_members.py
+++ b/src/bronzepost/_internal/gateway/peers/lost_members.py
@@ -26,5 +26,11 @@
 
     def count(self) -> int:
         """Return the number of members that were lost and may still run."""
-        since = read_clock() - LOST_SECONDS
-        return sum(at > since for at in self._lost_at_by_name.values())
+        return len(self.list_names())
+
+    def list_names(self, within_seconds: float = LOST_SECONDS) -> list[str]:
+        """Return the members that were lost in a time and may still run."""
+        since = read_clock() - within_seconds
+        return [
+            name for name, at in self._lost_at_by_name.items() if at > since
+        ]
--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -84,9 +84,9 @@
     """Ask a peer to keep a copy of a provisional allowance.
 
     ``tokens`` is the total that the holder was granted of the program's budget,
-    ``stored`` the part of it that the store has, and ``returned`` the part that
-    the holder has returned. ``bound`` limits the provisional allowances of all
-    VMs together.
+    ``stored`` the part of it that the store has, ``pooled`` the part that needs
+    the agreement of most VMs, and ``returned`` the part that the holder has
+    returned. ``bound`` limits the provisional allowances of all VMs together.
     """
 
     call_id: int
@@ -97,6 +97,7 @@
     bound: int
     stored: int = 0
     returned: int = 0
+    pooled: int = 0
 
 
 class AllowanceReplicated(
@@ -124,10 +125,14 @@
 class AllowancesFound(
     msgspec.Struct, frozen=True, kw_only=True, tag='allowances_found'
 ):
-    """Answer to ``FindAllowances``: the tokens of each holder."""
+    """Answer to ``FindAllowances``: the tokens of each holder.
+
+    ``pooled_by_holder`` is the part of them that most VMs have agreed to.
+    """
 
     call_id: int
     tokens_by_holder: dict[str, int]
+    pooled_by_holder: dict[str, int] = {}
 
 
 class ReplicateTurn(msgspec.Struct, frozen=True, kw_only=True, tag='hold_turn'):
--- a/src/bronzepost/_internal/gateway/peers/peer_reports.py
+++ b/src/bronzepost/_internal/gateway/peers/peer_reports.py
@@ -23,6 +23,7 @@
     find_silence_cutoff,
 )
 from bronzepost._internal.gateway.peers.report_rounds import ReportRounds
+from bronzepost._internal.gateway.peers.voters import Voters
 from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.gateway.servers.registry import RegistryFollower
 from bronzepost._internal.node.clock import read_clock
@@ -45,6 +46,7 @@
         self.received = ReceivedReports(own_name=fleet.own_name)
         # The peers that have a newer configuration than this VM.
         self.newer = NewerVersions()
+        self.voters = Voters(fleet=fleet, follower=follower)
         self._ranking = MemberRanking()
         self._rounds = ReportRounds()
         # The VMs that serve callers, with this one, as of the last report.
--- a/src/bronzepost/_internal/gateway/programs/accounts.py
+++ b/src/bronzepost/_internal/gateway/programs/accounts.py
@@ -7,6 +7,7 @@
     adopt_account,
     confirm_provisional,
     count_returnable,
+    drop_claims,
     grant_allowance,
     merge_stored,
     return_unused,
@@ -57,6 +58,7 @@
     def merge(self, stored: ProgramAccount) -> None:
         """Update an account with the store's record of it."""
         known = self.by_program.get(stored.program_id)
+        stored = self.drop_own_claims(stored)
         merged = adopt_former_holders(
             merge_stored(known, stored), self._handed_over_by_holder
         )
@@ -92,13 +94,20 @@
         self, accounts: Iterable[ProgramAccount], *, former_holder: str
     ) -> None:
         """Take over the accounts of a home that this VM replaces."""
-        for received in accounts:
+        for received in map(self.drop_own_claims, accounts):
             known = self.by_program.get(received.program_id)
             adopted = adopt_account(
                 known, received, former_holder=former_holder
             )
             self.put_used(adopted)
 
+    def drop_own_claims(self, account: ProgramAccount) -> ProgramAccount:
+        """Return what others know of a program, without claims of this VM."""
+        known = self.by_program.get(account.program_id)
+        adopted = known.adopted if known else frozenset()
+        names = {self.holder, *self._handed_over_by_holder, *adopted}
+        return drop_claims(account, names)
+
     def is_unstored(self, account: ProgramAccount) -> bool:
         """Return whether this VM has an allowance that is not in the store."""
         return account.is_unstored(self.holder)
@@ -119,7 +128,9 @@
         the time.
         """
         return any(
-            self._has_idle_changes(account, idle_before)
+            has_idle_changes(
+                account, holder=self.holder, idle_before=idle_before
+            )
             for account in self.by_program.values()
         )
 
@@ -132,7 +143,9 @@
         idle = [
             account
             for account in self.by_program.values()
-            if self._has_idle_changes(account, idle_before)
+            if has_idle_changes(
+                account, holder=self.holder, idle_before=idle_before
+            )
         ]
         for account in idle:
             self.put(return_unused(account, holder=self.holder))
@@ -168,7 +181,7 @@
         """
         changed = []
         for program_id, account in self.by_program.items():
-            granted = confirm_provisional(account)
+            granted = confirm_provisional(account, holder=self.holder)
             needed = needed_by_program.get(program_id, 0)
             missing = needed - granted.count_available(self.holder)
             tokens = size_allowance(granted, missing=missing)
@@ -181,16 +194,17 @@
                 changed.append(granted)
         return changed
 
-    def _has_idle_changes(
-        self, account: ProgramAccount, idle_before: float
-    ) -> bool:
-        if account.used_at >= idle_before or self.is_unstored(account):
-            return False
-        recorded = account.spent_by_holder.get(self.holder, 0)
-        return (
-            count_returnable(account, holder=self.holder) > 0
-            or recorded < account.spent
-        )
+
+def has_idle_changes(
+    account: ProgramAccount, *, holder: str, idle_before: float
+) -> bool:
+    """Return whether an account idle since a time has to be written."""
+    if account.used_at >= idle_before or account.is_unstored(holder):
+        return False
+    recorded = account.spent_by_holder.get(holder, 0)
+    return (
+        count_returnable(account, holder=holder) > 0 or recorded < account.spent
+    )
 
 
 def adopt_former_holders(
--- a/src/bronzepost/_internal/gateway/programs/allowance_writer.py
+++ b/src/bronzepost/_internal/gateway/programs/allowance_writer.py
@@ -44,6 +44,9 @@
     granted_by_holder: dict[str, int]
     returned_by_holder: dict[str, int] = {}
     spent_by_holder: dict[str, int] = {}
+    pooled_by_holder: dict[str, int] = {}
+    pool_tokens: int = 0
+    claimed_by_holder: dict[str, int] = {}
 
 
 class AllowanceWriter:
@@ -218,6 +221,13 @@
         granted_by_holder=dict(account.granted_by_holder),
         returned_by_holder=dict(account.returned_by_holder),
         spent_by_holder=dict(account.spent_by_holder),
+        pooled_by_holder=dict(account.pooled_by_holder),
+        pool_tokens=account.pool_tokens,
+        claimed_by_holder={
+            holder: tokens
+            for holder, tokens in account.claimed_by_holder.items()
+            if account.find_unstored(holder)
+        },
     )
     return KeyedRecord(
         key=account.program_id, content=msgspec.msgpack.encode(stored)
@@ -237,5 +247,8 @@
         granted_by_holder=stored.granted_by_holder,
         returned_by_holder=stored.returned_by_holder,
         spent_by_holder=stored.spent_by_holder,
+        pooled_by_holder=stored.pooled_by_holder,
+        pool_tokens=stored.pool_tokens,
+        claimed_by_holder=stored.claimed_by_holder,
         touched_at=read_clock(),
     )
--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -2,9 +2,7 @@
 
 from typing import Any, Final
 
-import gevent
 import msgspec
-from gevent.lock import BoundedSemaphore
 from gevent.pool import Pool
 
 from bronzepost._internal.core.gateway import budgets as rules
@@ -30,6 +28,10 @@
     AllowanceWriter,
 )
 from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
+from bronzepost._internal.gateway.programs.pool_claims import (
+    ClaimOutcome,
+    PoolClaims,
+)
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
@@ -48,10 +50,7 @@
 # have allowances that are not in the store yet. They write them twice a second,
 # and a slow append takes up to 1.5 s.
 STORE_RECOVERY_SECONDS: Final = 3.0
-# Copies of a provisional allowance that a turn waits for. More copies are sent,
-# so that one is left if only one of these VMs is.
-REQUIRED_COPIES: Final = 2
-# Limits the number of messages for one provisional allowance.
+# Limits the number of peers that are asked for what they know of a program.
 MAX_PEERS_ASKED: Final = 24
 # Time after the start of the first VM in which a program with earlier turns may
 # have lost grants. Callers repeat a failed turn within a second and pause a few
@@ -96,7 +95,13 @@
         self._reports = reports
         self._calls = calls
         self._previous_home = fleet.own_name
-        self._provisional_lock = BoundedSemaphore(1)
+        self._claims = PoolClaims(
+            key=self._key,
+            accounts=self.accounts,
+            fleet=fleet,
+            reports=reports,
+            calls=calls,
+        )
 
     def rank(self) -> tuple[str, ...]:
         """Return the members in rendezvous order, silent ones last.
@@ -114,7 +119,11 @@
             account = self.accounts.get_or_create(
                 request.program_id, request.budget
             )
-            account = assess_loss(account, request, self._fleet.age_seconds)
+            account = rules.keep_pool(
+                assess_loss(account, request, self._fleet.age_seconds),
+                turn_tokens=request.tokens,
+                needs_store=request.needs_store,
+            )
             decision = decide_reservation(
                 account, self.accounts.holder, request
             )
@@ -162,6 +171,7 @@
             tokens=copy.tokens,
             stored=copy.stored,
             returned=copy.returned,
+            pooled=copy.pooled,
         )
         is_held = rules.is_within_limits(account, max_provisional=copy.bound)
         if is_held:
@@ -171,9 +181,12 @@
     def list_allowances(self, request: FindAllowances) -> AllowancesFound:
         """Return the allowances of a program that may not be in the store."""
         account = self.accounts.by_program.get(request.program_id)
-        claimed = account.claimed_by_holder if account else {}
+        if account is None:
+            return AllowancesFound(call_id=request.call_id, tokens_by_holder={})
         return AllowancesFound(
-            call_id=request.call_id, tokens_by_holder=dict(claimed)
+            call_id=request.call_id,
+            tokens_by_holder=dict(account.claimed_by_holder),
+            pooled_by_holder=dict(account.pooled_by_holder),
         )
 
     def accept_hand_over(self, sender: str, message: HandOver) -> None:
@@ -252,6 +265,13 @@
             )
             if isinstance(decision, rules.BudgetSpent):
                 return True
+        if self._reports.has_store and self._needs_pool(request):
+            is_held = self._claim(request)
+            if is_held:
+                # Most VMs hold the claim, so the turn may run although a slow
+                # store does not have it yet.
+                self.writer.grant(request, seconds)
+            return is_held
         if self.writer.grant(request, seconds):
             return True
         if not request.may_be_provisional:
@@ -261,9 +281,29 @@
                 reason='another VM is the home and may grant without the store',
             )
             return False
-        # One at a time: the limit has to count each earlier provisional grant.
-        with self._provisional_lock:
-            return self._grant_provisionally(request)
+        return self._claim(request)
+
+    def _needs_pool(self, request: ReserveTokens) -> bool:
+        if not self.accounts.is_synced:
+            # The store may know that the pool is spent.
+            return False
+        account = self.accounts.get_or_create(
+            request.program_id, request.budget
+        )
+        available = account.count_available(self.accounts.holder)
+        return account.grantable < request.tokens - available
+
+    def _claim(self, request: ReserveTokens) -> bool:
+        outcome = self._claims.claim(request)
+        if outcome is ClaimOutcome.CONTRADICTED:
+            # The next attempt of the caller is decided with what peers know.
+            self._fetch_allowances(request)
+        if outcome is ClaimOutcome.HELD:
+            return True
+        self._log_refusal(
+            LogEvent.ALLOWANCE_REFUSED, request, reason=str(outcome)
+        )
+        return False
 
     def _fetch_allowances(self, request: ReserveTokens) -> ProgramAccount:
         """Merge the provisional allowances that peers know into the account."""
@@ -276,66 +316,18 @@
             request.program_id, request.budget
         )
         for answer in filter(None, answers):
-            for holder, tokens in answer.tokens_by_holder.items():
-                account = rules.merge_claim(
-                    account, holder=holder, tokens=tokens
+            found = self.accounts.drop_own_claims(
+                ProgramAccount(
+                    program_id=request.program_id,
+                    budget=request.budget,
+                    claimed_by_holder=answer.tokens_by_holder,
+                    pooled_by_holder=answer.pooled_by_holder,
                 )
+            )
+            account = rules.merge_stored(account, found)
         self.accounts.put(account)
         return account
 
-    def _grant_provisionally(self, request: ReserveTokens) -> bool:
-        account = self.accounts.get_or_create(
-            request.program_id, request.budget
-        )
-        holder = self.accounts.holder
-        # Only the missing tokens: a share of the budget, as from the store,
-        # would use up the limit.
-        available = account.count_available(holder)
-        tokens = max(request.tokens - available, 0)
-        bound = rules.find_provisional_limit(
-            account,
-            turn_tokens=request.tokens,
-            needs_store=request.needs_store,
-        )
-        account = rules.grant_provisionally(
-            account, holder=holder, tokens=tokens
-        )
-        if not rules.is_within_limits(account, max_provisional=bound):
-            self._log_refusal(
-                LogEvent.ALLOWANCE_REFUSED,
-                request,
-                reason='more than may be lost',
-                bound=bound,
-            )
-            return False
-        copy = ReplicateAllowance(
-            call_id=0,
-            program_id=request.program_id,
-            budget=request.budget,
-            holder=holder,
-            tokens=account.find_total(holder),
-            stored=account.granted_by_holder.get(holder, 0),
-            returned=account.returned_by_holder.get(holder, 0),
-            bound=bound,
-        )
-        is_held = self._send_copies(copy) and self.accounts.holder == holder
-        if is_held:
-            # Turns may have been settled while the copies were sent.
-            account = self.accounts.get_or_create(
-                request.program_id, request.budget
-            )
-            self.accounts.put(
-                rules.grant_provisionally(account, holder=holder, tokens=tokens)
-            )
-        emit(
-            LogEvent.ALLOWANCE_PROVISIONAL,
-            request=request.request_id,
-            program=request.program_id,
-            tokens=tokens,
-            is_held=is_held,
-        )
-        return is_held
-
     def _log_refusal(
         self, event: LogEvent, request: ReserveTokens, **fields: int | str
     ) -> None:
@@ -359,29 +351,7 @@
             **fields,
         )
 
-    def _send_copies(self, copy: ReplicateAllowance) -> bool:
-        peers = [name for name in self.rank() if name != self._fleet.own_name]
-        requests = [
-            gevent.spawn(self._ask, name, copy)
-            for name in peers[:MAX_PEERS_ASKED]
-        ]
-        # A home that has not read the store waits for all peers, because any of
-        # them may know of allowances that exceed the limits together with its
-        # own.
-        required = REQUIRED_COPIES if self.accounts.is_synced else len(requests)
-        held = 0
-        for done in gevent.iwait(requests):
-            answer = done.value
-            if answer is not None and not answer.is_held:
-                return False
-            held += answer is not None
-            if held == required:
-                return True
-        return held > 0
-
-    def _ask(
-        self, name: str, message: ReplicateAllowance | FindAllowances
-    ) -> Any:
+    def _ask(self, name: str, message: FindAllowances) -> Any:
         return self._calls.ask(
             name,
             lambda number: msgspec.structs.replace(message, call_id=number),
--- a/src/bronzepost/_internal/gateway/servers/registry.py
+++ b/src/bronzepost/_internal/gateway/servers/registry.py
@@ -91,6 +91,13 @@
         """Return whether reads of all feeds fail."""
         return len(self._lost_at_by_feed) == len(_FEEDS)
 
+    @property
+    def lost_seconds(self) -> float:
+        """Return for how long reads of all feeds have failed, 0 if one works."""
+        if not self.is_store_lost:
+            return 0
+        return read_clock() - max(self._lost_at_by_feed.values())
+
     @property
     def is_any_lost(self) -> bool:
         """Return whether reads of a feed fail."""
@@ -151,6 +158,11 @@
             return 0
         return read_clock() - self._outages.regained_at
 
+    @property
+    def store_lost_seconds(self) -> float:
+        """Return for how long the store has not answered, 0 while it does."""
+        return self._outages.lost_seconds
+
     @property
     def needs_snapshot(self) -> bool:
         """Return whether a peer may have newer routes or servers."""
--- a/tests/builders_losses.py
+++ b/tests/builders_losses.py
@@ -244,6 +244,15 @@
         """Return the order of homes that the test has set."""
         return self.world.order
 
+    @property
+    def voters(self) -> 'Vm':
+        """Return what lists the members that vote."""
+        return self
+
+    def list_names(self, key: str) -> tuple[str, ...]:
+        """Return all VMs, of which none was lost alone."""
+        return self.rank_homes(key)
+
     def find_home(self, _key: str) -> str:
         """Return the first VM in the order that the store answers."""
         return self.sort_by_store_access(self.world.order)[0]
--- a/tests/unit/test_builds.py
+++ b/tests/unit/test_builds.py
@@ -99,7 +99,16 @@
 
     def test_longer_array_of_a_newer_build(self) -> None:
         """Guard against accounts that an older VM cannot read."""
-        content = msgspec.msgpack.encode([300, {'a': 1}, {}, {'a': 2}, 'new'])
+        content = msgspec.msgpack.encode([
+            300,
+            {'a': 1},
+            {},
+            {'a': 2},
+            {},
+            0,
+            {},
+            'new',
+        ])
         account = decode_account(
             KeyedRecord(key='p', content=content, offset=0)
         )
--- a/tests/unit/test_gateway_homes.py
+++ b/tests/unit/test_gateway_homes.py
@@ -16,6 +16,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
+from testtools.matchers import GreaterThan, LessThan
 
 from bronzepost._internal.exceptions import RefusedError
 from bronzepost._internal.gateway.peers.fleet import Fleet
@@ -51,6 +52,8 @@
 PROGRAM = 'p-1'
 TOKENS = 100
 BUDGET = 300
+# Several turns fit into each half.
+LOOP_BUDGET = 800
 # Several turns of this size fit into the provisional limit.
 SMALL_TOKENS = 30
 # A repeated request reserves once, so each request has an id of its own.
@@ -59,10 +62,14 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Network:
-    """The homes of one partition on several VMs, and the order of the VMs."""
+    """The homes of one partition on several VMs, and the order of the VMs.
+
+    ``lost`` are VMs that were lost lately, or are beyond a cut.
+    """
 
     store: MemoryStore
     order: tuple[str, ...]
+    lost: tuple[str, ...] = ()
     homes_by_name: dict[str, Home] = dataclasses.field(default_factory=dict)
     age_seconds: float = 60
 
@@ -116,6 +123,19 @@
         """Return the order of homes that the test has set."""
         return self.network.order
 
+    @property
+    def voters(self) -> 'Vm':
+        """Return what lists the members that vote."""
+        return self
+
+    def list_names(self, key: str) -> tuple[str, ...]:
+        """Return the members that vote, those lost lately among them."""
+        return (*self.rank_homes(key), *self.network.lost)
+
+    def list_serving_peers(self) -> tuple[str, ...]:
+        """Return the names of the other VMs."""
+        return tuple(name for name in self.network.order if name != self.name)
+
     def find_home(self, _key: str) -> str:
         """Return the first of the VMs in the order that the test has set."""
         return next(iter(self.network.order), '')
@@ -416,6 +436,108 @@
 PAST_IDLE_SECONDS = 0.6
 
 
+class TestPool(testtools.TestCase):
+    """Homes that know nothing of each other's grants keep to the budget."""
+
+    def setUp(self) -> None:
+        """Start five VMs and a store."""
+        super().setUp()
+        self.network = Network(store=MemoryStore(), order=tuple('abcde'))
+        for name in self.network.order:
+            self.network.add(name)
+
+    def cut(self, order: str, *, has_store: bool) -> None:
+        """Cut the members of ``order`` off from the others."""
+        self.network.order = tuple(order)
+        self.network.lost = tuple(sorted(set('abcde') - set(order)))
+        self.network.store.is_down = not has_store
+
+    def spend(self, name: str, **changes: Any) -> int:
+        """Request turns of a home; return the tokens of those that ran."""
+        home = self.network.homes_by_name[name]
+        spent = 0
+        for _ in range(20):
+            number = f'q-{next(REQUEST_NUMBERS)}'
+            verdict = home.reserve(
+                make_request(number, budget=LOOP_BUDGET, **changes)
+            )
+            if verdict == RESERVED:
+                home.settle(make_settlement(number, TOKENS))
+                spent += TOKENS
+        return spent
+
+    def test_home_is_lost_in_an_outage(self) -> None:
+        """The next home had not read the store and granted half once more."""
+        spent = self.spend('a')
+        self.cut('bcde', has_store=False)
+        spent += self.spend('b', is_first=False)
+        self.assertThat(spent, LessThan(LOOP_BUDGET + TOKENS + 1))
+
+    def test_next_home_has_an_old_view_of_the_store(self) -> None:
+        """A home that had read the store long ago granted half once more."""
+        self.spend('b', program_id='p-2')
+        self.test_home_is_lost_in_an_outage()
+
+    def test_groups_are_cut_off_at_once(self) -> None:
+        """Each group of VMs had a home that granted half of the budget."""
+        self.cut('ae', has_store=False)
+        spent = self.spend('a')
+        self.cut('bd', has_store=False)
+        spent += self.spend('b')
+        self.cut('c', has_store=True)
+        spent += self.spend('c')
+        self.assertThat(spent, LessThan(LOOP_BUDGET + TOKENS + 1))
+
+    def test_majority_without_the_store_and_a_home_with_it(self) -> None:
+        """Guard against grants on both sides that add up to twice a budget."""
+        self.cut('abc', has_store=False)
+        spent = self.spend('a')
+        self.assertThat(spent, GreaterThan(0))
+        self.cut('de', has_store=True)
+        spent += self.spend('d', is_first=False)
+        self.cut('abcde', has_store=True)
+        spent += self.spend('e', is_first=False)
+        self.assertThat(spent, LessThan(LOOP_BUDGET + TOKENS + 1))
+
+    def test_copies_of_a_claim_without_agreement(self) -> None:
+        """A home learned of its own claim from a peer and spent it."""
+        self.cut('ae', has_store=False)
+        spent = self.spend('a')
+        self.network.order = ('e', 'a')
+        spent += self.spend('e')
+        self.network.order = ('a', 'e')
+        spent += self.spend('a')
+        self.assertEqual(0, spent)
+
+    def test_claim_without_agreement_is_not_adopted(self) -> None:
+        """A home that replaced another one spent a claim it had a copy of."""
+        self.spend('a')
+        self.cut('ae', has_store=False)
+        spent = self.spend('a') + LOOP_BUDGET
+        self.cut('eabcd', has_store=True)
+        self.network.homes_by_name['a'].hand_over(is_leaving=True)
+        spent += self.spend('e', is_first=False)
+        self.assertThat(spent, LessThan(LOOP_BUDGET + TOKENS + 1))
+
+    def test_few_copies_of_a_claim_without_agreement_do_not_object(
+        self,
+    ) -> None:
+        """Guard against a program that is refused for good after a cut."""
+        self.cut('ae', has_store=False)
+        self.spend('a')
+        self.cut('bcdea', has_store=True)
+        self.assertEqual(LOOP_BUDGET, self.spend('b'))
+
+    def test_whole_budget_is_granted_while_the_store_answers(self) -> None:
+        """Guard against a pool that can never be used."""
+        self.assertEqual(LOOP_BUDGET, self.spend('a'))
+
+    def test_last_vm_grants_the_whole_budget(self) -> None:
+        """Guard against agreements that a VM alone can never reach."""
+        self.network.order = ('a',)
+        self.assertEqual(LOOP_BUDGET, self.spend('a'))
+
+
 class TestSpentIsFinal(testtools.TestCase):
     """A program gets a 402 only if its budget is spent: callers end it then."""
 
