--- a/tests/platform/builders_platform.py
+++ b/tests/platform/builders_platform.py
@@ -1,7 +1,8 @@
 """Documents of the platform: settings, configurations and server entries."""
 
 from collections.abc import Mapping, Sequence
-from typing import Any
+from types import MappingProxyType
+from typing import Any, Final
 
 import msgspec
 
@@ -114,6 +115,23 @@
     return document
 
 
+# Deeper than Python's recursion limit.
+NESTING: Final = 5000
+ODD_FIELDS_BY_NAME: Final[Mapping[str, Any]] = MappingProxyType({
+    'port': {'address': '127.0.0.1:65536'},
+    'no-port': {'address': '127.0.0.1:0'},
+    'long-port': {'address': f'127.0.0.1:{"9" * NESTING}'},
+    'other-digits': {'address': '127.0.0.1:\u0663'},
+    'host': {'address': 'nowhere.invalid:80'},
+    'lines': {'address': '127.0.0.1\r\n:80'},
+    'slots': {'slotCount': 10**30},
+    'no-slots': {'slotCount': 0},
+    'born': {'born': 10**30},
+    'state': {'state': 'resting'},
+    'type': {'zone': 7},
+})
+
+
 def make_entry(**changes: Any) -> dict[str, Any]:
     """Return the entry of a backend server."""
     fields: dict[str, Any] = {
@@ -128,3 +146,24 @@
         'born': 1780000000000,
     }
     return {**fields, **changes}
+
+
+def make_odd_entries() -> dict[str, bytes]:
+    """Return entries that another writer may have left, by what is odd."""
+    whole = msgspec.json.encode(make_entry())
+    nested = b''.join((b'[' * NESTING, b']' * NESTING))
+    odd = {
+        name: msgspec.json.encode(make_entry(**changes))
+        for name, changes in ODD_FIELDS_BY_NAME.items()
+    }
+    return {
+        **odd,
+        'nested': b'{"x":%b,%b' % (nested, whole[1:]),
+        'nested-field': whole.replace(b'"v1"', nested),
+        'long-number': whole.replace(b'32', b'9' * NESTING),
+        'float-number': whole.replace(b'32', b'1e999'),
+        'not-text': b'\xff%b' % whole,
+        'bad-text': whole.replace(b'v1', b'\xff'),
+        'cut': whole[:-1],
+        'list': b'[]',
+    }
--- a/tests/platform/test_server_list.py
+++ b/tests/platform/test_server_list.py
@@ -12,7 +12,7 @@
     KeyedPartition,
     KeyedRecord,
 )
-from tests.platform.builders_platform import make_entry
+from tests.platform.builders_platform import make_entry, make_odd_entries
 
 Record = tuple[str, bytes]
 
@@ -114,6 +114,30 @@
         self.store.is_down = False
         self.assertEqual({'i-1': True}, self.read())
 
+    def test_odd_entry_does_not_hide_other_changes(self) -> None:
+        """No VM saw a server come or go after one very deeply nested entry."""
+        for name, body in make_odd_entries().items():
+            self.store.records.append(('i-odd', body))
+            self.store.put('i-1', state='draining', seq=len(name))
+            self.assertEqual(
+                (name, {'i-1': True, 'i-2': False}), (name, self.read())
+            )
+
+    def test_vm_starts_after_odd_entries(self) -> None:
+        """A VM that started after the entry had no servers at all."""
+        for name, body in make_odd_entries().items():
+            self.store.records.append((f'i-{name}', body))
+        started = ServerList(store=cast(StoreClient, self.store))
+        self.assertEqual(
+            {'i-1', 'i-2'}, {server.server_id for server in started.read()}
+        )
+
+    def test_id_that_no_header_can_bear_is_not_used(self) -> None:
+        """The id of a server is sent to it in a header of each request."""
+        for key in ('i-1\r\nHold: 1', 'i-\u00fc', ''):
+            self.store.put(key)
+        self.assertEqual({'i-1': False, 'i-2': False}, self.read())
+
     def test_entry_that_turns_unreadable_is_not_used(self) -> None:
         """Guard against a server that is used by its last readable entry."""
         self.store.records.append(('i-1', b'\xff'))
--- a/tests/unit/test_gateway_voters.py
+++ b/tests/unit/test_gateway_voters.py
@@ -53,7 +53,7 @@
     def setUp(self) -> None:
         """Start five VMs and lose three of them."""
         super().setUp()
-        self.now: float = 100
+        self.now = 100.0
         clock = mock.patch(
             'bronzepost._internal.gateway.peers.lost_members.read_clock',
             lambda: self.now,
