--- a/src/bronzepost/_internal/gateway/callers/http_messages.py
+++ b/src/bronzepost/_internal/gateway/callers/http_messages.py
@@ -278,6 +278,13 @@
             self.is_complete = True
         return self.is_complete
 
+    @property
+    def has_id(self) -> bool:
+        """Return whether the answer bears the id of the request, if that has one."""
+        id_header, request_id = self._expected_id
+        headers = self.head.headers if self.head else ()
+        return not request_id or find_header(headers, id_header) == request_id
+
     def pop_body(self) -> bytes:
         """Return and remove the part of the body that has arrived."""
         body_part = b''.join(self._blocks)
--- a/src/bronzepost/_internal/gateway/links/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/links/backend_connections.py
@@ -33,6 +33,9 @@
 # An idle connection is not used within this time before the server closes it,
 # so that a request is not sent while the server closes the connection.
 KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
+# A request is tried for a few seconds. A full server refuses some on each connection
+# in that time; more than this would need a round trip below 0.1 s each.
+REMEMBERED_REFUSALS: Final = 64
 _READ_BYTES: Final = 65536
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout=(\d+)')
 
@@ -41,7 +44,8 @@
 class BackendConnection:
     """An open connection, used by one request at a time.
 
-    It is a tunnel if it goes through the VM ``relay``.
+    It is a tunnel if it goes through the VM ``relay``. ``refused_ids`` are the
+    requests that the server refused on it, the newest ones.
     """
 
     sock: Any
@@ -50,6 +54,9 @@
     idle_since: float = 0
     relay: str = ''
     is_severed: bool = False
+    refused_ids: collections.deque[bytes] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=REMEMBERED_REFUSALS)
+    )
 
     def send(self, content: bytes) -> None:
         """Send all bytes.
@@ -157,20 +164,31 @@
         address: str,
         max_idle_seconds: float,
         *,
+        request_id: str = '',
         is_tunnel: bool = False,
     ) -> BackendConnection | None:
         """Return an idle connection to an address that may be used.
 
-        Connections idle for longer than ``max_idle_seconds`` are closed.
+        Connections idle for longer than ``max_idle_seconds`` are closed. Those on
+        which the server refused the request before are left.
         """
         idle_connections = self._get_idle(is_tunnel=is_tunnel).get(address)
-        while idle_connections:
+        refused_id = request_id.encode('latin-1')
+        left: list[BackendConnection] = []
+        found = None
+        while idle_connections and found is None:
             connection = idle_connections.pop()
             is_fresh = connection.is_fresh(max_idle_seconds)
             if is_fresh and connection.is_reusable():
-                return connection
+                if refused_id in connection.refused_ids:
+                    left.append(connection)
+                else:
+                    found = connection
+                continue
             self.discard(connection)
-        return None
+        if idle_connections is not None:
+            idle_connections.extend(reversed(left))
+        return found
 
     def has_idle(
         self,
--- a/src/bronzepost/_internal/gateway/links/backend_exchange.py
+++ b/src/bronzepost/_internal/gateway/links/backend_exchange.py
@@ -46,9 +46,10 @@
         answer with another id is a late answer to an earlier request.
         """
         self.answer = AnswerReader(id_header=id_header, request_id=request_id)
+        self._request_id = request_id
         self._pool = pool
         self._connection = connection
-        self._step = step
+        self.step = step
         self._sender: Any = None
 
     def __enter__(self) -> 'BackendExchange':
@@ -108,6 +109,18 @@
             if block:
                 yield block
 
+    def confirm_refusal(self) -> bool:
+        """Return whether an answer that says so was a refusal of the request.
+
+        It has to bear the id of the request. Later attempts of the request do not
+        use the connection: a faulty server may repeat the refusal there, and its
+        id would fit.
+        """
+        is_own = self.answer.has_id
+        if is_own and self._request_id:
+            self._connection.refused_ids.append(self._request_id)
+        return is_own
+
     def break_off(self, reason: str) -> ExchangeError:
         """Return an error for an answer whose content is not whole.
 
@@ -153,7 +166,7 @@
     def _build_error(self, error: Exception) -> ExchangeError:
         return ExchangeError(
             f'the exchange broke off: {error or type(error).__name__}',
-            step=self._step,
+            step=self.step,
             peer=self._connection.address,
             was_sent=True,
             relay=self._connection.relay,
--- a/src/bronzepost/_internal/gateway/links/server_links.py
+++ b/src/bronzepost/_internal/gateway/links/server_links.py
@@ -90,7 +90,9 @@
         """
         path = find_path(self._records.table, server.server_id)
         if path is not Path.RELAY:
-            connection = self.pool.find_idle(server.address, max_idle_seconds)
+            connection = self.pool.find_idle(
+                server.address, max_idle_seconds, request_id=request_id
+            )
             if connection is not None:
                 return connection
         may_open = is_answering(self._records.table, server.server_id)
@@ -185,7 +187,10 @@
     ) -> BackendConnection:
         while True:  # noqa: WPS457 - each connection is taken out of the pool
             tunnel = self.pool.find_idle(
-                server.address, max_idle_seconds, is_tunnel=True
+                server.address,
+                max_idle_seconds,
+                request_id=request_id,
+                is_tunnel=True,
             )
             if tunnel is None:
                 return self._relays.open(server, request_id=request_id)
--- a/src/bronzepost/_internal/gateway/servers/server_calls.py
+++ b/src/bronzepost/_internal/gateway/servers/server_calls.py
@@ -166,7 +166,7 @@
                 pending.framing = head.framing
                 limit = find_header(head.headers, self._names.limit) or b''
                 pending.server_limit = limit.decode('latin-1')
-                self._check_was_run(head, server, step)
+                self._check_was_run(exchange, head, server)
                 self._suspects.record_answer(server, sent_at=started_at)
                 yield exchange, head
                 self._record_end(pending, server, head, started_at)
@@ -285,7 +285,10 @@
             in_flight[server.server_id] -= 1
 
     def _check_was_run(
-        self, head: AnswerHead, server: BackendServer, step: str
+        self,
+        exchange: BackendExchange,
+        head: AnswerHead,
+        server: BackendServer,
     ) -> None:
         is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
         if is_misdirected:
@@ -294,8 +297,13 @@
         else:
             self._record_headers(head, server)
         if is_misdirected or find_header(head.headers, self._names.not_run):
+            if not exchange.confirm_refusal():
+                # Bytes that a faulty server added promise nothing.
+                raise exchange.break_off('the refusal has no id')
             raise NotRunError(
-                f'status {head.status}', step=step, peer=server.address
+                f'status {head.status}',
+                step=exchange.step,
+                peer=server.address,
             )
 
     def _record_headers(self, head: AnswerHead, server: BackendServer) -> None:
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -141,11 +141,23 @@
         return False
 
 
-def answer_with(content: bytes, *, stays_open: bool = True) -> Script:
-    """Return a script that answers each request with the same bytes."""
+def answer_with(
+    content: bytes, *, stays_open: bool = True, has_id: bool = True
+) -> Script:
+    """Return a script that answers each request with the same bytes.
 
-    def script(sock: Any, _request: HttpRequest) -> bool:
-        sock.sendall(content)
+    The id of the request is repeated in a header, as servers do.
+    """
+
+    def script(sock: Any, request: HttpRequest) -> bool:
+        request_id = find_header(request.headers, NAMES.request_id) or b''
+        first_line, end, rest = content.partition(b'\r\n')
+        if has_id and end:
+            first_line = b'%b\r\nBronzepost-Request: %b' % (
+                first_line,
+                request_id,
+            )
+        sock.sendall(first_line + end + rest)
         return stays_open
 
     return script
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -32,7 +32,11 @@
 )
 
 LEAVING = b'Bronzepost-Server-Leaving: 1'
-FULL = make_answer(b'', b'Bronzepost-Not-Run: 1', status=b'503 Full')
+FULL = make_answer(
+    b'',
+    b'Bronzepost-Not-Run: 1',
+    status=b'503 Full',
+)
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 UNTIL_CLOSE = b'HTTP/1.1 200 OK\r\n\r\n'
 # Above the limits of the gateway and what the sockets of a connection buffer.
@@ -190,6 +194,18 @@
                 gateway.call(make_request()).read_answer()
         self.assertEqual(1, backend.connections)
 
+    def test_refusal_without_an_id_promises_nothing(self) -> None:
+        """A request that a server ran went to a second one as well."""
+        surplus = make_answer(b'', b'Bronzepost-Not-Run: 1', status=b'503 Full')
+        backends = [
+            ScriptedServer(script=answer_with(surplus, has_id=False))
+            for _ in range(2)
+        ]
+        with open_gateway(self.route(attempts=2), *backends) as gateway:
+            answer = gateway.call(make_request(method=b'POST')).read_answer()
+        assert answer.head is not None
+        self.assertEqual(502, answer.head.status)
+
     def test_request_that_a_full_server_did_not_run_is_retried(self) -> None:
         full = ScriptedServer(script=answer_with(FULL))
         other = ScriptedServer(script=answer_with(make_answer(b'ok')))
@@ -303,7 +319,10 @@
 
     def test_answer_of_a_server_that_did_not_run_the_request(self) -> None:
         full = make_answer(
-            b'', LEAVING, b'Bronzepost-Not-Run: 1', status=b'503 Full'
+            b'',
+            LEAVING,
+            b'Bronzepost-Not-Run: 1',
+            status=b'503 Full',
         )
         leaving = ScriptedServer(script=answer_with(full))
         other = ScriptedServer(script=answer_with(make_answer(b'ok')))
