Count versions that come and go between two reads of the server list

Report of other operators: a stream that had begun at a server of a new version was taken up at a VM that was out of step and went on at another version.

Most of it cannot happen here: such a VM reads the list again, and refuses if it was out of step for over 2 s or cannot read. What could: a server that joins and leaves between two reads was applied and forgotten at once.

The versions of all entries read count as seen, and a VM that missed deleted entries watches the list anew. Four new tests guard both; the interface they use is new, so they cannot run on the code before, which has no record of such entries.

--- a/src/bronzepost/_internal/core/gateway/seen_versions.py
+++ b/src/bronzepost/_internal/core/gateway/seen_versions.py
@@ -45,6 +45,25 @@
         seen_at[server.version] = at
 
 
+def record_read_versions(
+    seen: SeenVersions,
+    versions_by_service: Mapping[str, Iterable[str]] | None,
+    *,
+    at: float,
+) -> None:
+    """Record the versions in all entries since the last read of the list.
+
+    Servers may have come and gone between two reads. None if entries in between
+    are not known; the list is then watched anew.
+    """
+    if versions_by_service is None:
+        seen.watched_since = at
+        return
+    for service, versions in versions_by_service.items():
+        seen_at = seen.seen_at_by_service.setdefault(service, {})
+        seen_at.update(dict.fromkeys(versions, at))
+
+
 def record_past_versions(
     seen: SeenVersions,
     versions_by_service: Mapping[str, Iterable[str]],
@@ -57,9 +76,7 @@
     is not known, so all of them count as seen at the end.
     """
     seen.watched_since = min(seen.watched_since, at - STREAM_SECONDS)
-    for service, versions in versions_by_service.items():
-        seen_at = seen.seen_at_by_service.setdefault(service, {})
-        seen_at.update(dict.fromkeys(versions, at))
+    record_read_versions(seen, versions_by_service, at=at)
 
 
 def find_only_version(
--- a/src/bronzepost/_internal/gateway/servers/registry.py
+++ b/src/bronzepost/_internal/gateway/servers/registry.py
@@ -61,6 +61,13 @@
             LogServiceError: if the registry does not answer.
         """
 
+    def pop_versions(self) -> Mapping[str, Set[str]] | None:
+        """Return the versions of each service in all entries read since then.
+
+        Those of servers that have come and gone since the last call are among
+        them. None if some entries could not be read.
+        """
+
     def read_past_versions(
         self, seconds: float
     ) -> Mapping[str, Set[str]] | None:
@@ -261,4 +268,5 @@
                 if server.server_id not in registered
             )
         self._directory.put_servers(servers)
+        self._directory.versions.record_read(self._registry.pop_versions())
         self.servers_read_at = started_at
--- a/src/bronzepost/_internal/gateway/servers/service_versions.py
+++ b/src/bronzepost/_internal/gateway/servers/service_versions.py
@@ -18,6 +18,14 @@
         """Record the servers of a list that has just been read."""
         rules.record_versions(self._seen, servers, at=read_clock())
 
+    def record_read(
+        self, versions_by_service: Mapping[str, Iterable[str]] | None
+    ) -> None:
+        """Record the versions in all entries since the last read of the list."""
+        rules.record_read_versions(
+            self._seen, versions_by_service, at=read_clock()
+        )
+
     def record_past(
         self, versions_by_service: Mapping[str, Iterable[str]]
     ) -> None:
--- a/tests/builders_lagging_vms.py
+++ b/tests/builders_lagging_vms.py
@@ -1,6 +1,6 @@
 """VMs in memory, some of which do not get the newest configuration."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence, Set
 from typing import Any, Final
 
 import gevent
@@ -44,6 +44,10 @@
             gevent.sleep(SILENT_SECONDS)
         return self._answers.pop()
 
+    def pop_versions(self) -> Mapping[str, Set[str]] | None:
+        """Return nothing beyond what is listed."""
+        return {}
+
     def read_servers(self) -> Sequence[BackendServer]:
         """Return no servers."""
         return ()
--- a/tests/platform/test_server_list.py
+++ b/tests/platform/test_server_list.py
@@ -114,6 +114,24 @@
         self.store.is_down = False
         self.assertEqual({'i-1': True}, self.read())
 
+    def test_version_that_came_and_went_between_two_reads(self) -> None:
+        """A stream that it began was taken up at a server of another version."""
+        self.servers.pop_versions()
+        self.store.put('i-3', version='v2')
+        self.store.records.append(('i-3', b''))
+        self.assertEqual({'i-1': False, 'i-2': False}, self.read())
+        self.assertEqual({'engines': {'v2'}}, self.servers.pop_versions())
+        self.read()
+        self.assertEqual({}, self.servers.pop_versions())
+
+    def test_entries_that_were_deleted_before_they_were_read(self) -> None:
+        """Guard against versions that this VM can never have seen."""
+        self.store.put('i-3', version='v2')
+        self.store.records.append(('i-3', b''))
+        self.store.first_offset = len(self.store.records)
+        self.read()
+        self.assertIsNone(self.servers.pop_versions())
+
     def test_odd_entry_does_not_hide_other_changes(self) -> None:
         """No VM saw a server come or go after one very deeply nested entry."""
         for name, body in make_odd_entries().items():
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -379,6 +379,10 @@
         self._check()
         return self.configuration
 
+    def pop_versions(self) -> Mapping[str, Set[str]] | None:
+        """Return nothing beyond what is listed."""
+        return {}
+
     def read_servers(self) -> Sequence[BackendServer]:
         """Return the servers of the test."""
         self.server_reads += 1
--- a/tests/unit/test_gateway_stream_versions.py
+++ b/tests/unit/test_gateway_stream_versions.py
@@ -11,6 +11,7 @@
     STREAM_SECONDS,
     SeenVersions,
     find_only_version,
+    record_read_versions,
     record_versions,
 )
 from bronzepost._internal.gateway.peers.messages import ReplicateStream
@@ -61,6 +62,22 @@
         at = read_lists(seen, 'v2', start=at, seconds=2)
         self.assertEqual('v2', find_only_version(seen, SERVICE, at=at))
 
+    def test_version_that_came_and_went_between_two_reads(self) -> None:
+        """A VM that was out of step took the other version for the only one."""
+        seen = SeenVersions()
+        at = read_lists(seen, 'v1', start=START, seconds=STREAM_SECONDS + 1)
+        record_read_versions(seen, {SERVICE: {'v2'}}, at=at)
+        self.assertIsNone(find_only_version(seen, SERVICE, at=at))
+
+    def test_entries_that_could_not_be_read(self) -> None:
+        """Guard against versions in entries that the registry has deleted."""
+        seen = SeenVersions()
+        at = read_lists(seen, 'v1', start=START, seconds=STREAM_SECONDS + 1)
+        record_read_versions(seen, None, at=at)
+        self.assertIsNone(find_only_version(seen, SERVICE, at=at))
+        at = read_lists(seen, 'v1', start=at, seconds=STREAM_SECONDS + 1)
+        self.assertEqual('v1', find_only_version(seen, SERVICE, at=at))
+
     def test_old_list_is_not_certain(self) -> None:
         """Guard against versions that came while the store was away."""
         seen = SeenVersions()
