--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -301,7 +301,14 @@
         if outcome is ClaimOutcome.HELD:
             return True
         self._log_refusal(
-            LogEvent.ALLOWANCE_REFUSED, request, reason=str(outcome)
+            LogEvent.ALLOWANCE_REFUSED,
+            request,
+            reason=str(outcome),
+            bound=rules.find_provisional_limit(
+                self.accounts.get_or_create(request.program_id, request.budget),
+                turn_tokens=request.tokens,
+                needs_store=request.needs_store,
+            ),
         )
         return False
 
