--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -10,10 +10,9 @@
 The store alone does not grant the last part of a budget, the pool. Most VMs have
 to agree to each claim on it. During an outage of the store, a home may grant itself
 provisional allowances from the pool, of which only other VMs hold copies. A home
-that is replaced hands its accounts
-over to the next home. If all VMs are lost during an outage, the VMs that start
-afterwards assume that each program has spent all that may have been granted
-provisionally, except for one turn.
+that is replaced hands its accounts over to the next home. If all VMs are lost
+during an outage, the VMs that start afterwards assume that each program has spent
+all that may have been granted provisionally, except for one turn.
 """
 
 import dataclasses
--- a/src/bronzepost/_internal/gateway/links/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/links/backend_connections.py
@@ -33,8 +33,8 @@
 # An idle connection is not used within this time before the server closes it,
 # so that a request is not sent while the server closes the connection.
 KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
-# A request is tried for a few seconds. A full server refuses some on each connection
-# in that time; more than this would need a round trip below 0.1 s each.
+# Bounds the ids of refused requests that a connection remembers. A request is tried
+# again within a few seconds, so older ids are not needed.
 REMEMBERED_REFUSALS: Final = 64
 _READ_BYTES: Final = 65536
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout=(\d+)')
--- a/src/bronzepost/_internal/gateway/links/backend_exchange.py
+++ b/src/bronzepost/_internal/gateway/links/backend_exchange.py
@@ -110,11 +110,10 @@
                 yield block
 
     def confirm_refusal(self) -> bool:
-        """Return whether an answer that says so was a refusal of the request.
+        """Return whether a refusal is for this request, as its id says.
 
-        It has to bear the id of the request. Later attempts of the request do not
-        use the connection: a faulty server may repeat the refusal there, and its
-        id would fit.
+        Later attempts of the request then do not use the connection: a faulty
+        server may repeat the refusal there, and its id would fit.
         """
         is_own = self.answer.has_id
         if is_own and self._request_id:
--- a/src/bronzepost/_internal/gateway/servers/registry.py
+++ b/src/bronzepost/_internal/gateway/servers/registry.py
@@ -62,10 +62,10 @@
         """
 
     def pop_versions(self) -> Mapping[str, Set[str]] | None:
-        """Return the versions of each service in all entries read since then.
+        """Return the versions of each service in all entries since the last call.
 
-        Those of servers that have come and gone since the last call are among
-        them. None if some entries could not be read.
+        Those of servers that have come and gone meanwhile are among them. None
+        if some entries were deleted before they were read.
         """
 
     def read_past_versions(
