--- a/src/bronzepost/_internal/gateway/peers/snapshots.py
+++ b/src/bronzepost/_internal/gateway/peers/snapshots.py
@@ -1,6 +1,7 @@
 """Routes and backend servers from peers that have newer ones."""
 
 import dataclasses
+from collections.abc import Sequence
 from typing import Any, Final
 
 import msgspec
@@ -150,7 +151,7 @@
         self._apply_configuration(name, snapshot)
         is_more_current = self._follower.lacks_server_feed and answer.has_store
         if is_more_current or not self._directory.servers_by_id:
-            self._directory.put_servers(snapshot.servers)
+            self._put_servers(name, snapshot.servers, answer)
         if self._directory.version > version:
             emit(
                 LogEvent.SNAPSHOT_TAKEN,
@@ -160,6 +161,21 @@
                 has_store=answer.has_store,
             )
 
+    def _put_servers(
+        self, name: str, servers: Sequence[BackendServer], answer: Snapshot
+    ) -> None:
+        known = self._directory.servers_by_id.keys()
+        copied = {server.server_id for server in servers}
+        if copied != known:
+            emit(
+                LogEvent.SERVERS_COPIED,
+                peer=name,
+                has_store=answer.has_store,
+                added=sorted(copied - known),
+                removed=sorted(known - copied),
+            )
+        self._directory.put_servers(servers)
+
     def _apply_configuration(self, name: str, snapshot: DirectoryCopy) -> None:
         is_completed = self._directory.is_partial and snapshot.knows_workspaces
         newest_known = self._directory.version - is_completed
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -199,6 +199,7 @@
         return {
             'routes_version': directory.version,
             'backend_servers': len(directory.servers_by_id),
+            'servers_kept': len(self.follower.grace.kept_ids),
             'servers_limited': directory.limits.count(),
             'servers_unreached': len(directory.links.list_failing()),
             'tunnels_relayed': directory.tunnels,
--- a/src/bronzepost/_internal/gateway/servers/registry.py
+++ b/src/bronzepost/_internal/gateway/servers/registry.py
@@ -15,6 +15,7 @@
 from bronzepost._internal.exceptions import LogServiceError
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.return_grace import ReturnGrace
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -31,11 +32,6 @@
 # Pause after a failed read; short, so that the return of the store is detected
 # soon.
 RETRY_SECONDS: Final = 0.3
-# Entries that expired while the store was unavailable are registered again
-# within two seconds of its return (guaranteed by the platform); a server that
-# is missing after that is gone.
-RETURN_GRACE_SECONDS: Final = 2.5
-
 
 CONFIGURATION: Final = 'configuration'
 SERVERS: Final = 'servers'
@@ -150,6 +146,7 @@
         self._outages = FeedOutages()
         # When the last read of the servers that has an answer began.
         self.servers_read_at: float = 0
+        self.grace = ReturnGrace()
         self._servers_lock = BoundedSemaphore()
         self._configuration_read_at = -math.inf
 
@@ -255,18 +252,17 @@
 
     def _read_servers(self) -> None:
         started_at = read_clock()
-        servers = list(self._registry.read_servers())
+        servers = self._registry.read_servers()
         self._outages.mark_available(SERVERS)
-        if (
-            read_clock()
-            < self._outages.servers_regained_at + RETURN_GRACE_SECONDS
-        ):
-            registered = {server.server_id for server in servers}
-            servers.extend(
+        registered = {server.server_id for server in servers}
+        kept = self.grace.list_kept(
+            (
                 server
                 for server in self._directory.servers_by_id.values()
                 if server.server_id not in registered
-            )
-        self._directory.put_servers(servers)
+            ),
+            self._outages.servers_regained_at,
+        )
+        self._directory.put_servers((*servers, *kept))
         self._directory.versions.record_read(self._registry.pop_versions())
         self.servers_read_at = started_at
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -188,6 +188,12 @@
     SERVER_UP = 8009, INFO, 'A backend server may be used.'
     SERVER_LEAVING = 8010, INFO, 'A backend server gets no new requests.'
     SERVER_GONE = 8011, INFO, 'A backend server has left the registry.'
+    SERVER_KEPT = (
+        8080,
+        INFO,
+        'A server whose entry is missing stays in use after an outage.',
+    )
+    SERVERS_COPIED = 8081, INFO, 'Another list of servers came from another VM.'
     SERVER_ENTRY_UNREADABLE = 8012, WARNING, 'A registry entry cannot be read.'
     STORE_LOST = 8013, WARNING, 'The store does not answer this VM.'
     STORE_REGAINED = 8014, INFO, 'The store answers again.'
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -36,7 +36,7 @@
     find_report_interval,
     find_silence_timeout,
 )
-from bronzepost._internal.gateway.servers import registry
+from bronzepost._internal.gateway.servers import registry, return_grace
 from bronzepost._internal.gateway.servers.directory import Directory
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.node import clock
@@ -410,7 +410,7 @@
         super().setUp()
         self.patch(registry, 'SERVERS_POLL_SECONDS', 0.01)
         self.patch(registry, 'RETRY_SECONDS', 0.01)
-        self.patch(registry, 'RETURN_GRACE_SECONDS', 0.3)
+        self.patch(return_grace, 'RETURN_GRACE_SECONDS', 0.3)
         self.registry = ScriptedRegistry()
         self.directory = Directory(pool=ConnectionPool())
         self.follower = registry.RegistryFollower(
