--- a/src/bronzepost/_internal/gateway/servers/registry.py
+++ b/src/bronzepost/_internal/gateway/servers/registry.py
@@ -15,6 +15,11 @@
 from bronzepost._internal.exceptions import LogServiceError
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.servers.directory import Directory
+from bronzepost._internal.gateway.servers.feed_outages import (
+    CONFIGURATION,
+    SERVERS,
+    FeedOutages,
+)
 from bronzepost._internal.gateway.servers.return_grace import ReturnGrace
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
@@ -33,10 +38,6 @@
 # soon.
 RETRY_SECONDS: Final = 0.3
 
-CONFIGURATION: Final = 'configuration'
-SERVERS: Final = 'servers'
-_FEEDS: Final = (CONFIGURATION, SERVERS)
-
 
 class Registry(Protocol):
     """Where routes are published and backend servers register."""
@@ -76,63 +77,6 @@
         """
 
 
-class FeedOutages:
-    """Which feeds of the registry do not answer, and since when.
-
-    ``regained_at`` is when the first feed answered again after an outage of
-    all, and ``servers_regained_at`` when the servers did, in monotonic seconds.
-    """
-
-    def __init__(self) -> None:
-        """Count each feed as lost until its first answer."""
-        self._lost_at_by_feed = dict.fromkeys(_FEEDS, read_clock())
-        self.regained_at = read_clock()
-        self.servers_regained_at: float = 0
-
-    @property
-    def is_store_lost(self) -> bool:
-        """Return whether reads of all feeds fail."""
-        return len(self._lost_at_by_feed) == len(_FEEDS)
-
-    @property
-    def lost_seconds(self) -> float:
-        """Return for how long reads of all feeds have failed, 0 if one works."""
-        if not self.is_store_lost:
-            return 0
-        return read_clock() - max(self._lost_at_by_feed.values())
-
-    @property
-    def is_any_lost(self) -> bool:
-        """Return whether reads of a feed fail."""
-        return bool(self._lost_at_by_feed)
-
-    def is_lost(self, feed: str) -> bool:
-        """Return whether reads of a feed fail."""
-        return feed in self._lost_at_by_feed
-
-    def mark_lost(self, feed: str, error: LogServiceError) -> None:
-        """Record that a read of a feed has failed."""
-        if feed not in self._lost_at_by_feed:
-            self._lost_at_by_feed[feed] = read_clock()
-            emit(LogEvent.STORE_LOST, feed=feed, error=error)
-
-    def mark_available(self, feed: str) -> None:
-        """Record that a feed has answered."""
-        lost_at = self._lost_at_by_feed.pop(feed, None)
-        if lost_at is None:
-            return
-        now = read_clock()
-        if len(self._lost_at_by_feed) == len(_FEEDS) - 1:
-            self.regained_at = now
-        if feed == SERVERS:
-            self.servers_regained_at = now
-        emit(
-            LogEvent.STORE_REGAINED,
-            feed=feed,
-            away_seconds=round(now - lost_at, 3),
-        )
-
-
 class RegistryFollower:
     """Keep a directory up to date, and track outages of the registry.
 
