Keep servers without an entry only after an outage in which entries expire

Callers saw non-idempotent requests end with 502, since a VM sent them to a server that had left: 2.2 to 2.9 s after the removal of its entry (bound 2 s).

Cause: servers that are missing from the list stay in use for 2.5 s after the return of the store, and the first answer after a start, or after one failed read, counted as a return. The period was also longer than the two seconds in which a removal has to take effect, and ended with the next read only.

Change: a missing server is kept only if reads have failed for so long that entries of live servers may have expired (two of their three heartbeat intervals), counted from the last list of the store that this VM has, read by itself or copied from a VM that reads the store. The period is 2.0 s from the begin of the first answered read, and ends by a timer. A VM that keeps servers does not tell its list as current, so peers do not take over what it keeps.

The test of the follower has an outage of 0.3 s instead of 0.1 s, since entries of its registry expire after 0.2 s; its checks and times after the outage are unchanged.

--- a/src/bronzepost/_internal/gateway/peers/snapshots.py
+++ b/src/bronzepost/_internal/gateway/peers/snapshots.py
@@ -149,7 +149,9 @@
             return
         version = self._directory.version
         self._apply_configuration(name, snapshot)
-        is_more_current = self._follower.lacks_server_feed and answer.has_store
+        is_more_current = (
+            answer.has_store and not self._follower.has_current_servers
+        )
         if is_more_current or not self._directory.servers_by_id:
             self._put_servers(name, snapshot.servers, answer)
         if self._directory.version > version:
@@ -175,6 +177,7 @@
                 removed=sorted(known - copied),
             )
         self._directory.put_servers(servers)
+        self._follower.grace.record_copy(is_current=answer.has_store)
 
     def _apply_configuration(self, name: str, snapshot: DirectoryCopy) -> None:
         is_completed = self._directory.is_partial and snapshot.knows_workspaces
@@ -216,6 +219,6 @@
         answer = Snapshot(
             call_id=request.call_id,
             content=content,
-            has_store=self._reports.has_store,
+            has_store=self._follower.has_current_servers,
         )
         self._fleet.send(sender, answer)
--- a/src/bronzepost/_internal/gateway/servers/feed_outages.py
+++ b/src/bronzepost/_internal/gateway/servers/feed_outages.py
@@ -16,14 +16,13 @@
     """Which feeds of the registry do not answer, and since when.
 
     ``regained_at`` is when the first feed answered again after an outage of
-    all, and ``servers_regained_at`` when the servers did, in monotonic seconds.
+    all, in monotonic seconds.
     """
 
     def __init__(self) -> None:
         """Count each feed as lost until its first answer."""
         self._lost_at_by_feed = dict.fromkeys(_FEEDS, read_clock())
         self.regained_at = read_clock()
-        self.servers_regained_at: float = 0
 
     @property
     def is_store_lost(self) -> bool:
@@ -60,8 +59,6 @@
         now = read_clock()
         if len(self._lost_at_by_feed) == len(_FEEDS) - 1:
             self.regained_at = now
-        if feed == SERVERS:
-            self.servers_regained_at = now
         emit(
             LogEvent.STORE_REGAINED,
             feed=feed,
--- a/src/bronzepost/_internal/gateway/servers/registry.py
+++ b/src/bronzepost/_internal/gateway/servers/registry.py
@@ -42,6 +42,13 @@
 class Registry(Protocol):
     """Where routes are published and backend servers register."""
 
+    @property
+    def expiry_seconds(self) -> float:
+        """Return the shortest outage in which entries of live servers expire.
+
+        0 if that is not known.
+        """
+
     def wait_for_configuration(
         self, timeout_seconds: float
     ) -> GatewayConfiguration | None:
@@ -90,7 +97,11 @@
         self._outages = FeedOutages()
         # When the last read of the servers that has an answer began.
         self.servers_read_at: float = 0
-        self.grace = ReturnGrace()
+        self.grace = ReturnGrace(
+            directory=directory,
+            outages=self._outages,
+            expiry_seconds=registry.expiry_seconds,
+        )
         self._servers_lock = BoundedSemaphore()
         self._configuration_read_at = -math.inf
 
@@ -125,9 +136,9 @@
         return not is_lost and self._configuration_read_at >= oldest
 
     @property
-    def lacks_server_feed(self) -> bool:
-        """Return whether reads of the servers fail."""
-        return self._outages.is_lost(SERVERS)
+    def has_current_servers(self) -> bool:
+        """Return whether the servers in use are those of the store's list."""
+        return not (self._outages.is_lost(SERVERS) or self.grace.kept_ids)
 
     def start(self) -> None:
         """Start the greenlets that read the feeds."""
@@ -196,17 +207,12 @@
 
     def _read_servers(self) -> None:
         started_at = read_clock()
-        servers = self._registry.read_servers()
+        try:
+            servers = self._registry.read_servers()
+        except LogServiceError:
+            self.grace.record_failure()
+            raise
         self._outages.mark_available(SERVERS)
-        registered = {server.server_id for server in servers}
-        kept = self.grace.list_kept(
-            (
-                server
-                for server in self._directory.servers_by_id.values()
-                if server.server_id not in registered
-            ),
-            self._outages.servers_regained_at,
-        )
-        self._directory.put_servers((*servers, *kept))
+        self.grace.apply_list(servers, read_at=started_at)
         self._directory.versions.record_read(self._registry.pop_versions())
         self.servers_read_at = started_at
--- a/tests/builders_lagging_vms.py
+++ b/tests/builders_lagging_vms.py
@@ -36,6 +36,11 @@
         """Answer one read of the configuration."""
         self._answers = [configuration]
 
+    @property
+    def expiry_seconds(self) -> float:
+        """Return 0: entries may expire in any outage."""
+        return 0
+
     def wait_for_configuration(
         self, timeout_seconds: float
     ) -> GatewayConfiguration | None:
--- a/tests/platform/builders_platform.py
+++ b/tests/platform/builders_platform.py
@@ -26,6 +26,7 @@
         },
         'portRange': [7380, 7395],
         'seedNodes': ['127.0.0.2:8144'],
+        'heartbeatMs': 1200,
         'platform': {'address': '127.0.0.1:8142', 'parts': 2},
         'contractParams': {'gracePeriodS': 8},
         'unknownField': [1],
--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -366,7 +366,9 @@
     def __init__(self) -> None:
         """Start with one server."""
         self.servers: list[BackendServer] = [make_server('a')]
+        self.expiry_seconds: float = 0.2
         self.is_down = False
+        self.read_seconds = 0.01
         self.server_reads = 0
         self.past_versions: Mapping[str, Set[str]] | None = None
         self.configuration: GatewayConfiguration | None = None
@@ -386,7 +388,7 @@
     def read_servers(self) -> Sequence[BackendServer]:
         """Return the servers of the test."""
         self.server_reads += 1
-        gevent.sleep(0.01)
+        gevent.sleep(self.read_seconds)
         self._check()
         return tuple(self.servers)
 
@@ -412,6 +414,10 @@
         self.patch(registry, 'RETRY_SECONDS', 0.01)
         self.patch(return_grace, 'RETURN_GRACE_SECONDS', 0.3)
         self.registry = ScriptedRegistry()
+        self.follow()
+
+    def follow(self) -> None:
+        """Follow the registry as a VM does that has just started."""
         self.directory = Directory(pool=ConnectionPool())
         self.follower = registry.RegistryFollower(
             registry=self.registry, directory=self.directory
@@ -428,15 +434,97 @@
     def test_expired_entries_are_used_for_a_time_after_an_outage(self) -> None:
         """Servers could not renew them, and are listed again soon."""
         self.registry.is_down = True
+        gevent.sleep(0.3)
+        self.assertTrue(self.follower.is_store_lost)
+        self.registry.servers = []
+        self.registry.is_down = False
+        gevent.sleep(0.1)
+        self.assertEqual(['a'], self.list_ids())
+        gevent.sleep(0.5)
+        self.assertEqual([], self.list_ids())
+
+    def test_server_that_leaves_after_a_start_is_dropped_at_once(self) -> None:
+        """Guard against a start that counts as the end of an outage."""
+        self.registry.servers = []
+        gevent.sleep(0.1)
+        self.assertEqual([], self.list_ids())
+
+    def test_server_that_leaves_after_a_failed_read_is_dropped_at_once(
+        self,
+    ) -> None:
+        """Guard against an outage in which no entry can have expired."""
+        self.registry.expiry_seconds = 30
+        self.follow()
+        self.registry.is_down = True
         gevent.sleep(0.1)
         self.assertTrue(self.follower.is_store_lost)
         self.registry.servers = []
         self.registry.is_down = False
         gevent.sleep(0.1)
+        self.assertEqual([], self.list_ids())
+
+    def test_grace_period_ends_while_a_read_hangs(self) -> None:
+        """Guard against a server that is kept until the next answer."""
+        self.registry.is_down = True
+        gevent.sleep(0.3)
+        self.registry.servers = []
+        self.registry.is_down = False
+        gevent.sleep(0.1)
         self.assertEqual(['a'], self.list_ids())
+        self.registry.read_seconds = 30
+        gevent.sleep(0.4)
+        self.assertEqual([], self.list_ids())
+
+    def test_servers_stay_if_the_store_is_lost_again_in_the_grace_period(
+        self,
+    ) -> None:
+        """Guard against a VM without servers when the store flaps."""
+        self.registry.is_down = True
+        gevent.sleep(0.3)
+        self.registry.servers = []
+        self.registry.is_down = False
+        gevent.sleep(0.1)
+        self.registry.is_down = True
         gevent.sleep(0.5)
+        self.assertEqual(['a'], self.list_ids())
+        self.registry.is_down = False
+        gevent.sleep(0.1)
+        self.assertEqual(['a'], self.list_ids())
+
+    def test_list_of_a_vm_that_has_the_store_ends_an_outage(self) -> None:
+        """Guard against a cut of one VM that counts as an outage of the store."""
+        self.registry.is_down = True
+        gevent.sleep(0.3)
+        self.follower.grace.record_copy(is_current=True)
+        self.registry.servers = []
+        self.registry.is_down = False
+        gevent.sleep(0.1)
         self.assertEqual([], self.list_ids())
 
+    def test_vm_that_starts_in_an_outage_keeps_copied_servers(self) -> None:
+        """Guard against refusals by VMs that have never read the list."""
+        self.registry.is_down = True
+        self.follow()
+        self.directory.put_servers([make_server('a')])
+        self.follower.grace.record_copy(is_current=False)
+        self.registry.servers = []
+        self.registry.is_down = False
+        gevent.sleep(0.1)
+        self.assertEqual(['a'], self.list_ids())
+
+    def test_servers_that_are_kept_are_not_told_as_current(self) -> None:
+        """Guard against a peer that takes them for registered ones."""
+        self.assertTrue(self.follower.has_current_servers)
+        self.registry.is_down = True
+        gevent.sleep(0.3)
+        self.assertFalse(self.follower.has_current_servers)
+        self.registry.servers = []
+        self.registry.is_down = False
+        gevent.sleep(0.1)
+        self.assertFalse(self.follower.has_current_servers)
+        gevent.sleep(0.4)
+        self.assertTrue(self.follower.has_current_servers)
+
     def test_draining_server_gets_no_requests(self) -> None:
         self.registry.servers = [make_server('a', is_draining=True)]
         gevent.sleep(0.1)
