Pause once after a failed read of the server list

Callers' requests reached a server up to 2.2 s after its removal if one read of the list had no answer: the read times out after 1.5 s, and the next one came 0.7 s later, since the pause after a failure (0.3 s) was added to the interval of the polls (0.4 s). So the view of the VM was older than the two seconds in which a removal has to take effect, and old enough for entries to have expired.

Change: after a failed read the list is read again after 0.3 s.

--- a/src/bronzepost/_internal/gateway/servers/registry.py
+++ b/src/bronzepost/_internal/gateway/servers/registry.py
@@ -35,7 +35,8 @@
 # 0.25 s later. If none has come for so long, a newer configuration may be in force.
 CURRENT_SECONDS: Final = 2.0
 # Pause after a failed read; short, so that the return of the store is detected
-# soon.
+# soon. With the timeout of a read (1.5 s) it stays below the two seconds in which
+# a removal has to take effect.
 RETRY_SECONDS: Final = 0.3
 
 
@@ -143,7 +144,7 @@
     def start(self) -> None:
         """Start the greenlets that read the feeds."""
         start_loop(self._follow_configuration, 0)
-        start_loop(self._follow_servers, SERVERS_POLL_SECONDS)
+        start_loop(self._follow_servers, RETRY_SECONDS)
 
     def refresh_servers(self) -> None:
         """Read the servers, unless a read begins while this call waits for one.
@@ -181,19 +182,23 @@
         )
 
     def _follow_configuration(self) -> None:
-        self._follow(CONFIGURATION, self._read_configuration)
+        if not self._follow(CONFIGURATION, self._read_configuration):
+            gevent.sleep(RETRY_SECONDS)
 
     def _follow_servers(self) -> None:
-        self._follow(SERVERS, self._read_servers_alone)
+        # The loop pauses as long as after a failed read.
+        if self._follow(SERVERS, self._read_servers_alone):
+            gevent.sleep(SERVERS_POLL_SECONDS - RETRY_SECONDS)
 
-    def _follow(self, feed: str, read: Callable[[], None]) -> None:
+    def _follow(self, feed: str, read: Callable[[], None]) -> bool:
+        """Read a feed; return whether it has answered."""
         try:
             read()
         except LogServiceError as error:
             self._outages.mark_lost(feed, error)
-            gevent.sleep(RETRY_SECONDS)
-        else:
-            self._outages.mark_available(feed)
+            return False
+        self._outages.mark_available(feed)
+        return True
 
     def _read_configuration(self) -> None:
         configuration = self._registry.wait_for_configuration(WAIT_SECONDS)
--- a/tests/platform/test_departed_servers.py
+++ b/tests/platform/test_departed_servers.py
@@ -27,6 +27,9 @@
 # Two heartbeats of servers are 2.4 s apart: no entry expires in a shorter outage.
 SHORT_OUTAGE_SECONDS = 0.5
 LONG_OUTAGE_SECONDS = 4.0
+# Longer than a VM waits between two reads of the list, and than it waits for one.
+READ_INTERVAL_SECONDS = 0.45
+HANGING_SECONDS = 10.0
 # How long requests are sent, one every ``SEND_INTERVAL_SECONDS``. Several run at a
 # time, so that they go to all servers that the VM knows.
 SEND_SECONDS = 0.8
@@ -127,6 +130,16 @@
         self.store.is_down = False
         self.assert_departed(self.remove_entries(1))
 
+    def test_server_that_leaves_while_a_read_hangs_gets_no_requests(
+        self,
+    ) -> None:
+        """Guard against a list that is read again too late after a timeout."""
+        gevent.sleep(SETTLE_SECONDS)
+        self.store.delay_seconds = HANGING_SECONDS
+        gevent.sleep(READ_INTERVAL_SECONDS)
+        self.store.delay_seconds = 0
+        self.assert_departed(self.remove_entries(1))
+
     def test_expired_servers_are_used_until_they_register_again(self) -> None:
         """Guard against refusals after an outage in which entries expired."""
         gevent.sleep(SETTLE_SECONDS)
