Close kept connections of a stopping VM after each answer

Operators of similar systems report requests that come late in the grace period of a planned stop, are passed on, and are cut without an answer at its end. It can happen here: a caller whose answer began before the stop is not told that the connection closes, and connections were closed once, when the VM stops accepting (3 s after SIGTERM). One that was busy then stayed open, and took requests until the process ended.

Change: from then on a connection is closed when its answer has ended. Requests that have arrived behind it are refused (503, not run, come back at once), as a close with unread bytes would reset the connection and take the end of the answer with it.

--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -11,7 +11,11 @@
 
 from bronzepost._internal.core.gateway.entities import CallerLimits
 from bronzepost._internal.core.gateway.held_bytes import HeldKind
-from bronzepost._internal.exceptions import ProtocolError, RefusedError
+from bronzepost._internal.exceptions import (
+    ProtocolError,
+    RefusedError,
+    RunState,
+)
 from bronzepost._internal.gateway.callers.body_account import BodyAccount
 from bronzepost._internal.gateway.callers.caller_outbox import (
     CallerOutbox,
@@ -35,6 +39,7 @@
     encode_chunk,
     encode_head,
 )
+from bronzepost._internal.gateway.callers.stopping import refuse_stopping
 from bronzepost._internal.gateway.links.tcp_options import (
     set_reset_on_close,
     set_tcp_options,
@@ -209,6 +214,8 @@
         """Serve an accepted connection."""
         self.is_idle = True
         self._is_closed = False
+        # Whether the next request is refused, since the process will stop.
+        self._is_refusing = False
         self._sock = sock
         self._server = server
         self._limits = limits
@@ -232,23 +239,13 @@
     def close_idle(self) -> None:
         """Close the connection unless it has a request, running or unread."""
         is_between_requests = self.is_idle and self._reader.is_between_requests
-        if is_between_requests and not self._has_unread_bytes():
+        if is_between_requests and not has_unread_bytes(self._sock):
             # Bytes that arrive from now on are not read: the request could be
             # forwarded, but not answered.
             self._is_closed = True
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
-    def _has_unread_bytes(self) -> bool:
-        timeout = self._sock.gettimeout()
-        self._sock.settimeout(0)
-        try:
-            return bool(self._sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
-        finally:
-            self._sock.settimeout(timeout)
-
     def _serve_next(self) -> bool:
         """Serve a request; return whether the connection stays open."""
         answer = self._answer_next()
@@ -257,6 +254,11 @@
         with contextlib.closing(answer):
             self._flush(answer)
         self.is_idle = True
+        if self._server.is_stopped:
+            # Callers may not know that the process stops, as the head of the
+            # answer may be older. What they have sent already is refused.
+            self._is_refusing = True
+            self.close_idle()
         return answer.is_complete and answer.keep_alive
 
     def _answer_next(self) -> CallerAnswer | None:
@@ -285,8 +287,11 @@
         )
         with contextlib.ExitStack() as stack:
             stack.callback(answer.close)
-            with self._watch_caller():
-                self._server.answer(request, answer)
+            if self._is_refusing:
+                answer.refuse(refuse_stopping(RunState.NOT_RUN))
+            else:
+                with self._watch_caller():
+                    self._server.answer(request, answer)
             stack.pop_all()
         return answer
 
@@ -398,6 +403,18 @@
                 is_sending = bool(self._sock.recv(_READ_BYTES))
 
 
+def has_unread_bytes(sock: Any) -> bool:
+    """Return whether bytes have arrived that were not read yet."""
+    timeout = sock.gettimeout()
+    sock.settimeout(0)
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+    finally:
+        sock.settimeout(timeout)
+
+
 class CallerServer:
     """Listen for callers and pass their requests to a handler."""
 
@@ -417,6 +434,7 @@
         host, _, port = address.rpartition(':')
         self.answer = answer
         self.is_draining = False
+        self.is_stopped = False
         self.memory = memory or HeldMemory()
         self._read_limits = read_limits
         self._connections: set[CallerConnection] = set()
@@ -445,7 +463,8 @@
         self.is_draining = True
 
     def stop(self) -> None:
-        """Accept no more connections and close the idle ones."""
+        """Accept no more connections, and close each as soon as it is idle."""
+        self.is_stopped = True
         self._server.close()
         for connection in tuple(self._connections):
             connection.close_idle()
--- /dev/null
+++ b/tests/platform/test_stops.py
@@ -0,0 +1,120 @@
+"""Tests of a VM that is told to stop while requests are running."""
+
+import signal
+from typing import Any
+
+import gevent
+import testtools
+
+from bronzepost._internal.gateway.callers.header_names import find_header
+from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.node.clock import read_clock
+from tests.builders_gateway_servers import CallerSocket, ScriptedServer
+from tests.platform.builders_platform import (
+    HOST,
+    make_configuration,
+    make_entry,
+)
+from tests.platform.gateway_vm import Vm
+from tests.platform.standin_store import StandinStore
+
+# The grace period of the platform, and how long after the signal a caller still
+# uses a connection that was kept open.
+GRACE_SECONDS = 8.0
+LATE_SECONDS = 7.2
+# The body of a request holds the seconds for which the server works on it.
+ANSWER_HEAD = (
+    b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Stamp: s\r\n'
+    b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'f\r\nid: 1\ndata: a\n\n\r\n'
+)
+
+
+def answer(sock: Any, request: HttpRequest) -> bool:
+    """Begin an answer, and end it after the time that the request names."""
+    request_id = find_header(request.headers, b'request-id') or b''
+    seconds = float(request.body)
+    try:
+        if request.target.startswith(b'/chat/'):
+            sock.sendall(ANSWER_HEAD % request_id)
+            gevent.sleep(seconds)
+            sock.sendall(b'0\r\n\r\n')
+        else:
+            gevent.sleep(seconds)
+            sock.sendall(b'%b0\r\n\r\n' % (ANSWER_HEAD % request_id))
+    except OSError:
+        # The gateway has given the request up.
+        return False
+    return True
+
+
+def make_request(path: str, request_id: str, seconds: float) -> bytes:
+    """Return a request that its server works on for some seconds."""
+    body = f'{seconds}'
+    lines = (
+        f'POST {path} HTTP/1.1',
+        f'Host: {HOST}',
+        f'Request-Id: {request_id}',
+        'Token-Usage: 10,50',
+        'Deadline-Ms: 30000',
+        f'Content-Length: {len(body)}',
+        '',
+        body,
+    )
+    return '\r\n'.join(lines).encode()
+
+
+class StopTests(testtools.TestCase):
+    """One VM with a slow server, in calm, that gets SIGTERM."""
+
+    def setUp(self) -> None:
+        """Start the stand-ins and the VM."""
+        super().setUp()
+        store = StandinStore()
+        self.addCleanup(store.close)
+        configuration = make_configuration()
+        turns, bookings = configuration['routes']
+        turns.update(retainHistory=False, timeoutMs=30000)
+        bookings.pop('weightedUpstreams')
+        bookings.update(
+            upstream='engines', timeoutMs=30000, routeType='non_idempotent'
+        )
+        store.put('keyed.op', 'config', configuration)
+        self.server = ScriptedServer(script=answer)
+        self.addCleanup(self.server.close)
+        store.put(
+            'keyed.servers', 'i-1', make_entry(address=self.server.address)
+        )
+        self.vm = Vm(test=self, number=21, store=store.address)
+        self.vm.wait_until_ready()
+        gevent.sleep(1)
+
+    def begin(self, path: str, request_id: str, seconds: float) -> CallerSocket:
+        """Send a request on a new connection."""
+        caller = CallerSocket(address=self.vm.front)
+        caller.sock.settimeout(GRACE_SECONDS * 2)
+        caller.sock.sendall(make_request(path, request_id, seconds))
+        gevent.sleep(0.1)
+        return caller
+
+    def test_late_request_on_an_open_connection_is_not_cut(self) -> None:
+        """Guard against requests that are taken at the end of a stop."""
+        caller = self.begin('/chat/x', 'q-1', 4)
+        self.vm.process.send_signal(signal.SIGTERM)
+        stopped_at = read_clock()
+        self.assertIs(True, caller.read_answer().is_complete)
+        gevent.sleep(stopped_at + LATE_SECONDS - read_clock())
+        status = 0
+        try:
+            caller.sock.sendall(make_request('/look/x', 'q-2', 2))
+            head = caller.read_answer().head
+            status = head.status if head else 0
+        except OSError:
+            # Closed before the request was sent: the caller goes elsewhere.
+            status = 0
+        self.assertIn(status, (0, 503))
+        sent = {
+            find_header(request.headers, b'request-id')
+            for request in self.server.requests
+        }
+        self.assertEqual({b'q-1'}, sent)
--- /dev/null
+++ b/tests/unit/test_gateway_stops.py
@@ -0,0 +1,78 @@
+"""Tests of requests that a stopping gateway has, or gets on open connections."""
+
+from typing import Any
+
+import gevent
+import testtools
+
+from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from tests.builders_gateway import make_route
+from tests.builders_gateway_servers import (
+    READ_BYTES,
+    ScriptedServer,
+    make_request,
+    open_gateway,
+)
+
+EVENT = b'id: 1\ndata: a\n\n'
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+# The head of a stream is sent at once, its end later.
+STREAM_SECONDS = 0.2
+# Below the time after which an idle connection is closed in any case.
+CLOSE_SECONDS = 0.5
+
+
+def stream_slowly(sock: Any, _request: HttpRequest) -> bool:
+    """Script of a server that ends its stream after a time."""
+    sock.sendall(b'%b%x\r\n%b\r\n' % (CHUNKED, len(EVENT), EVENT))
+    gevent.sleep(STREAM_SECONDS)
+    sock.sendall(b'0\r\n\r\n')
+    return True
+
+
+class TestStops(testtools.TestCase):
+    """A gateway has been told to stop and accepts no more connections."""
+
+    def test_connection_is_closed_after_an_answer_that_began_before(
+        self,
+    ) -> None:
+        """Guard against requests that are taken when the process ends."""
+        backend = ScriptedServer(script=stream_slowly)
+        with open_gateway(make_route(), backend) as gateway:
+            caller = gateway.call(make_request(method=b'POST'))
+            gevent.sleep(STREAM_SECONDS / 2)
+            gateway.server.drain()
+            gateway.server.stop()
+            answer = caller.read_answer()
+            self.assertIs(True, answer.is_complete)
+            caller.sock.settimeout(CLOSE_SECONDS)
+            self.assertEqual(b'', caller.sock.recv(1))
+            self.assertEqual(0, gateway.server.count_open())
+
+    def test_request_behind_such_an_answer_is_refused(self) -> None:
+        """Guard against a reset that takes the end of the answer with it."""
+        backend = ScriptedServer(script=stream_slowly)
+        with open_gateway(make_route(), backend) as gateway:
+            caller = gateway.call(make_request(method=b'POST'))
+            gevent.sleep(STREAM_SECONDS / 2)
+            gateway.server.drain()
+            gateway.server.stop()
+            caller.sock.sendall(make_request(method=b'POST'))
+            received = b''.join(iter(lambda: caller.sock.recv(READ_BYTES), b''))
+        first, _, second = received.partition(b'0\r\n\r\n')
+        self.assertEqual((True, True), (EVENT in first, b' 503 ' in second))
+        self.assertEqual(1, len(backend.requests))
+
+    def test_connection_stays_open_while_callers_may_still_come(self) -> None:
+        """Guard against connections that are closed before the stop."""
+        backend = ScriptedServer(script=stream_slowly)
+        with open_gateway(make_route(), backend) as gateway:
+            caller = gateway.call(make_request(method=b'POST'))
+            gevent.sleep(STREAM_SECONDS / 2)
+            gateway.server.drain()
+            caller.read_answer()
+            caller.sock.sendall(make_request(method=b'POST'))
+            answer = caller.read_answer()
+        assert answer.head is not None
+        self.assertIs(True, answer.is_complete)
+        self.assertIs(False, answer.head.keep_alive)
