Answer requests that are still running when a VM has to stop

A request that outlasts the grace period of a planned stop was cut: its caller saw a closed connection, which tells nothing, though the process had time to answer (half a second before it would be killed).

Change: when the drain ends, each request without an answer is refused: 502 if a server may have run it, 503 with a time to come back of 0 s if not. An answer that has begun ends incomplete, as before.

Measured: test_request_that_outlasts_the_stop_is_answered (a request of 16 s, grace period 8 s) got no answer before, and gets 502 before the 8 s are over. The tests of stops and of forwarding pass.

--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -39,7 +39,10 @@
     encode_chunk,
     encode_head,
 )
-from bronzepost._internal.gateway.callers.stopping import refuse_stopping
+from bronzepost._internal.gateway.callers.stopping import (
+    StoppingError,
+    refuse_stopping,
+)
 from bronzepost._internal.gateway.links.tcp_options import (
     set_reset_on_close,
     set_tcp_options,
@@ -216,6 +219,7 @@
         self._is_closed = False
         # Whether the next request is refused, since the process will stop.
         self._is_refusing = False
+        self._greenlet: Any = None
         self._sock = sock
         self._server = server
         self._limits = limits
@@ -229,6 +233,7 @@
 
     def serve(self) -> None:
         """Serve requests until the caller or the gateway closes."""
+        self._greenlet = gevent.getcurrent()
         held = self._memory.open(HeldKind.CONNECTIONS)
         with held, contextlib.closing(self._body):
             held.resize(CONNECTION_BYTES)
@@ -246,6 +251,11 @@
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
+    def give_up(self) -> None:
+        """Refuse a running request, or break off its answer if it has begun."""
+        if not self.is_idle:
+            self._greenlet.kill(StoppingError(), block=False)
+
     def _serve_next(self) -> bool:
         """Serve a request; return whether the connection stays open."""
         answer = self._answer_next()
@@ -469,6 +479,11 @@
         for connection in tuple(self._connections):
             connection.close_idle()
 
+    def give_up(self) -> None:
+        """Refuse all requests that are running."""
+        for connection in tuple(self._connections):
+            connection.give_up()
+
     def _serve(self, sock: Any, _address: Any) -> None:
         set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
         connection = CallerConnection(
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -57,6 +57,8 @@
 # platform kills it.
 STOP_MARGIN_SECONDS: Final = 0.5
 _POLL_SECONDS: Final = 0.05
+# How long the refusals of requests that did not end in time may take to be sent.
+_REFUSAL_SECONDS: Final = 0.1
 IDLE_CHECK_SECONDS: Final = 1.0
 # Turns are kept for a minute, so their sum changes slowly.
 TURN_COUNT_SECONDS: Final = 1.0
@@ -281,6 +283,8 @@
         while self._count_open() and read_clock() < end:
             gevent.sleep(_POLL_SECONDS)
         emit(LogEvent.DRAIN_FINISHED, busy=self._count_open())
+        self.callers.give_up()
+        gevent.sleep(_REFUSAL_SECONDS)
         self._stopped.set()
 
     def _count_open(self) -> int:
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -35,6 +35,7 @@
     refuse_no_server,
     refuse_unknown_stream,
 )
+from bronzepost._internal.gateway.callers.stopping import refuse_at_stop
 from bronzepost._internal.gateway.loops import start_task
 from bronzepost._internal.gateway.programs.program_state import ProgramState
 from bronzepost._internal.gateway.quotas.call_quotas import CallQuotas
@@ -101,14 +102,15 @@
         started_at = read_clock()
         call = self._decode_call(request.headers)
         try:
-            access = self._access.admit(request, call)
+            with refuse_at_stop():
+                access = self._access.admit(request, call)
         except RefusedError as error:
             self._refuse(call, answer, error, started_at)
             return
+        pending = self.create_pending_call(request, access, answer, started_at)
         try:
-            self._serve(
-                self.create_pending_call(request, access, answer, started_at)
-            )
+            with refuse_at_stop(pending):
+                self._serve(pending)
         except RefusedError as error:
             self._refuse(access.call, answer, error, started_at)
 
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -118,3 +118,15 @@
             for request in self.server.requests
         }
         self.assertEqual({b'q-1'}, sent)
+
+    def test_request_that_outlasts_the_stop_is_answered(self) -> None:
+        """Guard against a connection that ends without an answer."""
+        caller = self.begin('/look/x', 'q-1', GRACE_SECONDS * 2)
+        self.vm.process.send_signal(signal.SIGTERM)
+        stopped_at = read_clock()
+        received = caller.read_answer()
+        self.assertIs(True, received.is_complete)
+        assert received.head is not None
+        self.assertEqual(502, received.head.status)
+        self.vm.process.wait()
+        self.assertLess(read_clock() - stopped_at, GRACE_SECONDS)
--- a/tests/unit/test_gateway_stops.py
+++ b/tests/unit/test_gateway_stops.py
@@ -1,17 +1,22 @@
 """Tests of requests that a stopping gateway has, or gets on open connections."""
 
+import contextlib
 from typing import Any
 
 import gevent
 import testtools
 
+from bronzepost._internal.core.gateway.entities import RouteKind
 from bronzepost._internal.gateway.callers.http_messages import HttpRequest
 from tests.builders_gateway import make_route
 from tests.builders_gateway_servers import (
     READ_BYTES,
     ScriptedServer,
+    answer_with,
+    make_answer,
     make_request,
     open_gateway,
+    stay_silent,
 )
 
 EVENT = b'id: 1\ndata: a\n\n'
@@ -76,3 +81,47 @@
         assert answer.head is not None
         self.assertIs(True, answer.is_complete)
         self.assertIs(False, answer.head.keep_alive)
+
+    def test_request_that_is_running_at_the_end_is_answered(self) -> None:
+        """Guard against a connection that ends without an answer."""
+        for kind in RouteKind:
+            backend = ScriptedServer(script=stay_silent)
+            with open_gateway(make_route(kind=kind), backend) as gateway:
+                caller = gateway.call(make_request())
+                gevent.sleep(0.1)
+                gateway.server.drain()
+                gateway.server.give_up()
+                answer = caller.read_answer()
+            assert answer.head is not None
+            self.assertIs(True, answer.is_complete)
+            # The server may have run the request.
+            self.assertEqual((kind, 502), (kind, answer.head.status))
+
+    def test_answer_that_has_begun_does_not_look_complete_at_the_end(
+        self,
+    ) -> None:
+        """Guard against the text of a refusal within a stream."""
+
+        def begin(sock: Any, request: HttpRequest) -> bool:
+            sock.sendall(b'%b%x\r\n%b\r\n' % (CHUNKED, len(EVENT), EVENT))
+            return stay_silent(sock, request)
+
+        backend = ScriptedServer(script=begin)
+        with open_gateway(make_route(), backend) as gateway:
+            caller = gateway.call(make_request(method=b'POST'))
+            gevent.sleep(0.1)
+            gateway.server.give_up()
+            answer = caller.read_answer()
+        self.assertEqual(EVENT, answer.pop_body())
+        self.assertIs(False, answer.is_complete)
+
+    def test_idle_connection_is_left_alone_at_the_end(self) -> None:
+        """Guard against an answer without a request."""
+        backend = ScriptedServer(script=answer_with(make_answer(EVENT)))
+        with open_gateway(make_route(), backend) as gateway:
+            caller = gateway.call(make_request(method=b'POST'))
+            caller.read_answer()
+            gateway.server.give_up()
+            caller.sock.settimeout(0.1)
+            with contextlib.suppress(TimeoutError):
+                self.assertEqual(b'', caller.sock.recv(1))
