Check that a server still serves after a request has waited for it

A request chooses a server and then waits for its turn there, if the server limits requests or the request may crash it: for up to the target time of the route, or a share of its time left. A server that left in that time got the request all the same, as much later than its notice as the wait lasted.

Change: after the wait the server is looked up again. If it has left, is draining or was started again, another one is chosen. All three places that wait share one method.

Measured: test_server_that_leaves_while_a_request_waits_for_its_turn fails before and passes; the tests of crash suspects, candidates, engine memory, limits, placement and forwarding pass.

--- a/src/bronzepost/_internal/gateway/servers/server_calls.py
+++ b/src/bronzepost/_internal/gateway/servers/server_calls.py
@@ -119,10 +119,10 @@
             server = plan.choose()
             if server is None or server.server_id in blocked_ids:
                 return self._choose_limited(pending)
-            if self._permits.acquire(
-                server.server_id, find_patience(pending, server)
-            ):
-                return server
+            patience = find_patience(pending, server)
+            ready = self._wait_for_turn(pending, server, patience)
+            if ready is not None:
+                return ready
             denied_ids.add(server.server_id)
 
     @contextmanager
@@ -188,9 +188,10 @@
         if server is None or server.server_id in excluded_ids:
             self._suspects.log_suspect(pending)
             raise refuse_suspect(pending)
-        if not self._permits.acquire(server.server_id, max_wait_seconds):
+        ready = self._wait_for_turn(pending, server, max_wait_seconds)
+        if ready is None:
             raise refuse_suspect(pending)
-        return server
+        return ready
 
     def _choose_limited(self, pending: PendingCall) -> BackendServer | None:
         """Return the server at which a request has its turn soon, if any.
@@ -206,11 +207,28 @@
             if server is None:
                 self._explain_refusal(pending, denied_ids)
                 return None
-            server_id = server.server_id
-            is_soon = self._permits.find_wait(server_id) <= patience
-            if is_soon and self._permits.acquire(server_id, patience):
-                return server
-            denied_ids.add(server_id)
+            ready = None
+            if self._permits.find_wait(server.server_id) <= patience:
+                ready = self._wait_for_turn(pending, server, patience)
+            if ready is not None:
+                return ready
+            denied_ids.add(server.server_id)
+
+    def _wait_for_turn(
+        self, pending: PendingCall, server: BackendServer, max_seconds: float
+    ) -> BackendServer | None:
+        """Return a server when a request has its turn there.
+
+        None if it has none in time, or if the server has left meanwhile.
+        """
+        if not self._permits.acquire(server.server_id, max_seconds):
+            return None
+        current = self._directory.find_serving(
+            pending.service, server.server_id
+        )
+        if current is None or current.born != server.born:
+            return None
+        return current
 
     def _explain_refusal(
         self, pending: PendingCall, denied_ids: set[str]
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -17,6 +17,7 @@
     HttpRequest,
 )
 from bronzepost._internal.gateway.links.tcp_options import set_reset_on_close
+from bronzepost._internal.gateway.servers.server_permits import ServerPermits
 from bronzepost._internal.node.clock import read_clock
 from tests.builders_gateway import make_route
 from tests.builders_gateway_servers import (
@@ -350,6 +351,30 @@
             ])
             self.assertEqual(200, self.call(gateway))
 
+    def test_server_that_leaves_while_a_request_waits_for_its_turn(
+        self,
+    ) -> None:
+        """Guard against a choice that is not checked again after a wait."""
+        answering = answer_with(make_answer(b'ok'))
+        servers = [ScriptedServer(script=answering) for _ in range(2)]
+        left_ids: list[str] = []
+
+        def wait(_permits: Any, server_id: str, _seconds: float) -> bool:
+            if not left_ids:
+                left_ids.append(server_id)
+                gateway.directory.put_servers([
+                    server
+                    for server in gateway.directory.servers_by_id.values()
+                    if server.server_id != server_id
+                ])
+            return True
+
+        self.patch(ServerPermits, 'acquire', wait)
+        with open_gateway(self.route, *servers) as gateway:
+            self.assertEqual(200, self.call(gateway))
+        left = servers[int(left_ids[0].removeprefix('s-'))]
+        self.assertThat(left.requests, HasLength(0))
+
     def test_header_of_another_server_at_the_address(self) -> None:
         """Guard against giving up a server because of the one before it."""
         misdirected = make_answer(b'', LEAVING, status=b'421 No')
