--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -1,5 +1,8 @@
 """Tests of a VM that is told to stop while requests are running."""
 
+import contextlib
+import itertools
+import random
 import signal
 from typing import Any
 
@@ -22,6 +25,9 @@
 # uses a connection that was kept open.
 GRACE_SECONDS = 8.0
 LATE_SECONDS = 7.2
+CALLERS = 60
+# Many requests last from before the signal until the VM accepts no more.
+WORK_SECONDS = (0.05, 1.0, 4.0, 4.2)
 # The body of a request holds the seconds for which the server works on it.
 ANSWER_HEAD = (
     b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Stamp: s\r\n'
@@ -85,6 +91,7 @@
         store.put(
             'keyed.servers', 'i-1', make_entry(address=self.server.address)
         )
+        self.numbers = itertools.count(1)
         self.vm = Vm(test=self, number=21, store=store.address)
         self.vm.wait_until_ready()
         gevent.sleep(1)
@@ -119,6 +126,61 @@
         }
         self.assertEqual({b'q-1'}, sent)
 
+    def test_callers_that_go_on_lose_no_request(self) -> None:
+        """Guard against requests that are passed on and get no answer."""
+        callers = [
+            gevent.spawn(self.call_until_closed, number)
+            for number in range(CALLERS)
+        ]
+        gevent.sleep(1)
+        self.vm.process.send_signal(signal.SIGTERM)
+        self.vm.process.wait()
+        unanswered = {
+            request_id for call in callers for request_id in call.get()
+        }
+        sent = {
+            find_header(request.headers, b'request-id')
+            for request in self.server.requests
+        }
+        self.assertGreater(len(sent), CALLERS)
+        self.assertEqual(set(), unanswered & sent)
+
+    def call_until_closed(self, caller_number: int) -> set[bytes]:
+        """Use connections until there are none; return what had no answer."""
+        draw = random.Random(caller_number)
+        unanswered: set[bytes] = set()
+        for number in itertools.count():
+            try:
+                caller = CallerSocket(address=self.vm.front)
+            except OSError:
+                return unanswered
+            caller.sock.settimeout(GRACE_SECONDS * 2)
+            is_open = True
+            while is_open:
+                request_id = f'q-{caller_number}-{next(self.numbers)}'
+                is_open = self.call(caller, request_id, draw, unanswered)
+            caller.sock.close()
+        return unanswered
+
+    def call(
+        self,
+        caller: CallerSocket,
+        request_id: str,
+        draw: random.Random,
+        unanswered: set[bytes],
+    ) -> bool:
+        """Send a request; return whether its connection stays open."""
+        path = draw.choice(('/chat/x', '/look/x'))
+        seconds = draw.choice(WORK_SECONDS)
+        received = None
+        with contextlib.suppress(OSError):
+            caller.sock.sendall(make_request(path, request_id, seconds))
+            received = caller.read_answer()
+        if received is None or not received.is_complete:
+            unanswered.add(request_id.encode())
+            return False
+        return received.head is not None and received.head.keep_alive
+
     def test_request_that_outlasts_the_stop_is_answered(self) -> None:
         """Guard against a connection that ends without an answer."""
         caller = self.begin('/look/x', 'q-1', GRACE_SECONDS * 2)
