--- a/tests/platform/test_departed_servers.py
+++ b/tests/platform/test_departed_servers.py
@@ -69,7 +69,10 @@
             self.addCleanup(server.close)
         self.register()
         self.numbers = itertools.count(1)
-        self.vm = Vm(test=self, number=21, store=self.store.address)
+        # The VM has a link to the store of its own.
+        address = self.store.open_view(bytes)
+        self.view = self.store.views_by_address[address]
+        self.vm = Vm(test=self, number=21, store=address)
         self.vm.wait_until_ready()
 
     def register(self) -> None:
@@ -140,6 +143,20 @@
         self.store.delay_seconds = 0
         self.assert_departed(self.remove_entries(1))
 
+    def test_server_that_leaves_after_a_cut_of_the_vm_gets_no_requests(
+        self,
+    ) -> None:
+        """Guard against a cut of one VM that counts as an outage of the store."""
+        other = Vm(test=self, number=22, store=self.store.address)
+        other.wait_until_ready()
+        self.vm.wait_for_vms(2)
+        gevent.sleep(SETTLE_SECONDS)
+        self.view.is_refusing = True
+        gevent.sleep(LONG_OUTAGE_SECONDS)
+        removed_at = self.remove_entries(1)
+        self.view.is_refusing = False
+        self.assert_departed(removed_at)
+
     def test_expired_servers_are_used_until_they_register_again(self) -> None:
         """Guard against refusals after an outage in which entries expired."""
         gevent.sleep(SETTLE_SECONDS)
--- a/tests/unit/test_gateway_stops.py
+++ b/tests/unit/test_gateway_stops.py
@@ -11,7 +11,9 @@
 from tests.builders_gateway import make_route
 from tests.builders_gateway_servers import (
     READ_BYTES,
+    CallerSocket,
     ScriptedServer,
+    TestGateway,
     answer_with,
     make_answer,
     make_request,
@@ -35,6 +37,15 @@
     return True
 
 
+def stop_in_stream(gateway: TestGateway) -> CallerSocket:
+    """Stop a gateway that sends a stream; return the caller of the stream."""
+    caller = gateway.call(make_request(method=b'POST'))
+    gevent.sleep(STREAM_SECONDS / 2)
+    gateway.server.drain()
+    gateway.server.stop()
+    return caller
+
+
 class TestStops(testtools.TestCase):
     """A gateway has been told to stop and accepts no more connections."""
 
@@ -44,10 +55,7 @@
         """Guard against requests that are taken when the process ends."""
         backend = ScriptedServer(script=stream_slowly)
         with open_gateway(make_route(), backend) as gateway:
-            caller = gateway.call(make_request(method=b'POST'))
-            gevent.sleep(STREAM_SECONDS / 2)
-            gateway.server.drain()
-            gateway.server.stop()
+            caller = stop_in_stream(gateway)
             answer = caller.read_answer()
             self.assertIs(True, answer.is_complete)
             caller.sock.settimeout(CLOSE_SECONDS)
@@ -58,10 +66,7 @@
         """Guard against a reset that takes the end of the answer with it."""
         backend = ScriptedServer(script=stream_slowly)
         with open_gateway(make_route(), backend) as gateway:
-            caller = gateway.call(make_request(method=b'POST'))
-            gevent.sleep(STREAM_SECONDS / 2)
-            gateway.server.drain()
-            gateway.server.stop()
+            caller = stop_in_stream(gateway)
             caller.sock.sendall(make_request(method=b'POST'))
             received = b''.join(iter(lambda: caller.sock.recv(READ_BYTES), b''))
         first, _, second = received.partition(b'0\r\n\r\n')
