Leave answers that are complete alone at the end of a stop

A caller that reads its whole answer slowly would have got the error of the stop in the greenlet that sends the rest, which nothing handles. Requests whose answer is complete are not refused; the connection ends with the process. Found by reading; doc strings of the grace period say what they left out. The tests of stops, forwarding and slow readers pass.

--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -220,6 +220,8 @@
         # Whether the next request is refused, since the process will stop.
         self._is_refusing = False
         self._greenlet: Any = None
+        # The answer to the last request.
+        self._last_answer: CallerAnswer | None = None
         self._sock = sock
         self._server = server
         self._limits = limits
@@ -253,7 +255,8 @@
 
     def give_up(self) -> None:
         """Refuse a running request, or break off its answer if it has begun."""
-        if not self.is_idle:
+        answer = self._last_answer
+        if answer is not None and not answer.is_complete:
             self._greenlet.kill(StoppingError(), block=False)
 
     def _serve_next(self) -> bool:
@@ -295,6 +298,7 @@
             keep_alive=request.keep_alive and not self._server.is_draining,
             memory=self._memory,
         )
+        self._last_answer = answer
         with contextlib.ExitStack() as stack:
             stack.callback(answer.close)
             if self._is_refusing:
--- a/src/bronzepost/_internal/gateway/servers/return_grace.py
+++ b/src/bronzepost/_internal/gateway/servers/return_grace.py
@@ -28,9 +28,9 @@
 
     A server that is missing from a list stays in use for a time only if reads
     have failed for so long that its entry may have expired meanwhile. The time
-    counts from the last list that came from the store, read by this VM or by
-    another one. A start is therefore no outage, nor is a read that fails once,
-    nor a cut between this VM and the store.
+    counts from the last list that came from the store, read by this VM or copied
+    from another one that reads it. A start is therefore no outage, nor is a read
+    that fails once, nor a cut between this VM and the store.
     """
 
     def __init__(
