Settle connections that are accepted in the moment of a stop

A connection that is accepted when the VM stops accepting was not closed with the others: its greenlet starts later. It took requests until the process ended, or the process ended before it was counted, and a request that is read in the last tenth of a second was passed on.

Change: such a connection is closed if nothing has arrived on it, the process waits once before it counts what is open, and requests that are read after the end are refused. Found by reading, as paths of the class of kept-connections. test_request_that_comes_after_the_end_is_refused and test_idle_connection_that_was_accepted_at_the_stop_is_closed fail without it.

--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -301,7 +301,7 @@
         self._last_answer = answer
         with contextlib.ExitStack() as stack:
             stack.callback(answer.close)
-            if self._is_refusing:
+            if self._is_refusing or self._server.has_given_up:
                 answer.refuse(refuse_stopping(RunState.NOT_RUN))
             else:
                 with self._watch_caller():
@@ -449,6 +449,7 @@
         self.answer = answer
         self.is_draining = False
         self.is_stopped = False
+        self.has_given_up = False
         self.memory = memory or HeldMemory()
         self._read_limits = read_limits
         self._connections: set[CallerConnection] = set()
@@ -484,7 +485,8 @@
             connection.close_idle()
 
     def give_up(self) -> None:
-        """Refuse all requests that are running."""
+        """Refuse all requests, those that are running and later ones."""
+        self.has_given_up = True
         for connection in tuple(self._connections):
             connection.give_up()
 
@@ -494,6 +496,9 @@
             sock=sock, server=self, limits=self._read_limits()
         )
         self._connections.add(connection)
+        if self.is_stopped:
+            # It was accepted just before the stop.
+            connection.close_idle()
         try:
             connection.serve()
         except CallerGoneError:
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -276,6 +276,8 @@
         end = started_at + self.settings.grace_seconds - STOP_MARGIN_SECONDS
         gevent.sleep(LINGER_SECONDS)
         self.callers.stop()
+        # Connections that were accepted just before are counted from now on.
+        gevent.sleep(_POLL_SECONDS)
         # Idle connections are closed now; on the others a request is running
         # or has arrived but is not read yet.
         # Tunnels are closed by the VMs that use them, idle ones as soon as they
--- a/tests/unit/test_gateway_stops.py
+++ b/tests/unit/test_gateway_stops.py
@@ -120,6 +120,29 @@
         self.assertEqual(EVENT, answer.pop_body())
         self.assertIs(False, answer.is_complete)
 
+    def test_idle_connection_that_was_accepted_at_the_stop_is_closed(
+        self,
+    ) -> None:
+        """Guard against a connection that stays open until the process ends."""
+        with open_gateway(make_route()) as gateway:
+            gateway.server.is_stopped = True
+            caller = gateway.call(b'')
+            caller.sock.settimeout(CLOSE_SECONDS)
+            self.assertEqual(b'', caller.sock.recv(1))
+
+    def test_request_that_comes_after_the_end_is_refused(self) -> None:
+        """Guard against a request that is sent when the process exits."""
+        backend = ScriptedServer(script=answer_with(make_answer(EVENT)))
+        with open_gateway(make_route(), backend) as gateway:
+            caller = gateway.call(make_request(method=b'POST'))
+            caller.read_answer()
+            gateway.server.give_up()
+            caller.sock.sendall(make_request(method=b'POST'))
+            answer = caller.read_answer()
+        assert answer.head is not None
+        self.assertEqual(503, answer.head.status)
+        self.assertEqual(1, len(backend.requests))
+
     def test_idle_connection_is_left_alone_at_the_end(self) -> None:
         """Guard against an answer without a request."""
         backend = ScriptedServer(script=answer_with(make_answer(EVENT)))
