End a slow server of the tests when its connection closes before a request

A run of the whole script hung for five minutes in tests/platform: the slow server of test_slow_readers read a connection that closed before a request in an endless loop, which blocks all greenlets of the test process (py-spy: recv in SlowServer._serve each time). It now returns at the end of the connection; what the test checks is unchanged.

--- a/tests/builders_slow_readers.py
+++ b/tests/builders_slow_readers.py
@@ -121,7 +121,10 @@
     def _serve(self, sock: Any, _address: Any) -> None:
         received = b''
         while b'\r\n\r\n' not in received:
-            received += sock.recv(1024)
+            block = sock.recv(1024)
+            if not block:
+                return
+            received += block
         digest = hashlib.sha256()
         block = received.partition(b'\r\n\r\n')[2]
         rest = self._body_bytes
