--- a/tests/unit/test_gateway_operations.py
+++ b/tests/unit/test_gateway_operations.py
@@ -3,7 +3,7 @@
 import itertools
 import os
 import time
-from collections.abc import Mapping, Sequence, Set
+from collections.abc import Callable, Mapping, Sequence, Set
 from typing import Any, cast
 from unittest import mock
 
@@ -26,6 +26,7 @@
 from bronzepost._internal.gateway.links.backend_connections import (
     ConnectionPool,
 )
+from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.messages import LoadReport
 from bronzepost._internal.gateway.peers.peer_reports import PeerReports
@@ -413,9 +414,24 @@
         self.patch(registry, 'SERVERS_POLL_SECONDS', 0.01)
         self.patch(registry, 'RETRY_SECONDS', 0.01)
         self.patch(return_grace, 'RETURN_GRACE_SECONDS', 0.3)
+        self.patch(registry, 'start_loop', self.start_loop)
+        self._spawn_later = gevent.spawn_later
+        self.patch(gevent, 'spawn_later', self.spawn_later)
         self.registry = ScriptedRegistry()
         self.follow()
 
+    def start_loop(self, step: Callable[[], None], pause_seconds: float) -> Any:
+        """Start a loop that ends with the test: it would log into later ones."""
+        loop = start_loop(step, pause_seconds)
+        self.addCleanup(loop.kill)
+        return loop
+
+    def spawn_later(self, seconds: float, task: Callable[[], None]) -> Any:
+        """Start a timer that ends with the test."""
+        timer = self._spawn_later(seconds, task)
+        self.addCleanup(timer.kill)
+        return timer
+
     def follow(self) -> None:
         """Follow the registry as a VM does that has just started."""
         self.directory = Directory(pool=ConnectionPool())
