Split the readers of requests and answers from their messages

The readers of callers' and of servers' bytes shared a module, and both get bounds of their own. A move of code without a change of logic: the tests of messages, broken answers, forwarding and stops pass as before (77 passed).

--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -34,11 +34,13 @@
 from bronzepost._internal.gateway.callers.http_messages import (
     AnswerHead,
     HttpRequest,
-    MessageTooLargeError,
-    RequestReader,
     encode_chunk,
     encode_head,
 )
+from bronzepost._internal.gateway.callers.request_reader import (
+    MessageTooLargeError,
+    RequestReader,
+)
 from bronzepost._internal.gateway.callers.stopping import (
     StoppingError,
     refuse_stopping,
--- a/src/bronzepost/_internal/gateway/callers/delivery.py
+++ b/src/bronzepost/_internal/gateway/callers/delivery.py
@@ -9,7 +9,9 @@
 from bronzepost._internal.gateway.callers.event_stream import EventSplitter
 from bronzepost._internal.gateway.callers.header_names import drop_headers
 from bronzepost._internal.gateway.callers.held_memory import HeldBytes
-from bronzepost._internal.gateway.callers.http_messages import AnswerHead
+from bronzepost._internal.gateway.callers.http_messages import (
+    AnswerHead,
+)
 from bronzepost._internal.gateway.links.backend_exchange import BackendExchange
 from bronzepost._internal.gateway.requests.pending_call import PendingCall
 
--- a/src/bronzepost/_internal/gateway/links/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/links/backend_connections.py
@@ -12,8 +12,10 @@
 from gevent.socket import socket as open_socket
 
 from bronzepost._internal.exceptions import ExchangeError
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.header_names import find_header
-from bronzepost._internal.gateway.callers.http_messages import AnswerReader
 from bronzepost._internal.gateway.links.tcp_options import (
     set_tcp_options,
     set_user_timeout,
--- a/src/bronzepost/_internal/gateway/links/backend_exchange.py
+++ b/src/bronzepost/_internal/gateway/links/backend_exchange.py
@@ -7,9 +7,11 @@
 import gevent
 
 from bronzepost._internal.exceptions import ExchangeError, ProtocolError
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.http_messages import (
     AnswerHead,
-    AnswerReader,
 )
 from bronzepost._internal.gateway.links.backend_connections import (
     BackendConnection,
--- a/src/bronzepost/_internal/gateway/links/http_call.py
+++ b/src/bronzepost/_internal/gateway/links/http_call.py
@@ -7,7 +7,9 @@
 
 from bronzepost._internal.exceptions import ExchangeError
 from bronzepost._internal.gateway.callers.header_names import Headers
-from bronzepost._internal.gateway.callers.http_messages import encode_head
+from bronzepost._internal.gateway.callers.http_messages import (
+    encode_head,
+)
 from bronzepost._internal.gateway.links.backend_connections import (
     ConnectionPool,
 )
--- a/src/bronzepost/_internal/gateway/requests/caller_access.py
+++ b/src/bronzepost/_internal/gateway/requests/caller_access.py
@@ -24,7 +24,9 @@
     count_refused,
     refuse_memory,
 )
-from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.http_messages import (
+    HttpRequest,
+)
 from bronzepost._internal.gateway.callers.refusals import (
     refuse_access,
     refuse_starting,
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -28,7 +28,9 @@
 )
 from bronzepost._internal.gateway.callers.header_names import Headers
 from bronzepost._internal.gateway.callers.held_memory import HeldBytes
-from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.http_messages import (
+    HttpRequest,
+)
 from bronzepost._internal.gateway.callers.refusals import (
     refuse_broken_answer,
     refuse_deadline_passed,
--- a/src/bronzepost/_internal/gateway/requests/hedging.py
+++ b/src/bronzepost/_internal/gateway/requests/hedging.py
@@ -24,7 +24,9 @@
     MAX_BUFFERED_BODY_BYTES,
     deliver_blocks,
 )
-from bronzepost._internal.gateway.callers.http_messages import AnswerHead
+from bronzepost._internal.gateway.callers.http_messages import (
+    AnswerHead,
+)
 from bronzepost._internal.gateway.callers.refusals import (
     refuse_broken_answer,
     refuse_no_server,
--- a/src/bronzepost/_internal/gateway/requests/placement_page.py
+++ b/src/bronzepost/_internal/gateway/requests/placement_page.py
@@ -8,7 +8,9 @@
 
 from bronzepost._internal.exceptions import RefusedError
 from bronzepost._internal.gateway.callers.header_names import Headers
-from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.http_messages import (
+    HttpRequest,
+)
 from bronzepost._internal.gateway.callers.pages import Page
 from bronzepost._internal.gateway.requests.caller_access import CallerAccess
 from bronzepost._internal.gateway.requests.forwarding import (
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -19,6 +19,9 @@
     Route,
 )
 from bronzepost._internal.core.membership import Member
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.caller_connections import CallerServer
 from bronzepost._internal.gateway.callers.header_names import (
     HeaderNames,
@@ -27,8 +30,9 @@
 )
 from bronzepost._internal.gateway.callers.held_memory import HeldMemory
 from bronzepost._internal.gateway.callers.http_messages import (
-    AnswerReader,
     HttpRequest,
+)
+from bronzepost._internal.gateway.callers.request_reader import (
     RequestReader,
 )
 from bronzepost._internal.gateway.links.backend_connections import (
--- a/tests/builders_slow_readers.py
+++ b/tests/builders_slow_readers.py
@@ -9,8 +9,10 @@
 from gevent.server import StreamServer
 from gevent.socket import socket as open_socket
 
-from bronzepost._internal.gateway.callers.http_messages import (
+from bronzepost._internal.gateway.callers.answer_reader import (
     AnswerReader,
+)
+from bronzepost._internal.gateway.callers.http_messages import (
     HttpRequest,
     encode_chunk,
 )
--- a/tests/platform/builders_streams.py
+++ b/tests/platform/builders_streams.py
@@ -9,9 +9,11 @@
 import gevent
 import testtools
 
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.header_names import find_header
 from bronzepost._internal.gateway.callers.http_messages import (
-    AnswerReader,
     HttpRequest,
 )
 from tests.builders_gateway_servers import ScriptedServer
--- a/tests/platform/gateway_load.py
+++ b/tests/platform/gateway_load.py
@@ -7,7 +7,9 @@
 
 import gevent
 
-from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.http_messages import (
+    HttpRequest,
+)
 from tests.builders_gateway_servers import (
     CallerSocket,
     ScriptedServer,
--- a/tests/platform/gateway_vm.py
+++ b/tests/platform/gateway_vm.py
@@ -13,7 +13,9 @@
 from gevent.socket import socket as open_socket
 from gevent.subprocess import Popen
 
-from bronzepost._internal.gateway.callers.http_messages import AnswerReader
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from tests.builders_gateway_servers import CallerSocket
 from tests.platform.builders_platform import HOST, make_settings
 
--- a/tests/platform/test_deadly_requests.py
+++ b/tests/platform/test_deadly_requests.py
@@ -7,9 +7,11 @@
 import testtools
 from testtools.matchers import LessThan
 
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.header_names import find_header
 from bronzepost._internal.gateway.callers.http_messages import (
-    AnswerReader,
     HttpRequest,
 )
 from tests.builders_gateway_servers import ScriptedServer
--- a/tests/platform/test_lost_links.py
+++ b/tests/platform/test_lost_links.py
@@ -10,7 +10,9 @@
 from testtools.matchers import LessThan
 
 from bronzepost._internal.gateway.callers.header_names import find_header
-from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.http_messages import (
+    HttpRequest,
+)
 from tests.builders_gateway_servers import CallerSocket, ScriptedServer
 from tests.platform.builders_links import start_linked_vms
 from tests.platform.builders_platform import (
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -8,9 +8,11 @@
 import testtools
 from testtools.matchers import GreaterThan, HasLength, LessThan
 
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.header_names import find_header
 from bronzepost._internal.gateway.callers.http_messages import (
-    AnswerReader,
     HttpRequest,
 )
 from bronzepost._internal.node.clock import read_clock
--- a/tests/platform/test_slow_readers.py
+++ b/tests/platform/test_slow_readers.py
@@ -7,8 +7,10 @@
 import gevent
 import testtools
 
-from bronzepost._internal.gateway.callers.http_messages import (
+from bronzepost._internal.gateway.callers.answer_reader import (
     AnswerReader,
+)
+from bronzepost._internal.gateway.callers.http_messages import (
     HttpRequest,
 )
 from tests.builders_gateway_servers import (
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -11,7 +11,9 @@
 import testtools
 
 from bronzepost._internal.gateway.callers.header_names import find_header
-from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.http_messages import (
+    HttpRequest,
+)
 from bronzepost._internal.node.clock import read_clock
 from tests.builders_gateway_servers import CallerSocket, ScriptedServer
 from tests.platform.builders_platform import (
--- a/tests/platform/test_workspaces.py
+++ b/tests/platform/test_workspaces.py
@@ -12,8 +12,10 @@
 from testtools.matchers import LessThan
 
 from bronzepost._internal.core.gateway.workspaces import digest_key
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.header_names import find_headers
-from bronzepost._internal.gateway.callers.http_messages import AnswerReader
 from tests.builders_gateway_servers import CallerSocket, ScriptedServer
 from tests.platform.builders_platform import (
     HOST,
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -11,7 +11,9 @@
     find_header,
     find_headers,
 )
-from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.http_messages import (
+    HttpRequest,
+)
 from tests.builders_gateway_servers import ScriptedServer
 from tests.soak.links import Link, reset_socket
 from tests.soak.observations import Observations, Run
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,8 +10,10 @@
 import gevent
 
 from bronzepost._internal.exceptions import ProtocolError
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.header_names import find_header
-from bronzepost._internal.gateway.callers.http_messages import AnswerReader
 from tests.builders_gateway_servers import CallerSocket
 from tests.platform.builders_platform import HOST, TOKENS_PER_EVENT
 from tests.soak.backends import MAX_EVENTS, STREAM_PATH
--- a/tests/unit/test_gateway_broken_answers.py
+++ b/tests/unit/test_gateway_broken_answers.py
@@ -5,7 +5,9 @@
 import testtools
 
 from bronzepost._internal.core.gateway.entities import RouteKind
-from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.http_messages import (
+    HttpRequest,
+)
 from tests.builders_gateway import make_route
 from tests.builders_gateway_servers import (
     ScriptedServer,
--- a/tests/unit/test_gateway_crash_suspects.py
+++ b/tests/unit/test_gateway_crash_suspects.py
@@ -31,7 +31,9 @@
     RecentRuns,
 )
 from bronzepost._internal.exceptions import RefusedError, RunState
-from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.http_messages import (
+    HttpRequest,
+)
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.requests.pending_call import PendingCall
 from bronzepost._internal.gateway.servers.suspect_requests import (
--- a/tests/unit/test_gateway_forwarding.py
+++ b/tests/unit/test_gateway_forwarding.py
@@ -11,9 +11,11 @@
 from testtools.matchers import HasLength, LessThan
 
 from bronzepost._internal.core.gateway.entities import RouteKind
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.header_names import find_header
 from bronzepost._internal.gateway.callers.http_messages import (
-    AnswerReader,
     HttpRequest,
 )
 from bronzepost._internal.gateway.links.tcp_options import set_reset_on_close
--- a/tests/unit/test_gateway_messages.py
+++ b/tests/unit/test_gateway_messages.py
@@ -4,12 +4,14 @@
 from testtools.matchers import HasLength
 
 from bronzepost._internal.exceptions import ProtocolError
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.event_stream import EventSplitter
 from bronzepost._internal.gateway.callers.header_names import (
     strip_connection_headers,
 )
-from bronzepost._internal.gateway.callers.http_messages import (
-    AnswerReader,
+from bronzepost._internal.gateway.callers.request_reader import (
     MessageTooLargeError,
     RequestReader,
 )
--- a/tests/unit/test_gateway_pages.py
+++ b/tests/unit/test_gateway_pages.py
@@ -6,7 +6,9 @@
 
 import testtools
 
-from bronzepost._internal.gateway.callers.http_messages import AnswerReader
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.pages import Page, start_page_server
 from tests.builders_gateway_servers import CallerSocket
 
--- a/tests/unit/test_gateway_slow_readers.py
+++ b/tests/unit/test_gateway_slow_readers.py
@@ -17,10 +17,12 @@
     caller_connections,
     caller_outbox,
 )
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.header_names import find_header
 from bronzepost._internal.gateway.callers.held_memory import HeldMemory
 from bronzepost._internal.gateway.callers.http_messages import (
-    AnswerReader,
     HttpRequest,
 )
 from bronzepost._internal.gateway.links.tcp_options import set_tcp_options
--- a/tests/unit/test_gateway_warm_requests.py
+++ b/tests/unit/test_gateway_warm_requests.py
@@ -14,7 +14,9 @@
 from bronzepost._internal.core.gateway.warm_gain import Phase
 from bronzepost._internal.core.gateway.warm_servers import rank_servers
 from bronzepost._internal.gateway.callers.header_names import find_header
-from bronzepost._internal.gateway.callers.http_messages import HttpRequest
+from bronzepost._internal.gateway.callers.http_messages import (
+    HttpRequest,
+)
 from bronzepost._internal.gateway.servers.warm_requests import (
     WarmRequests,
     find_subject,
--- a/tests/unit/test_gateway_workspaces.py
+++ b/tests/unit/test_gateway_workspaces.py
@@ -17,8 +17,10 @@
     find_rank,
     scope_call,
 )
+from bronzepost._internal.gateway.callers.answer_reader import (
+    AnswerReader,
+)
 from bronzepost._internal.gateway.callers.header_names import find_headers
-from bronzepost._internal.gateway.callers.http_messages import AnswerReader
 from bronzepost._internal.telemetry.exposition import METRICS
 from bronzepost._internal.telemetry.logs import configure_logs
 from tests.builders_gateway import make_pending_call, make_route, make_turn_call
