--- a/tests/unit/test_gateway_budgets.py
+++ b/tests/unit/test_gateway_budgets.py
@@ -115,6 +115,18 @@
             True, budgets.is_within_limits(account, max_provisional=TOKENS)
         )
 
+    def test_returned_tokens_of_a_replaced_holder_are_free_again(self) -> None:
+        """A home that returned only what it took over from another lost it."""
+        account = make_account(
+            granted_by_holder={'former': BUDGET},
+            adopted=frozenset(('former',)),
+            most=BUDGET,
+        )
+        account = budgets.return_unused(account, holder='x')
+        self.assertEqual(
+            (0, 0), (account.granted, account.count_available('x'))
+        )
+
     def test_spent_tokens_count_once_after_hand_over(self) -> None:
         """They were counted for the former home and for the new one."""
         received = make_account(
