Count tokens that a home returned for the one it replaced

Seen: after a loss of all VMs a turn got 503 budget_reserved in all its tries, because tokens that no VM held any more counted as granted.

Cause: a home returns unused tokens under its own name, those of holders that it replaced among them. The sum of the granted tokens covered the holders with grants or claims only, so the returns of a home that was granted nothing itself were left out, by all VMs and for good.

Change: the sum covers holders with returns.

--- a/src/bronzepost/_internal/core/gateway/program_account.py
+++ b/src/bronzepost/_internal/core/gateway/program_account.py
@@ -53,8 +53,13 @@
 
     @property
     def granted(self) -> int:
-        """Return the tokens that all VMs together may spend or have spent."""
+        """Return the tokens that all VMs together may spend or have spent.
+
+        A holder without grants of its own may have returned those of holders
+        that it replaced.
+        """
         holders = self.granted_by_holder.keys() | self.claimed_by_holder.keys()
+        holders |= self.returned_by_holder.keys()
         return sum(map(self.find_allowance, holders))
 
     @property
