Keep tokens that are granted late for the next try of their turn

Seen: while the store took 0.5 to 1.5 s, a turn that goes on after a loss of all VMs got 503 in all its tries for 12 s.

Cause: a home refuses a turn whose grant takes longer than 0.3 s, and the grant is stored afterwards. An account counts as idle by the last turn that began or ended, so the tokens were returned at the next flush, mostly before the turn was tried again, and the return held up the next grant. Grants and returns took turns, at each VM that had been asked.

Change: a VM that finds more tokens granted to it counts the program as used then. Refused turns still do not count, and without a new grant the tokens are returned after 0.5 s and the next flush, as before.

--- a/src/bronzepost/_internal/gateway/programs/accounts.py
+++ b/src/bronzepost/_internal/gateway/programs/accounts.py
@@ -65,6 +65,11 @@
         if merged != known:
             # Another home has changed the account in the meantime.
             merged = dataclasses.replace(merged, touched_at=read_clock())
+        available = known.count_available(self.holder) if known else 0
+        if merged.count_available(self.holder) > available:
+            # The turn that needed the tokens may have been refused while the
+            # append ran; they are kept for its next try.
+            merged = dataclasses.replace(merged, used_at=read_clock())
         self.put(merged)
 
     def remove_held_accounts(self) -> list[ProgramAccount]:
