--- a/tests/unit/test_gateway_budgets.py
+++ b/tests/unit/test_gateway_budgets.py
@@ -177,6 +177,24 @@
         adopted = budgets.adopt_account(assumed, received, former_holder='x')
         self.assertEqual(0, adopted.granted)
 
+    def test_pool_from_before_a_loss_is_not_kept_back(self) -> None:
+        """A turn waited for two appends: the first kept back the pool."""
+        account = budgets.merge_stored(
+            make_account(is_after_loss=True), make_account(pool_tokens=BUDGET)
+        )
+        self.assertEqual(BUDGET, account.grantable)
+
+    def test_hand_over_of_a_program_without_a_loss_keeps_its_pool(self) -> None:
+        """The new home only assumed a loss; the former one knew better."""
+        received = make_account(
+            claimed_by_holder={budgets.LOST_GRANTS_HOLDER: 0},
+            pool_tokens=TOKENS,
+        )
+        adopted = budgets.adopt_account(
+            make_account(is_after_loss=True), received, former_holder='y'
+        )
+        self.assertEqual(BUDGET - TOKENS, adopted.grantable)
+
     def test_stored_allowance_is_no_longer_provisional(self) -> None:
         account = make_account(claimed_by_holder={'x': 200})
         stored = make_account(granted_by_holder={'x': 200})
