Keep back no pool when a record is read after a loss of all VMs

Seen: after a loss of all VMs a turn needed two appends, of which the first granted a part that was too small for it.

Cause: after a loss nothing is granted from the pool, so its size is set to zero for each decision. A home that then read the record of the program took the size from there, and its append kept back that much.

Change: an account after a loss keeps the size of zero when it is merged. A hand-over that corrects an assumed loss still brings the size back.

--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -322,12 +322,16 @@
 def merge_stored(
     account: ProgramAccount | None, stored: ProgramAccount
 ) -> ProgramAccount:
-    """Return the account that a VM knows, updated with the store's record."""
+    """Return the account that a VM knows, updated with the store's record.
+
+    After a loss of all VMs there is no pool, though the record may have one.
+    """
     if account is None:
         return stored
+    pool = max(account.pool_tokens, stored.pool_tokens)
     return dataclasses.replace(
         account,
-        pool_tokens=max(account.pool_tokens, stored.pool_tokens),
+        pool_tokens=0 if account.is_after_loss else pool,
         pooled_by_holder=merge_totals(
             account.pooled_by_holder, stored.pooled_by_holder
         ),
@@ -430,8 +434,10 @@
         ]
         is_after_loss = received.is_after_loss
     reserved = {**account.reserved_by_id, **received.reserved_by_id}
+    pool = max(account.pool_tokens, received.pool_tokens)
     return dataclasses.replace(
         merged,
+        pool_tokens=0 if is_after_loss else pool,
         claimed_by_holder=claimed,
         reserved_by_id=reserved,
         adopted=account.adopted | adopted,
