--- a/tests/unit/test_late_members.py
+++ b/tests/unit/test_late_members.py
@@ -1,9 +1,10 @@
 """Budgets of programs whose VMs all start at once and find each other late."""
 
-from typing import Final
+from typing import Any, Final
 
 import gevent
 
+from bronzepost._internal.telemetry.events import LogEvent
 from tests.builders_late_members import (
     BUDGET,
     SERVED_SECONDS,
@@ -34,6 +35,13 @@
         )
 
 
+def list_turn_events(seed: int) -> list[dict[str, Any]]:
+    """Return what VMs log during a turn from before a loss of all VMs."""
+    with start_late_fleet(seed=seed, spent=SPENT_TOKENS) as fleet:
+        fleet.run_turn(until=SERVED_SECONDS, previous_turn='t0')
+        return fleet.events
+
+
 def play_loop(seed: int, *, spent: int | None, previous: str) -> int:
     """Return the tokens that a loop of concurrent turns has spent in all."""
     with start_late_fleet(seed=seed, spent=spent) as fleet:
@@ -83,6 +91,19 @@
         ]
         assert not late
 
+    def test_home_that_waits_for_the_store_answers_in_time(self) -> None:
+        """Guards against a home that is taken for silent and replaced.
+
+        It waited up to four times for a grant, and the VM that asked gave up.
+        """
+        silent = [
+            (seed, event['peer'])
+            for seed in SEEDS
+            for event in list_turn_events(seed)
+            if event.get('number') == LogEvent.HOME_SILENT.number
+        ]
+        assert not silent
+
     def test_no_token_is_granted_twice(self) -> None:
         """Guards against homes that grant what others have granted already.
 
