Yield while an answer never ends in the node's HTTP client

Seen: blank lines, tiny events or chunks of one byte without end kept the loop; the timeout of 2 s had not ended the call after 5 s. Cause: the client's socket returns from recv without a switch while bytes are there.

--- a/src/bronzepost/_internal/node/callers/http_exchange.py
+++ b/src/bronzepost/_internal/node/callers/http_exchange.py
@@ -8,13 +8,15 @@
 
 import gevent
 import msgspec
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 
 from bronzepost._internal.exceptions import ExchangeError
+from bronzepost._internal.node.callers.bounded_client import (
+    BoundedClient,
+    read_available,
+)
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
-_READ_BLOCK_BYTES: Final = 65536
 
 # Other characters of a path are quoted. Callers choose parts of paths: a space
 # or a line break would end the request line, and the rest would be read as
@@ -57,7 +59,7 @@
     def __init__(
         self,
         *,
-        client: HTTPClient,
+        client: BoundedClient,
         response: HTTPSocketPoolResponse,
         peer: str,
         step: str,
@@ -88,10 +90,10 @@
         Raises:
             ExchangeError: if the connection times out or closes early.
         """
-        while not self._is_complete():
+        block = self._read_block()
+        while block:
+            yield block
             block = self._read_block()
-            if block:
-                yield block
 
     def read_lines(self) -> Iterator[bytes]:
         """Yield the body line by line, without line endings."""
@@ -112,14 +114,12 @@
     def close(self) -> None:
         """Close the connection."""
         self._client.close()
-
-    def _is_complete(self) -> bool:
-        response = self._response
-        return bool(response.message_complete) and not response._body_buffer
+        # The pool of the client closes only connections that are not in use.
+        self._response.release()
 
     def _read_block(self) -> bytes:
         try:
-            return _read_available(self._response)
+            return read_available(self._response)
         except Exception as error:
             raise ExchangeError(
                 f'the answer broke off: {error}',
@@ -181,11 +181,9 @@
             ExchangeError: as for ``exchange``.
         """
         host, _, port = self.address.rpartition(':')
-        client = HTTPClient(
+        client = BoundedClient(
             host,
             int(port),
-            concurrency=1,
-            block_size=_READ_BLOCK_BYTES,
             connection_timeout=CONNECT_TIMEOUT_SECONDS,
             network_timeout=self.idle_timeout_seconds,
             headers={'Content-Type': 'application/json'},
@@ -219,22 +217,5 @@
     return quote(path, safe=_SAFE_PATH_CHARACTERS)
 
 
-def _read_available(response: HTTPSocketPoolResponse) -> bytes:
-    """Return the bytes that have arrived, after a wait for the first if none.
-
-    The library's ``read(length)`` waits for ``length`` bytes, which would
-    delay the tokens of a stream.
-    """
-    if not response._body_buffer and not response.message_complete:
-        sock = response._sock
-        received = sock.recv(_READ_BLOCK_BYTES) if sock else b''
-        if not received:
-            raise ConnectionResetError('connection closed before the end')
-        response.feed(received)
-    block = bytes(response._body_buffer)
-    response._body_buffer.clear()
-    return block
-
-
 def _lowercase_header_names(response: HTTPSocketPoolResponse) -> dict[str, str]:
     return {name.lower(): text for name, text in response.items()}
