Bound answers that the node's HTTP client reads whole

Cause: read_all joins all blocks that come. Change: read_all and exchange have a bound, 16 MiB by default, and an error that names step and peer. The client of the log reads a page above it in smaller pages, since records have different sizes. Of an error, the shown bytes are read.

--- a/src/bronzepost/_internal/exceptions.py
+++ b/src/bronzepost/_internal/exceptions.py
@@ -152,6 +152,10 @@
         self.relay = relay
 
 
+class AnswerTooLargeError(ExchangeError):
+    """An answer, or one event of a stream, is larger than its bound."""
+
+
 class LogRefusedError(LogServiceError):
     """The log service did not execute the request; it may be retried later."""
 
--- a/src/bronzepost/_internal/node/callers/http_exchange.py
+++ b/src/bronzepost/_internal/node/callers/http_exchange.py
@@ -10,13 +10,19 @@
 import msgspec
 from geventhttpclient.response import HTTPSocketPoolResponse
 
-from bronzepost._internal.exceptions import ExchangeError
+from bronzepost._internal.exceptions import (
+    AnswerTooLargeError,
+    ExchangeError,
+)
 from bronzepost._internal.node.callers.bounded_client import (
     BoundedClient,
     read_available,
 )
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
+# Four times the default of the largest request body. A node may use 64 MB, and
+# a body takes twice its size while it is copied once.
+MAX_ANSWER_BYTES: Final = 16_777_216
 
 # Other characters of a path are quoted. Callers choose parts of paths: a space
 # or a line break would end the request line, and the rest would be read as
@@ -80,9 +86,32 @@
         """Close the connection."""
         self.close()
 
-    def read_all(self) -> bytes:
-        """Return the rest of the body."""
-        return b''.join(self.read_blocks())
+    def read_all(self, *, max_bytes: int = MAX_ANSWER_BYTES) -> bytes:
+        """Return the rest of the body.
+
+        Raises:
+            AnswerTooLargeError: if it is larger than ``max_bytes``.
+            ExchangeError: if the connection times out or closes early.
+        """
+        body = bytearray()
+        for block in self.read_blocks():
+            body += block
+            if len(body) > max_bytes:
+                raise self._refuse_size('body', max_bytes)
+        return bytes(body)
+
+    def read_start(self, max_bytes: int) -> bytes:
+        """Return at most ``max_bytes`` of the rest of the body.
+
+        Raises:
+            ExchangeError: if the connection times out or closes early.
+        """
+        start = b''
+        for block in self.read_blocks():
+            start += block
+            if len(start) >= max_bytes:
+                break
+        return start[:max_bytes]
 
     def read_blocks(self) -> Iterator[bytes]:
         """Yield the body in blocks as they arrive.
@@ -117,6 +146,14 @@
         # The pool of the client closes only connections that are not in use.
         self._response.release()
 
+    def _refuse_size(self, part: str, max_bytes: int) -> AnswerTooLargeError:
+        return AnswerTooLargeError(
+            f'the {part} is larger than {max_bytes} bytes',
+            step=self._step,
+            peer=self._peer,
+            was_sent=True,
+        )
+
     def _read_block(self) -> bytes:
         try:
             return read_available(self._response)
@@ -148,10 +185,12 @@
         step: str,
         body: Any = None,
         headers: Mapping[str, str] | None = None,
+        max_body_bytes: int = MAX_ANSWER_BYTES,
     ) -> HttpResponse:
         """Send a request with a JSON body and return the whole response.
 
         Raises:
+            AnswerTooLargeError: if its body is larger than ``max_body_bytes``.
             ExchangeError: if no complete response arrives; ``was_sent`` is
                 true if the request may have reached the server.
         """
@@ -163,7 +202,7 @@
             return HttpResponse(
                 status=stream.status,
                 headers=stream.headers,
-                body=stream.read_all(),
+                body=stream.read_all(max_bytes=max_body_bytes),
             )
 
     def open_stream(
--- a/src/bronzepost/_internal/node/engines/engine_client.py
+++ b/src/bronzepost/_internal/node/engines/engine_client.py
@@ -179,7 +179,7 @@
     stream: HttpStream, client: ExchangeClient, request_id: str, offset: int
 ) -> Iterator[EngineChunk]:
     if stream.status != HTTPStatus.OK:
-        body = stream.read_all()[:_MAX_SHOWN_BYTES]
+        body = stream.read_start(_MAX_SHOWN_BYTES)
         raise BackendServerError(
             f'status {stream.status}: {body!r}', step=_STEP, peer=client.address
         )
--- a/src/bronzepost/_internal/node/ledger/log_client.py
+++ b/src/bronzepost/_internal/node/ledger/log_client.py
@@ -10,6 +10,7 @@
 from bronzepost._internal.core.ledger.journal_events import StoredRecord
 from bronzepost._internal.exceptions import (
     AmbiguousAppendError,
+    AnswerTooLargeError,
     ExchangeError,
     LogRefusedError,
     LogServiceError,
@@ -22,6 +23,8 @@
 from bronzepost._internal.telemetry.logs import emit
 
 DEFAULT_PAGE_RECORDS: Final = 1000
+# Three further reads go from a page of 1,000 records to single ones.
+PAGE_DIVISOR: Final = 10
 # The delay before a retry if the log sends no Retry-After header.
 DEFAULT_RETRY_DELAY_SECONDS: Final = 0.25
 
@@ -97,13 +100,29 @@
     ) -> LogPage:
         """Return at most ``limit`` records, starting at an offset.
 
+        A page that is too large is read in smaller pages: records hold answers
+        of different sizes.
+
         Raises:
             LogServiceError: if the log does not answer or refuses.
         """
+        try:
+            return self._read_page(stream, from_offset, limit)
+        except AnswerTooLargeError as error:
+            if limit == 1:
+                raise LogServiceError(
+                    error.message, step=error.step, peer=error.peer
+                ) from error
+        smaller_limit = max(1, limit // PAGE_DIVISOR)
+        return self.read_records(stream, from_offset, smaller_limit)
+
+    def _read_page(self, stream: str, from_offset: int, limit: int) -> LogPage:
         step = f'read {stream}'
         path = f'/streams/{stream}/records?from={from_offset}&limit={limit}'
         try:
             answer = self.exchange_client.exchange('GET', path, step=step)
+        except AnswerTooLargeError:
+            raise
         except ExchangeError as error:
             raise LogServiceError(
                 error.message, step=step, peer=self.exchange_client.address
