Bound one event of a stream in the node's HTTP client

Seen: a line without end was joined again with each block, so that the call took the processor and all memory; lines without a blank one, which end no event, were kept by the relay of events. Cause: read_lines has no bound. Change: the lines of one event have a bound of 4 MiB, counted with what short lines cost beside their text. The rest of a line is kept in a buffer.

--- a/src/bronzepost/_internal/node/callers/http_exchange.py
+++ b/src/bronzepost/_internal/node/callers/http_exchange.py
@@ -23,6 +23,11 @@
 # Four times the default of the largest request body. A node may use 64 MB, and
 # a body takes twice its size while it is copied once.
 MAX_ANSWER_BYTES: Final = 16_777_216
+# As large as the default of the largest request body; engines send events of up
+# to some hundred kilobytes.
+MAX_EVENT_BYTES: Final = 4_194_304
+# The memory that a short line takes beside its text.
+_LINE_BYTES: Final = 64
 
 # Other characters of a path are quoted. Callers choose parts of paths: a space
 # or a line break would end the request line, and the rest would be read as
@@ -124,15 +129,34 @@
             yield block
             block = self._read_block()
 
-    def read_lines(self) -> Iterator[bytes]:
-        """Yield the body line by line, without line endings."""
-        rest = b''
+    def read_lines(
+        self, *, max_event_bytes: int = MAX_EVENT_BYTES
+    ) -> Iterator[bytes]:
+        """Yield the body line by line, without line endings.
+
+        Raises:
+            AnswerTooLargeError: if the lines up to a blank one, which ends an
+                event, are larger than ``max_event_bytes``.
+            ExchangeError: if the connection times out or closes early.
+        """
+        rest = bytearray()
+        event_bytes = 0
         for block in self.read_blocks():
-            *lines, rest = (rest + block).split(b'\n')
+            *lines, tail = block.split(b'\n')
+            if lines:
+                lines[0] = bytes(rest) + lines[0]
+                rest.clear()
+            rest += tail
+            if b'' in lines or b'\r' in lines:
+                event_bytes = len(tail)
+            else:
+                event_bytes += len(block) + len(lines) * _LINE_BYTES
+            if event_bytes > max_event_bytes:
+                raise self._refuse_size('event', max_event_bytes)
             for line in lines:
                 yield line.rstrip(b'\r')
         if rest:
-            yield rest
+            yield bytes(rest)
 
     def set_idle_timeout(self, timeout_seconds: float) -> None:
         """Limit the wait for each further block."""
