--- a/src/bronzepost/_internal/node/callers/bounded_client.py
+++ b/src/bronzepost/_internal/node/callers/bounded_client.py
@@ -4,7 +4,7 @@
 """
 
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, Final
 
 from gevent import socket
@@ -22,6 +22,8 @@
 MAX_HEADERS: Final = 256
 # Chunk sizes, chunk extensions and trailers between two bytes of the body.
 MAX_FRAMING_BYTES: Final = 65536
+# Smaller blocks are joined as they arrive: each costs some ten bytes of memory.
+_MIN_KEPT_BYTES: Final = 4096
 
 
 class AnswerBoundError(HTTPParseError):
@@ -120,12 +122,26 @@
         AnswerBoundError: if it is larger than ``max_bytes``, or as for a block.
         OSError: if the connection fails.
     """
-    body = bytearray()
-    for block in read_blocks(response):
-        body += block
-        if len(body) > max_bytes:
+    return join_blocks(read_blocks(response), max_bytes=max_bytes)
+
+
+def join_blocks(blocks: Iterable[bytes], *, max_bytes: int) -> bytes:
+    """Return the blocks of a body as one.
+
+    Raises:
+        AnswerBoundError: if the body is larger than ``max_bytes``.
+    """
+    joined = [b'']
+    size = 0
+    for block in blocks:
+        size += len(block)
+        if size > max_bytes:
             raise AnswerBoundError(f'the body is larger than {max_bytes} bytes')
-    return bytes(body)
+        if len(joined[-1]) < _MIN_KEPT_BYTES:
+            joined[-1] += block
+        else:
+            joined.append(block)
+    return b''.join(joined)
 
 
 class _BoundedHeaders(Headers):
--- a/src/bronzepost/_internal/node/callers/http_exchange.py
+++ b/src/bronzepost/_internal/node/callers/http_exchange.py
@@ -15,7 +15,9 @@
     ExchangeError,
 )
 from bronzepost._internal.node.callers.bounded_client import (
+    AnswerBoundError,
     BoundedClient,
+    join_blocks,
     read_available,
 )
 
@@ -98,12 +100,12 @@
             AnswerTooLargeError: if it is larger than ``max_bytes``.
             ExchangeError: if the connection times out or closes early.
         """
-        body = bytearray()
-        for block in self.read_blocks():
-            body += block
-            if len(body) > max_bytes:
-                raise self._refuse_size('body', max_bytes)
-        return bytes(body)
+        try:
+            return join_blocks(self.read_blocks(), max_bytes=max_bytes)
+        except AnswerBoundError as error:
+            raise AnswerTooLargeError(
+                str(error), step=self._step, peer=self._peer, was_sent=True
+            ) from error
 
     def read_start(self, max_bytes: int) -> bytes:
         """Return at most ``max_bytes`` of the rest of the body.
@@ -152,7 +154,7 @@
             else:
                 event_bytes += len(block) + len(lines) * _LINE_BYTES
             if event_bytes > max_event_bytes:
-                raise self._refuse_size('event', max_event_bytes)
+                raise self._refuse_event(max_event_bytes)
             for line in lines:
                 yield line.rstrip(b'\r')
         if rest:
@@ -170,9 +172,9 @@
         # The pool of the client closes only connections that are not in use.
         self._response.release()
 
-    def _refuse_size(self, part: str, max_bytes: int) -> AnswerTooLargeError:
+    def _refuse_event(self, max_bytes: int) -> AnswerTooLargeError:
         return AnswerTooLargeError(
-            f'the {part} is larger than {max_bytes} bytes',
+            f'the event is larger than {max_bytes} bytes',
             step=self._step,
             peer=self._peer,
             was_sent=True,
