Show that commands and exports of spans read without end

Seen: with a server that sends without a pause a command and an export are ended by the alarm of their process after 5 s. After one refused connection no export of spans succeeds again.

--- a/tests/endless_probe.py
+++ b/tests/endless_probe.py
@@ -119,7 +119,7 @@
     Tracer(sink=exporter).start_span('probe').end()
     while not failed.count_by_metric:
         gevent.sleep(_TICK_SECONDS)
-    return failed.count_by_metric.get(Metric.SPANS_EXPORTED, 0)
+    return failed.count_by_metric.get(Metric.SPANS_FAILED, 0)
 
 
 class _FailedSpans(NoMetrics):
--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -119,6 +119,32 @@
         self.assert_refused(report, 'AnswerTooLargeError', 'event', 'at probe')
 
 
+class TestEndlessAnswersToCommands(EndlessAnswerCase):
+    """Commands end with an error when a node's answer has no end."""
+
+    def test_command_ends_by_a_bound(self) -> None:
+        """Guards against a command that takes all memory or never ends."""
+        for shape in ('header_line', 'tiny_headers', 'trailers', 'body'):
+            report = self.call('command', shape)
+            self.assert_refused(report, 'NodeUnreachableError', 'GET /x')
+
+    def test_command_gets_chunks_of_one_byte(self) -> None:
+        """Guards against a timeout of commands that never fires."""
+        report = self.call('command', 'tiny_chunks')
+        self.assertIn('NodeUnreachableError', report.outcome)
+
+
+class TestEndlessAnswersToExports(EndlessAnswerCase):
+    """A trace endpoint does not disturb its node."""
+
+    def test_export_ends_by_a_bound(self) -> None:
+        """Guards against a trace endpoint that stops the node's loop."""
+        for shape in ('header_line', 'tiny_headers', 'body', 'tiny_chunks'):
+            report = self.call('spans', shape)
+            self.assertEqual('complete', report.outcome)
+            self.assertEqual(1, report.size)
+
+
 class TestHonestAnswers(EndlessAnswerCase):
     """Slow and large answers arrive whole."""
 
--- a/tests/functional/test_span_export.py
+++ b/tests/functional/test_span_export.py
@@ -94,6 +94,21 @@
         Tracer(sink=exporter).start_span('relay').end()
         self.assertTrue(wait_for(lambda: self.metrics.counts.get(failed) == 2))
 
+    def test_exports_go_on_once_the_endpoint_is_back(self) -> None:
+        """Guard against an exporter that one broken connection stops."""
+        port = self.server.server_port
+        self.server.stop()
+        exporter = self.start_exporter(port)
+        Tracer(sink=exporter).start_span('relay').end()
+        counts = self.metrics.counts
+        self.assertTrue(wait_for(lambda: counts.get(Metric.SPANS_FAILED) == 1))
+        server = WSGIServer(('127.0.0.1', port), self.answer, log=None)
+        server.start()
+        self.addCleanup(server.stop)
+        Tracer(sink=exporter).start_span('relay').end()
+        exported = Metric.SPANS_EXPORTED
+        self.assertTrue(wait_for(lambda: counts.get(exported) == 1))
+
     def test_hanging_endpoint_blocks_no_span(self) -> None:
         """Guard against requests that wait for the trace endpoint."""
         self.delay_seconds = 60
