Bound the answers that commands read

Seen: a head or a body without end had no bound in a command's memory, and its timeout of 10 s did not fire; an answer that is not HTTP ended the command with a traceback, since the parser's error is none of those that it expects. Cause: the command has a client of its own, with the library's reads. Change: it uses the bounded client, 16 MiB for a body, and the parser's errors say that no node answers. The probe's alarm is later for commands: it came before their timeout.

--- a/src/bronzepost/_internal/cli/client.py
+++ b/src/bronzepost/_internal/cli/client.py
@@ -5,23 +5,30 @@
 import json
 from collections.abc import Mapping
 from contextlib import closing
+from http.client import HTTPException
 from typing import Any
 from urllib.parse import urlencode
 
 import gevent
-from geventhttpclient import HTTPClient
 
 from bronzepost._internal.exceptions import (
     NodeUnreachableError,
     RefusedError,
     SettingsError,
 )
+from bronzepost._internal.node.callers.bounded_client import (
+    BoundedClient,
+    read_body,
+)
 from bronzepost._internal.settings.rules import split_address
 
 # A change is answered within 3 s; a busy node may take longer.
 TIMEOUT_SECONDS = 10
+# The longest answers, trees of settings, have some megabytes.
+MAX_ANSWER_BYTES = 16_777_216
 
 _FIRST_ERROR_STATUS = 300
+_EXCHANGE_ERRORS = (OSError, HTTPException, ValueError, gevent.Timeout)
 _FIELDS_IN_MESSAGE = frozenset(('message', 'type', 'code'))
 
 
@@ -62,7 +69,7 @@
         step = f'{method} {path}'
         try:
             status, text = self._send_request(method, path, body)
-        except (OSError, gevent.Timeout, ValueError) as error:
+        except _EXCHANGE_ERRORS as error:
             raise NodeUnreachableError(
                 f'no node answers ({error}); check the address, or ask'
                 ' another node',
@@ -81,7 +88,7 @@
         if body:
             headers['Content-Type'] = 'application/json'
         host, port = self._host_and_port
-        client = HTTPClient(
+        client = BoundedClient(
             host,
             port,
             connection_timeout=TIMEOUT_SECONDS,
@@ -89,7 +96,7 @@
         )
         with closing(client), gevent.Timeout(TIMEOUT_SECONDS):
             response = client.request(method, path, body, headers)
-            text = response.read().decode()
+            text = read_body(response, max_bytes=MAX_ANSWER_BYTES).decode()
         return int(response.status_code), text
 
     def _decode(self, text: str, step: str) -> Any:
--- a/tests/endless_probe.py
+++ b/tests/endless_probe.py
@@ -20,7 +20,7 @@
 
 import gevent
 
-from bronzepost._internal.cli.client import NodeClient
+from bronzepost._internal.cli import client as command_client
 from bronzepost._internal.node.callers.http_exchange import ExchangeClient
 from bronzepost._internal.node.engines.engine_client import (
     EngineCall,
@@ -34,8 +34,11 @@
 from tests.builders_node import build_log_client
 
 CALL_TIMEOUT_SECONDS: Final = 2.0
+COMMAND_TIMEOUT_SECONDS: Final = command_client.TIMEOUT_SECONDS
 # Ends a process whose loop stands still, before it has taken all memory.
 _LIFETIME_SECONDS: Final = 5.0
+# A command has a timeout of its own, so its process lives longer.
+_COMMAND_LIFETIME_SECONDS: Final = COMMAND_TIMEOUT_SECONDS + _LIFETIME_SECONDS
 _TICK_SECONDS: Final = 0.01
 _KIB: Final = 1024
 _Call = Callable[[str], int]
@@ -108,7 +111,7 @@
 
 
 def _run_command(address: str) -> int:
-    return len(NodeClient(address=address).get('/x'))
+    return len(command_client.NodeClient(address=address).get('/x'))
 
 
 def _export_spans(address: str) -> int:
@@ -173,9 +176,14 @@
     )
 
 
+def _find_lifetime(name: str) -> float:
+    is_command = name == 'command'
+    return _COMMAND_LIFETIME_SECONDS if is_command else _LIFETIME_SECONDS
+
+
 def _find_timeout(name: str) -> float:
     has_own = name in {'command', 'spans'}
-    return _LIFETIME_SECONDS if has_own else CALL_TIMEOUT_SECONDS
+    return _find_lifetime(name) if has_own else CALL_TIMEOUT_SECONDS
 
 
 def _read_largest_memory() -> int:
@@ -184,5 +192,7 @@
 
 
 if __name__ == '__main__':
-    signal.setitimer(signal.ITIMER_REAL, _LIFETIME_SECONDS)
-    sys.stdout.write(json.dumps(dataclasses.asdict(_measure(*sys.argv[1:]))))
+    call_name, server_address = sys.argv[1:]
+    signal.setitimer(signal.ITIMER_REAL, _find_lifetime(call_name))
+    final_report = _measure(call_name, server_address)
+    sys.stdout.write(json.dumps(dataclasses.asdict(final_report)))
--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -4,7 +4,12 @@
 
 from testtools import TestCase
 
-from tests.endless_probe import CALL_TIMEOUT_SECONDS, Report, probe
+from tests.endless_probe import (
+    CALL_TIMEOUT_SECONDS,
+    COMMAND_TIMEOUT_SECONDS,
+    Report,
+    probe,
+)
 from tests.endless_server import EndlessServer
 
 # Timers and other callers get on within this time (stated target).
@@ -132,6 +137,9 @@
         """Guards against a timeout of commands that never fires."""
         report = self.call('command', 'tiny_chunks')
         self.assertIn('NodeUnreachableError', report.outcome)
+        self.assertLess(
+            report.seconds, COMMAND_TIMEOUT_SECONDS + MAX_DELAY_SECONDS
+        )
 
 
 class TestEndlessAnswersToExports(EndlessAnswerCase):
