Bound the answers of the trace endpoint

Seen: the loop of a node stood still while a trace endpoint sent a head, a body or chunks of one byte without end; the export's timeout of 2 s did not fire. Cause: the exporter reads by the library, without a bound and without a yield. Change: it uses the bounded client, 64 KiB for a body.

--- a/src/bronzepost/_internal/telemetry/span_export.py
+++ b/src/bronzepost/_internal/telemetry/span_export.py
@@ -12,8 +12,11 @@
 from urllib.parse import urlsplit
 
 import gevent
-from geventhttpclient import HTTPClient
 
+from bronzepost._internal.node.callers.bounded_client import (
+    BoundedClient,
+    read_body,
+)
 from bronzepost._internal.settings.rules import split_address
 from bronzepost._internal.telemetry import span_encoding
 from bronzepost._internal.telemetry.catalogue import Metric
@@ -25,6 +28,8 @@
 MAX_BATCH_SPANS = 64
 EXPORT_INTERVAL_SECONDS = 1
 EXPORT_TIMEOUT_SECONDS = 2
+# Endpoints answer with a few bytes, or with the reason of an error.
+MAX_ANSWER_BYTES = 65536
 
 _FIRST_SUCCESS_STATUS = 200
 _FIRST_REDIRECT_STATUS = 300
@@ -42,7 +47,7 @@
         self._node = node
         self._metrics = metrics
         self._queue: deque[FinishedSpan] = deque()
-        self._client = HTTPClient(
+        self._client = BoundedClient(
             host,
             port,
             connection_timeout=EXPORT_TIMEOUT_SECONDS,
@@ -94,5 +99,5 @@
 
     def _send_request(self, body: bytes) -> int:
         response = self._client.post(self._path, body, headers=_HEADERS)
-        response.read()
+        read_body(response, max_bytes=MAX_ANSWER_BYTES)
         return int(response.status_code)
