Connect anew after a failed export of spans

Cause: the exporter closes its client after an error, and the library refuses to connect by a client that was closed. A timeout while a request is sent leaves the client's only connection taken. Change: a failed export replaces the client.

--- a/src/bronzepost/_internal/telemetry/span_export.py
+++ b/src/bronzepost/_internal/telemetry/span_export.py
@@ -42,17 +42,12 @@
     def __init__(self, *, endpoint: str, node: str, metrics: Metrics) -> None:
         """Start the greenlet that sends to ``endpoint``, an http URL."""
         parts = urlsplit(endpoint)
-        host, port = split_address(parts.netloc)
+        self._host_and_port = split_address(parts.netloc)
         self._path = parts.path or '/v1/traces'
         self._node = node
         self._metrics = metrics
         self._queue: deque[FinishedSpan] = deque()
-        self._client = BoundedClient(
-            host,
-            port,
-            connection_timeout=EXPORT_TIMEOUT_SECONDS,
-            network_timeout=EXPORT_TIMEOUT_SECONDS,
-        )
+        self._client = self._build_client()
         self._is_open = True
         self._greenlet = gevent.spawn(self._run)
 
@@ -86,6 +81,10 @@
                 self._metrics.count(Metric.SPANS_EXPORTED, len(batch))
                 return
         self._metrics.count(Metric.SPANS_FAILED, len(batch))
+        # A client can not be used again after its close, and a timeout may
+        # leave its only connection taken.
+        self._client.close()
+        self._client = self._build_client()
 
     def _export(self, batch: list[FinishedSpan]) -> bool:
         body = span_encoding.encode_batch(batch, self._node)
@@ -93,10 +92,18 @@
             status = self._send_request(body)
         # No error of an export may end the greenlet.
         except Exception:
-            self._client.close()
             return False
         return _FIRST_SUCCESS_STATUS <= status < _FIRST_REDIRECT_STATUS
 
+    def _build_client(self) -> BoundedClient:
+        host, port = self._host_and_port
+        return BoundedClient(
+            host,
+            port,
+            connection_timeout=EXPORT_TIMEOUT_SECONDS,
+            network_timeout=EXPORT_TIMEOUT_SECONDS,
+        )
+
     def _send_request(self, body: bytes) -> int:
         response = self._client.post(self._path, body, headers=_HEADERS)
         read_body(response, max_bytes=MAX_ANSWER_BYTES)
