Bound the chunks of a completion

Cause: a running answer is kept whole, with no bound. Change: a completion ends with an error once its chunks, with what each costs, take 32 MiB; about 100,000 tokens with chunks of 250 bytes fit.

--- a/src/bronzepost/_internal/node/engines/engine_client.py
+++ b/src/bronzepost/_internal/node/engines/engine_client.py
@@ -25,6 +25,11 @@
 
 # Consecutive resumes without a new chunk before the call fails.
 MAX_RESUMES: Final = 2
+# A node keeps the chunks of a running answer for callers that resume it. 100,000
+# tokens with chunks of 250 bytes fit.
+MAX_COMPLETION_BYTES: Final = 33_554_432
+# The memory that a chunk takes beside its text.
+_CHUNK_BYTES: Final = 64
 
 _DATA: Final = b'data:'
 _ID: Final = b'id:'
@@ -127,14 +132,23 @@
     offset: int = 0,
     stream: HttpStream | None = None,
 ) -> Iterator[EngineChunk]:
-    """Yield the chunks of a running completion, starting at an offset."""
+    """Yield the chunks of a running completion, starting at an offset.
+
+    Raises:
+        BackendServerError: if the chunks are larger than
+            ``MAX_COMPLETION_BYTES``, or as for ``stream_completion``.
+        ExchangeError: as for ``stream_completion``.
+    """
     resumes = 0
+    kept_bytes = 0
     while True:
         stream = stream or _open_resumed(client, request_id, offset)
         try:
             for chunk in _read_and_close(stream, client, request_id, offset):
                 offset = chunk.offset + 1
                 resumes = 0
+                kept_bytes += len(chunk.raw) + _CHUNK_BYTES
+                _check_size(kept_bytes, client)
                 yield chunk
         except ExchangeError as error:
             resumes += 1
@@ -158,6 +172,15 @@
         emit(LogEvent.CANCEL_FAILED, error=error)
 
 
+def _check_size(kept_bytes: int, client: ExchangeClient) -> None:
+    if kept_bytes > MAX_COMPLETION_BYTES:
+        raise BackendServerError(
+            f'the completion is larger than {MAX_COMPLETION_BYTES} bytes',
+            step=_STEP,
+            peer=client.address,
+        )
+
+
 def _read_and_close(
     stream: HttpStream, client: ExchangeClient, request_id: str, offset: int
 ) -> Iterator[EngineChunk]:
