--- a/src/bronzepost/_internal/node/callers/http_exchange.py
+++ b/src/bronzepost/_internal/node/callers/http_exchange.py
@@ -8,13 +8,28 @@
 
 import gevent
 import msgspec
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 
-from bronzepost._internal.exceptions import ExchangeError
+from bronzepost._internal.exceptions import (
+    AnswerTooLargeError,
+    ExchangeError,
+)
+from bronzepost._internal.node.callers.bounded_client import (
+    AnswerBoundError,
+    BoundedClient,
+    join_blocks,
+    read_available,
+)
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
-_READ_BLOCK_BYTES: Final = 65536
+# Four times the default of the largest request body. A node may use 64 MB, and
+# a body takes twice its size while it is copied once.
+MAX_ANSWER_BYTES: Final = 16_777_216
+# As large as the default of the largest request body; engines send events of up
+# to some hundred kilobytes.
+MAX_EVENT_BYTES: Final = 4_194_304
+# The memory that a short line takes beside its text.
+_LINE_BYTES: Final = 64
 
 # Other characters of a path are quoted. Callers choose parts of paths: a space
 # or a line break would end the request line, and the rest would be read as
@@ -57,7 +72,7 @@
     def __init__(
         self,
         *,
-        client: HTTPClient,
+        client: BoundedClient,
         response: HTTPSocketPoolResponse,
         peer: str,
         step: str,
@@ -78,9 +93,32 @@
         """Close the connection."""
         self.close()
 
-    def read_all(self) -> bytes:
-        """Return the rest of the body."""
-        return b''.join(self.read_blocks())
+    def read_all(self, *, max_bytes: int = MAX_ANSWER_BYTES) -> bytes:
+        """Return the rest of the body.
+
+        Raises:
+            AnswerTooLargeError: if it is larger than ``max_bytes``.
+            ExchangeError: if the connection times out or closes early.
+        """
+        try:
+            return join_blocks(self.read_blocks(), max_bytes=max_bytes)
+        except AnswerBoundError as error:
+            raise AnswerTooLargeError(
+                str(error), step=self._step, peer=self._peer, was_sent=True
+            ) from error
+
+    def read_start(self, max_bytes: int) -> bytes:
+        """Return at most ``max_bytes`` of the rest of the body.
+
+        Raises:
+            ExchangeError: if the connection times out or closes early.
+        """
+        start = b''
+        for block in self.read_blocks():
+            start += block
+            if len(start) >= max_bytes:
+                break
+        return start[:max_bytes]
 
     def read_blocks(self) -> Iterator[bytes]:
         """Yield the body in blocks as they arrive.
@@ -88,20 +126,39 @@
         Raises:
             ExchangeError: if the connection times out or closes early.
         """
-        while not self._is_complete():
+        block = self._read_block()
+        while block:
+            yield block
             block = self._read_block()
-            if block:
-                yield block
 
-    def read_lines(self) -> Iterator[bytes]:
-        """Yield the body line by line, without line endings."""
-        rest = b''
+    def read_lines(
+        self, *, max_event_bytes: int = MAX_EVENT_BYTES
+    ) -> Iterator[bytes]:
+        """Yield the body line by line, without line endings.
+
+        Raises:
+            AnswerTooLargeError: if the lines up to a blank one, which ends an
+                event, are larger than ``max_event_bytes``.
+            ExchangeError: if the connection times out or closes early.
+        """
+        rest = bytearray()
+        event_bytes = 0
         for block in self.read_blocks():
-            *lines, rest = (rest + block).split(b'\n')
+            *lines, tail = block.split(b'\n')
+            if lines:
+                lines[0] = bytes(rest) + lines[0]
+                rest.clear()
+            rest += tail
+            if b'' in lines or b'\r' in lines:
+                event_bytes = len(tail)
+            else:
+                event_bytes += len(block) + len(lines) * _LINE_BYTES
+            if event_bytes > max_event_bytes:
+                raise self._refuse_event(max_event_bytes)
             for line in lines:
                 yield line.rstrip(b'\r')
         if rest:
-            yield rest
+            yield bytes(rest)
 
     def set_idle_timeout(self, timeout_seconds: float) -> None:
         """Limit the wait for each further block."""
@@ -112,14 +169,20 @@
     def close(self) -> None:
         """Close the connection."""
         self._client.close()
-
-    def _is_complete(self) -> bool:
-        response = self._response
-        return bool(response.message_complete) and not response._body_buffer
+        # The pool of the client closes only connections that are not in use.
+        self._response.release()
+
+    def _refuse_event(self, max_bytes: int) -> AnswerTooLargeError:
+        return AnswerTooLargeError(
+            f'the event is larger than {max_bytes} bytes',
+            step=self._step,
+            peer=self._peer,
+            was_sent=True,
+        )
 
     def _read_block(self) -> bytes:
         try:
-            return _read_available(self._response)
+            return read_available(self._response)
         except Exception as error:
             raise ExchangeError(
                 f'the answer broke off: {error}',
@@ -148,10 +211,12 @@
         step: str,
         body: Any = None,
         headers: Mapping[str, str] | None = None,
+        max_body_bytes: int = MAX_ANSWER_BYTES,
     ) -> HttpResponse:
         """Send a request with a JSON body and return the whole response.
 
         Raises:
+            AnswerTooLargeError: if its body is larger than ``max_body_bytes``.
             ExchangeError: if no complete response arrives; ``was_sent`` is
                 true if the request may have reached the server.
         """
@@ -163,7 +228,7 @@
             return HttpResponse(
                 status=stream.status,
                 headers=stream.headers,
-                body=stream.read_all(),
+                body=stream.read_all(max_bytes=max_body_bytes),
             )
 
     def open_stream(
@@ -181,11 +246,9 @@
             ExchangeError: as for ``exchange``.
         """
         host, _, port = self.address.rpartition(':')
-        client = HTTPClient(
+        client = BoundedClient(
             host,
             int(port),
-            concurrency=1,
-            block_size=_READ_BLOCK_BYTES,
             connection_timeout=CONNECT_TIMEOUT_SECONDS,
             network_timeout=self.idle_timeout_seconds,
             headers={'Content-Type': 'application/json'},
@@ -219,22 +282,5 @@
     return quote(path, safe=_SAFE_PATH_CHARACTERS)
 
 
-def _read_available(response: HTTPSocketPoolResponse) -> bytes:
-    """Return the bytes that have arrived, after a wait for the first if none.
-
-    The library's ``read(length)`` waits for ``length`` bytes, which would
-    delay the tokens of a stream.
-    """
-    if not response._body_buffer and not response.message_complete:
-        sock = response._sock
-        received = sock.recv(_READ_BLOCK_BYTES) if sock else b''
-        if not received:
-            raise ConnectionResetError('connection closed before the end')
-        response.feed(received)
-    block = bytes(response._body_buffer)
-    response._body_buffer.clear()
-    return block
-
-
 def _lowercase_header_names(response: HTTPSocketPoolResponse) -> dict[str, str]:
     return {name.lower(): text for name, text in response.items()}
--- a/src/bronzepost/_internal/telemetry/span_export.py
+++ b/src/bronzepost/_internal/telemetry/span_export.py
@@ -12,8 +12,11 @@
 from urllib.parse import urlsplit
 
 import gevent
-from geventhttpclient import HTTPClient
 
+from bronzepost._internal.node.callers.bounded_client import (
+    BoundedClient,
+    read_body,
+)
 from bronzepost._internal.settings.rules import split_address
 from bronzepost._internal.telemetry import span_encoding
 from bronzepost._internal.telemetry.catalogue import Metric
@@ -25,6 +28,8 @@
 MAX_BATCH_SPANS = 64
 EXPORT_INTERVAL_SECONDS = 1
 EXPORT_TIMEOUT_SECONDS = 2
+# Endpoints answer with a few bytes, or with the reason of an error.
+MAX_ANSWER_BYTES = 65536
 
 _FIRST_SUCCESS_STATUS = 200
 _FIRST_REDIRECT_STATUS = 300
@@ -37,17 +42,12 @@
     def __init__(self, *, endpoint: str, node: str, metrics: Metrics) -> None:
         """Start the greenlet that sends to ``endpoint``, an http URL."""
         parts = urlsplit(endpoint)
-        host, port = split_address(parts.netloc)
+        self._host_and_port = split_address(parts.netloc)
         self._path = parts.path or '/v1/traces'
         self._node = node
         self._metrics = metrics
         self._queue: deque[FinishedSpan] = deque()
-        self._client = HTTPClient(
-            host,
-            port,
-            connection_timeout=EXPORT_TIMEOUT_SECONDS,
-            network_timeout=EXPORT_TIMEOUT_SECONDS,
-        )
+        self._client = self._build_client()
         self._is_open = True
         self._greenlet = gevent.spawn(self._run)
 
@@ -81,6 +81,10 @@
                 self._metrics.count(Metric.SPANS_EXPORTED, len(batch))
                 return
         self._metrics.count(Metric.SPANS_FAILED, len(batch))
+        # A client can not be used again after its close, and a timeout may
+        # leave its only connection taken.
+        self._client.close()
+        self._client = self._build_client()
 
     def _export(self, batch: list[FinishedSpan]) -> bool:
         body = span_encoding.encode_batch(batch, self._node)
@@ -88,11 +92,19 @@
             status = self._send_request(body)
         # No error of an export may end the greenlet.
         except Exception:
-            self._client.close()
             return False
         return _FIRST_SUCCESS_STATUS <= status < _FIRST_REDIRECT_STATUS
 
+    def _build_client(self) -> BoundedClient:
+        host, port = self._host_and_port
+        return BoundedClient(
+            host,
+            port,
+            connection_timeout=EXPORT_TIMEOUT_SECONDS,
+            network_timeout=EXPORT_TIMEOUT_SECONDS,
+        )
+
     def _send_request(self, body: bytes) -> int:
         response = self._client.post(self._path, body, headers=_HEADERS)
-        response.read()
+        read_body(response, max_bytes=MAX_ANSWER_BYTES)
         return int(response.status_code)
