Move the server of callers into a module of its own

caller_connections.py holds the connections and answers, caller_server.py the listening socket and the stop. No change of logic. CallerConnection names what it uses of its server in a protocol, as the modules would import each other else.

--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -1,13 +1,12 @@
-"""The server to which callers connect, and the answers that it writes."""
+"""The connections of callers, and the answers that are written to them."""
 
 import contextlib
 import socket
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import gevent
-from gevent.server import StreamServer
 
 from bronzepost._internal.core.gateway.entities import CallerLimits
 from bronzepost._internal.core.gateway.held_bytes import HeldKind
@@ -45,25 +44,17 @@
     StoppingError,
     refuse_stopping,
 )
-from bronzepost._internal.gateway.links.tcp_options import (
-    set_reset_on_close,
-    set_tcp_options,
-)
+from bronzepost._internal.gateway.links.tcp_options import set_reset_on_close
 from bronzepost._internal.refusal_bodies import encode_refusal
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.exposition import METRICS
 from bronzepost._internal.telemetry.logs import emit
 
-# A caller that acknowledges no data for this long counts as disconnected. Linux
-# also ends a connection by it whose window is closed for as long, though the caller
-# acknowledges, so it is as long as a slow caller may take.
-USER_TIMEOUT_MS: Final = 30_000
 # For how long a caller may go on sending a body that is refused. Closing a connection
 # with unread bytes resets it, and the refusal would be lost.
 LINGER_SECONDS: Final = 2.0
 # The greenlet, the parser and the sockets' state of an open connection.
 CONNECTION_BYTES: Final = 16384
-LISTEN_BACKLOG: Final = 1024
 _READ_BYTES: Final = 65536
 # The libev event mask for a readable descriptor.
 _READABLE: Final = 1
@@ -210,11 +201,21 @@
             raise CallerGoneError(str(error)) from error
 
 
+class ConnectionOwner(Protocol):
+    """The server that has accepted a connection."""
+
+    answer: AnswerRequest
+    memory: HeldMemory
+    is_draining: bool
+    is_stopped: bool
+    has_given_up: bool
+
+
 class CallerConnection:
     """Serve the requests of one caller connection, one after the other."""
 
     def __init__(
-        self, *, sock: Any, server: 'CallerServer', limits: CallerLimits
+        self, *, sock: Any, server: ConnectionOwner, limits: CallerLimits
     ) -> None:
         """Serve an accepted connection."""
         self.is_idle = True
@@ -429,84 +430,3 @@
         return False
     finally:
         sock.settimeout(timeout)
-
-
-class CallerServer:
-    """Listen for callers and pass their requests to a handler."""
-
-    def __init__(
-        self,
-        *,
-        address: str,
-        answer: AnswerRequest,
-        read_limits: ReadLimits,
-        memory: HeldMemory | None = None,
-    ) -> None:
-        """Prepare to listen on ``IP:PORT``; ``start`` binds the address.
-
-        ``read_limits`` is called for each connection that is accepted. What
-        callers have not read is counted in ``memory``, by itself if it is None.
-        """
-        host, _, port = address.rpartition(':')
-        self.answer = answer
-        self.is_draining = False
-        self.is_stopped = False
-        self.has_given_up = False
-        self.memory = memory or HeldMemory()
-        self._read_limits = read_limits
-        self._connections: set[CallerConnection] = set()
-        self._server = StreamServer(
-            (host, int(port)), self._serve, backlog=LISTEN_BACKLOG
-        )
-
-    def start(self) -> None:
-        """Accept connections.
-
-        Raises:
-            OSError: if the address cannot be bound.
-        """
-        self._server.start()
-
-    def count_busy(self) -> int:
-        """Return the number of connections on which a request is running."""
-        return sum(not connection.is_idle for connection in self._connections)
-
-    def count_open(self) -> int:
-        """Return the number of open connections, busy or idle."""
-        return len(self._connections)
-
-    def drain(self) -> None:
-        """Close each connection after its next answer."""
-        self.is_draining = True
-
-    def stop(self) -> None:
-        """Accept no more connections, and close each as soon as it is idle."""
-        self.is_stopped = True
-        self._server.close()
-        for connection in tuple(self._connections):
-            connection.close_idle()
-
-    def give_up(self) -> None:
-        """Refuse all requests, those that are running and later ones."""
-        self.has_given_up = True
-        for connection in tuple(self._connections):
-            connection.give_up()
-
-    def _serve(self, sock: Any, _address: Any) -> None:
-        set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
-        connection = CallerConnection(
-            sock=sock, server=self, limits=self._read_limits()
-        )
-        self._connections.add(connection)
-        if self.is_stopped:
-            # It was accepted just before the stop.
-            connection.close_idle()
-        try:
-            connection.serve()
-        except CallerGoneError:
-            emit(LogEvent.CALLER_DISCONNECTED)
-        except OSError as error:
-            emit(LogEvent.CALLER_DISCONNECTED, error=error)
-        finally:
-            self._connections.discard(connection)
-            sock.close()
--- /dev/null
+++ b/src/bronzepost/_internal/gateway/callers/caller_server.py
@@ -0,0 +1,103 @@
+"""The server to which callers connect."""
+
+from typing import Any, Final
+
+from gevent.server import StreamServer
+
+from bronzepost._internal.gateway.callers.caller_connections import (
+    AnswerRequest,
+    CallerConnection,
+    CallerGoneError,
+    ReadLimits,
+)
+from bronzepost._internal.gateway.callers.held_memory import HeldMemory
+from bronzepost._internal.gateway.links.tcp_options import set_tcp_options
+from bronzepost._internal.telemetry.events import LogEvent
+from bronzepost._internal.telemetry.logs import emit
+
+# A caller that acknowledges no data for this long counts as disconnected. Linux
+# also ends a connection by it whose window is closed for as long, though the caller
+# acknowledges, so it is as long as a slow caller may take.
+USER_TIMEOUT_MS: Final = 30_000
+LISTEN_BACKLOG: Final = 1024
+
+
+class CallerServer:
+    """Listen for callers and pass their requests to a handler."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        answer: AnswerRequest,
+        read_limits: ReadLimits,
+        memory: HeldMemory | None = None,
+    ) -> None:
+        """Prepare to listen on ``IP:PORT``; ``start`` binds the address.
+
+        ``read_limits`` is called for each connection that is accepted. What
+        callers have not read is counted in ``memory``, by itself if it is None.
+        """
+        host, _, port = address.rpartition(':')
+        self.answer = answer
+        self.is_draining = False
+        self.is_stopped = False
+        self.has_given_up = False
+        self.memory = memory or HeldMemory()
+        self._read_limits = read_limits
+        self._connections: set[CallerConnection] = set()
+        self._server = StreamServer(
+            (host, int(port)), self._serve, backlog=LISTEN_BACKLOG
+        )
+
+    def start(self) -> None:
+        """Accept connections.
+
+        Raises:
+            OSError: if the address cannot be bound.
+        """
+        self._server.start()
+
+    def count_busy(self) -> int:
+        """Return the number of connections on which a request is running."""
+        return sum(not connection.is_idle for connection in self._connections)
+
+    def count_open(self) -> int:
+        """Return the number of open connections, busy or idle."""
+        return len(self._connections)
+
+    def drain(self) -> None:
+        """Close each connection after its next answer."""
+        self.is_draining = True
+
+    def stop(self) -> None:
+        """Accept no more connections, and close each as soon as it is idle."""
+        self.is_stopped = True
+        self._server.close()
+        for connection in tuple(self._connections):
+            connection.close_idle()
+
+    def give_up(self) -> None:
+        """Refuse all requests, those that are running and later ones."""
+        self.has_given_up = True
+        for connection in tuple(self._connections):
+            connection.give_up()
+
+    def _serve(self, sock: Any, _address: Any) -> None:
+        set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
+        connection = CallerConnection(
+            sock=sock, server=self, limits=self._read_limits()
+        )
+        self._connections.add(connection)
+        if self.is_stopped:
+            # It was accepted just before the stop.
+            connection.close_idle()
+        try:
+            connection.serve()
+        except CallerGoneError:
+            emit(LogEvent.CALLER_DISCONNECTED)
+        except OSError as error:
+            emit(LogEvent.CALLER_DISCONNECTED, error=error)
+        finally:
+            self._connections.discard(connection)
+            sock.close()
--- a/src/bronzepost/_internal/gateway/callers/pages.py
+++ b/src/bronzepost/_internal/gateway/callers/pages.py
@@ -9,10 +9,8 @@
 
 from bronzepost._internal.core.gateway.entities import CallerLimits
 from bronzepost._internal.exceptions import RefusedError, RunState
-from bronzepost._internal.gateway.callers.caller_connections import (
-    CallerAnswer,
-    CallerServer,
-)
+from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
+from bronzepost._internal.gateway.callers.caller_server import CallerServer
 from bronzepost._internal.gateway.callers.http_messages import (
     AnswerHead,
     HttpRequest,
--- a/src/bronzepost/_internal/gateway/links/relay_server.py
+++ b/src/bronzepost/_internal/gateway/links/relay_server.py
@@ -14,9 +14,7 @@
 from bronzepost._internal.core.gateway.entities import BackendServer
 from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.exceptions import ExchangeError, ProtocolError
-from bronzepost._internal.gateway.callers.caller_connections import (
-    LISTEN_BACKLOG,
-)
+from bronzepost._internal.gateway.callers.caller_server import LISTEN_BACKLOG
 from bronzepost._internal.gateway.callers.held_memory import HeldMemory
 from bronzepost._internal.gateway.links.backend_connections import (
     BackendConnection,
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -11,7 +11,7 @@
 from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.core.gateway.store_pace import Priority
 from bronzepost._internal.exceptions import SettingsError
-from bronzepost._internal.gateway.callers.caller_connections import CallerServer
+from bronzepost._internal.gateway.callers.caller_server import CallerServer
 from bronzepost._internal.gateway.callers.header_names import HeaderNames
 from bronzepost._internal.gateway.callers.held_memory import HeldMemory
 from bronzepost._internal.gateway.callers.pages import Page
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -22,7 +22,7 @@
 from bronzepost._internal.gateway.callers.answer_reader import (
     AnswerReader,
 )
-from bronzepost._internal.gateway.callers.caller_connections import CallerServer
+from bronzepost._internal.gateway.callers.caller_server import CallerServer
 from bronzepost._internal.gateway.callers.header_names import (
     HeaderNames,
     Headers,
--- a/tests/unit/test_gateway_slow_readers.py
+++ b/tests/unit/test_gateway_slow_readers.py
@@ -14,8 +14,8 @@
     HeldKind,
 )
 from bronzepost._internal.gateway.callers import (
-    caller_connections,
     caller_outbox,
+    caller_server,
 )
 from bronzepost._internal.gateway.callers.answer_reader import (
     AnswerReader,
@@ -76,7 +76,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.patch(caller_connections, 'set_tcp_options', set_small_send_buffer)
+        self.patch(caller_server, 'set_tcp_options', set_small_send_buffer)
 
     def check_answers(self, kind: RouteKind, script: Any, size: int) -> None:
         """Let many callers read slowly, then the rest at once."""
