--- a/tests/platform/gateway_vm.py
+++ b/tests/platform/gateway_vm.py
@@ -49,10 +49,12 @@
         store: str,
         root: Path = ROOT,
         log_path: Path | None = None,
+        stderr: int | None = None,
     ) -> None:
         """Start the process; it is killed at the end of the test.
 
-        ``root`` is a checkout of the build, and ``log_path`` where its log goes.
+        ``root`` is a checkout of the build, and ``log_path`` where its log goes,
+        with its errors unless there is a descriptor ``stderr``.
         """
         ip = f'{NETWORK}.{number}'
         front, readiness, directory = find_ports(3)
@@ -88,7 +90,7 @@
                     )),
                 },
                 stdout=log,
-                stderr=log,
+                stderr=log if stderr is None else stderr,
             )
         test.addCleanup(self.process.wait)
         test.addCleanup(self.process.kill)
