Accept the connections in the queue before the listening socket closes

Seen: 150 of 150 connections that the kernel had completed while the process waited for a core (SIGSTOP for 0.8 s about the end of the 3 s in which a stopping VM accepts) were reset, their requests 0.4 to 0.8 s after they had been sent. Cause: closing a listening socket resets what is in its queue, and the timer of the stop may run before the next accept, which takes 100 connections at most. Change: the stop accepts until the queue is empty, then closes the socket. A connection with a request is served, one without is closed in order.

--- a/src/bronzepost/_internal/gateway/callers/caller_server.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_server.py
@@ -1,5 +1,6 @@
 """The server to which callers connect."""
 
+import contextlib
 from typing import Any, Final
 
 from gevent.server import StreamServer
@@ -73,6 +74,8 @@
     def stop(self) -> None:
         """Accept no more connections, and close each as soon as it is idle."""
         self.is_stopped = True
+        if self._server.started:
+            self._accept_queued()
         self._server.close()
         for connection in tuple(self._connections):
             connection.close_idle()
@@ -83,6 +86,19 @@
         for connection in tuple(self._connections):
             connection.give_up()
 
+    def _accept_queued(self) -> None:
+        """Accept the connections that closing the listening socket would reset.
+
+        Their requests may have been sent long ago if the process had to wait for
+        a core.
+        """
+        with contextlib.suppress(OSError):
+            for _ in range(LISTEN_BACKLOG):
+                accepted = self._server.do_read()
+                if accepted is None:
+                    return
+                self._server.do_handle(*accepted)
+
     def _serve(self, sock: Any, _address: Any) -> None:
         set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
         connection = CallerConnection(
