Answer requests that were read together before a stop closes their connection

Seen: of three requests sent at once, 0.4 s before SIGTERM, the third was read, and its connection was closed 4 s later without an answer to it. Cause: the first answer of a draining VM says 'Connection: close', whatever the caller has sent already; and a connection counted as idle between two requests that had both been read. Change: an answer of a draining VM keeps the connection while more has arrived, and close_idle counts requests that were read. After the listening socket has closed they are refused as before (503, not run).

--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -249,7 +249,7 @@
     def close_idle(self) -> None:
         """Close the connection unless it has a request, running or unread."""
         is_between_requests = self.is_idle and self._reader.is_between_requests
-        if is_between_requests and not has_unread_bytes(self._sock):
+        if is_between_requests and not has_more(self._reader, self._sock):
             # Bytes that arrive from now on are not read: the request could be
             # forwarded, but not answered.
             self._is_closed = True
@@ -295,10 +295,14 @@
 
     def _answer(self, request: HttpRequest) -> CallerAnswer:
         self.is_idle = False
+        # What a caller has sent behind a request is answered before the close.
+        is_last = self._server.is_draining and not has_more(
+            self._reader, self._sock
+        )
         answer = CallerAnswer(
             sock=self._sock,
             is_http11=request.is_http11,
-            keep_alive=request.keep_alive and not self._server.is_draining,
+            keep_alive=request.keep_alive and not is_last,
             memory=self._memory,
         )
         self._last_answer = answer
@@ -420,6 +424,11 @@
                 is_sending = bool(self._sock.recv(_READ_BYTES))
 
 
+def has_more(reader: RequestReader, sock: Any) -> bool:
+    """Return whether a caller has sent more than the requests that were served."""
+    return bool(reader.requests) or has_unread_bytes(sock)
+
+
 def has_unread_bytes(sock: Any) -> bool:
     """Return whether bytes have arrived that were not read yet."""
     timeout = sock.gettimeout()
