Keep an answer whole when bytes follow its request

Seen: an answer of 3 MB with 'Connection: close' is reset if CRLF or another request follows its request and the caller pauses for 2.5 s; the same in a trial with a request sent behind another to a draining VM. Cause: Linux resets a connection that is closed with unread bytes, or that gets bytes after its close or SHUT_RDWR, and drops what has not been sent. Change: after a complete answer the VM ends its side, reads and discards until the caller closes, at most 2 s after all was acknowledged and 30 s without progress (300 s in all), as RFC 9112, 9.6 asks. The close of an idle connection at a stop ends the sending side only while something is not acknowledged.

--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -36,6 +36,7 @@
     encode_chunk,
     encode_head,
 )
+from bronzepost._internal.gateway.callers.orderly_close import count_unsent
 from bronzepost._internal.gateway.callers.request_reader import (
     MessageTooLargeError,
     RequestReader,
@@ -236,8 +237,11 @@
             reserve=self._body.reserve,
         )
 
-    def serve(self) -> None:
-        """Serve requests until the caller or the gateway closes."""
+    def serve(self) -> bool:
+        """Serve requests until the caller or the gateway closes.
+
+        Return whether the last answer is complete.
+        """
         self._greenlet = gevent.getcurrent()
         held = self._memory.open(HeldKind.CONNECTIONS)
         with held, contextlib.closing(self._body):
@@ -245,6 +249,8 @@
             is_open = True
             while is_open:
                 is_open = self._serve_next()
+        answer = self._last_answer
+        return answer is not None and answer.is_complete
 
     def close_idle(self) -> None:
         """Close the connection unless it has a request, running or unread."""
@@ -254,7 +260,12 @@
             # forwarded, but not answered.
             self._is_closed = True
             with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_RDWR)
+                # Bytes that arrive after SHUT_RDWR reset the connection, and what
+                # the caller has not read of its last answer would be lost.
+                is_read = not count_unsent(self._sock)
+                self._sock.shutdown(
+                    socket.SHUT_RDWR if is_read else socket.SHUT_WR
+                )
 
     def give_up(self) -> None:
         """Refuse a running request, or break off its answer if it has begun."""
--- a/src/bronzepost/_internal/gateway/callers/caller_server.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_server.py
@@ -12,6 +12,9 @@
     ReadLimits,
 )
 from bronzepost._internal.gateway.callers.held_memory import HeldMemory
+from bronzepost._internal.gateway.callers.orderly_close import (
+    finish_sending,
+)
 from bronzepost._internal.gateway.links.tcp_options import set_tcp_options
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -109,7 +112,8 @@
             # It was accepted just before the stop.
             connection.close_idle()
         try:
-            connection.serve()
+            if connection.serve():
+                finish_sending(sock)
         except CallerGoneError:
             emit(LogEvent.CALLER_DISCONNECTED)
         except OSError as error:
