Answer requests whose handling fails with an error of the VM itself

Seen: a process without a free descriptor closed connections after it had read their requests, and logged 'caller_disconnected' with EMFILE. Cause: CallerServer took each OSError for one of the caller's connection, and other errors ended the greenlet. Change: errors of the caller's connection are CallerGoneError; after any other one the request is refused with 500 internal (run unknown) unless its answer has begun. The pages use the same refusal.

--- a/src/bronzepost/_internal/gateway/callers/caller_server.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_server.py
@@ -1,17 +1,22 @@
 """The server to which callers connect."""
 
 import contextlib
+import functools
+from http import HTTPStatus
 from typing import Any, Final
 
 from gevent.server import StreamServer
 
+from bronzepost._internal.exceptions import RefusedError, RunState
 from bronzepost._internal.gateway.callers.caller_connections import (
     AnswerRequest,
+    CallerAnswer,
     CallerConnection,
     CallerGoneError,
     ReadLimits,
 )
 from bronzepost._internal.gateway.callers.held_memory import HeldMemory
+from bronzepost._internal.gateway.callers.http_messages import HttpRequest
 from bronzepost._internal.gateway.callers.orderly_close import (
     finish_sending,
 )
@@ -26,6 +31,39 @@
 LISTEN_BACKLOG: Final = 1024
 
 
+def refuse_internal_error() -> RefusedError:
+    """Return the refusal of a request that ends with an unexpected error."""
+    return RefusedError(
+        'an unexpected error; the log of the VM has it',
+        code='internal',
+        status=HTTPStatus.INTERNAL_SERVER_ERROR,
+        step='answer request',
+        run=RunState.UNKNOWN,
+    )
+
+
+def answer_or_refuse(
+    answer_request: AnswerRequest, request: HttpRequest, answer: CallerAnswer
+) -> None:
+    """Answer a request, and refuse it if that fails unexpectedly.
+
+    Errors of the caller's connection are ``CallerGoneError``; any other error is
+    one of this VM, and the caller can still be told.
+
+    Raises:
+        CallerGoneError: if the caller's connection is broken.
+    """
+    try:
+        answer_request(request, answer)
+    except CallerGoneError:
+        raise
+    except Exception as error:  # noqa: BLE001
+        emit(LogEvent.GREENLET_FAILED, error=error, step='answer request')
+        # An answer that has begun is broken off.
+        if not answer.is_started:
+            answer.refuse(refuse_internal_error())
+
+
 class CallerServer:
     """Listen for callers and pass their requests to a handler."""
 
@@ -43,7 +81,7 @@
         callers have not read is counted in ``memory``, by itself if it is None.
         """
         host, _, port = address.rpartition(':')
-        self.answer = answer
+        self.answer: AnswerRequest = functools.partial(answer_or_refuse, answer)
         self.is_draining = False
         self.is_stopped = False
         self.has_given_up = False
--- a/src/bronzepost/_internal/gateway/callers/pages.py
+++ b/src/bronzepost/_internal/gateway/callers/pages.py
@@ -8,9 +8,12 @@
 from urllib.parse import parse_qsl
 
 from bronzepost._internal.core.gateway.entities import CallerLimits
-from bronzepost._internal.exceptions import RefusedError, RunState
+from bronzepost._internal.exceptions import RefusedError
 from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
-from bronzepost._internal.gateway.callers.caller_server import CallerServer
+from bronzepost._internal.gateway.callers.caller_server import (
+    CallerServer,
+    refuse_internal_error,
+)
 from bronzepost._internal.gateway.callers.http_messages import (
     AnswerHead,
     HttpRequest,
@@ -85,7 +88,7 @@
             error=error,
             step=request.target.decode('latin-1'),
         )
-        answer.refuse(_build_internal_error())
+        answer.refuse(refuse_internal_error())
     else:
         head = AnswerHead(
             status=page.status,
@@ -115,13 +118,3 @@
         status=status,
         step='read request',
     )
-
-
-def _build_internal_error() -> RefusedError:
-    return RefusedError(
-        'an unexpected error; the log of the VM has it',
-        code='internal',
-        status=HTTPStatus.INTERNAL_SERVER_ERROR,
-        step='answer request',
-        run=RunState.UNKNOWN,
-    )
