Do not count connections whose answer is acknowledged as open

Change: a connection counts until the caller has acknowledged its answer; the 2 s after that are not waited for.

--- a/src/bronzepost/_internal/gateway/callers/caller_server.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_server.py
@@ -19,6 +19,7 @@
 from bronzepost._internal.gateway.callers.http_messages import HttpRequest
 from bronzepost._internal.gateway.callers.orderly_close import (
     finish_sending,
+    linger,
 )
 from bronzepost._internal.gateway.links.tcp_options import set_tcp_options
 from bronzepost._internal.telemetry.events import LogEvent
@@ -141,7 +142,13 @@
                 self._server.do_handle(*accepted)
 
     def _serve(self, sock: Any, _address: Any) -> None:
-        set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
+        with contextlib.closing(sock):
+            set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
+            if self._serve_requests(sock):
+                linger(sock)
+
+    def _serve_requests(self, sock: Any) -> bool:
+        """Serve a connection; return whether the caller may close it later."""
         connection = CallerConnection(
             sock=sock, server=self, limits=self._read_limits()
         )
@@ -150,12 +157,11 @@
             # It was accepted just before the stop.
             connection.close_idle()
         try:
-            if connection.serve():
-                finish_sending(sock)
+            return connection.serve() and finish_sending(sock)
         except CallerGoneError:
             emit(LogEvent.CALLER_DISCONNECTED)
         except OSError as error:
             emit(LogEvent.CALLER_DISCONNECTED, error=error)
         finally:
             self._connections.discard(connection)
-            sock.close()
+        return False
--- a/src/bronzepost/_internal/gateway/callers/orderly_close.py
+++ b/src/bronzepost/_internal/gateway/callers/orderly_close.py
@@ -15,10 +15,11 @@
 )
 from bronzepost._internal.node.clock import read_clock
 
-# For how long a caller may go on sending or keep its side open once it has
-# acknowledged its answer. The answer may still be unread on its machine.
+# For how long a caller may go on sending, or keep its side open, once it has
+# acknowledged its answer, which may be unread on its machine.
 LINGER_SECONDS: Final = 2.0
 # How often the bytes are counted that the caller has not acknowledged.
+_FIRST_POLL_SECONDS: Final = 0.001
 _POLL_SECONDS: Final = 0.25
 # What a caller sends is discarded at 6 MB/s at most, so that others run meanwhile.
 _DISCARD_BYTES: Final = 65536
@@ -36,33 +37,42 @@
     return int(struct.unpack('i', packed)[0])
 
 
-def finish_sending(sock: Any) -> None:
-    """End the sending side of a connection; return when it can be closed.
+def finish_sending(sock: Any) -> bool:
+    """End the sending side; return once the caller has acknowledged all bytes.
 
     Linux resets a connection that is closed with unread bytes, or that gets bytes
-    after its close, and drops what was not sent. So bytes are read and discarded
-    until the caller closes its side, or has had time to read its answer.
+    after its close, and drops what was not sent. So what arrives is read and
+    discarded. Return whether the caller's side is open.
     """
+    is_open = True
     with contextlib.suppress(OSError):
         sock.shutdown(socket.SHUT_WR)
         last_at = read_clock() + FLUSH_SECONDS
         unsent = count_unsent(sock)
-        end = _find_end(unsent)
-        while read_clock() < min(end, last_at) and _discard(sock):
+        end = read_clock() + STALL_SECONDS
+        poll_seconds = _FIRST_POLL_SECONDS
+        while unsent and is_open and read_clock() < min(end, last_at):
+            is_open = _discard(sock, poll_seconds)
+            poll_seconds = min(poll_seconds * 2, _POLL_SECONDS)
             left = count_unsent(sock)
             if left < unsent:
                 unsent = left
-                end = _find_end(unsent)
+                end = read_clock() + STALL_SECONDS
+    return is_open
 
 
-def _find_end(unsent: int) -> float:
-    patience_seconds = STALL_SECONDS if unsent else LINGER_SECONDS
-    return read_clock() + patience_seconds
+def linger(sock: Any) -> None:
+    """Discard bytes until the caller closes, or has had time to read its answer."""
+    end = read_clock() + LINGER_SECONDS
+    is_open = True
+    with contextlib.suppress(OSError):
+        while is_open and read_clock() < end:
+            is_open = _discard(sock, _POLL_SECONDS)
 
 
-def _discard(sock: Any) -> bool:
+def _discard(sock: Any, seconds: float) -> bool:
     """Wait for bytes and discard them; return whether more may arrive."""
-    sock.settimeout(_POLL_SECONDS)
+    sock.settimeout(seconds)
     try:
         received = sock.recv(_DISCARD_BYTES)
     except TimeoutError:
