Refuse requests for which this VM can open no connection

Seen: with no free descriptor the connection of a caller ended without an answer (one or two of two requests). Cause: creating the socket to the server was not within the block that turns errors into an ExchangeError. Change: it is. Nothing was sent, so the request may go to another VM (503, not run); the link counts as failed until a probe opens it.

--- a/src/bronzepost/_internal/gateway/links/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/links/backend_connections.py
@@ -283,24 +283,15 @@
                 if nothing answers.
         """
         host, _, port = address.rpartition(':')
-        sock = open_socket()
-        set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
         try:
-            with gevent.Timeout(timeout_seconds, TimeoutError('timed out')):
-                if source_ip:
-                    sock.bind((source_ip, 0))
-                sock.connect((host, int(port)))
+            sock = _connect((host, int(port)), source_ip, timeout_seconds)
         except OSError as error:
-            sock.close()
             raise ExchangeError(
                 f'no connection: {error}',
                 step=step,
                 peer=address,
                 was_sent=False,
             ) from error
-        except BaseException:
-            sock.close()
-            raise
         self.opened_count += 1
         return BackendConnection(sock=sock, address=address, usable_until=0)
 
@@ -312,3 +303,24 @@
     ) -> Iterator[collections.deque[BackendConnection]]:
         yield from self._idle_by_address.values()
         yield from self._tunnels_by_address.values()
+
+
+def _connect(
+    address: tuple[str, int], source_ip: str, timeout_seconds: float
+) -> Any:
+    """Return a connected socket.
+
+    Raises:
+        OSError: if there is no connection, or if this process may open no more
+            files.
+    """
+    with contextlib.ExitStack() as stack:
+        sock = open_socket()
+        stack.callback(sock.close)
+        set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
+        with gevent.Timeout(timeout_seconds, TimeoutError('timed out')):
+            if source_ip:
+                sock.bind((source_ip, 0))
+            sock.connect(address)
+        stack.pop_all()
+    return sock
