Write the standard error without blocking the process

Seen: with a full standard error that nobody reads, one traceback (gevent prints one when accept fails) stopped the whole process: no request was answered any more, and SIGTERM did not end it within 10 s. Cause: sys.stderr blocks, and gevent writes tracebacks in the loop. Change: the standard error goes through the bounded output of the logs, which starts to write by itself, since gevent does not flush.

--- a/src/bronzepost/_internal/telemetry/output.py
+++ b/src/bronzepost/_internal/telemetry/output.py
@@ -46,11 +46,16 @@
         os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> int:
-        """Queue the complete lines of a text, or leave them out."""
+        """Queue the complete lines of a text, or leave them out.
+
+        They are written soon, also if ``flush`` is not called, as gevent does not
+        after a traceback.
+        """
         *lines, partial = (self._partial_line + text).split('\n')
         self._partial_line = partial
         for line in lines:
             self._enqueue_line(line)
+        self.flush()
         return len(text)
 
     def flush(self) -> None:
