--- a/tests/platform/test_unanswered.py
+++ b/tests/platform/test_unanswered.py
@@ -1,6 +1,7 @@
 """Tests of requests of real processes that must not end without an answer."""
 
 import signal
+from pathlib import Path
 
 import gevent
 import testtools
@@ -137,8 +138,10 @@
         store = open_servers(self)
         vm = Vm(test=self, number=21, store=store.address)
         # The interpreter itself has to start first.
-        gevent.sleep(0.1)
+        maps = Path(f'/proc/{vm.process.pid}/maps')
         with gevent.Timeout(START_TIMEOUT_SECONDS):
+            while b'gevent' not in maps.read_bytes():
+                gevent.sleep(POLL_SECONDS)
             while vm.fetch_page(vm.readiness, '/api/readyz')[0] != 200:
                 self.assertIsNone(vm.process.poll())
                 vm.process.send_signal(signal.SIGHUP)
