Add a failing test of an empty message to a VM

The library returns no memory for an empty message, and cffi refuses to read from NULL. The greenlet that reads the messages of all peers ends.

--- a/tests/functional/test_peers.py
+++ b/tests/functional/test_peers.py
@@ -215,6 +215,16 @@
         self.peer_b.wait(2)
         self.assertEqual(1, transport.counts.reconnects)
 
+    def test_empty_message_does_not_end_reception(self) -> None:
+        """Guard against a node that a stranger's empty message makes deaf."""
+        with pynng.Push0(dial=f'tcp://{self.peer_b.address}') as stranger:
+            stranger.send(b'')
+            self.peer_b.wait(1)
+        self.peer_a.send(self.peer_b, 1)
+        self.peer_b.wait(2)
+        self.assertIsInstance(self.peer_b.errors[0], ProtocolError)
+        self.assertEqual(1, len(self.peer_b.received))
+
     def test_error_of_the_handler_does_not_end_reception(self) -> None:
         """Guard against a node that receives nothing after one bad message."""
         codec = messages.MessageCodec(
