Refuse empty messages of strangers instead of ending the reception

Seen: after one empty message to its peer address a VM receives no message of any peer any more; found by reading for the ends by signal 11. Cause: nng_recv returns NULL for an empty message, and ffi.unpack raises, which ends the greenlet that reads. Change: an empty message is returned as such, and the codec refuses it.

--- a/src/bronzepost/_internal/node/peers/message_sockets.py
+++ b/src/bronzepost/_internal/node/peers/message_sockets.py
@@ -56,6 +56,9 @@
             return None
         pynng.exceptions.check_err(code)
         address, size = self._content[0], self._size[0]
+        if not size:
+            # The library allocates nothing for an empty message.
+            return b''
         content: bytes = pynng.ffi.unpack(address, size)
         pynng.lib.nng_free(address, size)
         return content
