Answer another VM before it takes the home for silent

Seen: after a loss of all VMs a VM that asked the home of a program logged 8020 and treated it as silent, though it was up. The next VM in order then acted as the home and was granted tokens of its own.

Cause: after a loss the pool is empty, so a claim lacks nothing and a home whose grant is not stored yet decides again, up to four times. Each time it waits 0.3 s for the store. The VM that asks waits 0.6 s in all.

Change: a home begins no further wait for a turn at another VM after 0.5 s, and answers that it cannot decide yet. The grant goes on, and the next try finds it. Turns at the home itself wait as long as before.

--- a/src/bronzepost/_internal/gateway/programs/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/budget_keeper.py
@@ -39,6 +39,9 @@
 
 # Longer than the time that a home waits for the store and for one copy.
 RESERVE_TIMEOUT_SECONDS: Final = 0.6
+# A home waits this long for grants to a turn at another VM, which would take it
+# for silent after the timeout above.
+DECISION_SECONDS: Final = 0.5
 # VMs that are asked one after another, in the order of homes, before a turn is
 # refused.
 MAX_HOMES_ASKED: Final = 3
@@ -217,20 +220,26 @@
         # The home may have reserved the tokens although no answer came.
         self.settle(unused, 0, '')
 
-    def _decide(self, request: ReserveTokens) -> TokensReserved:
+    def _decide(
+        self, request: ReserveTokens, seconds: float = math.inf
+    ) -> TokensReserved:
         if self._is_leaving:
             return TokensReserved(call_id=request.call_id, verdict=UNSURE)
         home = self._find_home(request.program_id)
         return TokensReserved(
             call_id=request.call_id,
-            verdict=home.reserve(request),
+            verdict=home.reserve(request, seconds=seconds),
             server_id=home.branches.find_server(request.lines),
         )
 
     def _handle_reserve(self, sender: str, request: ReserveTokens) -> None:
         # A decision may wait for the store, which must not delay other
         # messages.
-        start_task(lambda: self._fleet.send(sender, self._decide(request)))
+        start_task(
+            lambda: self._fleet.send(
+                sender, self._decide(request, DECISION_SECONDS)
+            )
+        )
 
     def _handle_settle(self, sender: str, message: SettleTokens) -> None:
         home = self._find_home(message.program_id)
--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -1,5 +1,6 @@
 """The home of one partition of programs, which decides on their tokens."""
 
+import math
 from typing import Any, Final
 
 import msgspec
@@ -32,6 +33,7 @@
     ClaimOutcome,
     PoolClaims,
 )
+from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
@@ -110,11 +112,15 @@
         """
         return self._reports.rank_homes(self._key)
 
-    def reserve(self, request: ReserveTokens) -> str:
+    def reserve(
+        self, request: ReserveTokens, *, seconds: float = math.inf
+    ) -> str:
         """Decide on a reservation; return the verdict.
 
-        It may wait for the store and for peers.
+        It may wait for the store and for peers. It waits for no further grant
+        once ``seconds`` have passed.
         """
+        ends_at = read_clock() + seconds
         for _ in range(_MAX_ROUNDS):
             account = self.accounts.get_or_create(
                 request.program_id, request.budget
@@ -135,7 +141,9 @@
             self.accounts.put(account)
             if isinstance(decision, rules.BudgetSpent):
                 return self._refuse_spent(request, is_final=decision.is_final)
-            if not self._obtain_allowance(request):
+            if read_clock() >= ends_at:
+                return UNSURE
+            if not self._obtain_allowance(request, ends_at):
                 return UNSURE
         return UNSURE
 
@@ -256,8 +264,7 @@
         )
         return HELD
 
-    def _obtain_allowance(self, request: ReserveTokens) -> bool:
-        seconds = GRANT_TIMEOUT_SECONDS if self._reports.has_store else 0
+    def _obtain_allowance(self, request: ReserveTokens, ends_at: float) -> bool:
         if self._reports.store_available_seconds < STORE_RECOVERY_SECONDS:
             account = self._fetch_allowances(request)
             decision = decide_reservation(
@@ -265,6 +272,7 @@
             )
             if isinstance(decision, rules.BudgetSpent):
                 return True
+        seconds = find_grant_timeout(ends_at) if self._reports.has_store else 0
         if self._reports.has_store and self._needs_pool(request):
             is_held = self._claim(request)
             if is_held:
@@ -383,6 +391,11 @@
     )
 
 
+def find_grant_timeout(ends_at: float) -> float:
+    """Return the seconds to wait for a grant to a decision due at a time."""
+    return max(min(GRANT_TIMEOUT_SECONDS, ends_at - read_clock()), 0)
+
+
 def decide_reservation(
     account: ProgramAccount, holder: str, request: ReserveTokens
 ) -> rules.Decision:
--- a/tests/builders_losses.py
+++ b/tests/builders_losses.py
@@ -54,6 +54,7 @@
     ('store_queue', 'MIN_TIMER_SECONDS', 0.002),
     ('turn_writer', 'PEER_WRITE_TIMEOUT_SECONDS', 0.05),
     ('budget_keeper', 'RESERVE_TIMEOUT_SECONDS', 0.1),
+    ('budget_keeper', 'DECISION_SECONDS', 0.08),
     ('home', 'GRANT_TIMEOUT_SECONDS', 0.05),
 )
 TURN_TOKENS: Final = 100
