Yield while a caller never ends a request, and bound heads

Seen: a body of tiny chunks, a refused body without end, trailers or pipelined requests of one caller kept the loop, and no other caller was answered within 20 s. A head could have 100 headers of 64 KiB. Cause: gevent's server reads from a socket that does not wait while bytes are there, and reads the rest of a refused request without a bound. A head has a bound of 64 KiB (400), and the rest of a refused request is read for 10 s. An earlier close could take the refusal away from a caller that sends its body first.

--- a/src/bronzepost/_internal/node/callers/listeners.py
+++ b/src/bronzepost/_internal/node/callers/listeners.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hmac
+import io
 from collections.abc import Callable, Iterable, Sequence
 from http import HTTPStatus
 from typing import Any, Final
@@ -9,6 +10,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from bronzepost._internal.exceptions import RefusedError
+from bronzepost._internal.node.callers.paced_input import PacedInput
 from bronzepost._internal.node.callers.web import (
     StartResponse,
     WebApplication,
@@ -19,6 +21,11 @@
 
 # A connection on which one read or write takes longer is closed.
 SOCKET_TIMEOUT_SECONDS: Final = 30.0
+# For how long the rest of a refused request is read: an earlier close could take
+# the refusal away from a caller that sends its body first.
+DISCARD_TIMEOUT_SECONDS: Final = 10.0
+# Holds some dozens of small requests; others run after each buffer.
+_BUFFER_BYTES: Final = 4096
 _BEARER: Final = 'Bearer '
 
 WsgiApplication = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
@@ -27,11 +34,33 @@
 class _Handler(WSGIHandler):  # type: ignore[misc]
     """Handles a connection and closes it if the client is silent too long."""
 
+    def __init__(self, sock: Any, address: Any, server: WSGIServer) -> None:
+        """Read the requests of a connection so that others run meanwhile."""
+        self._input = PacedInput(sock=sock)
+        buffered = io.BufferedReader(self._input, _BUFFER_BYTES)
+        super().__init__(sock, address, server, rfile=buffered)
+
     def handle(self) -> None:  # noqa: WPS110
         """Serve the connection with a timeout for its reads and writes."""
         self.socket.settimeout(SOCKET_TIMEOUT_SECONDS)
         super().handle()
 
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read the head of a request; a head that is too large gets 400."""
+        is_valid = super().read_request(raw_requestline)
+        self._input.end_head()
+        return bool(is_valid)
+
+    def run_application(self) -> None:
+        """Answer a request; then the server reads what is left of it."""
+        super().run_application()
+        self._input.end_after(DISCARD_TIMEOUT_SECONDS)
+
+    def handle_one_response(self) -> None:
+        """Answer a request; the next one has a head again."""
+        super().handle_one_response()
+        self._input.begin_head()
+
     def log_request(self) -> None:
         """Write no access log; handled calls are log events."""
 
--- a/tests/endless_caller.py
+++ b/tests/endless_caller.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import dataclasses
 import itertools
 import socket
 import sys
@@ -59,8 +60,15 @@
 
 def _read_all(connection: socket.socket) -> None:
     with contextlib.suppress(OSError):
-        for _block in iter(lambda: connection.recv(_BLOCK_BYTES), b''):
-            time.sleep(0)
+        sum(map(len, iter(_Receiver(connection), b'')))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Receiver:
+    connection: socket.socket
+
+    def __call__(self) -> bytes:
+        return self.connection.recv(_BLOCK_BYTES)
 
 
 if __name__ == '__main__':
