Seed what callers of the store draw in plays of late members

The pauses after refusals came from the unseeded generator of the module, so a play could differ from run to run.

--- a/tests/builders_late_members.py
+++ b/tests/builders_late_members.py
@@ -293,6 +293,9 @@
     """
     with run_in_virtual_time() as clock:
         before = structlog.get_config()
+        # The pauses of the store's callers are drawn by the module itself.
+        drawn = random.getstate()
+        random.seed(seed)
         fleet = LateFleet(seed=seed, clock=clock)
         if spent is not None:
             fleet.store.append((TOPIC, 0, [_make_record(spent)]), None)
@@ -301,6 +304,7 @@
             yield fleet
         finally:
             structlog.configure(**before)
+            random.setstate(drawn)
 
 
 def _enter_vm(name: str) -> None:
