--- a/tests/unit/test_gateway_messages.py
+++ b/tests/unit/test_gateway_messages.py
@@ -135,5 +135,5 @@
         self.assertEqual(
             b'id: 2\ndata: b\n\n', splitter.feed(b'id: 2\ndata: b\n\n')
         )
-        self.assertEqual([b'a', b'b'], splitter.event_data)
+        self.assertEqual([b'a', b'b'], list(splitter.event_data))
         self.assertThat(splitter.event_data, HasLength(splitter.event_count))
