Read from backend servers at a pace that lets others run

A server that always has more bytes kept the loop: 100 calls of one shape (tiny events, chunks of one byte, blank lines, long extensions, large events) kept other callers from an answer for 0.6 to 9.6 s or longer, and deadlines fired late. Backend connections use PacedReader now, so this holds for requests, tunnels of other VMs and calls of the store.

--- a/src/bronzepost/_internal/gateway/links/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/links/backend_connections.py
@@ -21,6 +21,7 @@
     set_user_timeout,
 )
 from bronzepost._internal.node.clock import read_clock
+from bronzepost._internal.node.paced_reader import PacedReader
 
 # A TCP handshake within a region takes a few milliseconds. A lost SYN is sent
 # again after a second; by then another server has answered.
@@ -38,7 +39,6 @@
 # Bounds the ids of refused requests that a connection remembers. A request is tried
 # again within a few seconds, so older ids are not needed.
 REMEMBERED_REFUSALS: Final = 64
-_READ_BYTES: Final = 65536
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout=(\d+)')
 
 
@@ -59,6 +59,11 @@
     refused_ids: collections.deque[bytes] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=REMEMBERED_REFUSALS)
     )
+    _reader: PacedReader = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Read at a pace that lets others run."""
+        self._reader = PacedReader(sock=self.sock)
 
     def send(self, content: bytes) -> None:
         """Send all bytes.
@@ -90,7 +95,7 @@
         Raises:
             OSError: if the connection is broken or severed.
         """
-        received: bytes = self.sock.recv(_READ_BYTES)
+        received = self._reader.receive()
         if self.is_severed:
             # An orderly close would end an answer without a length.
             raise ConnectionAbortedError('the link is lost')
@@ -126,6 +131,10 @@
             self.sock.settimeout(None)
         return False
 
+    def restart(self) -> None:
+        """Prepare for another exchange."""
+        self._reader.restart()
+
     def close(self) -> None:
         """Close the connection."""
         self.sock.close()
@@ -185,6 +194,7 @@
                 if refused_id in connection.refused_ids:
                     left.append(connection)
                 else:
+                    connection.restart()
                     found = connection
                 continue
             self.discard(connection)
