Bound the headers and trailers of an answer, and join its tiny pieces

A head of 256 KiB of headers with one letter took several MB, since each header is a tuple of two objects: 100 such heads took 425 MB, and trailers 443 MB. An answer has 256 headers and trailers at most, trailers are not kept, and pieces of a body are joined above 64.

--- a/src/bronzepost/_internal/gateway/callers/answer_reader.py
+++ b/src/bronzepost/_internal/gateway/callers/answer_reader.py
@@ -15,6 +15,13 @@
 # Bytes that a server may send without a part of the answer: headers, interim
 # answers, late answers to earlier requests, extensions and trailers of chunks.
 MAX_OVERHEAD_BYTES: Final = 262144
+# Headers and trailers of one answer. A header in memory takes far more than its bytes,
+# and servers send a few dozen.
+MAX_HEADERS: Final = 256
+# The size of a header in memory beyond its content: a tuple and two objects.
+HEADER_OVERHEAD_BYTES: Final = 128
+# More pieces of a body than this are joined, since each is an object of its own.
+MAX_PIECES: Final = 64
 _MIN_FINAL_STATUS: Final = 200
 _BODILESS_STATUSES: Final = frozenset((
     HTTPStatus.NO_CONTENT,
@@ -69,6 +76,12 @@
                 f'{self._overhead_bytes} bytes without a part of the answer',
                 step='read answer',
             )
+        # Late answers that are skipped are bounded by their bytes.
+        if self._header_count > MAX_HEADERS and not self.is_complete:
+            raise ProtocolError(
+                f'an answer with more than {MAX_HEADERS} headers',
+                step='read answer',
+            )
 
     def feed_eof(self) -> bool:
         """Handle a closed connection; return whether the answer is complete.
@@ -80,6 +93,14 @@
             self.is_complete = True
         return self.is_complete
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes are kept beside the body.
+
+        The parser keeps the incomplete header, which is part of the overhead.
+        """
+        return max(self._overhead_bytes, self._header_bytes)
+
     @property
     def has_id(self) -> bool:
         """Return whether the answer bears the id of the request, if that has one."""
@@ -107,8 +128,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header."""
-        if not self.is_complete:
+        self._header_count += 1
+        # Trailers are not used.
+        if self.head is None and self._header_count <= MAX_HEADERS:
             self._headers.append((name, value))
+            self._header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
         """Set the head if this is the expected answer."""
@@ -137,6 +161,8 @@
         if not (self.is_complete or self._is_skipping):
             self._overhead_bytes = 0
             self._blocks.append(block)
+            if len(self._blocks) > MAX_PIECES:
+                self._blocks = [self.pop_body()]
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete if it is the expected one."""
@@ -151,3 +177,5 @@
     def _reset(self) -> None:
         self._reason = b''
         self._headers: list[tuple[bytes, bytes]] = []
+        self._header_count = 0
+        self._header_bytes = 0
