Bound answers that are read whole, and count what exchanges keep

An answer that is read whole, as those of the store, had no bound but time: 1.7 GB in 1.5 s. Above 4 MiB, an argument of the call, it breaks off now and its connection is closed; a list of the store has 1 MB of records in base64 and 500 keys at most. Its bytes, and heads of more than 8 KB of any exchange, are in the account of held bytes, which the pool of connections has from the directory of its VM.

--- a/src/bronzepost/_internal/gateway/links/backend_connections.py
+++ b/src/bronzepost/_internal/gateway/links/backend_connections.py
@@ -16,6 +16,7 @@
     AnswerReader,
 )
 from bronzepost._internal.gateway.callers.header_names import find_header
+from bronzepost._internal.gateway.callers.held_memory import HeldMemory
 from bronzepost._internal.gateway.links.tcp_options import (
     set_tcp_options,
     set_user_timeout,
@@ -150,7 +151,11 @@
     """
 
     def __init__(self) -> None:
-        """Start without connections."""
+        """Start without connections.
+
+        ``memory`` is the account of what their answers hold; a VM has one in all.
+        """
+        self.memory = HeldMemory()
         self.opened_count = 0
         self._idle_by_address: IdleConnections = {}
         self._tunnels_by_address: IdleConnections = {}
--- a/src/bronzepost/_internal/gateway/links/backend_exchange.py
+++ b/src/bronzepost/_internal/gateway/links/backend_exchange.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.exceptions import ExchangeError, ProtocolError
 from bronzepost._internal.gateway.callers.answer_reader import (
     AnswerReader,
@@ -24,6 +25,8 @@
 _MAX_INLINE_BODY_BYTES: Final = 4096
 # The part of a large body that is sent with the head. The rest is not copied.
 _FIRST_BLOCK_BYTES: Final = 16384
+# Less is not counted as held: heads of a few dozen headers.
+_MIN_HELD_BYTES: Final = 8192
 
 
 class BackendExchange:
@@ -53,6 +56,8 @@
         self._connection = connection
         self.step = step
         self._sender: Any = None
+        self._held = pool.memory.open(HeldKind.ANSWERS)
+        self._body_bytes = 0
 
     def __enter__(self) -> 'BackendExchange':
         """Return the exchange."""
@@ -60,6 +65,7 @@
 
     def __exit__(self, *_exception: object) -> None:
         """Release the connection if it can be used again, or close it."""
+        self._held.close()
         is_sent = self._sender is None or self._sender.value is True
         if self._sender is not None and not is_sent:
             self._sender.kill(block=False)
@@ -122,6 +128,13 @@
             self._connection.refused_ids.append(self._request_id)
         return is_own
 
+    def hold(self, body_bytes: int) -> None:
+        """Count a part of the body that is kept until the exchange ends."""
+        self._body_bytes = body_bytes
+        held_bytes = body_bytes + self.answer.held_bytes
+        if held_bytes >= _MIN_HELD_BYTES or self._held.size:
+            self._held.resize(held_bytes)
+
     def break_off(self, reason: str) -> ExchangeError:
         """Return an error for an answer whose content is not whole.
 
@@ -147,6 +160,7 @@
             self.answer.feed(received)
         except ProtocolError as error:
             raise self._build_error(error) from error
+        self.hold(self._body_bytes)
 
     def _send_in_background(self, head: bytes, body: bytes) -> bool:
         # If the connection is broken, reading the answer raises the error.
--- a/src/bronzepost/_internal/gateway/links/http_call.py
+++ b/src/bronzepost/_internal/gateway/links/http_call.py
@@ -17,6 +17,9 @@
 
 GET: Final = b'GET'
 POST: Final = b'POST'
+# Pages of the platform's store: a list has 1 MB of records at most, which is 1.4 MB in
+# base64, with 500 keys in JSON.
+MAX_ANSWER_BYTES: Final = 4_194_304
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -48,11 +51,13 @@
         step: str,
         body: bytes = b'',
         wait_seconds: float = 0,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> WholeAnswer:
         """Send a request and return its answer.
 
         ``wait_seconds`` is added to the timeout for long polls: the server may
-        wait this long before it answers.
+        wait this long before it answers. An answer with a body of more than
+        ``max_bytes`` breaks off.
 
         Raises:
             ExchangeError: if there is no complete answer; ``was_sent`` tells
@@ -66,29 +71,45 @@
             was_sent=True,
         )
         with gevent.Timeout(timeout, timeout_error):
-            return self._exchange(method, target.encode('latin-1'), step, body)
+            with self._open_exchange(step) as exchange:
+                head = self._encode_head(method, target, body)
+                exchange.send(head, body)
+                return read_whole(exchange, max_bytes)
 
-    def _exchange(
-        self, method: bytes, target: bytes, step: str, body: bytes
-    ) -> WholeAnswer:
-        connection = self.pool.acquire(self.address, step=step)
-        exchange = BackendExchange(
+    def _open_exchange(self, step: str) -> BackendExchange:
+        return BackendExchange(
             pool=self.pool,
-            connection=connection,
+            connection=self.pool.acquire(self.address, step=step),
             request_id=b'',
             id_header=b'',
             step=step,
         )
+
+    def _encode_head(self, method: bytes, target: str, body: bytes) -> bytes:
         headers: Headers = (
             (b'Host', self.address.encode()),
             (b'Content-Type', b'application/json'),
             (b'Content-Length', b'%d' % len(body)),
         )
-        first_line = b'%b %b HTTP/1.1' % (method, target)
-        with exchange:
-            exchange.send(encode_head(first_line, headers), body)
-            head = exchange.read_head()
-            answer_body = b''.join(exchange.read_blocks())
-        return WholeAnswer(
-            status=head.status, headers=head.headers, body=answer_body
-        )
+        first_line = b'%b %b HTTP/1.1' % (method, target.encode('latin-1'))
+        return encode_head(first_line, headers)
+
+
+def read_whole(exchange: BackendExchange, max_bytes: int) -> WholeAnswer:
+    """Return the answer of an exchange; it breaks off above a size.
+
+    Raises:
+        ExchangeError: if the answer is larger or not complete.
+    """
+    head = exchange.read_head()
+    body = bytearray()
+    for block in exchange.read_blocks():
+        body += block
+        exchange.hold(len(body))
+        if len(body) > max_bytes:
+            raise exchange.break_off(
+                f'the answer has more than {max_bytes} bytes'
+            )
+    return WholeAnswer(
+        status=head.status, headers=head.headers, body=bytes(body)
+    )
--- a/src/bronzepost/_internal/gateway/servers/directory.py
+++ b/src/bronzepost/_internal/gateway/servers/directory.py
@@ -52,6 +52,7 @@
         # Connections to backend servers that this VM relays for others.
         self.tunnels = 0
         self._pool = pool
+        pool.memory = self.memory
         self.versions = ServiceVersions()
         self._misplaced_by_id: dict[str, BackendServer] = {}
         # Id and start of servers that are leaving. They stay here when their
