Bound the histories that streams keep by the memory that is left

The data of a turn's events are kept until its end, counted but not bounded: servers that send large events without end fill the memory, and pressure refuses only new requests. A stream may keep half of what is left below the first mark of pressure, and 64 KB at least; above it breaks off. Bodies that are buffered before they are passed on are bytearrays. The limits are tested with 100 histories that grow one after the other.

--- a/src/bronzepost/_internal/gateway/callers/delivery.py
+++ b/src/bronzepost/_internal/gateway/callers/delivery.py
@@ -4,11 +4,14 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Final
 
-from bronzepost._internal.core.gateway.held_bytes import HeldKind
+from bronzepost._internal.core.gateway.held_bytes import HeldKind, Pressure
 from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
 from bronzepost._internal.gateway.callers.event_stream import EventSplitter
 from bronzepost._internal.gateway.callers.header_names import drop_headers
-from bronzepost._internal.gateway.callers.held_memory import HeldBytes
+from bronzepost._internal.gateway.callers.held_memory import (
+    HeldBytes,
+    HeldMemory,
+)
 from bronzepost._internal.gateway.callers.http_messages import (
     AnswerHead,
 )
@@ -20,13 +23,18 @@
 MAX_BUFFERED_BODY_BYTES: Final = 262144
 # A larger event is taken for bytes without end. Events have a few tokens.
 MAX_EVENT_BYTES: Final = 262144
+# The part of the memory that is left below the first mark of pressure which one stream
+# may take for its history. All streams together stay below the mark then (dynamic
+# thresholds, as of what is queued for callers), except for the minimum of each.
+HISTORY_SHARE: Final = 0.5
+MIN_HISTORY_BYTES: Final = 65536
 
 
 def deliver_answer(
     answer: CallerAnswer, exchange: BackendExchange, head: AnswerHead
 ) -> None:
     """Send an answer when it is complete; send a large one as it arrives."""
-    buffered = b''
+    buffered = bytearray()
     blocks = exchange.read_blocks()
     with answer.memory.open(HeldKind.ANSWERS) as held:
         for block in blocks:
@@ -34,9 +42,9 @@
             held.resize(len(buffered))
             if len(buffered) > MAX_BUFFERED_BODY_BYTES:
                 held.close()
-                deliver_blocks(answer, head, buffered, blocks)
+                deliver_blocks(answer, head, bytes(buffered), blocks)
                 return
-    answer.send_whole(head, buffered)
+    answer.send_whole(head, bytes(buffered))
 
 
 def deliver_blocks(
@@ -76,6 +84,10 @@
     events.drop_partial_event()
     with answer.memory.open(HeldKind.ANSWERS) as held:
         for complete_events in _read_events(events, exchange, held):
+            if not may_keep(answer.memory, events.kept_bytes):
+                raise exchange.break_off(
+                    f'no memory for a history of {events.kept_bytes} bytes'
+                )
             if complete_events:
                 if not answer.is_started:
                     begin_stream(pending)
@@ -87,6 +99,15 @@
     answer.finish()
 
 
+def may_keep(memory: HeldMemory, kept_bytes: int) -> bool:
+    """Return whether the history of a stream may take so much of the memory."""
+    if kept_bytes <= MIN_HISTORY_BYTES:
+        return True
+    mark = memory.budget.marks[Pressure.LARGE_BODIES]
+    free_bytes = mark - memory.held_bytes
+    return kept_bytes <= HISTORY_SHARE * free_bytes
+
+
 def _read_events(
     events: EventSplitter, exchange: BackendExchange, held: HeldBytes
 ) -> Iterator[bytes]:
--- a/src/bronzepost/_internal/gateway/requests/hedging.py
+++ b/src/bronzepost/_internal/gateway/requests/hedging.py
@@ -199,7 +199,7 @@
     def _read_answer(
         self, server: BackendServer, exchange: BackendExchange, head: AnswerHead
     ) -> AttemptResult:
-        buffered = b''
+        buffered = bytearray()
         blocks = exchange.read_blocks()
         with self._pending.answer.memory.open(HeldKind.ANSWERS) as held:
             for block in blocks:
@@ -208,8 +208,9 @@
                 if len(buffered) > MAX_BUFFERED_BODY_BYTES:
                     break
             else:
-                return AttemptResult(server=server, head=head, body=buffered)
-        return self._deliver_large(server, head, buffered, blocks)
+                body = bytes(buffered)
+                return AttemptResult(server=server, head=head, body=body)
+        return self._deliver_large(server, head, bytes(buffered), blocks)
 
     def _deliver_large(
         self,
--- a/tests/unit/test_endless_answers.py
+++ b/tests/unit/test_endless_answers.py
@@ -6,12 +6,22 @@
 
 import testtools
 
+from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.exceptions import ProtocolError
 from bronzepost._internal.gateway.callers.answer_reader import (
     MAX_HEADERS,
     AnswerReader,
 )
+from bronzepost._internal.gateway.callers.delivery import (
+    MIN_HISTORY_BYTES,
+    may_keep,
+)
 from bronzepost._internal.gateway.callers.event_stream import EventSplitter
+from bronzepost._internal.gateway.callers.held_memory import HeldMemory
+
+MEMORY_BYTES: Final = 160_000_000
+MAX_STREAMS: Final = 1000
+STEP_BYTES: Final = 16384
 
 
 def make_head(count: int) -> bytes:
@@ -68,6 +78,25 @@
 class HistoryTests(testtools.TestCase):
     """Histories of streams that are kept until their end."""
 
+    def test_histories_together_stay_below_the_mark(self) -> None:
+        """Guards against streams that fill the memory with their histories."""
+        memory = HeldMemory(memory_bytes=MEMORY_BYTES)
+        held = [memory.open(HeldKind.ANSWERS) for _ in range(MAX_STREAMS)]
+        for one in held[:100]:
+            while may_keep(memory, one.size + STEP_BYTES):
+                one.grow(STEP_BYTES)
+        self.assertFalse(memory.is_full)
+        self.assertTrue(
+            all(one.size >= MIN_HISTORY_BYTES for one in held[:100])
+        )
+
+    def test_history_of_megabytes(self) -> None:
+        """Guards against sound histories that are broken off."""
+        memory = HeldMemory(memory_bytes=MEMORY_BYTES)
+        held = memory.open(HeldKind.ANSWERS)
+        held.resize(10_000_000)
+        self.assertTrue(may_keep(memory, held.size))
+
     def test_tiny_events_take_little(self) -> None:
         """Guards against an object for each event of a history."""
         splitter = EventSplitter()
