Pace the reads of callers, and bound the time of a whole request

Seen: a caller that always had more bytes kept the loop, also in the 2 s after its refusal, so that other callers waited for up to 5 s; a head of a byte each 50 ms, or blank lines, kept a connection for ever; a refused body of 4 MB stayed in memory, and heads and pipelined bytes were not in the account of held bytes.

Cause: reads that find bytes do not let others run, the timeout was that of each read, and the error of a refusal kept the reader's bytes.

Change: RequestReceiver reads in paced steps, gives a head header_seconds in all, ends idle connections that send blank lines, and asks for eight bytes a second on average after 30 s of a body. What was read is dropped before a refusal, and heads and unparsed bytes count as held. 100 Continue is sent once.

--- a/src/bronzepost/_internal/gateway/callers/body_account.py
+++ b/src/bronzepost/_internal/gateway/callers/body_account.py
@@ -8,13 +8,14 @@
 
 
 class BodyAccount:
-    """Count the body of one request, from its headers to the end of the answer."""
+    """Count a request, from its first byte to the end of the answer."""
 
     def __init__(self, memory: HeldMemory) -> None:
-        """Count in ``memory``; there is no body yet."""
+        """Count in ``memory``; nothing has arrived yet."""
         self._memory = memory
         self._arrived = memory.open(HeldKind.REQUESTS)
         self._announced = memory.open(HeldKind.ANNOUNCED)
+        self._beside = memory.open(HeldKind.CONNECTIONS)
 
     def reserve(self, body_bytes: int) -> None:
         """Make room for a body of which not all bytes have arrived.
@@ -36,12 +37,17 @@
         self._announced.resize(max(rest, 0))
         self._arrived.resize(arrived_bytes)
 
+    def count_beside(self, beside_bytes: int) -> None:
+        """Count heads, and what has arrived of later requests."""
+        self._beside.resize(beside_bytes)
+
     def complete(self, body_bytes: int) -> None:
         """Count a whole body."""
         self._announced.close()
         self._arrived.resize(body_bytes)
 
     def close(self) -> None:
-        """Count no body any more."""
+        """Count nothing any more."""
+        self._beside.close()
         self._announced.close()
         self._arrived.close()
--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -39,7 +39,9 @@
 )
 from bronzepost._internal.gateway.callers.request_reader import (
     MessageTooLargeError,
-    RequestReader,
+)
+from bronzepost._internal.gateway.callers.request_receiver import (
+    RequestReceiver,
 )
 from bronzepost._internal.gateway.callers.stopping import (
     StoppingError,
@@ -64,7 +66,9 @@
 # The greenlet, the parser and the sockets' state of an open connection.
 CONNECTION_BYTES: Final = 16384
 LISTEN_BACKLOG: Final = 1024
-_READ_BYTES: Final = 65536
+# Between two reads of what a refused caller sends, so that many of them do not delay
+# others. It leaves time for several times the default limit of bodies.
+_LINGER_PAUSE_SECONDS: Final = 0.01
 # The libev event mask for a readable descriptor.
 _READABLE: Final = 1
 
@@ -218,7 +222,6 @@
     ) -> None:
         """Serve an accepted connection."""
         self.is_idle = True
-        self._is_closed = False
         # Whether the next request is refused, since the process will stop.
         self._is_refusing = False
         self._greenlet: Any = None
@@ -226,20 +229,20 @@
         self._last_answer: CallerAnswer | None = None
         self._sock = sock
         self._server = server
-        self._limits = limits
         self._memory = server.memory
         self._body = BodyAccount(self._memory)
-        self._reader = RequestReader(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            reserve=self._body.reserve,
+        self._receiver = RequestReceiver(
+            sock=sock, limits=limits, body=self._body
         )
 
     def serve(self) -> None:
         """Serve requests until the caller or the gateway closes."""
         self._greenlet = gevent.getcurrent()
         held = self._memory.open(HeldKind.CONNECTIONS)
-        with held, contextlib.closing(self._body):
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(held)
+            stack.callback(self._body.close)
+            stack.callback(self._receiver.discard)
             held.resize(CONNECTION_BYTES)
             is_open = True
             while is_open:
@@ -247,11 +250,13 @@
 
     def close_idle(self) -> None:
         """Close the connection unless it has a request, running or unread."""
-        is_between_requests = self.is_idle and self._reader.is_between_requests
+        is_between_requests = (
+            self.is_idle and self._receiver.is_between_requests
+        )
         if is_between_requests and not has_unread_bytes(self._sock):
             # Bytes that arrive from now on are not read: the request could be
             # forwarded, but not answered.
-            self._is_closed = True
+            self._receiver.is_closed = True
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
@@ -281,7 +286,6 @@
         request = self._read_request()
         if request is None:
             return None
-        self._body.complete(len(request.body))
         with contextlib.closing(self._body):
             return self._answer(request)
 
@@ -330,65 +334,31 @@
         )
 
     def _read_request(self) -> HttpRequest | None:
-        reader = self._reader
         try:
-            while not reader.requests:
-                if not self._read_more():
-                    return None
+            return self._receiver.receive()
         except MemoryShortError as error:
-            self._refuse_body(error)
-            return None
+            refusal = self._refuse_body(error)
         except MessageTooLargeError as error:
-            self._refuse(error.status, error)
-            return None
+            refusal = self._refuse(error.status, error)
         except ProtocolError as error:
-            self._refuse(HTTPStatus.BAD_REQUEST, error)
-            return None
-        return reader.requests.popleft()
-
-    def _read_more(self) -> bool:
-        received = self._receive()
-        if self._is_closed or not received:
-            return False
-        self._reader.feed(received)
-        self._body.count_arrived(self._reader.body_bytes)
-        if self._reader.expects_continue:
-            self._sock.sendall(b'HTTP/1.1 100 Continue\r\n\r\n')
-        return True
-
-    def _receive(self) -> bytes:
-        is_between_requests = self._reader.is_between_requests
-        timeout_seconds = self._limits.header_seconds
-        if is_between_requests:
-            timeout_seconds = self._limits.idle_seconds
-        self._sock.settimeout(timeout_seconds)
-        received = b''
-        try:
-            received = self._sock.recv(_READ_BYTES)
-        except TimeoutError:
-            if not is_between_requests:
-                raise ProtocolError(
-                    f'the request is incomplete after {timeout_seconds:g} s',
-                    step='read request',
-                ) from None
-        except OSError:
-            self._is_closed = True
-        finally:
-            self._sock.settimeout(None)
-        return received
+            refusal = self._refuse(HTTPStatus.BAD_REQUEST, error)
+        # Nothing of the request is in memory while the caller goes on sending it,
+        # which the errors above would keep.
+        self._receiver.discard()
+        self._body.close()
+        self._send_refusal(refusal)
+        return None
 
-    def _refuse(self, status: HTTPStatus, error: ProtocolError) -> None:
+    def _refuse(self, status: HTTPStatus, error: ProtocolError) -> RefusedError:
         emit(LogEvent.REQUEST_UNREADABLE, error=error, status=status.value)
-        self._send_refusal(
-            RefusedError(
-                error.message,
-                code='bad_request',
-                status=status,
-                step=error.step,
-            )
+        return RefusedError(
+            error.message,
+            code='bad_request',
+            status=status,
+            step=error.step,
         )
 
-    def _refuse_body(self, error: MemoryShortError) -> None:
+    def _refuse_body(self, error: MemoryShortError) -> RefusedError:
         refusal = refuse_memory()
         count_refused('body')
         METRICS.refusals.labels(code=refusal.code, run=refusal.run.value).inc()
@@ -398,11 +368,10 @@
             held=self._memory.held_bytes,
             announced=self._memory.bytes_by_kind[HeldKind.ANNOUNCED],
         )
-        self._send_refusal(refusal)
+        return refusal
 
     def _send_refusal(self, refusal: RefusedError) -> None:
         """Refuse a request that was not read to its end."""
-        self._body.close()
         answer = CallerAnswer(
             sock=self._sock,
             is_http11=True,
@@ -416,7 +385,8 @@
             self._sock.shutdown(socket.SHUT_WR)
             is_sending = True
             while is_sending:
-                is_sending = bool(self._sock.recv(_READ_BYTES))
+                is_sending = bool(self._receiver.paced.receive())
+                gevent.sleep(_LINGER_PAUSE_SECONDS)
 
 
 def has_unread_bytes(sock: Any) -> bool:
