--- a/src/bronzepost/_internal/gateway/callers/request_reader.py
+++ b/src/bronzepost/_internal/gateway/callers/request_reader.py
@@ -28,9 +28,8 @@
 # A head is passed to the parser in pieces, since the parser keeps a part of it until
 # the part is complete.
 _HEAD_PIECE_BYTES: Final = 1024
-# The smallest piece of a body in chunks.
-_CHUNKED_PIECE_BYTES: Final = 4096
-_EMPTY_LINE: Final = b'\r\n\r\n'
+# Where a body in chunks ends is not known, so a piece of it may have later requests.
+_CHUNKED_PIECE_BYTES: Final = 16384
 # The bytes that frame a chunk, for each byte of the body. Text in chunks of a few
 # letters has about as many.
 _FRAMING_PER_BODY_BYTE: Final = 2
@@ -307,15 +306,13 @@
         """Return the end of the bytes that are parsed next.
 
         Little of a later request may be in them, since the parser goes on with
-        it. A body in chunks ends with an empty line.
+        it.
         """
-        if not self._is_in_body:
-            return min(start + _HEAD_PIECE_BYTES, len(content))
-        if self._length:
-            return min(start + self._length - self.body_bytes, len(content))
-        found = content.find(_EMPTY_LINE, start)
-        end = len(content) if found < 0 else found + len(_EMPTY_LINE)
-        return min(max(end, start + _CHUNKED_PIECE_BYTES), len(content))
+        piece_bytes = _HEAD_PIECE_BYTES
+        if self._is_in_body:
+            rest_bytes = self._length - self.body_bytes
+            piece_bytes = rest_bytes if self._length else _CHUNKED_PIECE_BYTES
+        return min(start + piece_bytes, len(content))
 
     def _parse(self, piece: memoryview) -> None:
         try:
--- a/src/bronzepost/_internal/gateway/callers/request_receiver.py
+++ b/src/bronzepost/_internal/gateway/callers/request_receiver.py
@@ -22,10 +22,11 @@
 BODY_BYTES_PER_SECOND: Final = 8
 
 
-# Between steps of this size others may run. A step of tiny chunks takes about 1 ms,
-# and a hundred connections may begin in the same turn of the loop.
-_STEP_BYTES: Final = 8192
+# Between steps others may run, after this time at the earliest. A hundred connections
+# may begin in the same turn of the loop, and 8 KiB of tiny chunks take about 1 ms.
 _STEP_SECONDS: Final = 0.001
+_MIN_STEP_BYTES: Final = 8192
+_MAX_STEP_BYTES: Final = 65536
 # An idle watcher of libev's highest priority runs once in each iteration of the loop,
 # as in ``node/paced_reader.py``.
 _TOP_PRIORITY: Final = 2
@@ -53,6 +54,7 @@
             body_bytes=limits.body_bytes,
             reserve=body.reserve,
         )
+        self._step_bytes = _MIN_STEP_BYTES
         self._waiting_since = read_clock()
         # When the first byte of the request and the end of its head arrived.
         self._begun_at = math.inf
@@ -95,12 +97,23 @@
         self._reader.discard()
 
     def _feed_steps(self, received: bytes) -> None:
-        started_at = read_clock()
-        for start in range(0, len(received), _STEP_BYTES):
-            if read_clock() - started_at > _STEP_SECONDS:
+        slice_began_at = read_clock()
+        start = 0
+        while start < len(received):
+            if read_clock() - slice_began_at > _STEP_SECONDS:
                 gevent.idle(priority=_TOP_PRIORITY)
-                started_at = read_clock()
-            self._feed(received[start : start + _STEP_BYTES])
+                slice_began_at = read_clock()
+            began_at = read_clock()
+            end = start + self._step_bytes
+            self._feed(received[start:end])
+            self._adapt_step(read_clock() - began_at)
+            start = end
+
+    def _adapt_step(self, seconds: float) -> None:
+        if seconds > _STEP_SECONDS:
+            self._step_bytes = _MIN_STEP_BYTES
+        elif seconds < _STEP_SECONDS / 4:
+            self._step_bytes = min(2 * self._step_bytes, _MAX_STEP_BYTES)
 
     def _feed(self, received: bytes) -> None:
         reader = self._reader
