Read what a refused caller still sends at a steady pace

Seen: test_large_body_is_refused_first and test_refusal_reaches_a_caller_who_goes_on_sending failed since the reads were paced: blocks shrank to 4 KiB because of the pause between them, so that a body of 4 MB was not read within the 2 s after its refusal, and the refusal was lost. Cause: PacedReader takes a pause for slow processing. Change: these reads have a fixed size and a pause of 5 ms, in which others run.

--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -68,7 +68,8 @@
 LISTEN_BACKLOG: Final = 1024
 # Between two reads of what a refused caller sends, so that many of them do not delay
 # others. It leaves time for several times the default limit of bodies.
-_LINGER_PAUSE_SECONDS: Final = 0.01
+_LINGER_PAUSE_SECONDS: Final = 0.005
+_READ_BYTES: Final = 65536
 # The libev event mask for a readable descriptor.
 _READABLE: Final = 1
 
@@ -385,7 +386,7 @@
             self._sock.shutdown(socket.SHUT_WR)
             is_sending = True
             while is_sending:
-                is_sending = bool(self._receiver.paced.receive())
+                is_sending = bool(self._sock.recv(_READ_BYTES))
                 gevent.sleep(_LINGER_PAUSE_SECONDS)
 
 
--- a/src/bronzepost/_internal/gateway/callers/request_receiver.py
+++ b/src/bronzepost/_internal/gateway/callers/request_receiver.py
@@ -44,7 +44,7 @@
         self, *, sock: Any, limits: CallerLimits, body: BodyAccount
     ) -> None:
         """Read from a socket, and count in ``body``."""
-        self.paced = PacedReader(sock=sock)
+        self._paced = PacedReader(sock=sock)
         self.is_closed = False
         self._sock = sock
         self._limits = limits
@@ -149,7 +149,7 @@
             # Bytes that are there are read without a timeout.
             raise TimeoutError
         self._sock.settimeout(timeout_seconds)
-        return self.paced.receive()
+        return self._paced.receive()
 
     def _check_incomplete(self) -> None:
         """Refuse a request of which a part has arrived."""
