--- a/src/bronzepost/_internal/gateway/callers/orderly_close.py
+++ b/src/bronzepost/_internal/gateway/callers/orderly_close.py
@@ -21,9 +21,10 @@
 # How often the bytes are counted that the caller has not acknowledged.
 _FIRST_POLL_SECONDS: Final = 0.001
 _POLL_SECONDS: Final = 0.25
-# What a caller sends is discarded at 6 MB/s at most, so that others run meanwhile.
+# Between two reads of what is discarded, so that many callers do not delay others.
+# It leaves time for several times the default limit of bodies.
 _DISCARD_BYTES: Final = 65536
-_DISCARD_PAUSE_SECONDS: Final = 0.01
+_DISCARD_PAUSE_SECONDS: Final = 0.005
 _NO_COUNT: Final = struct.pack('i', 0)
 
 
