Move the answer of a caller into a module of its own

A move without a change of logic: the tests of stops, forwarding, unexpected errors and slow readers pass.

--- a/src/bronzepost/_internal/gateway/callers/caller_server.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_server.py
@@ -8,11 +8,13 @@
 from gevent.server import StreamServer
 
 from bronzepost._internal.exceptions import RefusedError, RunState
+from bronzepost._internal.gateway.callers.caller_answer import (
+    CallerAnswer,
+    CallerGoneError,
+)
 from bronzepost._internal.gateway.callers.caller_connections import (
     AnswerRequest,
-    CallerAnswer,
     CallerConnection,
-    CallerGoneError,
     ReadLimits,
 )
 from bronzepost._internal.gateway.callers.held_memory import HeldMemory
--- a/src/bronzepost/_internal/gateway/callers/delivery.py
+++ b/src/bronzepost/_internal/gateway/callers/delivery.py
@@ -5,7 +5,9 @@
 from typing import Final
 
 from bronzepost._internal.core.gateway.held_bytes import HeldKind, Pressure
-from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
+from bronzepost._internal.gateway.callers.caller_answer import (
+    CallerAnswer,
+)
 from bronzepost._internal.gateway.callers.event_stream import EventSplitter
 from bronzepost._internal.gateway.callers.header_names import drop_headers
 from bronzepost._internal.gateway.callers.held_memory import (
--- a/src/bronzepost/_internal/gateway/callers/pages.py
+++ b/src/bronzepost/_internal/gateway/callers/pages.py
@@ -9,7 +9,9 @@
 
 from bronzepost._internal.core.gateway.entities import CallerLimits
 from bronzepost._internal.exceptions import RefusedError
-from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
+from bronzepost._internal.gateway.callers.caller_answer import (
+    CallerAnswer,
+)
 from bronzepost._internal.gateway.callers.caller_server import (
     CallerServer,
     refuse_internal_error,
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -18,7 +18,7 @@
     RefusedError,
     RunState,
 )
-from bronzepost._internal.gateway.callers.caller_connections import (
+from bronzepost._internal.gateway.callers.caller_answer import (
     CallerAnswer,
     CallerGoneError,
 )
--- a/src/bronzepost/_internal/gateway/requests/hedging.py
+++ b/src/bronzepost/_internal/gateway/requests/hedging.py
@@ -17,7 +17,7 @@
 from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.core.retry_budget import RetryBudget
 from bronzepost._internal.exceptions import ExchangeError, RefusedError
-from bronzepost._internal.gateway.callers.caller_connections import (
+from bronzepost._internal.gateway.callers.caller_answer import (
     CallerGoneError,
 )
 from bronzepost._internal.gateway.callers.delivery import (
--- a/src/bronzepost/_internal/gateway/requests/pending_call.py
+++ b/src/bronzepost/_internal/gateway/requests/pending_call.py
@@ -12,7 +12,9 @@
 from bronzepost._internal.core.gateway.scopes import scope_id
 from bronzepost._internal.core.gateway.warm_servers import Warmth
 from bronzepost._internal.exceptions import BackendServerError
-from bronzepost._internal.gateway.callers.caller_connections import CallerAnswer
+from bronzepost._internal.gateway.callers.caller_answer import (
+    CallerAnswer,
+)
 from bronzepost._internal.gateway.callers.event_stream import EventSplitter
 from bronzepost._internal.gateway.callers.http_messages import (
     Framing,
--- a/tests/unit/test_gateway_unexpected_errors.py
+++ b/tests/unit/test_gateway_unexpected_errors.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from bronzepost._internal.gateway.callers.caller_connections import (
+from bronzepost._internal.gateway.callers.caller_answer import (
     CallerAnswer,
 )
 from bronzepost._internal.gateway.callers.caller_server import CallerServer
