Add failing tests of errors of a VM that others are charged with

An unexpected error in an attempt of an idempotent request ends at its deadline, a request before unreadable bytes gets their refusal, and a stream that the VM has no memory for counts as a failure of its server.

--- a/tests/unit/test_incident_bounds.py
+++ b/tests/unit/test_incident_bounds.py
@@ -10,9 +10,11 @@
 from gevent.socket import create_connection
 
 from bronzepost._internal.core.gateway import budgets
+from bronzepost._internal.core.gateway.entities import RouteKind
 from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 from bronzepost._internal.exceptions import ProtocolError
+from bronzepost._internal.gateway.callers import delivery
 from bronzepost._internal.gateway.callers.answer_reader import (
     MAX_HEADERS,
     AnswerReader,
@@ -27,6 +29,8 @@
     AnswerHead,
     HttpRequest,
 )
+from bronzepost._internal.gateway.requests.hedging import HedgedRequest
+from bronzepost._internal.gateway.servers.server_ratings import ServerRatings
 from bronzepost._internal.node.callers import listeners
 from bronzepost._internal.node.callers.web import (
     Request,
@@ -36,16 +40,25 @@
 )
 from bronzepost._internal.node.paced_reader import PacedReader
 from bronzepost._internal.telemetry.metrics import NoMetrics
+from tests.builders_gateway import make_route
 from tests.builders_gateway_servers import (
     LIMITS,
     CallerSocket,
+    ScriptedServer,
+    answer_with,
     find_port,
+    make_answer,
     make_request,
+    open_gateway,
 )
 
 _TIMEOUT_SECONDS: Final = 0.2
 _DISCARD_SECONDS: Final = 0.3
 _MAX_BODY_BYTES: Final = 1000
+_STREAM: Final = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    b'Content-Length: 9\r\n\r\ndata: a\n\n'
+)
 _CALLERS: Final = 50
 _BUDGET: Final = 1000
 _CLAIMED: Final = 500
@@ -188,6 +201,50 @@
         )
 
 
+class ForwardingTests(testtools.TestCase):
+    """Requests that end with an error of the VM itself."""
+
+    def test_stream_without_memory_is_no_fault_of_its_server(self) -> None:
+        """Guards against servers that are left out as this VM has no memory."""
+        self.patch(delivery, 'may_keep', lambda *_: False)
+        failed_ids: list[str] = []
+        self.patch(
+            ServerRatings,
+            'report_failure',
+            lambda _ratings, server_id: failed_ids.append(server_id),
+        )
+        server = ScriptedServer(script=answer_with(_STREAM))
+        with open_gateway(make_route(), server) as gateway:
+            gateway.call(make_request()).read_answer()
+        self.assertEqual([], failed_ids)
+
+    def test_idempotent_request_is_answered_in_spite_of_an_error(self) -> None:
+        """Guards against an attempt that ends without telling its request."""
+        self.patch(HedgedRequest, '_read_answer', fail_unexpectedly)
+        route = make_route(kind=RouteKind.IDEMPOTENT, timeout_seconds=2.0)
+        server = ScriptedServer(script=answer_with(_STREAM))
+        started_at = time.monotonic()
+        with open_gateway(route, server) as gateway:
+            head = gateway.call(make_request()).read_answer().head
+            seconds = time.monotonic() - started_at
+        assert head is not None
+        self.assertEqual((500, True), (head.status, seconds < 1))
+
+    def test_request_before_unreadable_bytes_is_answered(self) -> None:
+        """Guards against a refusal in place of the answer to another request."""
+        server = ScriptedServer(script=answer_with(make_answer(b'ok')))
+        with open_gateway(make_route(), server) as gateway:
+            caller = gateway.call(b'%bno request\r\n\r\n' % make_request())
+            head = caller.read_answer().head
+        assert head is not None
+        self.assertEqual(200, head.status)
+
+
+def fail_unexpectedly(*_arguments: object) -> None:
+    """Raise an error that no caller expects."""
+    raise KeyError('server')
+
+
 def answer_small(_request: HttpRequest, answer: CallerAnswer) -> None:
     """Answer with one byte."""
     head = AnswerHead(
