Add a failing test of a caller that delays a stop once it has read its answer

The close of an idle connection ends only the sending side while bytes are not acknowledged, and nothing wakes the reader afterwards.

--- a/tests/unit/test_incident_bounds.py
+++ b/tests/unit/test_incident_bounds.py
@@ -3,14 +3,16 @@
 import contextlib
 import itertools
 import time
+from socket import SO_RCVBUF, SOL_SOCKET
 from typing import Final
 
 import gevent
 import testtools
 from gevent.socket import create_connection
+from gevent.socket import socket as gevent_socket
 
 from bronzepost._internal.core.gateway import budgets
-from bronzepost._internal.core.gateway.entities import RouteKind
+from bronzepost._internal.core.gateway.entities import CallerLimits, RouteKind
 from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 from bronzepost._internal.exceptions import ProtocolError
@@ -29,6 +31,7 @@
     AnswerHead,
     HttpRequest,
 )
+from bronzepost._internal.gateway.callers.orderly_close import LINGER_SECONDS
 from bronzepost._internal.gateway.requests.hedging import HedgedRequest
 from bronzepost._internal.gateway.servers.server_ratings import ServerRatings
 from bronzepost._internal.node.callers import listeners
@@ -59,6 +62,9 @@
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
     b'Content-Length: 9\r\n\r\ndata: a\n\n'
 )
+_IDLE_SECONDS: Final = 8.0
+_LARGE_BYTES: Final = 200_000
+_SMALL_BUFFER_BYTES: Final = 4096
 _CALLERS: Final = 50
 _BUDGET: Final = 1000
 _CLAIMED: Final = 500
@@ -201,6 +207,33 @@
         )
 
 
+class StopTests(testtools.TestCase):
+    """A stop while a caller has not read its last answer yet."""
+
+    def test_caller_that_has_read_its_answer_delays_no_stop(self) -> None:
+        """Guards against a stop that waits for a caller's idle timeout."""
+        port = find_port()
+        server = CallerServer(
+            address=f'127.0.0.1:{port}',
+            answer=answer_large,
+            read_limits=lambda: CallerLimits(idle_seconds=_IDLE_SECONDS),
+        )
+        server.start()
+        sock = gevent_socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(SOL_SOCKET, SO_RCVBUF, _SMALL_BUFFER_BYTES)
+        sock.connect(('127.0.0.1', port))
+        sock.sendall(make_request())
+        gevent.sleep(_DISCARD_SECONDS)
+        server.drain()
+        server.stop()
+        while sock.recv(_LARGE_BYTES):
+            """Read the answer up to the end of the server's side."""
+        gevent.sleep(LINGER_SECONDS)
+        # The caller keeps its side open, as pools of connections do.
+        self.assertEqual(0, server.count_open())
+
+
 class ForwardingTests(testtools.TestCase):
     """Requests that end with an error of the VM itself."""
 
@@ -247,15 +280,25 @@
 
 def answer_small(_request: HttpRequest, answer: CallerAnswer) -> None:
     """Answer with one byte."""
+    answer_bytes(answer, 1)
+
+
+def answer_large(_request: HttpRequest, answer: CallerAnswer) -> None:
+    """Answer with more than the caller's socket takes."""
+    answer_bytes(answer, _LARGE_BYTES)
+
+
+def answer_bytes(answer: CallerAnswer, size: int) -> None:
+    """Answer with a body of a size, and keep the connection."""
     head = AnswerHead(
         status=200,
         reason=b'OK',
         headers=(),
-        length=1,
+        length=size,
         is_chunked=False,
         keep_alive=True,
     )
-    answer.send_whole(head, b'a')
+    answer.send_whole(head, bytes(size))
 
 
 def read_number(block: bytes) -> int:
