Keep the block of a reader whose wait ends with a timeout

Where the connection is used on, as after a 408 of the node, its bytes were out of step; a whole answer of the store could become an ambiguous append. The block is kept for the next call.

--- a/src/bronzepost/_internal/node/paced_reader.py
+++ b/src/bronzepost/_internal/node/paced_reader.py
@@ -96,6 +96,8 @@
         self._sock = sock
         self._turns = find_turns(gevent.get_hub())
         self._read_bytes = MIN_READ_BYTES
+        # A block that a timeout kept from being returned.
+        self._block: bytes | None = None
         self.restart()
 
     def restart(self) -> None:
@@ -114,13 +116,16 @@
         Raises:
             OSError: if the connection is broken, or if its timeout has passed.
         """
-        self._settle()
-        received: bytes = self._sock.recv(self._read_bytes)
-        self._received_at = read_run_time()
+        if self._block is None:
+            self._settle()
+            self._block = self._sock.recv(self._read_bytes)
+            self._received_at = read_run_time()
+        received: bytes = self._block
         if self._must_wait(len(received)):
             self._turns.wait()
             self._debt_seconds = 0
             self._received_at = read_run_time()
+        self._block = None
         return received
 
     def _must_wait(self, received_bytes: int) -> bool:
