--- a/src/bronzepost/_internal/node/callers/listeners.py
+++ b/src/bronzepost/_internal/node/callers/listeners.py
@@ -59,6 +59,9 @@
     def handle_one_response(self) -> None:
         """Answer a request; the next one has a head again."""
         super().handle_one_response()
+        if self._input.has_ended:
+            # Bytes of the body would be read as the next request.
+            self.close_connection = True
         self._input.begin_head()
 
     def log_request(self) -> None:
--- a/src/bronzepost/_internal/node/callers/paced_input.py
+++ b/src/bronzepost/_internal/node/callers/paced_input.py
@@ -37,6 +37,11 @@
         self._ends_at = math.inf
         self._yielded_at = read_clock()
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the time for what nobody needs has passed."""
+        return read_clock() > self._ends_at
+
     def readable(self) -> bool:
         """Return that the input can be read."""
         return True
@@ -82,5 +87,5 @@
             raise HeadBoundError(
                 f'the head is larger than {MAX_HEAD_BYTES} bytes'
             )
-        if read_clock() > self._ends_at:
+        if self.has_ended:
             raise TimeoutError('the rest of the request takes too long')
