Refuse an answer with too many headers, also if it is complete at once

One of 257 headers in one block was passed on with 256, possibly without its length or the id of its request.

--- a/src/bronzepost/_internal/gateway/callers/answer_reader.py
+++ b/src/bronzepost/_internal/gateway/callers/answer_reader.py
@@ -49,6 +49,8 @@
         self._expected_id = (id_header, request_id)
         self._parser = httptools.HttpResponseParser(self)
         self._blocks: list[bytes] = []
+        # Whether headers of the answer were left out.
+        self._is_cut = False
         self._reset()
 
     def feed(self, received: bytes) -> None:
@@ -77,7 +79,8 @@
                 step='read answer',
             )
         # Late answers that are skipped are bounded by their bytes.
-        if self._header_count > MAX_HEADERS and not self.is_complete:
+        has_too_many = self._header_count > MAX_HEADERS and not self.is_complete
+        if has_too_many or self._is_cut:
             raise ProtocolError(
                 f'an answer with more than {MAX_HEADERS} headers',
                 step='read answer',
@@ -143,6 +146,7 @@
         )
         if self.is_complete or self._is_skipping:
             return
+        self._is_cut = self._header_count > MAX_HEADERS
         length = find_header(headers, b'content-length')
         transfer_coding = find_header(headers, b'transfer-encoding')
         if status in _BODILESS_STATUSES:
