Count and bound connections that linger after their last answer

They count as connections, and above 512 further ones are closed at once, as before the orderly close.

--- a/src/bronzepost/_internal/gateway/callers/caller_server.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_server.py
@@ -7,17 +7,22 @@
 
 from gevent.server import StreamServer
 
+from bronzepost._internal.core.gateway.held_bytes import HeldKind
 from bronzepost._internal.exceptions import RefusedError, RunState
 from bronzepost._internal.gateway.callers.caller_answer import (
     CallerAnswer,
     CallerGoneError,
 )
 from bronzepost._internal.gateway.callers.caller_connections import (
+    CONNECTION_BYTES,
     AnswerRequest,
     CallerConnection,
     ReadLimits,
 )
-from bronzepost._internal.gateway.callers.held_memory import HeldMemory
+from bronzepost._internal.gateway.callers.held_memory import (
+    HeldBytes,
+    HeldMemory,
+)
 from bronzepost._internal.gateway.callers.http_messages import HttpRequest
 from bronzepost._internal.gateway.callers.orderly_close import (
     finish_sending,
@@ -32,6 +37,8 @@
 # acknowledges, so it is as long as a slow caller may take.
 USER_TIMEOUT_MS: Final = 30_000
 LISTEN_BACKLOG: Final = 1024
+# More connections are closed at once: they would take descriptors from callers.
+MAX_LINGERING: Final = 512
 
 
 def refuse_internal_error() -> RefusedError:
@@ -91,6 +98,7 @@
         self.memory = memory or HeldMemory()
         self._read_limits = read_limits
         self._connections: set[CallerConnection] = set()
+        self._lingering = 0
         self._server = StreamServer(
             (host, int(port)), self._serve, backlog=LISTEN_BACKLOG
         )
@@ -146,8 +154,28 @@
     def _serve(self, sock: Any, _address: Any) -> None:
         with contextlib.closing(sock):
             set_tcp_options(sock, user_timeout_ms=USER_TIMEOUT_MS)
-            if self._serve_requests(sock):
-                linger(sock)
+            if self._serve_requests(sock) and self._lingering < MAX_LINGERING:
+                self._linger(sock)
+
+    def _linger(self, sock: Any) -> None:
+        with contextlib.ExitStack() as stack:
+            self._lingering += 1
+            stack.callback(self._end_linger)
+            stack.enter_context(self._hold_connection())
+            linger(sock)
+
+    def _end_linger(self) -> None:
+        self._lingering -= 1
+
+    def _finish(self, sock: Any) -> bool:
+        with self._hold_connection():
+            return finish_sending(sock)
+
+    def _hold_connection(self) -> HeldBytes:
+        """Count a connection whose requests have ended."""
+        held = self.memory.open(HeldKind.CONNECTIONS)
+        held.resize(CONNECTION_BYTES)
+        return held
 
     def _serve_requests(self, sock: Any) -> bool:
         """Serve a connection; return whether the caller may close it later."""
@@ -159,7 +187,7 @@
             # It was accepted just before the stop.
             connection.close_idle()
         try:
-            return connection.serve() and finish_sending(sock)
+            return connection.serve() and self._finish(sock)
         except CallerGoneError:
             emit(LogEvent.CALLER_DISCONNECTED)
         except OSError as error:
