Do not blame a server for a stream that this VM has no memory for

The error says now that the VM broke it off. Further attempts still break off while the memory is short.

--- a/src/bronzepost/_internal/exceptions.py
+++ b/src/bronzepost/_internal/exceptions.py
@@ -134,7 +134,8 @@
     """An HTTP exchange did not complete.
 
     ``was_sent`` is false only if the peer cannot have received the request. The
-    exchange went through the VM ``relay``, if that is set.
+    exchange went through the VM ``relay``, if that is set. ``is_local`` is true if
+    this VM broke it off for a reason of its own, which is no fault of the peer.
     """
 
     def __init__(
@@ -145,11 +146,13 @@
         peer: str,
         was_sent: bool,
         relay: str = '',
+        is_local: bool = False,
     ) -> None:
         """Store the step, the peer and whether it may have the request."""
         super().__init__(message, step=step, peer=peer)
         self.was_sent = was_sent
         self.relay = relay
+        self.is_local = is_local
 
 
 class AnswerTooLargeError(ExchangeError):
--- a/src/bronzepost/_internal/gateway/callers/delivery.py
+++ b/src/bronzepost/_internal/gateway/callers/delivery.py
@@ -88,7 +88,8 @@
         for complete_events in _read_events(events, exchange, held):
             if not may_keep(answer.memory, events.kept_bytes):
                 raise exchange.break_off(
-                    f'no memory for a history of {events.kept_bytes} bytes'
+                    f'no memory for a history of {events.kept_bytes} bytes',
+                    is_local=True,
                 )
             if complete_events:
                 if not answer.is_started:
--- a/src/bronzepost/_internal/gateway/links/backend_exchange.py
+++ b/src/bronzepost/_internal/gateway/links/backend_exchange.py
@@ -135,13 +135,16 @@
         if held_bytes >= _MIN_HELD_BYTES or self._held.size:
             self._held.resize(held_bytes)
 
-    def break_off(self, reason: str) -> ExchangeError:
+    def break_off(
+        self, reason: str, *, is_local: bool = False
+    ) -> ExchangeError:
         """Return an error for an answer whose content is not whole.
 
-        The connection is not used again.
+        With ``is_local`` the server is not at fault. The connection is not used
+        again.
         """
         self.answer.has_surplus = True
-        return self._build_error(ValueError(reason))
+        return self._build_error(ValueError(reason), is_local=is_local)
 
     def _receive(self) -> None:
         try:
@@ -178,11 +181,14 @@
                 self._receive()
         return self.answer.head is not None
 
-    def _build_error(self, error: Exception) -> ExchangeError:
+    def _build_error(
+        self, error: Exception, *, is_local: bool = False
+    ) -> ExchangeError:
         return ExchangeError(
             f'the exchange broke off: {error or type(error).__name__}',
             step=self.step,
             peer=self._connection.address,
             was_sent=True,
             relay=self._connection.relay,
+            is_local=is_local,
         )
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -282,7 +282,8 @@
         event = LogEvent.REQUEST_NOT_RUN
         if isinstance(error, ExchangeError):
             event = LogEvent.EXCHANGE_BROKEN
-            if error.was_sent and not self._servers.links.is_at_fault(
+            is_at_fault = error.was_sent and not error.is_local
+            if is_at_fault and not self._servers.links.is_at_fault(
                 server, relay=error.relay
             ):
                 self._directory.ratings.report_failure(server.server_id)
--- a/tests/unit/test_incident_bounds.py
+++ b/tests/unit/test_incident_bounds.py
@@ -21,9 +21,9 @@
     MAX_HEADERS,
     AnswerReader,
 )
+from bronzepost._internal.gateway.callers.caller_answer import CallerAnswer
 from bronzepost._internal.gateway.callers.caller_connections import (
     CONNECTION_BYTES,
-    CallerAnswer,
 )
 from bronzepost._internal.gateway.callers.caller_server import CallerServer
 from bronzepost._internal.gateway.callers.held_memory import HeldMemory
