Answer turns that come while no VM is in service

Seen: a turn at a stopping VM, when the other VMs have gone or stop as well, had no answer, or 500 since errors of the VM itself are answered. Cause: the choice of the home takes the first of the ranked members, and a VM that stops is no member in service, so there may be none.

--- a/src/bronzepost/_internal/gateway/programs/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/budget_keeper.py
@@ -132,8 +132,9 @@
         ranked = self._find_home(call.program_id).rank()
         homes = self._reports.sort_by_store_access(ranked)[:MAX_HOMES_ASKED]
         # Only the first VM may grant without the store; otherwise each VM would
-        # grant a part of its own.
-        for number, name in enumerate((*homes, ranked[0])):
+        # grant a part of its own. There is none while all VMs stop.
+        first = ranked[:1]
+        for number, name in enumerate((*homes, *first)):
             reservation = Reservation(
                 program_id=call.program_id,
                 reservation_id=f'{call.request_id}/{number}',
@@ -143,7 +144,7 @@
             answer = self._ask_home(
                 reservation,
                 call,
-                may_be_provisional=name == ranked[0],
+                may_be_provisional=(name,) == first,
                 needs_store=needs_store,
             )
             if answer.verdict == RESERVED:
--- a/src/bronzepost/_internal/gateway/programs/turn_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/turn_keeper.py
@@ -187,8 +187,8 @@
     def _sweep(self) -> None:
         oldest = time.time() - RETENTION_MARGIN_SECONDS
         for partition in range(self._partitions):
-            ranked = self._reports.rank_homes(f'budgets-{partition}')
-            if self._reports.has_store and ranked[0] == self._fleet.own_name:
+            homes = self._reports.rank_homes(f'budgets-{partition}')[:1]
+            if self._reports.has_store and homes == (self._fleet.own_name,):
                 self._swept.sweep(partition, oldest=oldest)
 
 
