List the paced reader among the modules that a gateway loads

It lists what a start may load, with the use, so that modules of nodes alone cost a gateway no start time.

--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -79,6 +79,7 @@
     'node.clock': 'the steady clock',
     'node.envelopes': 'messages between VMs',
     'node.message_sockets': 'messages between VMs',
+    'node.paced_reader': 'reads of all connections',
     'node.peers': 'messages between VMs',
     'refusal_bodies': 'refusals',
     'telemetry.events': 'logs',
