Log what other holders were granted when a turn is refused

A refusal (8030) and a spent budget (8031) did not tell tokens that a lost home had been granted from tokens that are reserved. held_by_others has what other holders were granted and did not record as spent, and pool what the store alone may not grant.

--- a/src/bronzepost/_internal/core/gateway/program_account.py
+++ b/src/bronzepost/_internal/core/gateway/program_account.py
@@ -129,6 +129,21 @@
         )
         return self.spent + spent_by_others
 
+    def count_held_by_others(self, holder: str) -> int:
+        """Return the tokens that others were granted and did not record as spent.
+
+        ``holder`` is this VM. Lost holders are among the others: what they had
+        is not granted again, because it may have been spent.
+        """
+        own = self.adopted | {holder}
+        others = self.granted_by_holder.keys() | self.claimed_by_holder.keys()
+        return sum(
+            max(
+                self.find_allowance(name) - self.spent_by_holder.get(name, 0), 0
+            )
+            for name in others - own
+        )
+
     def is_unstored(self, holder: str) -> bool:
         """Return whether a VM has an allowance that is not in the store.
 
--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -361,6 +361,8 @@
             spent=account.count_spent(self.accounts.holder),
             reserved=sum(account.reserved_by_id.values()),
             available=account.count_available(self.accounts.holder),
+            held_by_others=account.count_held_by_others(self.accounts.holder),
+            pool=max(account.pool_tokens - account.pooled, 0),
             is_synced=self.accounts.is_synced,
             store_seconds=round(self._reports.store_available_seconds, 3),
             **fields,
--- a/tests/unit/test_gateway_homes.py
+++ b/tests/unit/test_gateway_homes.py
@@ -274,6 +274,20 @@
         self.assertEqual(BUDGET // 2 - TOKENS, held[0]['forgotten'])
         self.assertEqual(BUDGET, held[0]['budget'])
 
+    def test_allowance_of_a_lost_home_is_logged(self) -> None:
+        """Guards against logs in which lost and reserved tokens look the same."""
+        self.count_reserved('a', turns=2)
+        self.network.add('a')
+        with capture_logs() as log_lines:
+            self.count_reserved('a', turns=2, is_first=False)
+        held = next(
+            log_line for log_line in log_lines if log_line['number'] == 8030
+        )
+        self.assertEqual(
+            held['granted'], held['held_by_others'] + held['reserved']
+        )
+        self.assertThat(held['held_by_others'], GreaterThan(2 * TOKENS - 1))
+
     def test_restarted_home_in_an_outage_asks_its_peers(self) -> None:
         """Each VM of a rolling restart granted a further turn."""
         self.count_reserved('a', turns=2)
