Fix the budgets of the programs and the time of the first of two losses

They are dealt out in turn now, so each run has as many of each size. With two losses the first comes at 0.4 of the budgets, so that programs which go on after it have tokens left at the second one.

--- a/tests/platform/builders_losses_of_processes.py
+++ b/tests/platform/builders_losses_of_processes.py
@@ -33,8 +33,6 @@
 REFUSED_TRIES: Final = 5
 # Long enough for more than that number of tries.
 WATCHED_SECONDS: Final = 9.0
-# Programs are lost in the last third of their budgets.
-USED_SHARE: Final = 2 / 3
 MAX_SECONDS_BEFORE_LOSS: Final = 12.0
 POLL_SECONDS: Final = 0.1
 _ID_NUMBERS = itertools.count(1)
@@ -134,9 +132,11 @@
             BudgetedProgram(
                 caller=self._world.caller,
                 observations=self.observations,
-                budget_in_turns=random.choice(BUDGETS_IN_TURNS),  # noqa: S311
+                budget_in_turns=BUDGETS_IN_TURNS[
+                    number % len(BUDGETS_IN_TURNS)
+                ],
             )
-            for _ in range(PROGRAMS)
+            for number in range(PROGRAMS)
         ]
         self._greenlets: list[Any] = []
 
@@ -157,13 +157,13 @@
         gevent.killall(self._greenlets)
         self._world.close()
 
-    def wait_until_used(self) -> None:
-        """Wait until half of the programs are in the last third of budgets."""
+    def wait_until_used(self, share: float) -> None:
+        """Wait until half of the programs have used a share of their budgets."""
         ends_at = time.monotonic() + MAX_SECONDS_BEFORE_LOSS
         while time.monotonic() < ends_at:
             late = sum(
                 count_used(self.observations, program.program_id)
-                > USED_SHARE * program.budget
+                > share * program.budget
                 for program in self.programs
             )
             if 2 * late >= len(self.programs):
--- a/tests/platform/test_loss_of_all_processes.py
+++ b/tests/platform/test_loss_of_all_processes.py
@@ -11,6 +11,11 @@
 
 LATE_SECONDS: Final = 0.8
 SECONDS_BETWEEN_LOSSES: Final = 6.0
+# The share of a budget that half of the programs have used at the first loss. They
+# reach the end of their budgets while they are watched.
+USED_SHARE: Final = 2 / 3
+# They go on between two losses, and have tokens left at the second.
+USED_SHARE_BEFORE_TWO: Final = 0.4
 
 
 class LossOfAllProcessesTests(testtools.TestCase):
@@ -36,14 +41,14 @@
     def test_one_loss(self) -> None:
         """Guards against budgets that nobody can use after a loss in calm."""
         world = self.start_world(seed=1)
-        world.wait_until_used()
+        world.wait_until_used(USED_SHARE)
         world.lose_all()
         self.check(world)
 
     def test_two_losses(self) -> None:
         """Guards against losses that add up to unusable or exceeded budgets."""
         world = self.start_world(seed=2)
-        world.wait_until_used()
+        world.wait_until_used(USED_SHARE_BEFORE_TWO)
         world.lose_all()
         gevent.sleep(SECONDS_BETWEEN_LOSSES)
         world.lose_all()
@@ -53,7 +58,7 @@
         """Guards against the same where the store was late until the loss."""
         world = self.start_world(seed=3)
         world.store.delay_seconds = LATE_SECONDS
-        world.wait_until_used()
+        world.wait_until_used(USED_SHARE)
         world.store.end_failures()
         world.lose_all()
         self.check(world)
