Test the check of programs that are refused after a loss

The check counts a series of tries as the rule does, and was only seen to find programs in runs with processes. Five tests without processes show what it finds and what it leaves out: a shorter series, tries before the end of the recovery, turns that broke off (at their most), and a turn that is served in between.

--- a/tests/platform/builders_losses_of_processes.py
+++ b/tests/platform/builders_losses_of_processes.py
@@ -6,7 +6,6 @@
 import random
 import tempfile
 import time
-from collections.abc import Iterator
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final
@@ -203,47 +202,48 @@
             )
         ]
 
-    def find_refused(self) -> Iterator[RefusedProgram]:
-        """Yield the programs that are refused though they have tokens left."""
-        since = self.lost_at + RECOVERY_SECONDS
-        for program in self.programs:
-            tries = self._find_refused_tries(program, since)
-            if len(tries) >= REFUSED_TRIES:
-                yield RefusedProgram(
-                    program_id=program.program_id,
-                    budget=program.budget,
-                    used=count_used(
-                        self.observations,
-                        program.program_id,
-                        until=tries[0].sent_at,
-                    ),
-                    tries=len(tries),
-                    seconds=round(tries[0].sent_at - self.lost_at, 1),
-                    statuses=tuple(sorted({tried.status for tried in tries})),
-                )
-
-    def _find_refused_tries(
-        self, program: BudgetedProgram, since: float
-    ) -> list[Attempt]:
-        """Return the longest series of tries that reached no server.
-
-        Only tries for which the budget holds one more turn are counted.
-        """
-        tries = list_tries(self.observations, program.program_id)
-        longest: list[Attempt] = []
-        series: list[Attempt] = []
-        for tried in tries:
-            used = count_used(
-                self.observations, program.program_id, until=tried.sent_at
+    def find_refused(self) -> list[RefusedProgram]:
+        """Return the programs that are refused though they have tokens left."""
+        refused = (
+            find_refused(
+                self.observations, program.program_id, lost_at=self.lost_at
             )
-            is_counted = (
-                tried.sent_at >= since
-                and used + TURN_TOKENS <= program.budget
-                and tried.request_id not in self.observations.runs_by_id
-            )
-            series = [*series, tried] if is_counted else []
-            longest = max(longest, series, key=len)
-        return longest
+            for program in self.programs
+        )
+        return list(filter(None, refused))
+
+
+def find_refused(
+    observations: Observations, program_id: str, *, lost_at: float
+) -> RefusedProgram | None:
+    """Return what a program was refused though it has tokens left, if anything.
+
+    These are tries that reached no server, one after the other, from the end of
+    the recovery on. Only tries for which the budget holds one more turn count.
+    """
+    budget = observations.budgets_by_program[program_id]
+    longest: list[Attempt] = []
+    series: list[Attempt] = []
+    for tried in list_tries(observations, program_id):
+        used = count_used(observations, program_id, until=tried.sent_at)
+        is_counted = (
+            tried.sent_at >= lost_at + RECOVERY_SECONDS
+            and used + TURN_TOKENS <= budget
+            and tried.request_id not in observations.runs_by_id
+        )
+        series = [*series, tried] if is_counted else []
+        longest = max(longest, series, key=len)
+    if len(longest) < REFUSED_TRIES:
+        return None
+    first_at = longest[0].sent_at
+    return RefusedProgram(
+        program_id=program_id,
+        budget=budget,
+        used=count_used(observations, program_id, until=first_at),
+        tries=len(longest),
+        seconds=round(first_at - lost_at, 1),
+        statuses=tuple(sorted({tried.status for tried in longest})),
+    )
 
 
 def list_tries(observations: Observations, program_id: str) -> list[Attempt]:
--- a/tests/platform/test_loss_of_all_processes.py
+++ b/tests/platform/test_loss_of_all_processes.py
@@ -2,12 +2,21 @@
 
 import random
 import shutil
+from http import HTTPStatus
 from typing import Final
 
 import gevent
 import testtools
 
-from tests.platform.builders_losses_of_processes import PROGRAMS, LossWorld
+from tests.platform.builders_losses_of_processes import (
+    PROGRAMS,
+    RECOVERY_SECONDS,
+    REFUSED_TRIES,
+    LossWorld,
+    find_refused,
+)
+from tests.soak.callers import TURN_TOKENS
+from tests.soak.observations import Attempt, Observations, Run
 
 LATE_SECONDS: Final = 0.8
 SECONDS_BETWEEN_LOSSES: Final = 6.0
@@ -34,7 +43,7 @@
         world.watch()
         self.assertGreater(2 * len(world.list_unspent()), PROGRAMS)
         violations = world.observations.find_violations()
-        refused = list(world.find_refused())
+        refused = world.find_refused()
         self.assertEqual(([], []), (violations, refused), f'{world.folder}')
         shutil.rmtree(world.folder)
 
@@ -62,3 +71,84 @@
         world.store.end_failures()
         world.lose_all()
         self.check(world)
+
+
+class CheckTests(testtools.TestCase):
+    """The check of refused programs, without processes.
+
+    The program has a budget of two turns, and all VMs are lost at 0 s.
+    """
+
+    def setUp(self) -> None:
+        """Start without tries."""
+        super().setUp()
+        self.observations = Observations(turn_tokens=TURN_TOKENS)
+        self.observations.budgets_by_program['p'] = 2 * TURN_TOKENS
+
+    def add_run(self, *, is_complete: bool) -> None:
+        """Add a turn of one event that reached a server before the loss."""
+        self.add_try('run', status=HTTPStatus.OK, is_complete=is_complete)
+        run = Run(
+            request_id='run', server_id='i', body=b'', answer=b'data: a\n\n'
+        )
+        self.observations.record_run(run)
+
+    def add_try(
+        self,
+        request_id: str,
+        *,
+        status: int = 503,
+        is_complete: bool = True,
+        sent_at: float = 0.1,
+    ) -> None:
+        """Add a try that has ended."""
+        attempt = Attempt(
+            request_id=request_id,
+            kind='turn',
+            program_id='p',
+            status=status,
+            is_complete=is_complete,
+            sent_at=sent_at,
+            ended_at=sent_at + 0.1,
+        )
+        self.observations.record_attempt(attempt)
+
+    def add_refused(self, count: int, *, since: float) -> None:
+        """Add tries that are refused a second after each other."""
+        for number in range(count):
+            self.add_try(f'{since}-{number}', sent_at=since + number)
+
+    def is_refused(self) -> bool:
+        """Return whether the check finds the program."""
+        return find_refused(self.observations, 'p', lost_at=0) is not None
+
+    def test_refused_for_good(self) -> None:
+        """Guards against a check that overlooks the symptom."""
+        self.add_run(is_complete=True)
+        self.add_refused(REFUSED_TRIES, since=RECOVERY_SECONDS)
+        self.assertTrue(self.is_refused())
+
+    def test_refused_once_less(self) -> None:
+        """Guards against a check that is stricter than the rule."""
+        self.add_run(is_complete=True)
+        self.add_refused(REFUSED_TRIES - 1, since=RECOVERY_SECONDS)
+        self.assertFalse(self.is_refused())
+
+    def test_refused_before_the_end_of_the_recovery(self) -> None:
+        """Guards against a check of the time in which VMs start again."""
+        self.add_refused(REFUSED_TRIES, since=RECOVERY_SECONDS - 1)
+        self.assertFalse(self.is_refused())
+
+    def test_turn_that_broke_off_counts_at_its_most(self) -> None:
+        """Guards against tokens that were lost and are taken for unused."""
+        self.observations.budgets_by_program['p'] -= 1
+        self.add_run(is_complete=False)
+        self.add_refused(REFUSED_TRIES, since=RECOVERY_SECONDS)
+        self.assertFalse(self.is_refused())
+
+    def test_turn_that_is_served_ends_the_series(self) -> None:
+        """Guards against tries that are counted though a turn came between."""
+        self.add_refused(REFUSED_TRIES - 1, since=RECOVERY_SECONDS)
+        self.add_run(is_complete=True)
+        self.add_refused(REFUSED_TRIES - 1, since=2 * RECOVERY_SECONDS)
+        self.assertFalse(self.is_refused())
