--- a/tests/platform/test_loss_of_all_processes.py
+++ b/tests/platform/test_loss_of_all_processes.py
@@ -15,8 +15,10 @@
     LossWorld,
     find_refused,
 )
+from tests.soak.backends import MAX_EVENTS
 from tests.soak.callers import TURN_TOKENS
 from tests.soak.observations import Attempt, Observations, Run
+from tests.soak.workspaces import KeyRing, draw_lasting_key
 
 LATE_SECONDS: Final = 0.8
 SECONDS_BETWEEN_LOSSES: Final = 6.0
@@ -113,6 +115,18 @@
         )
         self.observations.record_attempt(attempt)
 
+    def add_handed(self, events: int) -> None:
+        """Add an answer that broke off after so many events."""
+        attempt = Attempt(
+            request_id='handed',
+            kind='turn',
+            key=draw_lasting_key(),
+            program_id='p',
+            status=HTTPStatus.OK,
+            body=b'data: a\n\n' * events,
+        )
+        self.observations.record_attempt(attempt)
+
     def add_refused(self, count: int, *, since: float) -> None:
         """Add tries that are refused a second after each other."""
         for number in range(count):
@@ -122,6 +136,14 @@
         """Return whether the check finds the program."""
         return find_refused(self.observations, 'p', lost_at=0) is not None
 
+    def is_exceeded(self) -> bool:
+        """Return whether the program was handed more than the rule allows."""
+        self.observations.records_by_key = KeyRing().records_by_key
+        return any(
+            violation.startswith('program p got')
+            for violation in self.observations.find_violations()
+        )
+
     def test_refused_for_good(self) -> None:
         """Guards against a check that overlooks the symptom."""
         self.add_run(is_complete=True)
@@ -152,3 +174,13 @@
         self.add_run(is_complete=True)
         self.add_refused(REFUSED_TRIES - 1, since=2 * RECOVERY_SECONDS)
         self.assertFalse(self.is_refused())
+
+    def test_budget_and_one_turn(self) -> None:
+        """Guards against a check of budgets that is stricter than the rule."""
+        self.add_handed(3 * MAX_EVENTS)
+        self.assertFalse(self.is_exceeded())
+
+    def test_more_than_budget_and_one_turn(self) -> None:
+        """Guards against a check that overlooks a budget that is exceeded."""
+        self.add_handed(3 * MAX_EVENTS + 1)
+        self.assertTrue(self.is_exceeded())
