--- a/tests/platform/builders_losses_of_processes.py
+++ b/tests/platform/builders_losses_of_processes.py
@@ -141,7 +141,7 @@
 
     @property
     def lost_at(self) -> float:
-        """Return the time of the last loss."""
+        """Return the time of the last loss, or that in place of one."""
         return self.observations.losses[-1]
 
     def start(self) -> None:
@@ -169,10 +169,14 @@
                 return
             gevent.sleep(POLL_SECONDS)
 
+    def lose_none(self) -> None:
+        """Let the programs be watched from now on as after a loss."""
+        self.observations.losses.append(time.monotonic())
+
     def lose_all(self) -> None:
         """End all VMs with SIGKILL at once, and start each within a second."""
         vms = self._world.vms
-        self.observations.losses.append(time.monotonic())
+        self.lose_none()
         gevent.joinall([gevent.spawn(vm.kill) for vm in vms])
         gevent.joinall([
             gevent.spawn_later(
--- a/tests/platform/test_loss_of_all_processes.py
+++ b/tests/platform/test_loss_of_all_processes.py
@@ -49,6 +49,13 @@
         self.assertEqual(([], []), (violations, refused), f'{world.folder}')
         shutil.rmtree(world.folder)
 
+    def test_no_loss(self) -> None:
+        """Guards against a loss that is assumed where VMs have only started."""
+        world = self.start_world(seed=4)
+        world.wait_until_used(USED_SHARE)
+        world.lose_none()
+        self.check(world)
+
     def test_one_loss(self) -> None:
         """Guards against budgets that nobody can use after a loss in calm."""
         world = self.start_world(seed=1)
