Keep the knowledge of a loss when an account was handed over

Callers saw no fault of this alone; a program could get one more turn of its budget after a loss of all VMs. A home that had handed its account over while a turn waited for the store made a new account for it. That account had no loss assumed, or was taken for assessed because peers report an entry of forgotten tokens without saying whether they assume a loss. So the home granted the pool to a program that has none after a loss.

A claim for an account that was not assessed is refused now, and peers say whether they assume a loss (AllowancesFound.is_after_loss).

--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -127,12 +127,14 @@
 ):
     """Answer to ``FindAllowances``: the tokens of each holder.
 
-    ``pooled_by_holder`` is the part of them that most VMs have agreed to.
+    ``pooled_by_holder`` is the part of them that most VMs have agreed to. If
+    ``is_after_loss``, the sender assumes that a loss of all VMs has erased grants.
     """
 
     call_id: int
     tokens_by_holder: dict[str, int]
     pooled_by_holder: dict[str, int] = {}
+    is_after_loss: bool = False
 
 
 class ReplicateTurn(msgspec.Struct, frozen=True, kw_only=True, tag='hold_turn'):
--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -1,5 +1,6 @@
 """The home of one partition of programs, which decides on their tokens."""
 
+import dataclasses
 import math
 from typing import Any, Final
 
@@ -195,6 +196,7 @@
             call_id=request.call_id,
             tokens_by_holder=dict(account.claimed_by_holder),
             pooled_by_holder=dict(account.pooled_by_holder),
+            is_after_loss=account.is_after_loss,
         )
 
     def accept_hand_over(self, sender: str, message: HandOver) -> None:
@@ -340,6 +342,8 @@
                 )
             )
             account = rules.merge_stored(account, found)
+            if answer.is_after_loss:
+                account = dataclasses.replace(account, is_after_loss=True)
         self.accounts.put(account)
         return account
 
--- a/src/bronzepost/_internal/gateway/programs/pool_claims.py
+++ b/src/bronzepost/_internal/gateway/programs/pool_claims.py
@@ -72,6 +72,9 @@
     def _claim(self, request: ReserveTokens) -> ClaimOutcome:
         account = self._find_account(request)
         holder = self._accounts.holder
+        if not rules.is_loss_assessed(account):
+            # The account was handed over while the turn waited for the store.
+            return ClaimOutcome.CONTRADICTED
         missing = request.tokens - account.count_available(holder)
         tokens = rules.size_claim(
             account, missing=missing, has_store=self._reports.has_store
