Grant turns that need the store no more than they lack

Cause: tokens counted as spent once they were granted. A home was granted a quarter of the budget at a time, kept up to a quarter while the program rested, and took as much again from the pool. A loss of its process took all of that. Homes that start then assumed that up to a quarter of the budget, less one turn, had been granted without a record, whether or not an outage came before; they assumed it without any loss too, in the first 20 s of the VMs.

Turns whose answers end only once the store has them cannot go on without the store, so their programs need no tokens in advance. They are granted what a turn lacks, and what it did not use is returned by an append when it ends. The pool is one turn: the rule allows one turn beyond the budget, so nothing is assumed forgotten. That a loss was assumed is recorded, so that a later home does not grant the pool again, and VMs that know of it refuse copies. From half of the budget on the pool is granted first; once it is known to be granted, the turn beyond the budget stands for what lost holders have not spent. In all, at most budget and one turn are granted, so the budget holds whatever is lost.

--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -13,6 +13,10 @@
 that is replaced hands its accounts over to the next home. If all VMs are lost
 during an outage, the VMs that start afterwards assume that each program has spent
 all that may have been granted provisionally, except for one turn.
+
+A turn whose answer ends only once the store has it needs the store anyway. Its
+program is granted what the turn lacks, and returns what the turn did not use when
+it ends. So a loss of VMs costs it the turns under way, and no more.
 """
 
 import dataclasses
@@ -21,9 +25,9 @@
 
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 
-# Share of a budget that one append grants. A program uses a quarter of its
-# budget on average, so most programs need one append, and the loss of a VM
-# costs a program at most this share.
+# Share of a budget that one append grants to a program whose turns do not need
+# the store. A program uses a quarter of its budget on average, so most programs
+# need one append, and the loss of a VM costs a program at most this share.
 ALLOWANCE_SHARE: Final = 0.25
 # An idle program keeps an allowance only up to this share of its budget in all,
 # spent and lost tokens included. A program that has used little then has tokens
@@ -34,11 +38,6 @@
 # programs), so most end within this share, and within the rest of the budget
 # after the loss of all VMs.
 MAX_PROVISIONAL_SHARE: Final = 0.5
-# The same for turns whose answers wait for the store; of these, only the turns
-# of sub-agents run concurrently. With this share, a loss of all VMs costs
-# budgets of four turns or fewer nothing. A limit of one turn for every budget
-# is too low for programs that run during an outage.
-MAX_PROVISIONAL_SHARE_NEEDING_STORE: Final = 0.25
 # Stands for the lost VMs as the holder of the provisional allowances that a
 # loss of all VMs may have erased.
 LOST_GRANTS_HOLDER: Final = 'forgotten'
@@ -98,21 +97,28 @@
         )
     missing = tokens - available
     grantable = account.budget - account.granted
-    if missing > grantable:
-        spent = account.count_spent(holder)
+    if missing > grantable + account.count_forgiven(holder):
+        spent = account.count_certain(holder)
         return BudgetSpent(is_final=spent + tokens > account.budget)
-    return AllowanceNeeded(tokens=size_allowance(account, missing=missing))
+    return AllowanceNeeded(
+        tokens=size_allowance(account, holder=holder, missing=missing)
+    )
 
 
-def size_allowance(account: ProgramAccount, *, missing: int) -> int:
+def size_allowance(
+    account: ProgramAccount, *, holder: str, missing: int
+) -> int:
     """Return the tokens of a grant to a holder that lacks ``missing`` tokens.
 
-    It is 0 if nothing is missing, and at most what the store may grant.
+    It is 0 if nothing is missing, and at most what the store may grant. A program
+    whose turns need the store gets no more than it lacks: a larger grant is lost
+    with its holder, and lets no turn end that the store cannot record.
     """
     if missing <= 0:
         return 0
-    share = int(account.budget * ALLOWANCE_SHARE)
-    return min(max(missing, share), max(account.grantable, 0))
+    share = 0 if account.needs_store else int(account.budget * ALLOWANCE_SHARE)
+    grantable = account.grantable + account.count_forgiven(holder)
+    return min(max(missing, share), max(grantable, 0))
 
 
 def grant_allowance(
@@ -129,12 +135,13 @@
 def count_returnable(account: ProgramAccount, *, holder: str) -> int:
     """Return the tokens that a holder should return for an idle program.
 
-    If the share of one grant is smaller than a turn, all unused tokens are
-    returned: losing them with the VM would cost the program a whole turn.
+    All unused tokens are returned if turns need the store, which grants them
+    again, or if the share of one grant is smaller than a turn: losing them with
+    the VM would cost the program a whole turn.
     """
     available = max(account.count_available(holder), 0)
     share = int(account.budget * ALLOWANCE_SHARE)
-    if share < account.most:
+    if account.needs_store or share < account.most:
         return available
     room = int(account.budget * MAX_IDLE_SHARE) - account.granted + available
     return max(available - max(min(share, room), 0), 0)
@@ -147,12 +154,32 @@
     that a loss of the VM costs the program as little as possible.
     """
     unused = count_returnable(account, holder=holder)
-    returned = account.returned_by_holder.get(holder, 0) + unused
+    return return_tokens(account, holder=holder, tokens=unused)
+
+
+def return_tokens(
+    account: ProgramAccount, *, holder: str, tokens: int
+) -> ProgramAccount:
+    """Return the account after a holder has returned ``tokens``.
+
+    The holder cannot spend them any more. What it has spent is recorded too.
+    """
+    returned = account.returned_by_holder.get(holder, 0) + tokens
+    return record_spent(
+        dataclasses.replace(
+            account,
+            returned_by_holder=merge_totals(
+                account.returned_by_holder, {holder: returned}
+            ),
+        ),
+        holder=holder,
+    )
+
+
+def record_spent(account: ProgramAccount, *, holder: str) -> ProgramAccount:
+    """Return the account with what a holder has spent, as it is to be stored."""
     return dataclasses.replace(
         account,
-        returned_by_holder=merge_totals(
-            account.returned_by_holder, {holder: returned}
-        ),
         spent_by_holder=merge_totals(
             account.spent_by_holder, {holder: account.spent}
         ),
@@ -165,19 +192,17 @@
     """Return the tokens that all VMs together may grant provisionally.
 
     All of them are lost if the VMs that hold copies lose power during the
-    outage. The limit allows at least one turn of ``turn_tokens``. It is lower
-    if the answer of a turn ``needs_store``, because the next turn waits for the
-    store anyway. After a loss of all VMs nothing more may be granted, because a
-    second loss would erase that as well.
+    outage. The limit allows at least one turn of ``turn_tokens``. It is that
+    turn alone if the answer of a turn ``needs_store``: the next turn waits for
+    the store anyway, and a budget may be exceeded by one turn, so a loss of all
+    VMs costs the program nothing. After such a loss nothing more may be granted,
+    because a second loss would erase that as well.
     """
-    if account.is_after_loss:
+    if account.may_have_lost_grants:
         return account.find_unstored(LOST_GRANTS_HOLDER)
-    share = (
-        MAX_PROVISIONAL_SHARE_NEEDING_STORE
-        if needs_store
-        else MAX_PROVISIONAL_SHARE
-    )
-    return max(int(account.budget * share), turn_tokens)
+    if needs_store:
+        return turn_tokens
+    return max(int(account.budget * MAX_PROVISIONAL_SHARE), turn_tokens)
 
 
 def is_loss_assessed(account: ProgramAccount) -> bool:
@@ -216,15 +241,20 @@
 ) -> ProgramAccount:
     """Return the account with the pool from which turns are granted provisionally.
 
-    After a loss of all VMs nothing is granted provisionally, so there is none.
+    After a loss of all VMs nothing is granted provisionally.
     """
-    if account.is_after_loss:
-        return dataclasses.replace(account, pool_tokens=0)
-    limit = find_provisional_limit(
-        account, turn_tokens=turn_tokens, needs_store=needs_store
+    pool = account.pool_tokens
+    if not account.may_have_lost_grants:
+        limit = find_provisional_limit(
+            account, turn_tokens=turn_tokens, needs_store=needs_store
+        )
+        pool = max(pool, min(limit, account.budget))
+    return dataclasses.replace(
+        account,
+        pool_tokens=pool,
+        needs_store=needs_store,
+        most=max(account.most, turn_tokens),
     )
-    pool = max(account.pool_tokens, min(limit, account.budget))
-    return dataclasses.replace(account, pool_tokens=pool)
 
 
 def size_claim(
@@ -234,15 +264,17 @@
 
     Without the store only what is missing: a share of the budget would use up
     the pool. With it, the part that the store may not grant, and as much as one
-    append grants, so that not each turn needs the agreement of other VMs.
+    append grants, so that not each turn needs the agreement of other VMs. A pool
+    of one turn is claimed as a whole: VMs that agree to parts of it may not know
+    all of them.
     """
+    left = min(account.pool_left, account.budget - account.granted)
+    if account.needs_store:
+        return max(missing, left)
     if not has_store:
         return missing
     lacking = missing - max(account.grantable, 0)
     share = int(account.budget * ALLOWANCE_SHARE)
-    left = min(
-        account.pool_tokens - account.pooled, account.budget - account.granted
-    )
     return max(lacking, min(share, left))
 
 
@@ -322,16 +354,13 @@
 def merge_stored(
     account: ProgramAccount | None, stored: ProgramAccount
 ) -> ProgramAccount:
-    """Return the account that a VM knows, updated with the store's record.
-
-    After a loss of all VMs there is no pool, though the record may have one.
-    """
+    """Return the account that a VM knows, updated with the store's record."""
     if account is None:
         return stored
-    pool = max(account.pool_tokens, stored.pool_tokens)
     return dataclasses.replace(
         account,
-        pool_tokens=0 if account.is_after_loss else pool,
+        pool_tokens=max(account.pool_tokens, stored.pool_tokens),
+        is_loss_stored=account.is_loss_stored or stored.is_loss_stored,
         pooled_by_holder=merge_totals(
             account.pooled_by_holder, stored.pooled_by_holder
         ),
@@ -434,10 +463,8 @@
         ]
         is_after_loss = received.is_after_loss
     reserved = {**account.reserved_by_id, **received.reserved_by_id}
-    pool = max(account.pool_tokens, received.pool_tokens)
     return dataclasses.replace(
         merged,
-        pool_tokens=0 if is_after_loss else pool,
         claimed_by_holder=claimed,
         reserved_by_id=reserved,
         adopted=account.adopted | adopted,
--- a/src/bronzepost/_internal/core/gateway/program_account.py
+++ b/src/bronzepost/_internal/core/gateway/program_account.py
@@ -21,10 +21,12 @@
 
     ``spent`` and ``reserved_by_id`` are those of this VM. It may also spend the
     allowances of the ``adopted`` holders, whose accounts it took over. ``most``
-    is the size of the largest turn that it reserved tokens for. The account was
+    is the size of the largest turn that was asked for. The account was
     last read or changed at ``touched_at``, and a turn last began or ended at
     ``used_at``, both in seconds of this VM's clock. If ``is_after_loss``,
-    grants that a loss of all VMs may have erased were assumed.
+    grants that a loss of all VMs may have erased were assumed; the store has
+    that if ``is_loss_stored``. The answers of its turns end only once the store
+    has them if it ``needs_store``.
     """
 
     program_id: str
@@ -50,6 +52,13 @@
         default_factory=dict
     )
     pool_tokens: int = 0
+    is_loss_stored: bool = False
+    needs_store: bool = False
+
+    @property
+    def may_have_lost_grants(self) -> bool:
+        """Return whether a loss of all VMs may have erased grants."""
+        return self.is_after_loss or self.is_loss_stored
 
     @property
     def granted(self) -> int:
@@ -67,14 +76,23 @@
         """Return the tokens that most VMs have agreed to."""
         return sum(self.pooled_by_holder.values())
 
+    @property
+    def pool_left(self) -> int:
+        """Return the tokens of the pool that may still be granted from it.
+
+        None after a loss of all VMs, which may have erased such grants.
+        """
+        if self.may_have_lost_grants:
+            return 0
+        return max(self.pool_tokens - self.pooled, 0)
+
     @property
     def grantable(self) -> int:
         """Return the tokens that the store may grant without other VMs.
 
         Negative if more is granted, as from a budget that was changed.
         """
-        kept_back = max(self.pool_tokens - self.pooled, 0)
-        return self.budget - kept_back - self.granted
+        return self.budget - self.pool_left - self.granted
 
     @property
     def provisional(self) -> int:
@@ -144,6 +162,28 @@
             for name in others - own
         )
 
+    def count_forgiven(self, holder: str) -> int:
+        """Return the tokens of other holders that need not count as spent.
+
+        A budget may be exceeded by one turn. That turn stands for grants that a
+        loss of all VMs may have erased, or, once the whole pool is known to be
+        granted, for what lost holders have not recorded as spent. Only programs
+        that ``needs_store`` record it turn by turn. ``holder`` is this VM.
+        """
+        if self.needs_store and 0 < self.pool_tokens <= self.pooled:
+            return min(self.most, self.count_held_by_others(holder))
+        return 0
+
+    def count_certain(self, holder: str) -> int:
+        """Return the tokens that count as spent at each later home too.
+
+        A loss of all VMs erases what is not recorded, and a home may then forgive
+        it to a program that ``needs_store``.
+        """
+        if self.needs_store:
+            return sum(self.spent_by_holder.values())
+        return self.count_spent(holder)
+
     def is_unstored(self, holder: str) -> bool:
         """Return whether a VM has an allowance that is not in the store.
 
--- a/src/bronzepost/_internal/gateway/programs/accounts.py
+++ b/src/bronzepost/_internal/gateway/programs/accounts.py
@@ -10,6 +10,8 @@
     drop_claims,
     grant_allowance,
     merge_stored,
+    record_spent,
+    return_tokens,
     return_unused,
     size_allowance,
 )
@@ -31,6 +33,7 @@
         self._boot = boot
         # Programs with returned tokens that may not be in the store yet.
         self._unwritten: set[str] = set()
+        self.left_tokens = LeftTokens()
         self._hand_over_count = 0
         # For each former name of this VM, the programs handed over since it was
         # in use.
@@ -86,6 +89,7 @@
         for account in removed:
             self.by_program.pop(account.program_id)
             self._unwritten.discard(account.program_id)
+            self.left_tokens.drop(account.program_id)
         if removed:
             self._handed_over_by_holder[self.holder] = set()
             for programs in self._handed_over_by_holder.values():
@@ -140,21 +144,24 @@
         )
 
     def return_unused(self, idle_before: float) -> None:
-        """Return the unused tokens of accounts idle since ``idle_before``.
+        """Return unused tokens of ended turns and of accounts that are idle.
 
-        They cannot be spent any more, even if the store does not accept the
-        return.
+        An account is idle since ``idle_before``. The tokens cannot be spent any
+        more, even if the store does not accept the return.
         """
-        idle = [
-            account
-            for account in self.by_program.values()
+        left_by_program = self.left_tokens.pop_all()
+        for account in tuple(self.by_program.values()):
+            left = left_by_program.get(account.program_id)
+            returned = account
             if has_idle_changes(
                 account, holder=self.holder, idle_before=idle_before
-            )
-        ]
-        for account in idle:
-            self.put(return_unused(account, holder=self.holder))
-            self._unwritten.add(account.program_id)
+            ):
+                returned = return_unused(account, holder=self.holder)
+            elif left is not None:
+                returned = return_left(account, holder=self.holder, tokens=left)
+            if returned != account:
+                self.put(returned)
+                self._unwritten.add(account.program_id)
 
     def mark_written(self, accounts: Iterable[ProgramAccount]) -> None:
         """Record that the store has accepted accounts."""
@@ -189,14 +196,16 @@
             granted = confirm_provisional(account, holder=self.holder)
             needed = needed_by_program.get(program_id, 0)
             missing = needed - granted.count_available(self.holder)
-            tokens = size_allowance(granted, missing=missing)
+            tokens = size_allowance(
+                granted, holder=self.holder, missing=missing
+            )
             if tokens:
                 granted = grant_allowance(
                     granted, holder=self.holder, tokens=tokens
                 )
             is_unwritten = program_id in self._unwritten
             if tokens or is_unwritten or self.is_unstored(account):
-                changed.append(granted)
+                changed.append(record_spent(granted, holder=self.holder))
         return changed
 
 
@@ -212,6 +221,17 @@
     )
 
 
+def return_left(
+    account: ProgramAccount, *, holder: str, tokens: int
+) -> ProgramAccount:
+    """Return the account after a holder has returned what turns have left.
+
+    Other turns may have used some of the ``tokens`` since.
+    """
+    available = max(account.count_available(holder), 0)
+    return return_tokens(account, holder=holder, tokens=min(tokens, available))
+
+
 def adopt_former_holders(
     account: ProgramAccount,
     handed_over_by_holder: Mapping[str, Set[str]],
@@ -233,6 +253,29 @@
     return dataclasses.replace(account, adopted=account.adopted | own)
 
 
+class LeftTokens:
+    """What ended turns have left of their grants, until it is returned."""
+
+    def __init__(self) -> None:
+        """Start without tokens."""
+        self._tokens_by_program: dict[str, int] = {}
+
+    def add(self, program_id: str, tokens: int) -> None:
+        """Add what a turn of a program has left."""
+        left = self._tokens_by_program.get(program_id, 0)
+        self._tokens_by_program[program_id] = left + tokens
+
+    def drop(self, program_id: str) -> None:
+        """Forget a program whose account was handed over."""
+        self._tokens_by_program.pop(program_id, None)
+
+    def pop_all(self) -> dict[str, int]:
+        """Remove and return the tokens of all programs."""
+        tokens_by_program = self._tokens_by_program
+        self._tokens_by_program = {}
+        return tokens_by_program
+
+
 class RecentIds:
     """A bounded set of identifiers that drops the oldest ones."""
 
--- a/src/bronzepost/_internal/gateway/programs/allowance_writer.py
+++ b/src/bronzepost/_internal/gateway/programs/allowance_writer.py
@@ -47,6 +47,7 @@
     pooled_by_holder: dict[str, int] = {}
     pool_tokens: int = 0
     claimed_by_holder: dict[str, int] = {}
+    is_after_loss: bool = False
 
 
 class AllowanceWriter:
@@ -103,6 +104,11 @@
         ):
             self._write_and_wait(0)
 
+    def write_returns(self) -> None:
+        """Write what ended turns have left, if this VM knows the partition."""
+        if self._end_offset is not None:
+            self._write_and_wait(0)
+
     def drop_untouched(self, touched_before: float) -> None:
         """Remove programs whose ``touched_at`` is before ``touched_before``."""
         self._untouched_before = touched_before
@@ -228,6 +234,7 @@
             for holder, tokens in account.claimed_by_holder.items()
             if account.find_unstored(holder)
         },
+        is_after_loss=account.may_have_lost_grants,
     )
     return KeyedRecord(
         key=account.program_id, content=msgspec.msgpack.encode(stored)
@@ -250,5 +257,6 @@
         pooled_by_holder=stored.pooled_by_holder,
         pool_tokens=stored.pool_tokens,
         claimed_by_holder=stored.claimed_by_holder,
+        is_loss_stored=stored.is_after_loss,
         touched_at=read_clock(),
     )
--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -8,6 +8,10 @@
 from gevent.pool import Pool
 
 from bronzepost._internal.core.gateway import budgets as rules
+from bronzepost._internal.core.gateway.pool_need import (
+    PoolNeed,
+    find_pool_need,
+)
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.messages import (
@@ -165,13 +169,22 @@
             tokens=message.tokens,
         )
         self.accounts.put_used(settled)
+        if account.needs_store and self._reports.has_store:
+            holder = self.accounts.holder
+            self.accounts.left_tokens.add(
+                account.program_id,
+                settled.count_available(holder)
+                - account.count_available(holder),
+            )
+            self.writer.write_returns()
         return True
 
     def hold_copy(self, copy: ReplicateAllowance) -> AllowanceReplicated:
         """Hold a copy of another VM's provisional allowance.
 
         The copy is refused if it exceeds the limits together with the
-        allowances that this VM knows of.
+        allowances that this VM knows of, or if this VM knows of a loss of all VMs
+        after which nothing is granted provisionally.
         """
         account = self.accounts.get_or_create(copy.program_id, copy.budget)
         account = rules.merge_claim(
@@ -182,7 +195,9 @@
             returned=copy.returned,
             pooled=copy.pooled,
         )
-        is_held = rules.is_within_limits(account, max_provisional=copy.bound)
+        is_held = not account.may_have_lost_grants and rules.is_within_limits(
+            account, max_provisional=copy.bound
+        )
         if is_held:
             self.accounts.put(account)
         return AllowanceReplicated(call_id=copy.call_id, is_held=is_held)
@@ -196,7 +211,7 @@
             call_id=request.call_id,
             tokens_by_holder=dict(account.claimed_by_holder),
             pooled_by_holder=dict(account.pooled_by_holder),
-            is_after_loss=account.is_after_loss,
+            is_after_loss=account.may_have_lost_grants,
         )
 
     def accept_hand_over(self, sender: str, message: HandOver) -> None:
@@ -275,13 +290,15 @@
             if isinstance(decision, rules.BudgetSpent):
                 return True
         seconds = find_grant_timeout(ends_at) if self._reports.has_store else 0
-        if self._reports.has_store and self._needs_pool(request):
+        need = self._find_pool_need(request)
+        if self._reports.has_store and need is not PoolNeed.NONE:
             is_held = self._claim(request)
             if is_held:
                 # Most VMs hold the claim, so the turn may run although a slow
                 # store does not have it yet.
                 self.writer.grant(request, seconds)
-            return is_held
+            if is_held or need is PoolNeed.REQUIRED:
+                return is_held
         if self.writer.grant(request, seconds):
             return True
         if not request.may_be_provisional:
@@ -293,15 +310,15 @@
             return False
         return self._claim(request)
 
-    def _needs_pool(self, request: ReserveTokens) -> bool:
+    def _find_pool_need(self, request: ReserveTokens) -> PoolNeed:
         if not self.accounts.is_synced:
             # The store may know that the pool is spent.
-            return False
+            return PoolNeed.NONE
         account = self.accounts.get_or_create(
             request.program_id, request.budget
         )
         available = account.count_available(self.accounts.holder)
-        return account.grantable < request.tokens - available
+        return find_pool_need(account, missing=request.tokens - available)
 
     def _claim(self, request: ReserveTokens) -> bool:
         outcome = self._claims.claim(request)
@@ -366,7 +383,7 @@
             reserved=sum(account.reserved_by_id.values()),
             available=account.count_available(self.accounts.holder),
             held_by_others=account.count_held_by_others(self.accounts.holder),
-            pool=max(account.pool_tokens - account.pooled, 0),
+            pool=account.pool_left,
             is_synced=self.accounts.is_synced,
             store_seconds=round(self._reports.store_available_seconds, 3),
             **fields,
--- a/tests/unit/test_builds.py
+++ b/tests/unit/test_builds.py
@@ -107,6 +107,7 @@
             {},
             0,
             {},
+            False,
             'new',
         ])
         account = decode_account(
