Settle a turn before the end of its answer

The home learned what a turn had generated after its answer had ended, so a loss of all VMs in between cost the program what the turn had not used. Now the home returns it while the turn itself is being stored, which the end of the answer waits for. Callers that are told while the store is away that a budget cannot be checked come back after 1 s, not 0.3 s: they try a turn a few times only.

--- a/src/bronzepost/_internal/gateway/programs/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/budget_keeper.py
@@ -51,6 +51,8 @@
 FLUSH_INTERVAL_SECONDS: Final = 0.5
 CLEANUP_INTERVAL_SECONDS: Final = 10.0
 RETRY_AFTER_SECONDS: Final = 0.3
+# Callers try a turn a few times only, and an outage of the store lasts seconds.
+OUTAGE_RETRY_AFTER_SECONDS: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -155,7 +157,7 @@
                 raise refuse_spent(name)
             if answer.verdict == HELD:
                 raise refuse_held(name)
-        raise refuse_unsure()
+        raise refuse_unsure(has_store=self._reports.has_store)
 
     def settle(
         self, reservation: Reservation, tokens: int, server_id: str
@@ -310,12 +312,16 @@
     )
 
 
-def refuse_unsure() -> RefusedError:
-    """Return the refusal of a turn whose budget no VM can check now."""
+def refuse_unsure(*, has_store: bool) -> RefusedError:
+    """Return the refusal of a turn whose budget no VM can check now.
+
+    While the store does not answer, the caller is told to come back later.
+    """
+    seconds = RETRY_AFTER_SECONDS if has_store else OUTAGE_RETRY_AFTER_SECONDS
     return RefusedError(
         'the token budget cannot be checked now',
         code='budget_unsure',
         status=HTTPStatus.SERVICE_UNAVAILABLE,
         step='reserve tokens',
-        retry_after_seconds=RETRY_AFTER_SECONDS,
+        retry_after_seconds=seconds,
     )
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -181,10 +181,7 @@
     def _close_turn(self, pending: PendingCall) -> None:
         self._quotas.close(pending)
         if pending.turn is not None:
-            tokens = pending.events.event_count * (
-                self._directory.find_engine(pending.service).tokens_per_event
-            )
-            self._programs.close_turn(pending.turn, tokens, pending.server_id)
+            tokens = settle_turn(pending, self._programs, self._directory)
             if pending.answer.is_complete and tokens:
                 self._directory.ratings.report_answer(pending.service, tokens)
 
@@ -265,6 +262,9 @@
 
     def _save_turn(self, pending: PendingCall) -> None:
         if pending.turn is not None:
+            # The home returns what is left while the turn is being stored. A
+            # loss of all VMs after the end of the answer then costs no tokens.
+            settle_turn(pending, self._programs, self._directory)
             self._programs.save_turn(
                 pending.turn,
                 pending.route,
@@ -384,6 +384,18 @@
         )
 
 
+def settle_turn(
+    pending: PendingCall, programs: ProgramState, directory: Directory
+) -> int:
+    """Settle the tokens of a turn, once; return what it has generated."""
+    engine = directory.find_engine(pending.service)
+    tokens = pending.events.event_count * engine.tokens_per_event
+    if pending.turn is not None and not pending.is_settled:
+        pending.is_settled = True
+        programs.close_turn(pending.turn, tokens, pending.server_id)
+    return tokens
+
+
 def count_by_workspace(call: CallRequest, outcome: str) -> None:
     """Count a request that was admitted with the key of a workspace."""
     if call.workspace:
--- a/src/bronzepost/_internal/gateway/requests/pending_call.py
+++ b/src/bronzepost/_internal/gateway/requests/pending_call.py
@@ -48,6 +48,7 @@
     ``limited_seconds`` the limits of the servers may admit the request; None if
     no limit keeps it from being sent. A stream
     goes on only at servers of ``stream_version``, the version that began it.
+    The home knows what the ``turn`` has generated once it ``is_settled``.
     ``workspace`` is that of the caller's key. If the configuration
     ``uses_workspaces``, servers do not get the key, and the name of the workspace
     from the gateway only.
@@ -77,6 +78,7 @@
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     turn: OpenTurn | None = None
+    is_settled: bool = False
     workspace: Workspace | None = None
     uses_workspaces: bool = False
     warmth: Warmth | None = None
