Add a specification of grants for single turns, the pool, and returns

allowances.py proves that a program is handed at most its budget and one turn over any number of losses, with paused holders and late appends, and at most its budget as long as no home assumes a loss. allowance_returns.py proves that what turns did not use is free again once their returns are stored, except for one turn for each that a loss broke off.

--- a/tests/unit/test_model.py
+++ b/tests/unit/test_model.py
@@ -3,10 +3,11 @@
 import contextlib
 import dataclasses
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 from unittest import mock
 
+import z3
 from testtools import TestCase
 
 from bronzepost._internal.core.ledger import (
@@ -19,6 +20,8 @@
 from bronzepost._internal.core.ledger.state import PartitionState
 from tests import builders_faults, builders_records
 from tests.model import (
+    allowance_returns,
+    allowances,
     budgets,
     configuration,
     leases,
@@ -234,6 +237,95 @@
             self.assertNotEqual([], trace, guard)
 
 
+class AllowanceModelTest(TestCase):
+    """Guard grants for single turns, the pool, and losses of all VMs."""
+
+    def check_guard(self, guard: str, **options: Any) -> None:
+        """Check that a system is unsafe without a guard.
+
+        Only runs with a budget of one turn of two tokens are searched, which is
+        faster.
+        """
+        system = allowances.build_allowances(without=guard, **options)
+        smallest = dataclasses.replace(
+            system,
+            initial=lambda now: z3.And(
+                system.initial(now), now['budget'] == 2, now['turn'] == 2
+            ),
+        )
+        trace = systems.find_counterexample(smallest, DEPTH)
+        self.assertNotEqual([], trace, guard)
+
+    def check_reached(self, claim: Callable[[systems.Values], Any]) -> None:
+        """Check that a claim on programs of a turn or more can be refuted."""
+        system = dataclasses.replace(
+            allowances.build_allowances(),
+            safety=lambda now: {
+                'less': z3.Or(now['budget'] < now['turn'], claim(now))
+            },
+        )
+        self.assertNotEqual([], systems.find_counterexample(system, DEPTH))
+
+    def test_one_turn_beyond_the_budget_over_any_number_of_losses(
+        self,
+    ) -> None:
+        """Guard against rules that hand out more than budget and one turn."""
+        system = allowances.build_allowances()
+        self.assertEqual([], systems.find_unproved(system))
+
+    def test_allowances_need_every_guard(self) -> None:
+        """Guard against a specification that holds without its guards."""
+        for guard in allowances.GUARDS:
+            self.check_guard(guard)
+
+    def test_all_tokens_can_be_handed_out(self) -> None:
+        """Guard against a specification in which the bounds are not reached."""
+        self.check_reached(
+            lambda now: z3.Or(now['was_assumed'], now['real'] < now['budget'])
+        )
+        self.check_reached(
+            lambda now: now['real'] < now['budget'] + now['turn']
+        )
+
+    def test_trusted_record_is_safe_if_vms_are_lost_all_at_once(self) -> None:
+        """Guard against a second pool after a loss that the record shows."""
+        system = allowances.build_allowances(trusts_record=True)
+        self.assertEqual([], systems.find_unproved(system))
+
+    def test_trusted_record_needs_every_guard(self) -> None:
+        """Guard against a loss that the home after the next does not know."""
+        for guard in allowances.TRUST_GUARDS:
+            self.check_guard(guard, trusts_record=True)
+
+    def test_fixed_part_of_a_turn_can_be_forgiven_once(self) -> None:
+        """Guard against forgiven tokens that add up with the pool."""
+        fixed = allowances.FORGIVES_FIXED
+        system = allowances.build_allowances(forgives=fixed)
+        self.assertEqual([], systems.find_unproved(system))
+        self.check_guard(allowances.FORGIVES_ONCE, forgives=fixed)
+
+    def test_tokens_cannot_be_forgiven_by_what_homes_know(self) -> None:
+        """Guard against a pool that is claimed while another home grants."""
+        system = allowances.build_allowances(forgives=allowances.FORGIVES_KNOWN)
+        self.assertNotEqual([], systems.find_counterexample(system, DEPTH))
+
+
+class AllowanceReturnModelTest(TestCase):
+    """Guard the returns of tokens that turns did not use."""
+
+    def test_unused_tokens_are_free_after_each_turn(self) -> None:
+        """Guard against tokens that nobody can use while the store answers."""
+        system = allowance_returns.build_returns()
+        self.assertEqual([], systems.find_unproved(system))
+
+    def test_returns_need_every_guard(self) -> None:
+        """Guard against a specification that holds without its guards."""
+        for guard in allowance_returns.GUARDS:
+            system = allowance_returns.build_returns(without=guard)
+            trace = systems.find_counterexample(system, DEPTH)
+            self.assertNotEqual([], trace, guard)
+
+
 class QuotaShareModelTest(TestCase):
     """Guard the shares of quotas, their loans and their takeover."""
 
