Answer a request before refusing the bytes behind it

Seen by callers: a whole request got 400 (or 431, 413), and was not run, if bytes that cannot be read came behind it in the same block. Requests that waited behind it were dropped as well. Cause: the reader parses a block as a whole. An error behind a complete request left the reader at once, and the connection dropped what the reader had complete. Change: the reader keeps the error, and parses nothing more, until the complete requests have been taken; then it raises it. A connection with a kept error counts as one with more to read, so a draining VM closes it after the refusal. A request that asks for an upgrade, which the parser completes before it raises, is refused as before. The kept error has no traceback, which would keep the block in memory. The parser of servers' answers has had no such fault: bytes behind an answer are surplus.

--- a/src/bronzepost/_internal/gateway/callers/request_reader.py
+++ b/src/bronzepost/_internal/gateway/callers/request_reader.py
@@ -173,6 +173,8 @@
         self._is_in_request = False
         self._is_in_body = False
         self._unparsed = b''
+        # The error of bytes that came behind requests in ``requests``.
+        self._error: ProtocolError | None = None
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = BodyBlocks()
         self._reset()
@@ -181,7 +183,7 @@
     def is_between_requests(self) -> bool:
         """Return whether no part of the next request has arrived."""
         has_more = self._is_in_request or self._unparsed or self.requests
-        return not has_more
+        return not (has_more or self._error)
 
     @property
     def is_in_body(self) -> bool:
@@ -199,21 +201,23 @@
         """Parse bytes and append complete requests to ``requests``.
 
         Bytes after some requests are kept until ``requests`` has been emptied
-        and ``feed`` is called again, also with no bytes.
+        and ``feed`` is called again, also with no bytes. So is an error of what
+        follows a complete request.
 
         Raises:
             ProtocolError: if the bytes are not HTTP/1.1 or a request exceeds
-                the size limits.
+                the size limits, once ``requests`` is empty.
         """
-        content = self._unparsed + received
-        self._unparsed = b''
-        start = 0
-        with memoryview(content) as view:
-            while start < len(content) and len(self.requests) < MAX_PARSED:
-                end = self._find_piece_end(content, start)
-                self._feed_piece(view[start:end])
-                start = end
-        self._unparsed = content[start:]
+        if self._error is None:
+            try:
+                self._feed_pieces(self._unparsed + received)
+            except ProtocolError as error:
+                if not self.requests:
+                    raise
+                self._error = drop_causes(error)
+                self._reset()
+        elif not self.requests:
+            raise self._error
 
     def discard(self) -> None:
         """Drop all that was read; nothing can be fed any more."""
@@ -285,11 +289,21 @@
         self._headers = []
         self._bounds.reset()
 
+    def _feed_pieces(self, content: bytes) -> None:
+        self._unparsed = b''
+        start = 0
+        with memoryview(content) as view:
+            while start < len(content) and len(self.requests) < MAX_PARSED:
+                end = self._find_piece_end(content, start)
+                self._feed_piece(view[start:end])
+                start = end
+        self._unparsed = content[start:]
+
     def _feed_piece(self, piece: memoryview) -> None:
         was_in_body = self._is_in_body
         body_bytes = self.body_bytes
         request_count = len(self.requests)
-        self._parse(piece)
+        parse_piece(self._parser, piece, self.requests)
         if len(self.requests) != request_count:
             # Where in the piece a request ends is not known.
             return
@@ -314,19 +328,6 @@
             piece_bytes = rest_bytes if self._length else _CHUNKED_PIECE_BYTES
         return min(start + piece_bytes, len(content))
 
-    def _parse(self, piece: memoryview) -> None:
-        try:
-            self._parser.feed_data(piece)
-        except httptools.HttpParserUpgrade:
-            raise ProtocolError(
-                'upgrade refused', step='read request'
-            ) from None
-        except httptools.HttpParserError as error:
-            cause = error.__context__
-            if isinstance(cause, ProtocolError):
-                raise cause from error
-            raise ProtocolError(str(error), step='read request') from error
-
     def _reset(self) -> None:
         self._target = b''
         self._headers = []
@@ -336,6 +337,34 @@
         self._reserved_bytes = 0
 
 
+def parse_piece(
+    parser: Any, piece: memoryview, requests: collections.deque[HttpRequest]
+) -> None:
+    """Parse bytes with a parser that appends to ``requests``.
+
+    Raises:
+        ProtocolError: if the bytes are not HTTP/1.1 or if a callback refuses them.
+    """
+    try:
+        parser.feed_data(piece)
+    except httptools.HttpParserUpgrade:
+        # The parser has completed the request that asks for the upgrade.
+        requests.pop()
+        raise ProtocolError('upgrade refused', step='read request') from None
+    except httptools.HttpParserError as error:
+        cause = error.__context__
+        if isinstance(cause, ProtocolError):
+            raise cause from error
+        raise ProtocolError(str(error), step='read request') from error
+
+
+def drop_causes(error: ProtocolError) -> ProtocolError:
+    """Return an error without what would keep the parsed bytes in memory."""
+    error.__cause__ = None
+    error.__context__ = None
+    return error.with_traceback(None)
+
+
 def measure_request(request: HttpRequest) -> int:
     """Return about how many bytes a request takes in memory."""
     return len(request.body) + measure_head(request.target, request.headers)
