Answer an idempotent request whose attempt fails unexpectedly

Seen by callers: an unexpected error of the VM in an attempt of an idempotent request had no answer until the deadline, then 504, though nothing was under way. Cause: each attempt runs in a greenlet of its own and passed on three kinds of errors only. Any other one ended the greenlet, and its request waited for a result that did not come. An error before the send was outside of the block that caught them. Change: an attempt passes on every error. The request goes on if another attempt is under way or its result is not read yet, and the error is logged as 1008; else, or if the failed attempt has begun a large answer, the error goes up to the connection, which logs it and answers 500, or breaks off what has begun. The server is not blamed. The same cause on related paths: an error in the choice of a server for a hedge ended the attempt that was under way, and an error in the same moment as a success hid it, as ended greenlets with unread results counted as none. The six tests of test_gateway_unexpected_attempts.py for errors failed before and pass, as does the one for a refusal, which was not run on the code before. Without the check for unread results the one of the same moment fails.

--- a/src/bronzepost/_internal/gateway/requests/hedging.py
+++ b/src/bronzepost/_internal/gateway/requests/hedging.py
@@ -31,8 +31,10 @@
     refuse_broken_answer,
     refuse_no_server,
 )
+from bronzepost._internal.gateway.callers.stopping import StoppingError
 from bronzepost._internal.gateway.links.backend_exchange import BackendExchange
 from bronzepost._internal.gateway.requests.pending_call import (
+    DeadlinePassedError,
     NotRunError,
     PendingCall,
 )
@@ -44,6 +46,11 @@
 # without load answers sooner.
 MIN_HEDGE_DELAY_SECONDS: Final = 0.05
 
+# What an attempt may fail with; any other error is one of this VM.
+_EXPECTED_ERRORS: Final = (ExchangeError, NotRunError)
+# Raised in the greenlet of the request from outside.
+_INTERRUPTIONS: Final = (CallerGoneError, DeadlinePassedError, StoppingError)
+
 RecordSend = Callable[[PendingCall], None]
 RecordFailure = Callable[[PendingCall, BackendServer, Exception], None]
 
@@ -96,12 +103,19 @@
 
         Raises:
             RefusedError: if no server answers.
+            Exception: an unexpected error of the last attempt.
         """
         self._retries.credit_call()
         with contextlib.ExitStack() as stack:
             stack.callback(gevent.killall, self._attempts, block=False)
             self._deliver_first_answer()
 
+    @property
+    def _has_attempts(self) -> bool:
+        """Return whether an attempt is under way or has a result to be read."""
+        is_running = any(not attempt.dead for attempt in self._attempts)
+        return is_running or not self._results.empty()
+
     def _deliver_first_answer(self) -> None:
         self._start_attempt()
         while True:  # noqa: WPS457 - ends with an answer or a refusal
@@ -115,22 +129,44 @@
             if isinstance(result.error, CallerGoneError):
                 raise result.error
             if result.error is not None:
-                self._record_failure(self._pending, result.server, result.error)
                 self._handle_failure(result.server, result.error)
 
     def _handle_failure(self, server: BackendServer, error: Exception) -> None:
+        if not isinstance(error, _EXPECTED_ERRORS):
+            # An answer that has begun cannot be taken over.
+            if self._delivering is server or not self._can_go_on(error):
+                raise error
+            return
+        self._record_failure(self._pending, server, error)
         if self._delivering is None:
             self._retry_or_refuse(error)
         elif self._delivering is server and isinstance(error, ExchangeError):
             raise refuse_broken_answer(error)
 
+    def _can_go_on(self, error: Exception) -> bool:
+        """Return whether another attempt may answer after an error of this VM.
+
+        The server is not blamed, and no attempt takes the place of the one that
+        failed, which may have sent the request: the next is likely to fail the
+        same way.
+        """
+        if self._has_attempts:
+            emit(
+                LogEvent.GREENLET_FAILED,
+                error=error,
+                step='answer idempotent request',
+                request=self._pending.call.request_id,
+            )
+            return True
+        return False
+
     def _retry_or_refuse(self, error: Exception) -> None:
         was_sent = isinstance(error, ExchangeError) and error.was_sent
         if not was_sent:
             self._pending.runs -= 1
         if self._may_start_attempt() and self._start_attempt():
             return
-        if any(not attempt.dead for attempt in self._attempts):
+        if self._has_attempts:
             return
         if isinstance(error, ExchangeError) and was_sent:
             raise refuse_broken_answer(error)
@@ -178,9 +214,12 @@
     def _choose_server(self) -> BackendServer | None:
         try:
             server = self._servers.choose(self._pending)
-        except RefusedError:
+        except _INTERRUPTIONS:
+            raise
+        except Exception as error:
             # An attempt that is running may still answer.
-            if not self._attempts:
+            is_refused = isinstance(error, RefusedError) and self._attempts
+            if not (is_refused or self._can_go_on(error)):
                 raise
             return None
         if server is None and not self._attempts:
@@ -188,14 +227,17 @@
         return server
 
     def _run_attempt(self, server: BackendServer) -> None:
-        self._record_send(self._pending)
         try:
-            with self._servers.open_exchange(self._pending, server) as opened:
-                result = self._read_answer(server, *opened)
-        except (ExchangeError, NotRunError, CallerGoneError) as error:
+            result = self._call_server(server)
+        except Exception as error:  # noqa: BLE001
             result = AttemptResult(server=server, error=error)
         self._results.put(result)
 
+    def _call_server(self, server: BackendServer) -> AttemptResult:
+        self._record_send(self._pending)
+        with self._servers.open_exchange(self._pending, server) as opened:
+            return self._read_answer(server, *opened)
+
     def _read_answer(
         self, server: BackendServer, exchange: BackendExchange, head: AnswerHead
     ) -> AttemptResult:
