End the wait for requests on a connection that a stop has closed

Cause: such a connection is closed for sending only, since a full close would reset it and take the answer away. Its greenlet went on waiting for a request that would not be read, and so never came to the wait for the acknowledgement. Change: closing the receiver ends a wait for bytes, in a callback of the hub that does nothing if the wait has ended by then, and begins no new one. The connection then takes the same way as any other last answer: it is open until all is acknowledged, and lingers for 2 s at most.

--- a/src/bronzepost/_internal/gateway/callers/caller_connections.py
+++ b/src/bronzepost/_internal/gateway/callers/caller_connections.py
@@ -111,7 +111,7 @@
         if self.is_idle and not self._has_more():
             # Bytes that arrive from now on are not read: the request could be
             # forwarded, but not answered.
-            self._receiver.is_closed = True
+            self._receiver.close()
             with contextlib.suppress(OSError):
                 # Bytes that arrive after SHUT_RDWR reset the connection, and what
                 # the caller has not read of its last answer would be lost.
--- a/src/bronzepost/_internal/gateway/callers/request_receiver.py
+++ b/src/bronzepost/_internal/gateway/callers/request_receiver.py
@@ -45,7 +45,9 @@
     ) -> None:
         """Read from a socket, and count in ``body``."""
         self._paced = PacedReader(sock=sock)
-        self.is_closed = False
+        self._is_closed = False
+        # The greenlet that waits for bytes.
+        self._waiter: Any = None
         self._sock = sock
         self._limits = limits
         self._body = body
@@ -71,6 +73,8 @@
         Raises:
             ProtocolError: if the request is not to be read.
         """
+        if self._is_closed:
+            return None
         self._waiting_since = read_clock()
         if not self._reader.is_between_requests:
             # A caller that pipelines gets one answer in each turn of the loop, since
@@ -79,7 +83,7 @@
             self._feed(b'')
         while not self._reader.requests:
             received = self._read()
-            if self.is_closed or not received:
+            if self._is_closed or not received:
                 return None
             self._feed_steps(received)
         request = self._reader.requests.popleft()
@@ -92,6 +96,12 @@
         )
         return request
 
+    def close(self) -> None:
+        """Receive nothing more; a greenlet that waits for bytes goes on."""
+        self._is_closed = True
+        if self._waiter is not None:
+            gevent.get_hub().loop.run_callback(self._end_wait)
+
     def discard(self) -> None:
         """Drop all that was read; nothing is received any more."""
         self._reader.discard()
@@ -134,13 +144,15 @@
 
     def _read(self) -> bytes:
         """Return the next bytes, or none at the end of the connection."""
+        self._waiter = gevent.getcurrent()
         try:
             return self._read_in_time(self._find_timeout())
         except TimeoutError:
             self._check_incomplete()
         except OSError:
-            self.is_closed = True
+            self._is_closed = True
         finally:
+            self._waiter = None
             self._sock.settimeout(None)
         return b''
 
@@ -151,6 +163,11 @@
         self._sock.settimeout(timeout_seconds)
         return self._paced.receive()
 
+    def _end_wait(self) -> None:
+        # Runs in gevent's hub. The wait may have ended since the callback was set.
+        if self._waiter is not None:
+            self._waiter.throw(ConnectionAbortedError('closed by the gateway'))
+
     def _check_incomplete(self) -> None:
         """Refuse a request of which a part has arrived."""
         if not self._reader.is_between_requests:
