Keep a connection open at a stop while its bytes wait for their turn

Seen by callers: a request that a VM had received when it stopped ended without an answer, and was not run, if its bytes were waiting to be parsed. That takes many connections that always have bytes, or one beside them. Cause: the stop closes a connection that has nothing in its socket or its parser. A block that the paced reader has received and not returned is in neither. Change: such a block counts as a part of the next request.

--- a/src/bronzepost/_internal/gateway/callers/request_receiver.py
+++ b/src/bronzepost/_internal/gateway/callers/request_receiver.py
@@ -64,8 +64,8 @@
 
     @property
     def is_between_requests(self) -> bool:
-        """Return whether no part of the next request has arrived."""
-        return self._reader.is_between_requests
+        """Return whether no part of the next request has been received."""
+        return self._reader.is_between_requests and not self._paced.has_block
 
     def receive(self) -> HttpRequest | None:
         """Return the next request, or None if the connection is closed.
--- a/src/bronzepost/_internal/node/paced_reader.py
+++ b/src/bronzepost/_internal/node/paced_reader.py
@@ -100,6 +100,11 @@
         self._block: bytes | None = None
         self.restart()
 
+    @property
+    def has_block(self) -> bool:
+        """Return whether a block was received that waits for its turn."""
+        return self._block is not None
+
     def restart(self) -> None:
         """Begin anew, for another exchange on a connection that was idle."""
         self._settled_at = read_run_time()
--- a/tests/unit/test_gateway_stops.py
+++ b/tests/unit/test_gateway_stops.py
@@ -10,6 +10,7 @@
 from bronzepost._internal.gateway.callers.http_messages import (
     HttpRequest,
 )
+from bronzepost._internal.node.paced_reader import LoopTurns, PacedReader
 from tests.builders_gateway import make_route
 from tests.builders_gateway_servers import (
     READ_BYTES,
@@ -155,3 +156,17 @@
             caller.sock.settimeout(0.1)
             with contextlib.suppress(TimeoutError):
                 self.assertEqual(b'', caller.sock.recv(1))
+
+
+class TestTurnAtTheStop(testtools.TestCase):
+    """A request was received, and waits for its turn to be parsed."""
+
+    def test_request_that_waits_for_its_turn_is_answered(self) -> None:
+        """Guard against a close, as neither socket nor parser has the bytes."""
+        self.patch(PacedReader, '_must_wait', lambda *_: True)
+        self.patch(LoopTurns, 'wait', lambda _: gevent.sleep(STREAM_SECONDS))
+        backend = ScriptedServer(script=stream_slowly)
+        with open_gateway(make_route(), backend) as gateway:
+            caller = stop_in_stream(gateway)
+            answer = caller.read_answer()
+        self.assertEqual((True, 1), (answer.is_complete, len(backend.requests)))
