Check in the soak for lost requests and programs that do not go on

The soak's caller suppressed every error of a connection, and nothing checked requests without an answer or turns that are refused again and again: with 27 answers dropped in 12 s it found nothing.

The end of each connection is recorded now, and so are the times of all unplanned faults. In the times that are free of them, from 3 s before a request to its end, a request that a server got, or that was open for over 0.2 s, has to end with a whole answer. Left out are requests at their timeout, answers that the server broke off itself, connections that no process got, and the time in which the soak's own process stood still (without that, a stall of 0.4 s beside a load average of 14 was reported at all VMs at once). After a loss of all VMs, a program with budget left must not be refused in five tries in a row later than 8 s after the loss or the return of the store; turns without a whole answer count at their most against the budget. Programs go on trying for 40 s after a loss so that this shows.

The second check finds programs on this code: with two VMs killed together, no other fault, one program was answered 503 budget_reserved from 2 s after the loss for 16 s on, with 100 of 300 tokens left.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -117,12 +117,14 @@
             keys=tuple(find_headers(request.headers, b'x-api-key')),
         )
         self._observations.record_run(run)
+        if is_deadly or self.loses:
+            self._observations.broken_off_ids.add(run.request_id)
         if is_deadly:
             self._crash(self)
             return False
         if self.loses:
             return False
-        return self._send_answer(sock, common_headers, blocks)
+        return self._send_answer(sock, run.request_id, common_headers, blocks)
 
     def _answer_quietly(self, sock: Any, request: HttpRequest) -> bool:
         # The gateway closes the connection when the caller disconnects.
@@ -149,7 +151,11 @@
         ]
 
     def _send_answer(
-        self, sock: Any, common_headers: bytes, blocks: list[bytes]
+        self,
+        sock: Any,
+        request_id: str,
+        common_headers: bytes,
+        blocks: list[bytes],
     ) -> bool:
         is_engine = self.service == 'engines'
         # Half of the streams have neither a length nor chunks.
@@ -162,6 +168,7 @@
                 EVENT_INTERVAL_SECONDS if is_engine else PLAIN_ANSWER_SECONDS
             )
             if self.breaks or self.server_id != server_id:
+                self._observations.broken_off_ids.add(request_id)
                 break_answer(sock, block, is_chunked=is_chunked)
                 return False
             sock.sendall(encode_block(block, is_chunked=is_chunked))
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,6 +1,6 @@
 """Callers that run programs: turns with history and budget, and tool calls."""
 
-import contextlib
+import dataclasses
 import itertools
 import random
 import time
@@ -10,13 +10,11 @@
 import gevent
 
 from bronzepost._internal.exceptions import ProtocolError
-from bronzepost._internal.gateway.callers.answer_reader import (
-    AnswerReader,
-)
 from bronzepost._internal.gateway.callers.header_names import find_header
 from tests.builders_gateway_servers import CallerSocket
 from tests.platform.builders_platform import HOST, TOKENS_PER_EVENT
 from tests.soak.backends import MAX_EVENTS, STREAM_PATH
+from tests.soak.connection_ends import ConnectionEnd, Exchange
 from tests.soak.observations import (
     Attempt,
     Observations,
@@ -28,6 +26,9 @@
 MAX_STREAM_EVENTS: Final = 12
 TURN_TOKENS: Final = MAX_EVENTS * TOKENS_PER_EVENT
 MAX_TRIES: Final = 3
+# After a loss of all VMs programs go on trying until the last check of the soak has
+# ended, so that refusals show in the calm times after the faults.
+PATIENCE_SECONDS: Final = 40.0
 # Turns that the budget of an endless program covers.
 LOOP_TURNS: Final = 3
 PAUSE_SECONDS: Final = 0.1
@@ -85,20 +86,25 @@
         self._observations.record_attempt(finished_attempt)
         return finished_attempt
 
-    def _send_request(self, vm: Vm, request: bytes) -> AnswerReader:
-        """Send a request and return the part of the answer that arrived.
+    def _send_request(self, vm: Vm, request: bytes) -> Exchange:
+        """Send a request and return what came of it.
 
         Connections are kept open and used again until the other side closes.
         """
-        reader = AnswerReader()
+        exchange = Exchange()
         idle = self._idle_by_boot.setdefault(vm.boot, [])
-        with contextlib.suppress(OSError, gevent.Timeout, ProtocolError):
+        try:
             with gevent.Timeout(ANSWER_TIMEOUT_SECONDS):
                 caller = idle.pop() if idle else open_connection(vm)
-                exchange(reader, caller, request)
-                if is_kept_open(reader):
+                exchange.address = caller.sock.getsockname()
+                exchange.run(caller, request)
+                if exchange.is_kept_open:
                     idle.append(caller)
-        return reader
+        except (OSError, gevent.Timeout, ProtocolError) as error:
+            exchange.fail(error)
+        if vm.link.pop_refusal(exchange.address):
+            exchange.end = ConnectionEnd.REFUSED
+        return exchange
 
     def call_tool(self, key: str) -> Attempt:
         """Call a plain service by an idempotent or non-idempotent route."""
@@ -122,6 +128,8 @@
         self.is_spent = False
         self.turns_done = 0
         self._caller = caller
+        self._observations = observations
+        self._started_at = time.monotonic()
         self._key = draw_lasting_key()
         self._program_id = f'p-{next(_ID_NUMBERS)}'
         self._turns = turns
@@ -143,7 +151,9 @@
             gevent.sleep(random.random() * PAUSE_SECONDS)  # noqa: S311
 
     def _run_turn(self, max_tries: int) -> bool:
-        for _ in range(max_tries):
+        tries = 0
+        while tries < max_tries or self._is_return_awaited():
+            tries += 1
             text = b'input %d;' % next(_ID_NUMBERS)
             attempt = self._send(text)
             if attempt.status == HTTPStatus.OK and attempt.is_complete:
@@ -156,6 +166,12 @@
         self.is_failed = True
         return False
 
+    def _is_return_awaited(self) -> bool:
+        """Return whether a loss of all VMs is so recent that tries go on."""
+        now = time.monotonic()
+        lost_at = self._observations.find_return(self._started_at, now)
+        return lost_at is not None and now < lost_at + PATIENCE_SECONDS
+
     def _send(self, text: bytes) -> Attempt:
         headers = [
             f'Program-Id: {self._program_id}',
@@ -245,59 +261,30 @@
         )
 
 
-def exchange(
-    reader: AnswerReader, caller: CallerSocket, request: bytes
-) -> None:
-    """Send a request and read its answer; close the connection unless kept."""
-    with contextlib.ExitStack() as stack:
-        stack.callback(caller.sock.close)
-        caller.sock.sendall(request)
-        read_answer(reader, caller)
-        if is_kept_open(reader):
-            stack.pop_all()
-
-
 def open_connection(vm: Vm) -> CallerSocket:
     """Connect to a VM through its link."""
     host, _, port = vm.link.address.rpartition(':')
     return CallerSocket(address=(host, int(port)))
 
 
-def is_kept_open(answer: AnswerReader) -> bool:
-    """Return whether the connection of an answer can be used again."""
-    head = answer.head
-    return answer.is_complete and head is not None and head.keep_alive
-
-
-def read_answer(reader: AnswerReader, caller: CallerSocket) -> None:
-    """Read until the answer is complete or the connection ends."""
-    while not reader.is_complete:
-        received = caller.sock.recv(65536)
-        if not received:
-            reader.feed_eof()
-            return
-        reader.feed(received)
-
-
-def finish_attempt(attempt: Attempt, answer: AnswerReader) -> Attempt:
-    """Return the attempt with the contents of its answer."""
+def finish_attempt(attempt: Attempt, exchange: Exchange) -> Attempt:
+    """Return the attempt with the contents of its answer and its end."""
+    answer = exchange.reader
+    ended_attempt = dataclasses.replace(
+        attempt,
+        written_at=exchange.written_at,
+        ended_at=time.monotonic(),
+        end=exchange.end,
+    )
     if answer.head is None:
-        return attempt
+        return ended_attempt
     stamp = find_header(answer.head.headers, b'server-stamp')
     is_leaving = find_header(answer.head.headers, b'server-leaving') is not None
-    return Attempt(
-        request_id=attempt.request_id,
-        kind=attempt.kind,
-        program_id=attempt.program_id,
-        expected=attempt.expected,
-        boot=attempt.boot,
-        key=attempt.key,
+    return dataclasses.replace(
+        ended_attempt,
         status=answer.head.status,
         body=answer.pop_body(),
         is_complete=answer.is_complete,
         is_from_server=stamp is not None,
-        pauses=attempt.pauses,
-        sent_at=attempt.sent_at,
-        ended_at=time.monotonic(),
         leaving_id=stamp.decode() if stamp and is_leaving else '',
     )
--- a/tests/soak/command.py
+++ b/tests/soak/command.py
@@ -14,6 +14,10 @@
 import msgspec
 
 from tests.soak.faults import FaultSeries
+from tests.soak.lost_requests import (
+    find_halted_programs,
+    find_lost_requests,
+)
 from tests.soak.world import World
 
 SECONDS_PER_MINUTE = 60
@@ -44,11 +48,16 @@
         world.start_callers(options.callers)
         series.run(options.minutes * SECONDS_PER_MINUTE)
         world.finish()
-        violations = world.observations.find_violations()
+        violations = [
+            *world.observations.find_violations(),
+            *find_lost_requests(world.observations),
+            *find_halted_programs(world.observations),
+        ]
     statuses = Counter(
         attempt.status for attempt in world.observations.attempts
     )
-    report = {
+    ends = Counter(attempt.end.value for attempt in world.observations.attempts)
+    report: dict[str, Any] = {
         'seed': options.seed,
         'seconds': round(time.monotonic() - started_at, 1),
         'faults': dict(sorted(series.counts.items())),
@@ -56,6 +65,7 @@
         'answers': {
             str(code): count for code, count in sorted(statuses.items())
         },
+        'connections': dict(sorted(ends.items())),
         'violations': violations,
     }
     if violations:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -54,9 +54,19 @@
         name = self.rng.choice(tuple(FAULTS))
         self.counts[name] += 1
         seed = self.rng.random()
-        greenlet = gevent.spawn(FAULTS[name], self.world, random.Random(seed))
+        greenlet = gevent.spawn(self._play, name, random.Random(seed))
         self.running.append(greenlet)
 
+    def _play(self, name: str, rng: random.Random) -> None:
+        with contextlib.ExitStack() as stack:
+            if name not in PLANNED:
+                stack.enter_context(
+                    self.world.observations.disturbances.note(
+                        is_store=name in STORE_FAULTS
+                    )
+                )
+            FAULTS[name](self.world, rng)
+
 
 def wait_randomly(rng: random.Random) -> None:
     """Sleep for the random duration of a fault."""
@@ -75,6 +85,7 @@
     """Kill a VM and start it again."""
     vm = rng.choice(world.vms)
     vm.kill()
+    world.note_absence()
     gevent.sleep(rng.random())
     vm.start()
 
@@ -91,16 +102,13 @@
 
 def restart_vm(world: World, rng: random.Random) -> None:
     """Stop a VM with SIGTERM and start it again."""
-    vm = rng.choice(world.vms)
-    vm.stop()
-    vm.start()
+    world.restart_vm(rng.choice(world.vms))
 
 
 def roll(world: World, rng: random.Random) -> None:
     """Restart the VMs one after the other."""
     for vm in world.vms:
-        vm.stop()
-        vm.start()
+        world.restart_vm(vm)
         gevent.sleep(rng.random())
 
 
@@ -283,3 +291,11 @@
         change_configuration,
     )
 }
+# Faults that excuse no lost request.
+PLANNED: Final = frozenset(
+    function.__name__
+    for function in (restart_vm, roll, lapse_entry, change_configuration)
+)
+STORE_FAULTS: Final = frozenset(
+    function.__name__ for function in (stop_store, slow_store, lose_appends)
+)
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -54,7 +54,11 @@
         self.target = target
         self.state = LinkState.GOOD
         self.delay_seconds = 0.05
+        # Every so many blocks of answers a connection is reset instead.
+        self.blocks_per_loss = 0
+        self._block_count = 0
         self._sockets: set[Any] = set()
+        self._refused_addresses: set[Any] = set()
         self._server = StreamServer(('127.0.0.1', 0), self._serve)
         self._server.start()
         self._port = self._server.server_port
@@ -111,6 +115,12 @@
         self._server.start()
         self.state = LinkState.GOOD
 
+    def pop_refusal(self, address: Any) -> bool:
+        """Return once whether the target refused the connection of a client."""
+        is_refused = address in self._refused_addresses
+        self._refused_addresses.discard(address)
+        return is_refused
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         self._server.stop()
@@ -122,13 +132,14 @@
         sock.connect_ex(('127.0.0.1', self._port))
         return sock
 
-    def _serve(self, client: Any, _address: Any) -> None:
+    def _serve(self, client: Any, address: Any) -> None:
         host, _, port = self.target.rpartition(':')
         try:
             upstream = create_connection(
                 (host, int(port)), CONNECT_TIMEOUT_SECONDS
             )
         except OSError:
+            self._refused_addresses.add(address)
             client.close()
             return
         upstream.settimeout(None)
@@ -156,6 +167,7 @@
     def _forward(self, source: Any, sink: Any, *, is_answer: bool) -> None:
         while block := source.recv(READ_BYTES):
             self._delay_block(is_answer=is_answer)
+            self._lose_block(is_answer=is_answer)
             sink.sendall(block)
         self._delay_block(is_answer=is_answer)
 
@@ -166,6 +178,12 @@
             spread = random.random()  # noqa: S311 - not for secrets
             gevent.sleep(self.delay_seconds * spread)
 
+    def _lose_block(self, *, is_answer: bool) -> None:
+        if is_answer and self.blocks_per_loss:
+            self._block_count += 1
+            if self._block_count % self.blocks_per_loss == 0:
+                raise ConnectionResetError
+
     def _is_held(self, *, is_answer: bool) -> bool:
         if self.state is LinkState.ONE_WAY:
             return is_answer
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from tests.platform.builders_platform import TOKENS_PER_EVENT
+from tests.soak.connection_ends import ConnectionEnd, Disturbances
 from tests.soak.workspaces import BOUND_SECONDS, KeyRecord
 
 # Statuses that tell the caller that the request did not run and will not run.
@@ -53,7 +54,8 @@
     identifies the process of the VM, and ``pauses`` how often it was frozen.
     Status 0 means that no answer came. ``leaving_id`` is the id of the server, if
     it said that it is leaving. ``key`` is that of a workspace. Times are in
-    monotonic seconds.
+    monotonic seconds; ``written_at`` is when the last byte was sent. ``end`` says how
+    the connection ended.
     """
 
     request_id: str
@@ -68,7 +70,9 @@
     boot: str = ''
     pauses: int = 0
     sent_at: float = 0
+    written_at: float = 0
     ended_at: float = 0
+    end: ConnectionEnd = ConnectionEnd.UNFINISHED
     leaving_id: str = ''
 
     @property
@@ -155,6 +159,13 @@
     freezes: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     # When all VMs were lost together, and what they knew of crashes with them.
     losses: list[float] = dataclasses.field(default_factory=list)
+    # When the last VM that ran had stopped or been lost by itself.
+    absences: list[float] = dataclasses.field(default_factory=list)
+    disturbances: Disturbances = dataclasses.field(default_factory=Disturbances)
+    # The times in which the process of the soak stood still.
+    stalls: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    # The requests whose answer a server broke off by itself.
+    broken_off_ids: set[str] = dataclasses.field(default_factory=set)
     records_by_key: dict[str, KeyRecord] = dataclasses.field(
         default_factory=dict
     )
@@ -176,6 +187,21 @@
         """Record the start of a run."""
         self.runs_by_id[run.request_id].append(run)
 
+    def find_return(self, since: float, at: float) -> float | None:
+        """Return when programs could go on after the last loss of all VMs.
+
+        That is the loss itself, or the return of the store if that is later. Only
+        losses from ``since`` until ``at`` count; it is none without one.
+        """
+        losses = [
+            lost
+            for lost in (*self.losses, *self.absences)
+            if since <= lost <= at
+        ]
+        if not losses:
+            return None
+        return max(*losses, self.disturbances.find_store_return(at))
+
     def find_violations(self) -> list[str]:
         """Return all violations, each with its request or program."""
         return [
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -46,6 +46,8 @@
 # VMs without links to servers have to serve requests from this time on.
 CONTACT_SECONDS: Final = 3.0
 CUT_SECONDS: Final = 4.0
+# Callers may see the end of a connection so late without it being noticed.
+STALL_SECONDS: Final = 0.025
 FINAL_PROGRAMS: Final = 8
 MAX_FINAL_TRIES: Final = 20
 
@@ -169,11 +171,23 @@
 
     def crash_backend(self, backend: Backend) -> None:
         """Cut all connections of a server, which is back after a while."""
+        number = self.observations.disturbances.begin()
         backend.link.go_down()
         for vm in self.vms:
             vm.server_links.lose_target(backend.link.address)
         down_seconds = random.uniform(*CRASH_SECONDS)  # noqa: S311
-        gevent.spawn_later(down_seconds, self._bring_back, backend)
+        gevent.spawn_later(down_seconds, self._bring_back, backend, number)
+
+    def restart_vm(self, vm: Vm) -> None:
+        """Stop a VM with SIGTERM and start it again."""
+        vm.stop()
+        self.note_absence()
+        vm.start()
+
+    def note_absence(self) -> None:
+        """Record that no VM is running, if that is so."""
+        if not any(vm.is_running for vm in self.vms):
+            self.observations.absences.append(time.monotonic())
 
     def remove_entry(self, backend: Backend) -> None:
         """Remove a backend server from the server list."""
@@ -187,6 +201,7 @@
                 gevent.spawn(self._run_programs, is_loop=is_loop)
             )
             self._callers.append(gevent.spawn(self._run_streams))
+        self._callers.append(gevent.spawn(self._watch_stalls))
         self._callers.append(gevent.spawn(self._probe_vms))
         self._callers.append(gevent.spawn(self._use_replaced_keys))
 
@@ -213,11 +228,12 @@
             self.observations.violations.extend(vm.violations)
             self.observations.freezes.extend(vm.freezes)
 
-    def _bring_back(self, backend: Backend) -> None:
+    def _bring_back(self, backend: Backend, disturbance: int) -> None:
         self.restart_backend(backend, backend.version)
         backend.link.come_up()
         for vm in self.vms:
             vm.server_links.regain_target(backend.link.address)
+        self.observations.disturbances.finish(disturbance)
 
     def _make_program(self, *, is_loop: bool = False) -> Program:
         return Program(
@@ -236,6 +252,15 @@
             Stream(caller=self.caller, observations=self.observations).run()
             gevent.sleep(random.random() * PAUSE_SECONDS)  # noqa: S311
 
+    def _watch_stalls(self) -> None:
+        """Record when greenlets wait for their turn, and callers with them."""
+        while True:  # noqa: WPS457 - killed at the end
+            start = time.monotonic()
+            gevent.sleep(STALL_SECONDS)
+            end = time.monotonic()
+            if end - start > 2 * STALL_SECONDS:
+                self.observations.stalls.append((start, end))
+
     def _use_replaced_keys(self) -> None:
         while True:  # noqa: WPS457 - killed at the end
             key = self.keys.draw_replaced()
@@ -272,13 +297,14 @@
         """Check that VMs without links to servers serve as the others do."""
         cut_vms = self.vms[: (len(self.vms) + 1) // 2]
         how = random.choice(tuple(Cut))  # noqa: S311 - not for secrets
-        for vm in cut_vms:
-            vm.server_links.cut(how)
-        gevent.sleep(CONTACT_SECONDS)
-        start = time.monotonic()
-        gevent.sleep(CUT_SECONDS)
-        for vm in cut_vms:
-            vm.server_links.heal()
+        with self.observations.disturbances.note():
+            for vm in cut_vms:
+                vm.server_links.cut(how)
+            gevent.sleep(CONTACT_SECONDS)
+            start = time.monotonic()
+            gevent.sleep(CUT_SECONDS)
+            for vm in cut_vms:
+                vm.server_links.heal()
         self.observations.check_first_tries(
             {vm.boot for vm in cut_vms}, since=start, how=how
         )
