--- a/tests/soak/vms.py
+++ b/tests/soak/vms.py
@@ -122,6 +122,14 @@
         self.freezes.append((self.boot, time.monotonic()))
         self._signal(signal.SIGCONT)
 
+    def reread_settings(self) -> None:
+        """Send SIGHUP, unless the process has not come to handle it yet.
+
+        The signal ends a process whose interpreter is still starting.
+        """
+        if self.is_running and handles_signal(self._process.pid, signal.SIGHUP):
+            self._signal(signal.SIGHUP)
+
     def check(self) -> None:
         """Record a process that ended by itself."""
         if self.is_wanted and not self.is_running:
@@ -180,6 +188,14 @@
         return head is not None and head.status == HTTPStatus.OK
 
 
+def handles_signal(pid: int, number: int) -> bool:
+    """Return whether a process ignores or catches a signal."""
+    lines = Path(f'/proc/{pid}/status').read_text(encoding='utf-8').splitlines()
+    fields = dict(line.split(':', 1) for line in lines)
+    mask = int(fields['SigIgn'], 16) | int(fields['SigCgt'], 16)
+    return bool(mask & (1 << (number - 1)))
+
+
 def find_free_ports(address: str, count: int) -> list[int]:
     """Return free ports of an address."""
     probes = [open_socket() for _ in range(count)]
