Return tokens under the names of the holders that had them

A home that had taken accounts over returned the tokens of the former home under its own name. Its total of returned tokens was then larger than what it was granted, so a later claim on the pool counted as stored, was not written, and could be granted again after the home was lost.

A holder returns at most what it was granted now, and the rest under the names of the holders that it replaced.

--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -162,16 +162,17 @@
 ) -> ProgramAccount:
     """Return the account after a holder has returned ``tokens``.
 
-    The holder cannot spend them any more. What it has spent is recorded too.
+    The holder cannot spend them any more. What it has spent is recorded too. A
+    holder returns no more than it was granted, and the rest for the holders that
+    it replaced: otherwise what it is granted later would count as returned.
     """
-    returned = account.returned_by_holder.get(holder, 0) + tokens
+    returned_by_holder = dict(account.returned_by_holder)
+    for name in (holder, *sorted(account.adopted - {holder})):
+        share = min(max(account.find_allowance(name), 0), tokens)
+        returned_by_holder[name] = returned_by_holder.get(name, 0) + share
+        tokens -= share
     return record_spent(
-        dataclasses.replace(
-            account,
-            returned_by_holder=merge_totals(
-                account.returned_by_holder, {holder: returned}
-            ),
-        ),
+        dataclasses.replace(account, returned_by_holder=returned_by_holder),
         holder=holder,
     )
 
