Forgive lost grants only where the store shows the pool granted

- The pool counted as granted by what a home knew, and a larger turn made it larger.
Only the pool that the store has counts now, after a loss only, and no more than its recorded size is forgiven.
- A turn was granted although what is spent for certain left no room for it; that is checked first now.
- Tokens counted as recorded before the append had succeeded, and those of a hand-over too.
The account has the totals of the store's record now.
- What a home spends and returns for one that it replaced was held against the latter; held tokens are summed over all holders now.
- A turn larger than those before was refused for good once the pool of a smaller one was granted; the claim covers what the store may not grant now.
- Returns that were queued at a hand-over were not written by the next home.
- A home that knew a program again did not forward the settlement of a turn that it had handed over.

--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -97,9 +97,11 @@
         )
     missing = tokens - available
     grantable = account.budget - account.granted
-    if missing > grantable + account.count_forgiven(holder):
-        spent = account.count_certain(holder)
-        return BudgetSpent(is_final=spent + tokens > account.budget)
+    is_final = account.count_certain(holder) + tokens > account.budget
+    if not is_final:
+        grantable += account.count_forgiven(holder)
+    if missing > grantable:
+        return BudgetSpent(is_final=is_final)
     return AllowanceNeeded(
         tokens=size_allowance(account, holder=holder, missing=missing)
     )
@@ -270,11 +272,13 @@
     all of them.
     """
     left = min(account.pool_left, account.budget - account.granted)
+    lacking = missing
+    if has_store:
+        lacking -= max(account.grantable, 0)
     if account.needs_store:
-        return max(missing, left)
+        return max(lacking, left)
     if not has_store:
         return missing
-    lacking = missing - max(account.grantable, 0)
     share = int(account.budget * ALLOWANCE_SHARE)
     return max(lacking, min(share, left))
 
@@ -361,6 +365,8 @@
     return dataclasses.replace(
         account,
         pool_tokens=max(account.pool_tokens, stored.pool_tokens),
+        stored_spent=max(account.stored_spent, stored.stored_spent),
+        stored_pooled=max(account.stored_pooled, stored.stored_pooled),
         is_loss_stored=account.is_loss_stored or stored.is_loss_stored,
         pooled_by_holder=merge_totals(
             account.pooled_by_holder, stored.pooled_by_holder
--- a/src/bronzepost/_internal/core/gateway/program_account.py
+++ b/src/bronzepost/_internal/core/gateway/program_account.py
@@ -26,7 +26,8 @@
     ``used_at``, both in seconds of this VM's clock. If ``is_after_loss``,
     grants that a loss of all VMs may have erased were assumed; the store has
     that if ``is_loss_stored``. The answers of its turns end only once the store
-    has them if it ``needs_store``.
+    has them if it ``needs_store``. The store has ``stored_spent`` and
+    ``stored_pooled`` of the spent and pooled tokens of all holders.
     """
 
     program_id: str
@@ -54,6 +55,8 @@
     pool_tokens: int = 0
     is_loss_stored: bool = False
     needs_store: bool = False
+    stored_spent: int = 0
+    stored_pooled: int = 0
 
     @property
     def may_have_lost_grants(self) -> bool:
@@ -155,23 +158,27 @@
         """
         own = self.adopted | {holder}
         others = self.granted_by_holder.keys() | self.claimed_by_holder.keys()
-        return sum(
-            max(
-                self.find_allowance(name) - self.spent_by_holder.get(name, 0), 0
-            )
+        others |= self.returned_by_holder.keys() | self.spent_by_holder.keys()
+        # In all, since a home may have spent what a holder had that it replaced.
+        held = sum(
+            self.find_allowance(name) - self.spent_by_holder.get(name, 0)
             for name in others - own
         )
+        return max(held, 0)
 
     def count_forgiven(self, holder: str) -> int:
-        """Return the tokens of other holders that need not count as spent.
+        """Return the tokens of holders lost with all VMs that need not be spent.
 
         A budget may be exceeded by one turn. That turn stands for grants that a
-        loss of all VMs may have erased, or, once the whole pool is known to be
-        granted, for what lost holders have not recorded as spent. Only programs
+        loss of all VMs may have erased, or, once the store has grants of the whole
+        pool, for what lost holders have not recorded as spent. Only programs
         that ``needs_store`` record it turn by turn. ``holder`` is this VM.
         """
-        if self.needs_store and 0 < self.pool_tokens <= self.pooled:
-            return min(self.most, self.count_held_by_others(holder))
+        is_pool_stored = 0 < self.pool_tokens <= self.stored_pooled
+        if self.needs_store and self.may_have_lost_grants and is_pool_stored:
+            # A larger turn may have got the rest of its size without a record.
+            turn_tokens = min(self.most, self.pool_tokens)
+            return min(turn_tokens, self.count_held_by_others(holder))
         return 0
 
     def count_certain(self, holder: str) -> int:
@@ -181,7 +188,7 @@
         it to a program that ``needs_store``.
         """
         if self.needs_store:
-            return sum(self.spent_by_holder.values())
+            return self.stored_spent
         return self.count_spent(holder)
 
     def is_unstored(self, holder: str) -> bool:
--- a/src/bronzepost/_internal/gateway/programs/accounts.py
+++ b/src/bronzepost/_internal/gateway/programs/accounts.py
@@ -63,7 +63,8 @@
         known = self.by_program.get(stored.program_id)
         stored = self.drop_own_claims(stored)
         merged = adopt_former_holders(
-            merge_stored(known, stored), self._handed_over_by_holder
+            note_stored(merge_stored(known, stored), stored),
+            self._handed_over_by_holder,
         )
         if merged != known:
             # Another home has changed the account in the meantime.
@@ -109,6 +110,8 @@
                 known, received, former_holder=former_holder
             )
             self.put_used(adopted)
+            # The former home may have returned tokens that are not stored.
+            self._unwritten.add(received.program_id)
 
     def drop_own_claims(self, account: ProgramAccount) -> ProgramAccount:
         """Return what others know of a program, without claims of this VM."""
@@ -221,6 +224,18 @@
     )
 
 
+def note_stored(
+    account: ProgramAccount, stored: ProgramAccount
+) -> ProgramAccount:
+    """Return the account with the totals that the store's record has."""
+    spent = sum(stored.spent_by_holder.values())
+    return dataclasses.replace(
+        account,
+        stored_spent=max(account.stored_spent, spent),
+        stored_pooled=max(account.stored_pooled, stored.pooled),
+    )
+
+
 def return_left(
     account: ProgramAccount, *, holder: str, tokens: int
 ) -> ProgramAccount:
--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -153,15 +153,15 @@
         return UNSURE
 
     def settle(self, message: SettleTokens) -> bool:
-        """Settle a turn's reservation; return whether the program is known."""
+        """Settle a turn's reservation; return whether this VM has it."""
         self.branches.set_server(message.line, message.server_id)
         account = self.accounts.by_program.get(message.program_id)
         if account is None or message.reservation_id not in (
             account.reserved_by_id
         ):
-            # The decision may still wait for the store.
+            # The decision may still wait for the store, or the accounts may have
+            # been handed over.
             self._settled_early.add(message.reservation_id)
-        if account is None:
             return False
         settled = rules.settle_tokens(
             account,
