Record what is spent before a turn is refused for good

Callers of a program with a spent budget got 503 in place of 402 in each try that came before the home's append of what the last turn had generated: 402 is given for tokens that the store has only, and nothing waited for that.

The home now writes what it has before such a refusal, and answers 402 once that is stored.

--- a/src/bronzepost/_internal/gateway/programs/allowance_writer.py
+++ b/src/bronzepost/_internal/gateway/programs/allowance_writer.py
@@ -109,6 +109,10 @@
         if self._end_offset is not None:
             self._write_and_wait(0)
 
+    def write(self, seconds: float) -> bool:
+        """Write what has changed; return whether it is stored in time."""
+        return self._write_and_wait(seconds)
+
     def drop_untouched(self, touched_before: float) -> None:
         """Remove programs whose ``touched_at`` is before ``touched_before``."""
         self._untouched_before = touched_before
--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -271,6 +271,8 @@
         )
 
     def _refuse_spent(self, request: ReserveTokens, *, is_final: bool) -> str:
+        if not is_final and self._reports.has_store:
+            is_final = confirm_spent(self.accounts, self.writer, request)
         if is_final:
             self._log_refusal(LogEvent.BUDGET_SPENT, request)
             return SPENT
@@ -414,6 +416,25 @@
     )
 
 
+def confirm_spent(
+    accounts: Accounts, writer: AllowanceWriter, request: ReserveTokens
+) -> bool:
+    """Record what turns have spent; return whether too little is left for good.
+
+    A turn that needs the store is refused for good only once the store has that.
+    """
+    account = accounts.get_or_create(request.program_id, request.budget)
+    spent = account.count_spent(accounts.holder)
+    if not account.needs_store or spent + request.tokens <= account.budget:
+        return False
+    accounts.left_tokens.add(request.program_id, 0)
+    if not writer.write(GRANT_TIMEOUT_SECONDS):
+        return False
+    account = accounts.get_or_create(request.program_id, request.budget)
+    certain = account.count_certain(accounts.holder)
+    return certain + request.tokens > account.budget
+
+
 def find_grant_timeout(ends_at: float) -> float:
     """Return the seconds to wait for a grant to a decision due at a time."""
     return max(min(GRANT_TIMEOUT_SECONDS, ends_at - read_clock()), 0)
