--- a/src/bronzepost/_internal/core/gateway/program_account.py
+++ b/src/bronzepost/_internal/core/gateway/program_account.py
@@ -167,7 +167,7 @@
         return max(held, 0)
 
     def count_forgiven(self, holder: str) -> int:
-        """Return the tokens of holders lost with all VMs that need not be spent.
+        """Return the tokens of lost holders that need not count as spent.
 
         A budget may be exceeded by one turn. That turn stands for grants that a
         loss of all VMs may have erased, or, once the store has grants of the whole
