--- a/review/more-2/quota_of_a_lone_machine/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" && exec python3 case.py
