Move the grants of a home into a module of their own

Grants has what a home does to obtain tokens that a turn lacks: the store, the pool, and what peers know.

--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -1,17 +1,11 @@
 """The home of one partition of programs, which decides on their tokens."""
 
-import dataclasses
 import math
-from typing import Any, Final
+from typing import Final
 
 import msgspec
-from gevent.pool import Pool
 
 from bronzepost._internal.core.gateway import budgets as rules
-from bronzepost._internal.core.gateway.pool_need import (
-    PoolNeed,
-    find_pool_need,
-)
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.messages import (
@@ -33,11 +27,12 @@
 from bronzepost._internal.gateway.programs.allowance_writer import (
     AllowanceWriter,
 )
-from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
-from bronzepost._internal.gateway.programs.pool_claims import (
-    ClaimOutcome,
-    PoolClaims,
+from bronzepost._internal.gateway.programs.grants import (
+    Grants,
+    confirm_spent,
+    decide_reservation,
 )
+from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -50,15 +45,6 @@
 HELD: Final = 'held'
 UNSURE: Final = 'unsure'
 
-# An append takes a few milliseconds. After this time the store counts as slow,
-# and the home falls back to a provisional allowance.
-GRANT_TIMEOUT_SECONDS: Final = 0.3
-# For this long after the store answers again, or after the start, other VMs may
-# have allowances that are not in the store yet. They write them twice a second,
-# and a slow append takes up to 1.5 s.
-STORE_RECOVERY_SECONDS: Final = 3.0
-# Limits the number of peers that are asked for what they know of a program.
-MAX_PEERS_ASKED: Final = 24
 # Time after the start of the first VM in which a program with earlier turns may
 # have lost grants. Callers repeat a failed turn within a second and pause a few
 # seconds between turns, so programs from before a loss of all VMs usually ask
@@ -100,11 +86,11 @@
         self._key = f'budgets-{number}'
         self._fleet = fleet
         self._reports = reports
-        self._calls = calls
         self._previous_home = fleet.own_name
-        self._claims = PoolClaims(
+        self.grants = Grants(
             key=self._key,
             accounts=self.accounts,
+            writer=self.writer,
             fleet=fleet,
             reports=reports,
             calls=calls,
@@ -148,7 +134,7 @@
                 return self._refuse_spent(request, is_final=decision.is_final)
             if read_clock() >= ends_at:
                 return UNSURE
-            if not self._obtain_allowance(request, ends_at):
+            if not self.grants.obtain(request, ends_at):
                 return UNSURE
         return UNSURE
 
@@ -274,129 +260,15 @@
         if not is_final and self._reports.has_store:
             is_final = confirm_spent(self.accounts, self.writer, request)
         if is_final:
-            self._log_refusal(LogEvent.BUDGET_SPENT, request)
+            self.grants.log_refusal(LogEvent.BUDGET_SPENT, request)
             return SPENT
-        self._log_refusal(
+        self.grants.log_refusal(
             LogEvent.ALLOWANCE_REFUSED,
             request,
             reason='the rest is reserved, or was when a VM was lost',
         )
         return HELD
 
-    def _obtain_allowance(self, request: ReserveTokens, ends_at: float) -> bool:
-        if self._reports.store_available_seconds < STORE_RECOVERY_SECONDS:
-            account = self._fetch_allowances(request)
-            decision = decide_reservation(
-                account, self.accounts.holder, request
-            )
-            if isinstance(decision, rules.BudgetSpent):
-                return True
-        seconds = find_grant_timeout(ends_at) if self._reports.has_store else 0
-        need = self._find_pool_need(request)
-        if self._reports.has_store and need is not PoolNeed.NONE:
-            is_held = self._claim(request)
-            if is_held:
-                # Most VMs hold the claim, so the turn may run although a slow
-                # store does not have it yet.
-                self.writer.grant(request, seconds)
-            if is_held or need is PoolNeed.REQUIRED:
-                return is_held
-        if self.writer.grant(request, seconds):
-            return True
-        if not request.may_be_provisional:
-            self._log_refusal(
-                LogEvent.ALLOWANCE_REFUSED,
-                request,
-                reason='another VM is the home and may grant without the store',
-            )
-            return False
-        return self._claim(request)
-
-    def _find_pool_need(self, request: ReserveTokens) -> PoolNeed:
-        if not self.accounts.is_synced:
-            # The store may know that the pool is spent.
-            return PoolNeed.NONE
-        account = self.accounts.get_or_create(
-            request.program_id, request.budget
-        )
-        available = account.count_available(self.accounts.holder)
-        return find_pool_need(account, missing=request.tokens - available)
-
-    def _claim(self, request: ReserveTokens) -> bool:
-        outcome = self._claims.claim(request)
-        if outcome is ClaimOutcome.CONTRADICTED:
-            # The next attempt of the caller is decided with what peers know.
-            self._fetch_allowances(request)
-        if outcome is ClaimOutcome.HELD:
-            return True
-        self._log_refusal(
-            LogEvent.ALLOWANCE_REFUSED,
-            request,
-            reason=str(outcome),
-            bound=rules.find_provisional_limit(
-                self.accounts.get_or_create(request.program_id, request.budget),
-                turn_tokens=request.tokens,
-                needs_store=request.needs_store,
-            ),
-        )
-        return False
-
-    def _fetch_allowances(self, request: ReserveTokens) -> ProgramAccount:
-        """Merge the provisional allowances that peers know into the account."""
-        peers = [name for name in self.rank() if name != self._fleet.own_name]
-        message = FindAllowances(call_id=0, program_id=request.program_id)
-        answers = Pool(MAX_PEERS_ASKED).map(
-            lambda name: self._ask(name, message), peers[:MAX_PEERS_ASKED]
-        )
-        account = self.accounts.get_or_create(
-            request.program_id, request.budget
-        )
-        for answer in filter(None, answers):
-            found = self.accounts.drop_own_claims(
-                ProgramAccount(
-                    program_id=request.program_id,
-                    budget=request.budget,
-                    claimed_by_holder=answer.tokens_by_holder,
-                    pooled_by_holder=answer.pooled_by_holder,
-                )
-            )
-            account = rules.merge_stored(account, found)
-            if answer.is_after_loss:
-                account = dataclasses.replace(account, is_after_loss=True)
-        self.accounts.put(account)
-        return account
-
-    def _log_refusal(
-        self, event: LogEvent, request: ReserveTokens, **fields: int | str
-    ) -> None:
-        account = self.accounts.get_or_create(
-            request.program_id, request.budget
-        )
-        emit(
-            event,
-            request=request.request_id,
-            program=request.program_id,
-            tokens=request.tokens,
-            budget=request.budget,
-            granted=account.granted,
-            provisional=account.provisional,
-            forgotten=account.find_allowance(rules.LOST_GRANTS_HOLDER),
-            spent=account.count_spent(self.accounts.holder),
-            reserved=sum(account.reserved_by_id.values()),
-            available=account.count_available(self.accounts.holder),
-            held_by_others=account.count_held_by_others(self.accounts.holder),
-            pool=account.pool_left,
-            is_synced=self.accounts.is_synced,
-            store_seconds=round(self._reports.store_available_seconds, 3),
-            **fields,
-        )
-
-    def _ask(self, name: str, message: FindAllowances) -> Any:
-        return self._calls.ask(
-            name,
-            lambda number: msgspec.structs.replace(message, call_id=number),
-        )
-
 
 def assess_loss(
     account: ProgramAccount, request: ReserveTokens, age_seconds: float
@@ -416,42 +288,6 @@
     )
 
 
-def confirm_spent(
-    accounts: Accounts, writer: AllowanceWriter, request: ReserveTokens
-) -> bool:
-    """Record what turns have spent; return whether too little is left for good.
-
-    A turn that needs the store is refused for good only once the store has that.
-    """
-    account = accounts.get_or_create(request.program_id, request.budget)
-    spent = account.count_spent(accounts.holder)
-    if not account.needs_store or spent + request.tokens <= account.budget:
-        return False
-    accounts.left_tokens.add(request.program_id, 0)
-    if not writer.write(GRANT_TIMEOUT_SECONDS):
-        return False
-    account = accounts.get_or_create(request.program_id, request.budget)
-    certain = account.count_certain(accounts.holder)
-    return certain + request.tokens > account.budget
-
-
-def find_grant_timeout(ends_at: float) -> float:
-    """Return the seconds to wait for a grant to a decision due at a time."""
-    return max(min(GRANT_TIMEOUT_SECONDS, ends_at - read_clock()), 0)
-
-
-def decide_reservation(
-    account: ProgramAccount, holder: str, request: ReserveTokens
-) -> rules.Decision:
-    """Return the decision of the home ``holder`` on a request."""
-    return rules.reserve_tokens(
-        account,
-        holder=holder,
-        reservation_id=request.reservation_id,
-        tokens=request.tokens,
-    )
-
-
 def decode_accounts(content: bytes) -> list[ProgramAccount] | None:
     """Return the accounts of a hand-over, or None if they are unreadable.
 
--- a/tests/builders_losses.py
+++ b/tests/builders_losses.py
@@ -55,7 +55,7 @@
     ('turn_writer', 'PEER_WRITE_TIMEOUT_SECONDS', 0.05),
     ('budget_keeper', 'RESERVE_TIMEOUT_SECONDS', 0.1),
     ('budget_keeper', 'DECISION_SECONDS', 0.08),
-    ('home', 'GRANT_TIMEOUT_SECONDS', 0.05),
+    ('grants', 'GRANT_TIMEOUT_SECONDS', 0.05),
 )
 TURN_TOKENS: Final = 100
 
--- a/tests/unit/test_gateway_homes.py
+++ b/tests/unit/test_gateway_homes.py
@@ -565,7 +565,7 @@
         self.network.order = ('a', 'b', 'c')
         home = self.network.homes_by_name['a']
         request = make_request('q-a', is_first=False, needs_store=True)
-        home._fetch_allowances(request)
+        home.grants.fetch(request)
         self.assertEqual(UNSURE, home.reserve(request))
 
 
--- a/tests/unit/test_late_grants.py
+++ b/tests/unit/test_late_grants.py
@@ -13,7 +13,7 @@
     FLUSH_INTERVAL_SECONDS,
     RETRY_AFTER_SECONDS,
 )
-from bronzepost._internal.gateway.programs.home import GRANT_TIMEOUT_SECONDS
+from bronzepost._internal.gateway.programs.grants import GRANT_TIMEOUT_SECONDS
 from tests.builders_gateway import (
     BUDGET,
     MemoryStore,
--- a/tests/unit/test_loss_of_all_vms.py
+++ b/tests/unit/test_loss_of_all_vms.py
@@ -20,6 +20,7 @@
     accounts,
     allowance_writer,
     budget_keeper,
+    grants,
     home,
     store_lane,
     store_pace,
@@ -46,7 +47,7 @@
 
 MODULES: Final = MappingProxyType({
     'budget_keeper': budget_keeper,
-    'home': home,
+    'grants': grants,
     'store_lane': store_lane,
     'store_pace': store_pace,
     'store_queue': store_queue,
