Claim the pool in an outage that no append has met

Cause: without the store, Grants.obtain asks the writer first; if nothing has to be written, the writer reports success and the home never claims the pool. A success of the writer now ends the search only if the store may grant what is missing.

test_pool_is_granted_if_no_append_has_failed failed before (400 of 800 tokens) and passes.

--- a/src/bronzepost/_internal/gateway/programs/grants.py
+++ b/src/bronzepost/_internal/gateway/programs/grants.py
@@ -79,9 +79,10 @@
             )
             if isinstance(decision, rules.BudgetSpent):
                 return True
-        seconds = find_grant_timeout(ends_at) if self._reports.has_store else 0
+        has_store = self._reports.has_store
+        seconds = find_grant_timeout(ends_at) if has_store else 0
         need = self._find_pool_need(request)
-        if self._reports.has_store and need is not PoolNeed.NONE:
+        if has_store and need is not PoolNeed.NONE:
             is_held = self._claim(request)
             if is_held:
                 # Most VMs hold the claim, so the turn may run although a slow
@@ -89,16 +90,12 @@
                 self._writer.grant(request, seconds)
             if is_held or need is PoolNeed.REQUIRED:
                 return is_held
-        if self._writer.grant(request, seconds):
+        is_stored = self._writer.grant(request, seconds)
+        # What only the pool has is not granted by the store, whose part of the
+        # budget may be written already.
+        if is_stored and need is not PoolNeed.REQUIRED:
             return True
-        if not request.may_be_provisional:
-            self.log_refusal(
-                LogEvent.ALLOWANCE_REFUSED,
-                request,
-                reason='another VM is the home and may grant without the store',
-            )
-            return False
-        return self._claim(request)
+        return self._grant_provisionally(request)
 
     def fetch(self, request: ReserveTokens) -> ProgramAccount:
         """Merge the provisional allowances that peers know into the account."""
@@ -155,6 +152,16 @@
             **fields,
         )
 
+    def _grant_provisionally(self, request: ReserveTokens) -> bool:
+        if request.may_be_provisional:
+            return self._claim(request)
+        self.log_refusal(
+            LogEvent.ALLOWANCE_REFUSED,
+            request,
+            reason='another VM is the home and may grant without the store',
+        )
+        return False
+
     def _find_pool_need(self, request: ReserveTokens) -> PoolNeed:
         if not self._accounts.is_synced:
             # The store may know that the pool is spent.
--- a/tests/unit/test_gateway_homes.py
+++ b/tests/unit/test_gateway_homes.py
@@ -673,6 +673,18 @@
         """Guard against a pool that can never be used."""
         self.assertEqual(LOOP_BUDGET, self.spend('a'))
 
+    def test_pool_is_granted_if_no_append_has_failed(self) -> None:
+        """An outage that no append had met yet ended all grants of the pool."""
+        spent = 0
+        home = self.network.homes_by_name['a']
+        for _ in range(LOOP_BUDGET // TOKENS // 2):
+            number = f'q-{next(REQUEST_NUMBERS)}'
+            home.reserve(make_request(number, budget=LOOP_BUDGET))
+            home.settle(make_settlement(number, TOKENS))
+            spent += TOKENS
+        self.network.store.is_down = True
+        self.assertEqual(LOOP_BUDGET, spent + self.spend('a'))
+
     def test_last_vm_grants_the_whole_budget(self) -> None:
         """Guard against agreements that a VM alone can never reach."""
         self.network.order = ('a',)
