Count no votes on budgets of VMs that have forgotten them

Cause: the pool of a budget is granted by most VMs, and any two majorities share a VM. A restarted VM voted at once, with an empty memory, so the shared VM may have forgotten the first grant. Nobody wrote that grant to the store either when its holder was gone.

Change: a VM that has started holds copies, but its agreement counts once it has read the claims from before its start, 3 s after the store answers. Abstaining is no consent: most of all VMs are needed, by the largest number that any VM knows. Claims of holders that do not run any more are written by the VMs with copies. If no VM remembers anything, all were lost, which the assumed loss covers.

--- a/src/bronzepost/_internal/gateway/peers/fleet.py
+++ b/src/bronzepost/_internal/gateway/peers/fleet.py
@@ -14,6 +14,7 @@
     GatewayMessage,
 )
 from bronzepost._internal.gateway.peers.other_builds import OtherBuilds
+from bronzepost._internal.gateway.peers.running_boots import RunningBoots
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.peers.peers import PeerTransport
@@ -62,6 +63,7 @@
             seeds=settings.seeds,
             random_seed=random.SystemRandom().getrandbits(_SEED_BITS),
         )
+        self.boots = RunningBoots(members=self._members)
         codec = GatewayCodec(
             name=own.name,
             peer_address=own.peer_address,
--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -106,11 +106,16 @@
     """Answer to ``ReplicateAllowance``.
 
     ``is_held`` is false if the allowance, together with those that the peer
-    knows of, exceeds the budget or ``bound``.
+    knows of, exceeds the budget or ``bound``. A peer that does not have
+    ``has_memory`` may know less than it has agreed to, as after a restart. Builds
+    without this field do not tell, and count as those that have it. ``voters`` is
+    the number of VMs that have to agree by most, as the peer knows them.
     """
 
     call_id: int
     is_held: bool = True
+    has_memory: bool = True
+    voters: int = 0
 
 
 class FindAllowances(
--- a/src/bronzepost/_internal/gateway/programs/accounts.py
+++ b/src/bronzepost/_internal/gateway/programs/accounts.py
@@ -31,8 +31,9 @@
         self.is_synced = False
         self.holder = boot
         self._boot = boot
-        # Programs with returned tokens that may not be in the store yet.
-        self._unwritten: set[str] = set()
+        # Programs with returned tokens, or claims of holders that are gone, that
+        # may not be in the store yet.
+        self.unwritten: set[str] = set()
         self.left_tokens = LeftTokens()
         self._hand_over_count = 0
         # For each former name of this VM, the programs handed over since it was
@@ -89,7 +90,7 @@
         ]
         for account in removed:
             self.by_program.pop(account.program_id)
-            self._unwritten.discard(account.program_id)
+            self.unwritten.discard(account.program_id)
             self.left_tokens.drop(account.program_id)
         if removed:
             self._handed_over_by_holder[self.holder] = set()
@@ -111,7 +112,7 @@
             )
             self.put_used(adopted)
             # The former home may have returned tokens that are not stored.
-            self._unwritten.add(received.program_id)
+            self.unwritten.add(received.program_id)
 
     def drop_own_claims(self, account: ProgramAccount) -> ProgramAccount:
         """Return what others know of a program, without claims of this VM."""
@@ -128,10 +129,6 @@
         """Return whether this VM has any allowance that is not in the store."""
         return any(map(self.is_unstored, self.by_program.values()))
 
-    def has_unwritten(self) -> bool:
-        """Return whether some returned tokens may not be in the store."""
-        return bool(self._unwritten)
-
     def has_idle_changes(self, idle_before: float) -> bool:
         """Return whether an idle account has to be written to the store.
 
@@ -164,13 +161,13 @@
                 returned = return_left(account, holder=self.holder, tokens=left)
             if returned != account:
                 self.put(returned)
-                self._unwritten.add(account.program_id)
+                self.unwritten.add(account.program_id)
 
     def mark_written(self, accounts: Iterable[ProgramAccount]) -> None:
         """Record that the store has accepted accounts."""
         for account in accounts:
             self.merge(account)
-            self._unwritten.discard(account.program_id)
+            self.unwritten.discard(account.program_id)
 
     def list_untouched(self, touched_before: float) -> list[str]:
         """Return programs whose ``touched_at`` is before ``touched_before``.
@@ -206,7 +203,7 @@
                 granted = grant_allowance(
                     granted, holder=self.holder, tokens=tokens
                 )
-            is_unwritten = program_id in self._unwritten
+            is_unwritten = program_id in self.unwritten
             if tokens or is_unwritten or self.is_unstored(account):
                 changed.append(record_spent(granted, holder=self.holder))
         return changed
--- a/src/bronzepost/_internal/gateway/programs/allowance_writer.py
+++ b/src/bronzepost/_internal/gateway/programs/allowance_writer.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from typing import Final
 
 import gevent
@@ -23,6 +24,9 @@
     KeyedRecord,
     KeyedStore,
 )
+from bronzepost._internal.gateway.programs.orphaned_claims import (
+    OrphanedClaims,
+)
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -58,10 +62,19 @@
     """
 
     def __init__(
-        self, *, store: KeyedStore, partition: int, accounts: Accounts
+        self,
+        *,
+        store: KeyedStore,
+        partition: int,
+        accounts: Accounts,
+        is_running: Callable[[str], bool],
     ) -> None:
-        """Write the changes of ``accounts`` to ``partition``."""
+        """Write the changes of ``accounts`` to ``partition``.
+
+        ``is_running`` tells whether the VM of a holder still runs.
+        """
         self._store = store
+        self._orphans = OrphanedClaims(is_running=is_running)
         self._partition = partition
         self._accounts = accounts
         self._end_offset: int | None = None
@@ -96,14 +109,31 @@
         if has_store and self._end_offset is not None:
             self._idle_before = read_clock() - IDLE_SECONDS
         accounts = self._accounts
+        if has_store:
+            accounts.unwritten.update(
+                self._orphans.list_programs(
+                    accounts.by_program.values(), holder=accounts.holder
+                )
+            )
         if (
             self._has_unanswered_append
             or accounts.has_unstored()
-            or accounts.has_unwritten()
+            or accounts.unwritten
             or accounts.has_idle_changes(self._idle_before)
         ):
             self._write_and_wait(0)
 
+    def read_claims(self) -> None:
+        """Read the accounts with claims, of which this VM may lack copies.
+
+        Raises:
+            LogServiceError: if the store does not answer.
+        """
+        found = self._store.read_partition(TOPIC, self._partition)
+        for stored in filter(None, map(decode_account, found.records)):
+            if stored.pooled or stored.claimed_by_holder:
+                self._accounts.merge(stored)
+
     def write_returns(self) -> None:
         """Write what ended turns have left, if this VM knows the partition."""
         if self._end_offset is not None:
@@ -210,6 +240,7 @@
         # Merged, not replaced: turns may have been reserved or settled while
         # the append ran.
         self._accounts.mark_written(changed)
+        self._orphans.note_stored(changed)
         for program_id in self._accounts.list_untouched(self._untouched_before):
             self._accounts.by_program.pop(program_id)
 
@@ -219,6 +250,7 @@
             stored = decode_account(record)
             if stored is not None:
                 self._accounts.merge(stored)
+                self._orphans.note_stored((stored,))
         self._end_offset = found.end_offset
         self._has_unanswered_append = False
         self._accounts.is_synced = True
--- a/src/bronzepost/_internal/gateway/programs/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/budget_keeper.py
@@ -33,6 +33,9 @@
     Home,
 )
 from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
+from bronzepost._internal.gateway.programs.voter_memory import (
+    restore_memories,
+)
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -109,6 +112,8 @@
         """Start writing accounts and removing unused ones, periodically."""
         start_loop(self._maintain_accounts, FLUSH_INTERVAL_SECONDS)
         start_loop(self._drop_untouched, CLEANUP_INTERVAL_SECONDS)
+        memories = [home.memory for home in self._homes]
+        start_loop(lambda: restore_memories(memories), FLUSH_INTERVAL_SECONDS)
 
     def count_programs(self) -> int:
         """Return the number of programs of which this VM has an account."""
--- a/src/bronzepost/_internal/gateway/programs/grants.py
+++ b/src/bronzepost/_internal/gateway/programs/grants.py
@@ -27,6 +27,10 @@
     ClaimOutcome,
     PoolClaims,
 )
+from bronzepost._internal.gateway.programs.voter_memory import (
+    STORE_RECOVERY_SECONDS,
+    VoterMemory,
+)
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -34,10 +38,6 @@
 # An append takes a few milliseconds. After this time the store counts as slow,
 # and the home falls back to a provisional allowance.
 GRANT_TIMEOUT_SECONDS: Final = 0.3
-# For this long after the store answers again, or after the start, other VMs may
-# have allowances that are not in the store yet. They write them twice a second,
-# and a slow append takes up to 1.5 s.
-STORE_RECOVERY_SECONDS: Final = 3.0
 # Limits the number of peers that are asked for what they know of a program.
 MAX_PEERS_ASKED: Final = 24
 
@@ -51,6 +51,7 @@
         key: str,
         accounts: Accounts,
         writer: AllowanceWriter,
+        memory: VoterMemory,
         fleet: Fleet,
         reports: PeerReports,
         calls: PeerCalls,
@@ -65,6 +66,7 @@
         self._claims = PoolClaims(
             key=key,
             accounts=accounts,
+            memory=memory,
             fleet=fleet,
             reports=reports,
             calls=calls,
--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -33,6 +33,7 @@
     decide_reservation,
 )
 from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
+from bronzepost._internal.gateway.programs.voter_memory import VoterMemory
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
@@ -78,8 +79,12 @@
         self.accounts = Accounts(boot=fleet.own_boot)
         self.branches = BranchIndex(max_branches=MAX_BRANCHES)
         self.writer = AllowanceWriter(
-            store=store, partition=number, accounts=self.accounts
+            store=store,
+            partition=number,
+            accounts=self.accounts,
+            is_running=fleet.boots.is_running,
         )
+        self.memory = VoterMemory(reports=reports, writer=self.writer)
         # Reservations whose settlement arrived before they were decided.
         self._settled_early = RecentIds(max_ids=MAX_BRANCHES)
         self._number = number
@@ -91,6 +96,7 @@
             key=self._key,
             accounts=self.accounts,
             writer=self.writer,
+            memory=self.memory,
             fleet=fleet,
             reports=reports,
             calls=calls,
@@ -186,7 +192,12 @@
         )
         if is_held:
             self.accounts.put(account)
-        return AllowanceReplicated(call_id=copy.call_id, is_held=is_held)
+        return AllowanceReplicated(
+            call_id=copy.call_id,
+            is_held=is_held,
+            has_memory=self.memory.is_whole,
+            voters=len(self._reports.voters.list_names(self._key)),
+        )
 
     def list_allowances(self, request: FindAllowances) -> AllowancesFound:
         """Return the allowances of a program that may not be in the store."""
--- a/src/bronzepost/_internal/gateway/programs/pool_claims.py
+++ b/src/bronzepost/_internal/gateway/programs/pool_claims.py
@@ -5,17 +5,24 @@
 needs to know neither what the store has granted nor what other homes have: any two
 majorities share a VM, which objects to a grant that exceeds the pool together with
 those it knows of.
+
+That holds only if each VM that agrees remembers what it has agreed to. A VM that has
+started does not, until all earlier grants are in the store and it has read them. Its
+agreement does not count until then, while most of all VMs are needed nevertheless.
+If no VM remembers anything, all were lost, and what that may have erased is assumed
+elsewhere (see ``assume_lost_grants``).
 """
 
 import enum
 from collections.abc import Sequence
-from typing import Any, Final
+from typing import Final
 
 import gevent
 import msgspec
 from gevent.lock import BoundedSemaphore
 
 from bronzepost._internal.core.gateway import budgets as rules
+from bronzepost._internal.core.gateway.pool_votes import PoolVotes, add_vote
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.messages import (
@@ -26,6 +33,7 @@
 from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peers.peer_reports import PeerReports
 from bronzepost._internal.gateway.programs.accounts import Accounts
+from bronzepost._internal.gateway.programs.voter_memory import VoterMemory
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
@@ -54,9 +62,14 @@
         fleet: Fleet,
         reports: PeerReports,
         calls: PeerCalls,
+        memory: VoterMemory,
     ) -> None:
-        """Change ``accounts``; ``key`` is that of the partition's home."""
+        """Change ``accounts``; ``key`` is that of the partition's home.
+
+        ``memory`` tells whether this VM knows all that it has agreed to.
+        """
         self._key = key
+        self._memory = memory
         self._accounts = accounts
         self._fleet = fleet
         self._reports = reports
@@ -117,34 +130,43 @@
 
     def _send_copies(self, copy: ReplicateAllowance) -> ClaimOutcome:
         voters = self._reports.voters.list_names(self._key)
-        own_name = self._fleet.own_name
-        needed = len(voters) // 2 + 1 - voters.count(own_name)
-        if not self._reports.has_store:
-            # Without the store a VM that is alone would be lost with its claims.
-            needed = max(needed, 1)
         serving = self._fleet.list_serving_peers()
         peers = [name for name in voters if name in serving]
-        if len(peers) < needed:
+        votes = PoolVotes(
+            peers=len(peers),
+            voters=len(voters),
+            own_votes=voters.count(self._fleet.own_name),
+            remembers=self._memory.is_whole,
+        )
+        # Without the store a VM that is alone would be lost with its claims.
+        needs_peer = not self._reports.has_store
+        if not votes.can_reach_majority or (needs_peer and not peers):
             return ClaimOutcome.OUTVOTED
-        return self._ask_all(copy, peers, needed)
+        votes = self._ask_all(copy, peers, votes)
+        is_held = votes.has_majority or votes.has_all_without_memory
+        if votes.objections and not (is_held and self._accounts.is_synced):
+            return ClaimOutcome.CONTRADICTED
+        if is_held and (votes.held or not needs_peer):
+            return ClaimOutcome.HELD
+        return ClaimOutcome.OUTVOTED
 
     def _ask_all(
-        self, copy: ReplicateAllowance, peers: Sequence[str], needed: int
-    ) -> ClaimOutcome:
+        self, copy: ReplicateAllowance, peers: Sequence[str], votes: PoolVotes
+    ) -> PoolVotes:
         requests = [gevent.spawn(self._ask, name, copy) for name in peers]
-        # A home that has not read the store waits for all peers, and one that
-        # objects suffices: most others may have started without memory since.
-        is_synced = self._accounts.is_synced
-        held, objections = _count_votes(
-            requests,
-            enough=max(needed, REQUIRED_COPIES) if is_synced else len(peers),
-            ends_with_objection=not is_synced,
-        )
-        if held >= needed and (is_synced or not objections):
-            return ClaimOutcome.HELD
-        if objections:
-            return ClaimOutcome.CONTRADICTED
-        return ClaimOutcome.OUTVOTED
+        for done in gevent.iwait(requests):
+            answer: AllowanceReplicated | None = done.value
+            if answer is None:
+                continue
+            votes = add_vote(
+                votes,
+                is_held=answer.is_held,
+                has_memory=answer.has_memory,
+                voters=answer.voters,
+            )
+            if is_decided(votes, is_synced=self._accounts.is_synced):
+                break
+        return votes
 
     def _ask(
         self, name: str, copy: ReplicateAllowance
@@ -156,21 +178,15 @@
         return answer
 
 
-def _count_votes(
-    requests: Sequence[Any], *, enough: int, ends_with_objection: bool
-) -> tuple[int, int]:
-    """Return how many peers hold a copy and how many object, of those needed."""
-    held = 0
-    objections = 0
-    for done in gevent.iwait(requests):
-        answer: AllowanceReplicated | None = done.value
-        if answer is None:
-            continue
-        held += answer.is_held
-        objections += not answer.is_held
-        if held == enough or (objections and ends_with_objection):
-            break
-    return held, objections
+def is_decided(votes: PoolVotes, *, is_synced: bool) -> bool:
+    """Return whether further answers cannot change the outcome of a claim.
+
+    A home that has not read the store waits for all peers, and one that objects
+    suffices: it knows least of what was granted.
+    """
+    if not is_synced:
+        return votes.objections > 0
+    return votes.has_majority and votes.held_in_memory >= REQUIRED_COPIES
 
 
 def _make_copy(
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -238,6 +238,11 @@
         WARNING,
         'Stored turns could not be read.',
     )
+    CLAIMS_READ = (
+        8082,
+        INFO,
+        'Claims on budgets from before the start of this VM were read.',
+    )
     ALLOWANCE_REFUSED = 8030, INFO, 'The home cannot grant tokens at present.'
     BUDGET_SPENT = 8031, INFO, 'A budget is too small for another turn.'
     SERVER_LIMITED = (
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -21,6 +21,10 @@
     LogRefusedError,
 )
 from bronzepost._internal.gateway.peers.messages import ReserveTokens
+from bronzepost._internal.gateway.programs.accounts import Accounts
+from bronzepost._internal.gateway.programs.allowance_writer import (
+    AllowanceWriter,
+)
 from bronzepost._internal.gateway.programs.keyed_store import (
     AppendConflictError,
     KeyedPartition,
@@ -132,6 +136,16 @@
     return ProgramAccount(**{**fields, **changes})
 
 
+def make_writer(store: 'MemoryStore', accounts: Accounts) -> AllowanceWriter:
+    """Return a writer to the first partition of a store; all holders run."""
+    return AllowanceWriter(
+        store=store,
+        partition=0,
+        accounts=accounts,
+        is_running=lambda _boot: True,
+    )
+
+
 class MemoryStore:
     """A keyed store in memory that can fail as the platform's store does.
 
--- a/tests/builders_late_members.py
+++ b/tests/builders_late_members.py
@@ -147,6 +147,17 @@
             if name == self.own_name or self.world.has_met(self.own_name, name)
         )
 
+    @property
+    def boots(self) -> 'LateVm':
+        """Return what tells which processes run."""
+        return self
+
+    def is_running(self, boot: str) -> bool:
+        """Return whether a boot name is one of the processes after the loss."""
+        return boot.partition('.')[0] in {
+            vm.own_boot for vm in self.world.vms_by_name.values()
+        }
+
     def find_home(self, key: str) -> str:
         """Return the first member that was found."""
         return self.rank_homes(key)[0]
--- a/tests/builders_losses.py
+++ b/tests/builders_losses.py
@@ -254,6 +254,15 @@
         """Return all VMs, of which none was lost alone."""
         return self.rank_homes(key)
 
+    @property
+    def boots(self) -> 'Vm':
+        """Return what tells which processes run."""
+        return self
+
+    def is_running(self, boot: str) -> bool:
+        """Return whether a process of a boot name is the latest of its VM."""
+        return boot in {vm.own_boot for vm in self.world.vms_by_name.values()}
+
     def find_home(self, _key: str) -> str:
         """Return the first VM in the order that the store answers."""
         return self.sort_by_store_access(self.world.order)[0]
@@ -290,6 +299,9 @@
         self.store_available_seconds: float = 60
         self.boots = itertools.count(1)
         self.vms_by_name = {name: Vm(name=name, world=self) for name in NAMES}
+        for vm in self.vms_by_name.values():
+            for home in vm.budgets._homes:
+                home.memory.is_whole = True
 
     def lose_all_vms(self, *, failure: StoreFailure = NO_FAILURE) -> None:
         """Restart all VMs with empty memory, under a failure of the store."""
--- a/tests/model/allowances.py
+++ b/tests/model/allowances.py
@@ -11,8 +11,8 @@
 safe system all other appends are the same as those of a writer that reads just
 before, so one such writer stands for any number of them.
 
-A VM ``holds`` the program if it has its copies from the first home or from a
-majority of the VMs. Where no majority holds it, homes assume a loss of all VMs.
+A VM ``holds`` the program if it has its copies from the first home, from a majority
+of the VMs, or from the store once that has all claims. Where no majority holds it, homes assume a loss of all VMs.
 They may also do so without any loss. ``voter`` has agreed to a claim to which no
 other VM has agreed yet; other claims have the agreement of two VMs at once.
 
@@ -39,6 +39,7 @@
 FORMER_VOTE: Final = 'a vote is void once its VM has restarted and learned'
 NEWCOMERS_REFUSE: Final = 'a VM without copies refuses'
 COPIES_OF_MAJORITY: Final = 'a VM learns its copies from a majority'
+CLAIMS_ARE_STORED: Final = 'a VM reads its copies once the store has all claims'
 NO_COPIES: Final = 'a home without copies grants nothing provisionally'
 RECORD_IS_NO_PROOF: Final = 'a record without after_loss proves no copies'
 RETURNS_ARE_FINAL: Final = 'tokens of a queued return are not used again'
@@ -56,6 +57,7 @@
     FORMER_VOTE,
     NEWCOMERS_REFUSE,
     COPIES_OF_MAJORITY,
+    CLAIMS_ARE_STORED,
     NO_COPIES,
     RECORD_IS_NO_PROOF,
     RETURNS_ARE_FINAL,
@@ -353,6 +355,12 @@
         if without == COPIES_OF_MAJORITY:
             can_learn = z3.Or(*(state[f'holds{other}'] for other in others))
         copies = _find_most(*(state[f'copy{other}'] for other in others))
+        can_read = state['pooled'] == state['claimed']
+        if without == CLAIMS_ARE_STORED:
+            can_read = z3.BoolVal(True)
+        voter = z3.If(state['voter'] == vm, 0, state['voter'])
+        if without == FORMER_VOTE:
+            voter = state['voter']
         steps += [
             Step(
                 name=f'restart of {vm}',
@@ -368,9 +376,16 @@
                 changes={
                     f'holds{vm}': z3.BoolVal(True),
                     f'copy{vm}': copies,
-                    'voter': state['voter']
-                    if without == FORMER_VOTE
-                    else z3.If(state['voter'] == vm, 0, state['voter']),
+                    'voter': voter,
+                },
+            ),
+            Step(
+                name=f'{vm} reads the claims in the store',
+                guard=z3.And(z3.Not(state[f'holds{vm}']), can_read),
+                changes={
+                    f'holds{vm}': z3.BoolVal(True),
+                    f'copy{vm}': state['pooled'],
+                    'voter': voter,
                 },
             ),
         ]
--- a/tests/unit/test_gateway_budgets.py
+++ b/tests/unit/test_gateway_budgets.py
@@ -23,6 +23,7 @@
     MemoryStore,
     make_account,
     make_reservation,
+    make_writer,
 )
 
 TOKENS = 100
@@ -217,10 +218,7 @@
 
     def make_vm(self, boot: str) -> tuple[Accounts, AllowanceWriter]:
         accounts = Accounts(boot=boot)
-        writer = AllowanceWriter(
-            store=self.store, partition=0, accounts=accounts
-        )
-        return accounts, writer
+        return accounts, make_writer(self.store, accounts)
 
     def grant(self, vm: tuple[Accounts, AllowanceWriter], tokens: int) -> int:
         accounts, writer = vm
--- a/tests/unit/test_gateway_homes.py
+++ b/tests/unit/test_gateway_homes.py
@@ -5,8 +5,6 @@
 """
 
 import dataclasses
-import itertools
-from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, cast
 from unittest import mock
@@ -21,9 +19,6 @@
 from bronzepost._internal.exceptions import RefusedError
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.messages import (
-    FindAllowances,
-    HandOver,
-    ReplicateAllowance,
     ReserveTokens,
     SettleTokens,
     TokensReserved,
@@ -45,144 +40,20 @@
 )
 from tests.builders_gateway import (
     MemoryStore,
-    make_reservation,
     make_turn_call,
 )
-
-PROGRAM = 'p-1'
-TOKENS = 100
-BUDGET = 300
-# Several turns fit into each half.
-LOOP_BUDGET = 800
-# Several turns of this size fit into the provisional limit.
-SMALL_TOKENS = 30
-# A repeated request reserves once, so each request has an id of its own.
-REQUEST_NUMBERS = itertools.count(1)
-
-
-@dataclasses.dataclass(kw_only=True)
-class Network:
-    """The homes of one partition on several VMs, and the order of the VMs.
-
-    ``lost`` are VMs that were lost lately, or are beyond a cut.
-    """
-
-    store: MemoryStore
-    order: tuple[str, ...]
-    lost: tuple[str, ...] = ()
-    homes_by_name: dict[str, Home] = dataclasses.field(default_factory=dict)
-    age_seconds: float = 60
-
-    def add(self, name: str) -> Home:
-        """Start a VM, or restart it with empty memory."""
-        vm = Vm(name=name, network=self)
-        home = Home(
-            number=0,
-            store=self.store,
-            fleet=cast(Fleet, vm),
-            reports=cast(PeerReports, vm),
-            calls=cast(PeerCalls, vm),
-        )
-        self.homes_by_name[name] = home
-        return home
-
-
-@dataclasses.dataclass(kw_only=True)
-class Vm:
-    """What a home knows of its own VM and of its peers."""
-
-    name: str
-    network: Network
-
-    @property
-    def own_name(self) -> str:
-        """Return the name of the VM."""
-        return self.name
-
-    @property
-    def own_boot(self) -> str:
-        """Return a boot name that differs for each start of the VM."""
-        return f'{self.name}-{id(self)}'
-
-    @property
-    def age_seconds(self) -> float:
-        """Return the uptime of the oldest VM that the test has set."""
-        return self.network.age_seconds
-
-    @property
-    def has_store(self) -> bool:
-        """Return whether the store is up."""
-        return not self.network.store.is_down
-
-    @property
-    def store_available_seconds(self) -> float:
-        """Return 0 seconds: the store has only just started to answer."""
-        return 0
-
-    def rank_homes(self, _key: str) -> tuple[str, ...]:
-        """Return the order of homes that the test has set."""
-        return self.network.order
-
-    @property
-    def voters(self) -> 'Vm':
-        """Return what lists the members that vote."""
-        return self
-
-    def list_names(self, key: str) -> tuple[str, ...]:
-        """Return the members that vote, those lost lately among them."""
-        return (*self.rank_homes(key), *self.network.lost)
-
-    def list_serving_peers(self) -> tuple[str, ...]:
-        """Return the names of the other VMs."""
-        return tuple(name for name in self.network.order if name != self.name)
-
-    def find_home(self, _key: str) -> str:
-        """Return the first of the VMs in the order that the test has set."""
-        return next(iter(self.network.order), '')
-
-    def sort_by_store_access(self, names: tuple[str, ...]) -> list[str]:
-        """Return the same order: an outage affects all VMs."""
-        return list(names)
-
-    def send(self, name: str, message: Any) -> bool:
-        """Deliver a hand-over to another VM."""
-        assert isinstance(message, HandOver)
-        self.network.homes_by_name[name].accept_hand_over(self.name, message)
-        return True
-
-    def ask(self, name: str, make_message: Callable[[int], Any]) -> Any:
-        """Return the answer of another VM about allowances, or None."""
-        message = make_message(1)
-        home = self.network.homes_by_name.get(name)
-        if home is None:
-            return None
-        if isinstance(message, FindAllowances):
-            return home.list_allowances(message)
-        assert isinstance(message, ReplicateAllowance)
-        return home.hold_copy(message)
-
-
-def make_request(request_id: str, **changes: Any) -> ReserveTokens:
-    """Return a request for the tokens of a turn."""
-    return make_reservation(**{
-        'program_id': PROGRAM,
-        'request_id': request_id,
-        'reservation_id': request_id,
-        'budget': BUDGET,
-        'tokens': TOKENS,
-        **changes,
-    })
-
-
-def make_settlement(reservation_id: str, tokens: int) -> SettleTokens:
-    """Return the settlement of a turn that generated ``tokens``."""
-    return SettleTokens(
-        program_id=PROGRAM,
-        reservation_id=reservation_id,
-        tokens=tokens,
-        line='',
-        server_id='',
-    )
+from tests.builders_homes import (
+    BUDGET,
+    LOOP_BUDGET,
+    PROGRAM,
+    REQUEST_NUMBERS,
+    SMALL_TOKENS,
+    TOKENS,
+    Network,
+    Vm,
+    make_request,
+    make_settlement,
+)
 
 
 class TestHomes(testtools.TestCase):
@@ -595,17 +466,7 @@
 
     def spend(self, name: str, **changes: Any) -> int:
         """Request turns of a home; return the tokens of those that ran."""
-        home = self.network.homes_by_name[name]
-        spent = 0
-        for _ in range(20):
-            number = f'q-{next(REQUEST_NUMBERS)}'
-            verdict = home.reserve(
-                make_request(number, budget=LOOP_BUDGET, **changes)
-            )
-            if verdict == RESERVED:
-                home.settle(make_settlement(number, TOKENS))
-                spent += TOKENS
-        return spent
+        return self.network.spend(name, **changes)
 
     def test_home_is_lost_in_an_outage(self) -> None:
         """The next home had not read the store and granted half once more."""
@@ -675,13 +536,7 @@
 
     def test_pool_is_granted_if_no_append_has_failed(self) -> None:
         """An outage that no append had met yet ended all grants of the pool."""
-        spent = 0
-        home = self.network.homes_by_name['a']
-        for _ in range(LOOP_BUDGET // TOKENS // 2):
-            number = f'q-{next(REQUEST_NUMBERS)}'
-            home.reserve(make_request(number, budget=LOOP_BUDGET))
-            home.settle(make_settlement(number, TOKENS))
-            spent += TOKENS
+        spent = self.spend('a', turns=LOOP_BUDGET // TOKENS // 2)
         self.network.store.is_down = True
         self.assertEqual(LOOP_BUDGET, spent + self.spend('a'))
 
--- a/tests/unit/test_late_grants.py
+++ b/tests/unit/test_late_grants.py
@@ -7,7 +7,6 @@
 from bronzepost._internal.gateway.programs.accounts import Accounts
 from bronzepost._internal.gateway.programs.allowance_writer import (
     IDLE_SECONDS,
-    AllowanceWriter,
 )
 from bronzepost._internal.gateway.programs.budget_keeper import (
     FLUSH_INTERVAL_SECONDS,
@@ -19,6 +18,7 @@
     MemoryStore,
     make_account,
     make_reservation,
+    make_writer,
 )
 from tests.builders_virtual_time import run_in_virtual_time
 
@@ -37,9 +37,7 @@
         self.store.append_delay_seconds = APPEND_SECONDS
         self.accounts = Accounts(boot=boot)
         self.accounts.put(make_account(most=BUDGET))
-        self.writer = AllowanceWriter(
-            store=self.store, partition=0, accounts=self.accounts
-        )
+        self.writer = make_writer(self.store, self.accounts)
 
     def count_available(self) -> int:
         """Return the tokens that the home may reserve."""
@@ -86,8 +84,6 @@
             gevent.sleep(APPEND_SECONDS - GRANT_TIMEOUT_SECONDS)
             home.flush_for(IDLE_SECONDS + FLUSHED_SECONDS + APPEND_SECONDS)
             other = SlowHome(boot='y')
-            other.writer = AllowanceWriter(
-                store=home.store, partition=0, accounts=other.accounts
-            )
+            other.writer = make_writer(home.store, other.accounts)
             assert other.writer.grant(make_reservation(tokens=BUDGET), 60)
             assert other.count_available() == BUDGET
--- a/tests/unit/test_lost_allowances_review.py
+++ b/tests/unit/test_lost_allowances_review.py
@@ -14,7 +14,7 @@
     SPENT,
 )
 from tests.builders_gateway import MemoryStore
-from tests.unit.test_gateway_homes import (
+from tests.builders_homes import (
     PROGRAM,
     REQUEST_NUMBERS,
     TOKENS,
