Find other VMs through the store, and count those not met

Cause: a VM that knows nobody took itself for the whole fleet. Seeds were read once, at the start; no other VM knew the address of the new one; and votes, quotas and shares of server limits counted members alone.

Change: each VM writes its peer address to the store every 10 s and reads the others at its start, once a second while it is alone, and every 30 s. Changed seeds of the settings file are used at once, also without a signal. VMs that the store names, or seeds in the first 5 s, count as voters and as users of quotas and limits until they are met. QuotaOwners and ServerPermits share one count.

--- a/src/bronzepost/_internal/gateway/peers/fleet.py
+++ b/src/bronzepost/_internal/gateway/peers/fleet.py
@@ -15,6 +15,7 @@
 )
 from bronzepost._internal.gateway.peers.other_builds import OtherBuilds
 from bronzepost._internal.gateway.peers.running_boots import RunningBoots
+from bronzepost._internal.gateway.peers.unmet_members import UnmetMembers
 from bronzepost._internal.gateway.settings import GatewaySettings
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.node.peers.peers import PeerTransport
@@ -64,6 +65,7 @@
             random_seed=random.SystemRandom().getrandbits(_SEED_BITS),
         )
         self.boots = RunningBoots(members=self._members)
+        self.unmet = UnmetMembers(members=self._members, seeds=settings.seeds)
         codec = GatewayCodec(
             name=own.name,
             peer_address=own.peer_address,
--- a/src/bronzepost/_internal/gateway/peers/voters.py
+++ b/src/bronzepost/_internal/gateway/peers/voters.py
@@ -24,7 +24,10 @@
         self._follower = follower
 
     def list_names(self, key: str) -> tuple[str, ...]:
-        """Return the members that vote on changes of a key.
+        """Return the VMs that vote on changes of a key.
+
+        Those that are named to this VM and that it has not met count: otherwise a
+        VM that finds nobody would be most of the VMs, alone.
 
         Members that were lost lately count, and while the store does not answer
         this VM so do those lost since it last did. A VM that is cut off never
@@ -34,4 +37,5 @@
         lost = self._fleet.lost_members.list_names(
             LOST_SECONDS + self._follower.store_lost_seconds
         )
-        return first_members((*serving, *lost), key, MAX_VOTERS)
+        unmet = self._fleet.unmet.list_names()
+        return first_members((*serving, *lost, *unmet), key, MAX_VOTERS)
--- a/src/bronzepost/_internal/gateway/process.py
+++ b/src/bronzepost/_internal/gateway/process.py
@@ -20,6 +20,7 @@
 )
 from bronzepost._internal.gateway.loops import start_loop
 from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.member_list import MemberList
 from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
 from bronzepost._internal.gateway.peers.peer_reports import PeerReports
 from bronzepost._internal.gateway.peers.snapshots import SnapshotExchange
@@ -105,6 +106,11 @@
             calls=calls,
             store=pace.open_store(store, Priority.BUDGET),
         )
+        self._member_list = MemberList(
+            fleet=self.fleet,
+            store=pace.open_store(store, Priority.SWEEP),
+            peer_address=settings.peer_address,
+        )
         self.turns = TurnKeeper(
             fleet=self.fleet,
             reports=self.reports,
@@ -175,6 +181,11 @@
         has_routes = self.directory.configuration is not None
         return has_routes and not self.callers.is_draining
 
+    def use_settings(self, settings: GatewaySettings) -> None:
+        """Use changed settings; addresses change only at a restart."""
+        self.settings = settings
+        self.fleet.unmet.use_seeds(settings.seeds)
+
     def list_caller_addresses(self, availability_zone: str) -> Sequence[str]:
         """Return the addresses for callers, those in the zone first.
 
@@ -241,6 +252,7 @@
         components = (
             self.follower,
             self.fleet,
+            self._member_list,
             self.reports,
             self.budgets,
             self.turns,
@@ -268,6 +280,7 @@
         self.callers.drain()
         self.budgets.leave()
         self._quotas.leave()
+        self._member_list.leave()
         self.fleet.leave()
         gevent.spawn(self._finish)
 
--- a/src/bronzepost/_internal/gateway/quotas/quota_owners.py
+++ b/src/bronzepost/_internal/gateway/quotas/quota_owners.py
@@ -5,6 +5,7 @@
 
 from bronzepost._internal.core.gateway.quota_shares import find_loan_seconds
 from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.fleet_size import count_vms
 from bronzepost._internal.gateway.peers.member_ranking import MemberRanking
 from bronzepost._internal.gateway.peers.messages import PROTOCOL
 from bronzepost._internal.gateway.peers.peer_reports import (
@@ -75,9 +76,8 @@
         return self._avoided_until_by_name.get(name, at) > at
 
     def count_vms(self) -> int:
-        """Return the number of VMs that may send, also of those lost lately."""
-        others = len(self._fleet.list_serving_peers())
-        return 1 + others + self._fleet.lost_members.count()
+        """Return the number of VMs that may send."""
+        return count_vms(self._fleet)
 
     def list_leaving(self) -> frozenset[str]:
         """Return the members that are stopping and have given up their share."""
--- a/src/bronzepost/_internal/gateway/servers/server_permits.py
+++ b/src/bronzepost/_internal/gateway/servers/server_permits.py
@@ -19,6 +19,7 @@
     take_turn,
 )
 from bronzepost._internal.gateway.peers.fleet import Fleet
+from bronzepost._internal.gateway.peers.fleet_size import count_vms
 from bronzepost._internal.gateway.peers.messages import (
     PermitDecided,
     RequestPermit,
@@ -149,18 +150,13 @@
     def _decide(self, request: RequestPermit) -> PermitDecided:
         names = [member.name for member in self._fleet.list_serving()]
         heard = len(names) - len(self._reports.received.list_silent(names))
-        share = max(heard, 1) / self._count_vms()
+        share = max(heard, 1) / count_vms(self._fleet)
         return self._take_turn(request, self._paces_by_key, share)
 
     def _use_share(self, request: RequestPermit) -> PermitDecided:
-        share = 1 / self._count_vms()
+        share = 1 / count_vms(self._fleet)
         return self._take_turn(request, self._own_paces_by_key, share)
 
-    def _count_vms(self) -> int:
-        """Return the number of VMs that may send, also of those lost lately."""
-        others = len(self._fleet.list_serving_peers())
-        return 1 + others + self._fleet.lost_members.count()
-
     def _take_turn(
         self,
         request: RequestPermit,
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -238,6 +238,11 @@
         WARNING,
         'Stored turns could not be read.',
     )
+    MEMBER_LIST_FAILED = (
+        8083,
+        INFO,
+        'The list of VMs in the store could not be written or read.',
+    )
     CLAIMS_READ = (
         8082,
         INFO,
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -15,12 +15,16 @@
 )
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 from bronzepost._internal.core.membership import Member, MemberEntry
-from bronzepost._internal.core.membership.entities import member_from_entry
+from bronzepost._internal.core.membership.entities import (
+    create_tables,
+    member_from_entry,
+)
 from bronzepost._internal.exceptions import (
     AmbiguousAppendError,
     LogRefusedError,
 )
 from bronzepost._internal.gateway.peers.messages import ReserveTokens
+from bronzepost._internal.gateway.peers.unmet_members import UnmetMembers
 from bronzepost._internal.gateway.programs.accounts import Accounts
 from bronzepost._internal.gateway.programs.allowance_writer import (
     AllowanceWriter,
@@ -61,21 +65,24 @@
     return BackendServer(**{**fields, **changes})
 
 
-def make_member(name: str) -> Member:
+def make_member_entry(name: str, **changes: Any) -> MemberEntry:
+    """Return the entry of a gateway process that is alive."""
+    fields: dict[str, Any] = {
+        'name': name,
+        'peer_address': '127.0.0.1:1',
+        'forward_address': '',
+        'caller_address': '127.0.0.1:2',
+        'availability_zone': 'hall-a',
+        'region': 'r',
+        'incarnation': 1,
+        'boot': '1',
+    }
+    return MemberEntry(**{**fields, **changes})
+
+
+def make_member(name: str, **changes: Any) -> Member:
     """Return a gateway process that is alive."""
-    return member_from_entry(
-        MemberEntry(
-            name=name,
-            peer_address='127.0.0.1:1',
-            forward_address='',
-            caller_address='127.0.0.1:2',
-            availability_zone='hall-a',
-            region='r',
-            incarnation=1,
-            boot='1',
-        ),
-        at=0,
-    )
+    return member_from_entry(make_member_entry(name, **changes), at=0)
 
 
 def make_servers(count: int) -> tuple[BackendServer, ...]:
@@ -136,6 +143,14 @@
     return ProgramAccount(**{**fields, **changes})
 
 
+def make_unmet(*names: str, seeds: tuple[str, ...] = ()) -> UnmetMembers:
+    """Return the unmet members of a VM that has met the named members."""
+    members = create_tables(make_member_entry('own'), at=0)
+    for name in names:
+        members.members_by_name[name] = make_member(name, peer_address=name)
+    return UnmetMembers(members=members, seeds=seeds)
+
+
 def make_writer(store: 'MemoryStore', accounts: Accounts) -> AllowanceWriter:
     """Return a writer to the first partition of a store; all holders run."""
     return AllowanceWriter(
--- a/tests/builders_gateway_servers.py
+++ b/tests/builders_gateway_servers.py
@@ -56,7 +56,7 @@
 from bronzepost._internal.gateway.servers.suspect_requests import (
     SuspectRequests,
 )
-from tests.builders_gateway import make_member, make_server
+from tests.builders_gateway import make_member, make_server, make_unmet
 from tests.builders_workspaces import ScriptedSource
 
 READ_BYTES = 65536
@@ -224,6 +224,7 @@
     def __init__(self) -> None:
         """Start without lost VMs."""
         self.lost_members = LostMembers()
+        self.unmet = make_unmet()
 
     def subscribe(self, _message_type: type, _receive: Any) -> None:
         """Receive nothing."""
--- a/tests/builders_vms.py
+++ b/tests/builders_vms.py
@@ -9,7 +9,7 @@
 )
 from bronzepost._internal.gateway.peers.lost_members import LostMembers
 from bronzepost._internal.gateway.servers.directory import Directory
-from tests.builders_gateway import make_member
+from tests.builders_gateway import make_member, make_unmet
 
 
 class MemoryVm:
@@ -26,6 +26,7 @@
         self.sent: list[type] = []
         self.directory = Directory(pool=ConnectionPool())
         self.lost_members = LostMembers()
+        self.unmet = make_unmet()
         self.cut_off: set[str] = set()
         self._vms_by_name = vms_by_name
         self._receivers: dict[type, Callable[[str, Any], None]] = {}
--- a/tests/platform/gateway_vm.py
+++ b/tests/platform/gateway_vm.py
@@ -38,6 +38,11 @@
     return ports
 
 
+def list_seeds(numbers: tuple[int, ...]) -> list[str]:
+    """Return the addresses of VMs as a settings file names them."""
+    return [f'{NETWORK}.{number}:1' for number in numbers]
+
+
 class Vm:
     """A gateway process on a loopback address of its own."""
 
@@ -50,10 +55,11 @@
         root: Path = ROOT,
         log_path: Path | None = None,
         stderr: int | None = None,
+        seeds: tuple[int, ...] = (21, 22),
     ) -> None:
         """Start the process; it is killed at the end of the test.
 
-        ``root`` is a checkout of the build, and ``log_path`` where its log goes,
+        ``seeds`` are the numbers of VMs. ``root`` is a checkout of the build, and ``log_path`` where its log goes,
         with its errors unless there is a descriptor ``stderr``.
         """
         ip = f'{NETWORK}.{number}'
@@ -70,13 +76,14 @@
                 'readiness': f'{ip}:{readiness}',
                 'directory': f'{ip}:{directory}',
             },
-            seedNodes=[f'{NETWORK}.21:1', f'{NETWORK}.22:1'],
+            seedNodes=list_seeds(seeds),
             platform={'address': store, 'parts': 2},
         )
         folder = tempfile.mkdtemp()
         test.addCleanup(shutil.rmtree, folder)
         path = Path(folder) / 'settings.json'
         path.write_bytes(settings)
+        self._settings_path = path
         self._log_path = log_path or Path(folder) / 'log'
         with self._log_path.open('ab') as log:
             self.process = Popen(
@@ -95,6 +102,12 @@
         test.addCleanup(self.process.wait)
         test.addCleanup(self.process.kill)
 
+    def write_seeds(self, *numbers: int) -> None:
+        """Change the seeds in the settings file, without a signal."""
+        document = msgspec.json.decode(self._settings_path.read_bytes())
+        document['seedNodes'] = list_seeds(numbers)
+        self._settings_path.write_bytes(msgspec.json.encode(document))
+
     def read_log(self) -> bytes:
         """Return what the process has logged."""
         return self._log_path.read_bytes()
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -51,7 +51,7 @@
     With ``is_down`` it answers 503 and does nothing. With ``loses_appends`` it
     executes appends and does not answer them. Otherwise it executes all appends
     and answers one of ``appends_per_answer``. Each answer is delayed by
-    ``delay_seconds``.
+    ``delay_seconds``. Calls that name one of ``refused_topics`` get 503.
     """
 
     def __init__(self) -> None:
@@ -60,6 +60,7 @@
         self.loses_appends = False
         self.appends_per_answer = 1
         self.delay_seconds: float = 0
+        self.refused_topics: set[str] = set()
         self.records: dict[Partition, list[Record]] = {}
         self._append_count = 0
         self._servers: list[WSGIServer] = []
@@ -123,7 +124,8 @@
         }
         body = environ['wsgi.input'].read()
         gevent.sleep(self.delay_seconds)
-        if self.is_down or view.is_refusing:
+        is_refused = query['topicName'] in self.refused_topics
+        if self.is_down or view.is_refusing or is_refused:
             start('503 Down', [])
             return [b'']
         rewrite = view.rewrite
--- a/tests/unit/test_gateway_voters.py
+++ b/tests/unit/test_gateway_voters.py
@@ -13,7 +13,7 @@
 )
 from bronzepost._internal.gateway.peers.voters import MAX_VOTERS, Voters
 from bronzepost._internal.gateway.servers.registry import RegistryFollower
-from tests.builders_gateway import make_member
+from tests.builders_gateway import make_member, make_unmet
 
 
 class FakeFleet:
@@ -23,6 +23,7 @@
         """Start with members that are alive."""
         self.names = names
         self.lost_members = LostMembers()
+        self.unmet = make_unmet()
 
     def list_serving(self) -> tuple[Any, ...]:
         """Return the members that are alive."""
