Ask before a claim on the pool that may fail

A home that lacks the store, or does not remember itself, now asks its peers first whether they remember and how many VMs they know. It sends copies only if enough are likely to agree.

--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -134,12 +134,15 @@
 
     ``pooled_by_holder`` is the part of them that most VMs have agreed to. If
     ``is_after_loss``, the sender assumes that a loss of all VMs has erased grants.
+    ``has_memory`` and ``voters`` are those of ``AllowanceReplicated``.
     """
 
     call_id: int
     tokens_by_holder: dict[str, int]
     pooled_by_holder: dict[str, int] = {}
     is_after_loss: bool = False
+    has_memory: bool = True
+    voters: int = 0
 
 
 class ReplicateTurn(msgspec.Struct, frozen=True, kw_only=True, tag='hold_turn'):
--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -196,19 +196,19 @@
             call_id=copy.call_id,
             is_held=is_held,
             has_memory=self.memory.is_whole,
-            voters=len(self._reports.voters.list_names(self._key)),
+            voters=self._count_voters(),
         )
 
     def list_allowances(self, request: FindAllowances) -> AllowancesFound:
         """Return the allowances of a program that may not be in the store."""
-        account = self.accounts.by_program.get(request.program_id)
-        if account is None:
-            return AllowancesFound(call_id=request.call_id, tokens_by_holder={})
+        account = self.accounts.get_or_create(request.program_id, 0)
         return AllowancesFound(
             call_id=request.call_id,
             tokens_by_holder=dict(account.claimed_by_holder),
             pooled_by_holder=dict(account.pooled_by_holder),
             is_after_loss=account.may_have_lost_grants,
+            has_memory=self.memory.is_whole,
+            voters=self._count_voters(),
         )
 
     def accept_hand_over(self, sender: str, message: HandOver) -> None:
@@ -267,6 +267,9 @@
             is_sent=self._fleet.send(home, message),
         )
 
+    def _count_voters(self) -> int:
+        return len(self._reports.voters.list_names(self._key))
+
     def _refuse_spent(self, request: ReserveTokens, *, is_final: bool) -> str:
         if not is_final and self._reports.has_store:
             is_final = confirm_spent(self.accounts, self.writer, request)
--- a/src/bronzepost/_internal/gateway/programs/pool_claims.py
+++ b/src/bronzepost/_internal/gateway/programs/pool_claims.py
@@ -14,8 +14,8 @@
 """
 
 import enum
-from collections.abc import Sequence
-from typing import Final
+from collections.abc import Iterator, Sequence
+from typing import Any, Final
 
 import gevent
 import msgspec
@@ -26,7 +26,7 @@
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.messages import (
-    AllowanceReplicated,
+    FindAllowances,
     ReplicateAllowance,
     ReserveTokens,
 )
@@ -142,6 +142,8 @@
         needs_peer = not self._reports.has_store
         if not votes.can_reach_majority or (needs_peer and not peers):
             return ClaimOutcome.OUTVOTED
+        if not self._may_succeed(copy, peers, votes):
+            return ClaimOutcome.OUTVOTED
         votes = self._ask_all(copy, peers, votes)
         is_held = votes.has_majority or votes.has_all_without_memory
         if votes.objections and not (is_held and self._accounts.is_synced):
@@ -150,14 +152,31 @@
             return ClaimOutcome.HELD
         return ClaimOutcome.OUTVOTED
 
+    def _may_succeed(
+        self, copy: ReplicateAllowance, peers: Sequence[str], votes: PoolVotes
+    ) -> bool:
+        """Return whether enough peers are likely to agree.
+
+        Copies of a claim that fails stay at the peers, and count against later
+        claims of other homes. So where VMs may have forgotten what they agreed to,
+        or may not have met, they are asked first.
+        """
+        if self._reports.has_store and votes.remembers:
+            return True
+        message = FindAllowances(call_id=0, program_id=copy.program_id)
+        for answer in self._ask_peers(peers, message):
+            votes = add_vote(
+                votes,
+                is_held=True,
+                has_memory=answer.has_memory,
+                voters=answer.voters,
+            )
+        return votes.has_majority or votes.has_all_without_memory
+
     def _ask_all(
         self, copy: ReplicateAllowance, peers: Sequence[str], votes: PoolVotes
     ) -> PoolVotes:
-        requests = [gevent.spawn(self._ask, name, copy) for name in peers]
-        for done in gevent.iwait(requests):
-            answer: AllowanceReplicated | None = done.value
-            if answer is None:
-                continue
+        for answer in self._ask_peers(peers, copy):
             votes = add_vote(
                 votes,
                 is_held=answer.is_held,
@@ -168,14 +187,23 @@
                 break
         return votes
 
+    def _ask_peers(
+        self,
+        peers: Sequence[str],
+        message: ReplicateAllowance | FindAllowances,
+    ) -> Iterator[Any]:
+        requests = [gevent.spawn(self._ask, name, message) for name in peers]
+        for done in gevent.iwait(requests):
+            if done.value is not None:
+                yield done.value
+
     def _ask(
-        self, name: str, copy: ReplicateAllowance
-    ) -> AllowanceReplicated | None:
-        answer: AllowanceReplicated | None = self._calls.ask(
+        self, name: str, message: ReplicateAllowance | FindAllowances
+    ) -> Any:
+        return self._calls.ask(
             name,
-            lambda number: msgspec.structs.replace(copy, call_id=number),
+            lambda number: msgspec.structs.replace(message, call_id=number),
         )
-        return answer
 
 
 def is_decided(votes: PoolVotes, *, is_synced: bool) -> bool:
--- a/tests/unit/test_voters_without_memory.py
+++ b/tests/unit/test_voters_without_memory.py
@@ -126,3 +126,12 @@
         self.store.is_down = True
         self.kill('b')
         self.assertThat(self.network.spend('a'), GreaterThan(0))
+
+    def test_failed_claim_of_a_lone_home_leaves_no_copies(self) -> None:
+        """The next home was refused, as others had a claim that had failed."""
+        self.kill(*NAMES)
+        self.store.is_down = True
+        self.network.met_by_name['a'] = tuple('abc')
+        self.network.spend('a', turns=1, program_id='p-2')
+        self.store.is_down = False
+        self.assertEqual(LOOP_BUDGET, self.network.spend('d', program_id='p-2'))
