Grant a turn when its first event comes

Cause: tokens were granted when a turn was admitted, before anything could be handed out. A grant said nothing of what was handed out, so a second loss could only be pardoned or refused.

Change: a turn that needs the store is admitted if its tokens fit, and is granted them, by an append as before, between the first event of its server and that of the caller. Admitted turns hold nothing in the store, and are dropped with the process that serves them, which each reservation names. What a lost VM had begun to hand out counts as spent but for one turn in the life of a program, also where its home lives on and whatever part of the budget is granted, once the store has the pool. Grants beyond the budget are in the store, so no later home forgives again. Settlements are repeated until the home confirms them. A turn that has run and is granted nothing gets 502: a 402 or 503 would say that it has not run.

Half of a turn handed out at two losses of all VMs still costs the rest of both turns.

--- a/src/bronzepost/_internal/core/gateway/budgets.py
+++ b/src/bronzepost/_internal/core/gateway/budgets.py
@@ -23,6 +23,10 @@
 from collections.abc import Mapping, Set
 from typing import Final
 
+from bronzepost._internal.core.gateway.lost_tokens import (
+    LOST_GRANTS_HOLDER,
+    count_forgiven,
+)
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 
 # Share of a budget that one append grants to a program whose turns do not need
@@ -38,9 +42,6 @@
 # programs), so most end within this share, and within the rest of the budget
 # after the loss of all VMs.
 MAX_PROVISIONAL_SHARE: Final = 0.5
-# Stands for the lost VMs as the holder of the provisional allowances that a
-# loss of all VMs may have erased.
-LOST_GRANTS_HOLDER: Final = 'forgotten'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -73,11 +74,17 @@
 
 
 def reserve_tokens(
-    account: ProgramAccount, *, holder: str, reservation_id: str, tokens: int
+    account: ProgramAccount,
+    *,
+    holder: str,
+    reservation_id: str,
+    tokens: int,
+    owner: str = '',
 ) -> Decision:
     """Reserve the maximum number of tokens that one turn can generate.
 
-    A repeated ``reservation_id`` reserves nothing more.
+    A repeated ``reservation_id`` reserves nothing more. The turn is served by the
+    process with the boot ``owner``.
 
     >>> account = ProgramAccount(program_id='a', budget=100)
     >>> reserve_tokens(account, holder='x', reservation_id='1', tokens=40)
@@ -92,6 +99,7 @@
             account=dataclasses.replace(
                 account,
                 reserved_by_id=reserved,
+                owner_by_id={**account.owner_by_id, reservation_id: owner},
                 most=max(account.most, tokens),
             )
         )
@@ -99,7 +107,7 @@
     grantable = account.budget - account.granted
     is_final = account.count_certain(holder) + tokens > account.budget
     if not is_final:
-        grantable += account.count_forgiven(holder)
+        grantable += count_forgiven(account, holder)
     if missing > grantable:
         return BudgetSpent(is_final=is_final)
     return AllowanceNeeded(
@@ -119,7 +127,7 @@
     if missing <= 0:
         return 0
     share = 0 if account.needs_store else int(account.budget * ALLOWANCE_SHARE)
-    grantable = account.grantable + account.count_forgiven(holder)
+    grantable = account.grantable + count_forgiven(account, holder)
     return min(max(missing, share), max(grantable, 0))
 
 
@@ -349,9 +357,12 @@
         return account
     reserved = dict(account.reserved_by_id)
     reserved.pop(reservation_id)
+    owners = dict(account.owner_by_id)
+    owners.pop(reservation_id, None)
     return dataclasses.replace(
         account,
         reserved_by_id=reserved,
+        owner_by_id=owners,
         spent=account.spent + tokens,
     )
 
@@ -474,6 +485,7 @@
         merged,
         claimed_by_holder=claimed,
         reserved_by_id=reserved,
+        owner_by_id={**account.owner_by_id, **received.owner_by_id},
         adopted=account.adopted | adopted,
         is_after_loss=is_after_loss,
     )
--- a/src/bronzepost/_internal/core/gateway/program_account.py
+++ b/src/bronzepost/_internal/core/gateway/program_account.py
@@ -1,7 +1,7 @@
 """The granted, reserved and spent tokens of one program."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -26,7 +26,9 @@
     ``used_at``, both in seconds of this VM's clock. If ``is_after_loss``,
     grants that a loss of all VMs may have erased were assumed; the store has
     that if ``is_loss_stored``. The answers of its turns end only once the store
-    has them if it ``needs_store``. The store has ``stored_spent`` and
+    has them if it ``needs_store``. A reservation in ``owner_by_id`` belongs to a turn
+    that the process with that boot serves. The ``lost`` holders and owners do not run
+    any more: what they have not recorded may have been handed out. The store has ``stored_spent`` and
     ``stored_pooled`` of the spent and pooled tokens of all holders.
     """
 
@@ -57,6 +59,8 @@
     needs_store: bool = False
     stored_spent: int = 0
     stored_pooled: int = 0
+    owner_by_id: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    lost: frozenset[str] = frozenset()
 
     @property
     def may_have_lost_grants(self) -> bool:
@@ -150,37 +154,27 @@
         )
         return self.spent + spent_by_others
 
-    def count_held_by_others(self, holder: str) -> int:
-        """Return the tokens that others were granted and did not record as spent.
+    def list_others(self, holder: str) -> Set[str]:
+        """Return the holders that are neither this VM nor adopted by it.
 
-        ``holder`` is this VM. Lost holders are among the others: what they had
-        is not granted again, because it may have been spent.
+        Lost holders are among them. ``holder`` is this VM.
         """
-        own = self.adopted | {holder}
         others = self.granted_by_holder.keys() | self.claimed_by_holder.keys()
         others |= self.returned_by_holder.keys() | self.spent_by_holder.keys()
+        return others - self.adopted - {holder}
+
+    def count_held(self, holders: Set[str]) -> int:
+        """Return the tokens that holders were granted and did not record as spent.
+
+        They are not granted again, because they may have been spent.
+        """
         # In all, since a home may have spent what a holder had that it replaced.
         held = sum(
             self.find_allowance(name) - self.spent_by_holder.get(name, 0)
-            for name in others - own
+            for name in holders
         )
         return max(held, 0)
 
-    def count_forgiven(self, holder: str) -> int:
-        """Return the tokens of lost holders that need not count as spent.
-
-        A budget may be exceeded by one turn. That turn stands for grants that a
-        loss of all VMs may have erased, or, once the store has grants of the whole
-        pool, for what lost holders have not recorded as spent. Only programs
-        that ``needs_store`` record it turn by turn. ``holder`` is this VM.
-        """
-        is_pool_stored = 0 < self.pool_tokens <= self.stored_pooled
-        if self.needs_store and self.may_have_lost_grants and is_pool_stored:
-            # A larger turn may have got the rest of its size without a record.
-            turn_tokens = min(self.most, self.pool_tokens)
-            return min(turn_tokens, self.count_held_by_others(holder))
-        return 0
-
     def count_certain(self, holder: str) -> int:
         """Return the tokens that count as spent at each later home too.
 
--- a/src/bronzepost/_internal/gateway/peers/messages.py
+++ b/src/bronzepost/_internal/gateway/peers/messages.py
@@ -34,6 +34,11 @@
     ``may_be_provisional``. Each request to a home has a ``reservation_id`` of
     its own. ``is_first`` is set if the program has no turns before this one,
     and ``needs_store`` if its answer cannot end without the store.
+
+    Unless it ``begins``, the turn hands nothing out before a second request, which
+    does, and no tokens need to be granted yet. It is served by the process with
+    the boot ``owner``, and has ended after ``expires_seconds``. Builds without
+    these fields send one request, and take each one for one that begins.
     """
 
     call_id: int
@@ -46,12 +51,19 @@
     may_be_provisional: bool
     is_first: bool
     needs_store: bool = False
+    begins: bool = True
+    owner: str = ''
+    expires_seconds: float = 0
 
 
 class TokensReserved(
     msgspec.Struct, frozen=True, kw_only=True, tag='tokens_reserved'
 ):
-    """Answer to ``ReserveTokens``: a verdict (reserved, spent, held, unsure).
+    """Answer to ``ReserveTokens``: a verdict.
+
+    It is one of reserved, admitted, spent, held and unsure. It also confirms
+    ``SettleTokens``, as settled. Admitted means that the turn may run and has to
+    send another request before its first event.
 
     Held means that other turns have reserved the rest of the budget, unsure
     that the VM cannot decide now. ``server_id`` is the server that ran the
@@ -68,7 +80,8 @@
 ):
     """Report to the home of a program how many tokens a turn has generated.
 
-    ``line`` is the branch of the turn, and ``server_id`` the server it ran on.
+    ``line`` is the branch of the turn, and ``server_id`` the server it ran on. The
+    home confirms a message with a ``call_id``, which is repeated until then.
     """
 
     program_id: str
@@ -76,6 +89,7 @@
     tokens: int
     line: str
     server_id: str
+    call_id: int = 0
 
 
 class ReplicateAllowance(
--- a/src/bronzepost/_internal/gateway/programs/accounts.py
+++ b/src/bronzepost/_internal/gateway/programs/accounts.py
@@ -13,6 +13,7 @@
     record_spent,
     return_tokens,
     return_unused,
+    settle_tokens,
     size_allowance,
 )
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
@@ -62,9 +63,10 @@
     def merge(self, stored: ProgramAccount) -> None:
         """Update an account with the store's record of it."""
         known = self.by_program.get(stored.program_id)
-        stored = self.drop_own_claims(stored)
         merged = adopt_former_holders(
-            note_stored(merge_stored(known, stored), stored),
+            note_stored(
+                merge_stored(known, self.drop_own_claims(stored)), stored
+            ),
             self._handed_over_by_holder,
         )
         if merged != known:
@@ -288,23 +290,38 @@
         return tokens_by_program
 
 
-class RecentIds:
-    """A bounded set of identifiers that drops the oldest ones."""
+class EarlySettlements:
+    """Settlements of unknown reservations; the oldest are dropped.
 
-    def __init__(self, *, max_ids: int) -> None:
-        """Start empty, with room for ``max_ids`` identifiers."""
-        self._max_ids = max_ids
-        self._ids: dict[str, None] = {}
-
-    def add(self, identifier: str) -> None:
-        """Add an identifier; the oldest is dropped if there are too many."""
-        self._ids[identifier] = None
-        if len(self._ids) > self._max_ids:
-            self._ids.pop(next(iter(self._ids)))
+    The decision on a reservation may still wait for the store, or its account may
+    be handed over later, as by a VM that was paused.
+    """
 
-    def remove(self, identifier: str) -> bool:
-        """Remove an identifier; return whether it was in the set."""
-        return self._ids.pop(identifier, self) is None
+    def __init__(self, *, max_count: int) -> None:
+        """Start empty, with room for ``max_count`` settlements."""
+        self._max_count = max_count
+        self._tokens_by_id: dict[str, int] = {}
+
+    def add(self, reservation_id: str, tokens: int) -> None:
+        """Keep what the turn of a reservation has generated."""
+        self._tokens_by_id[reservation_id] = tokens
+        if len(self._tokens_by_id) > self._max_count:
+            self._tokens_by_id.pop(next(iter(self._tokens_by_id)))
+
+    def remove(self, reservation_id: str) -> bool:
+        """Remove a settlement; return whether there was one."""
+        return self._tokens_by_id.pop(reservation_id, None) is not None
+
+    def settle(self, account: ProgramAccount) -> ProgramAccount:
+        """Return the account with its reservations settled, and remove these."""
+        known = account.reserved_by_id.keys() & self._tokens_by_id.keys()
+        for reservation_id in known:
+            account = settle_tokens(
+                account,
+                reservation_id=reservation_id,
+                tokens=self._tokens_by_id.pop(reservation_id),
+            )
+        return account
 
 
 class BranchIndex:
--- a/src/bronzepost/_internal/gateway/programs/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/budget_keeper.py
@@ -7,6 +7,8 @@
 from http import HTTPStatus
 from typing import Final
 
+import gevent
+
 from bronzepost._internal.core.gateway.entities import CallRequest
 from bronzepost._internal.exceptions import RefusedError
 from bronzepost._internal.gateway.loops import start_loop, start_task
@@ -26,13 +28,14 @@
     partition_of_key,
 )
 from bronzepost._internal.gateway.programs.home import (
+    ADMITTED,
     HELD,
-    RESERVED,
     SPENT,
     UNSURE,
     Home,
 )
 from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
+from bronzepost._internal.gateway.programs.settlements import Settlements
 from bronzepost._internal.gateway.programs.voter_memory import (
     restore_memories,
 )
@@ -54,6 +57,12 @@
 FLUSH_INTERVAL_SECONDS: Final = 0.5
 CLEANUP_INTERVAL_SECONDS: Final = 10.0
 RETRY_AFTER_SECONDS: Final = 0.3
+# A turn that has begun to answer waits this long for its grant, rather than end
+# without one: a slow store takes up to 1.5 s.
+BEGIN_SECONDS: Final = 2.0
+BEGIN_PAUSE_SECONDS: Final = 0.1
+# What may still run after the deadline of a turn, as while its answer is stored.
+EXPIRY_MARGIN_SECONDS: Final = 1.0
 # Callers try a turn a few times only, and an outage of the store lasts seconds.
 OUTAGE_RETRY_AFTER_SECONDS: Final = 1.0
 
@@ -64,7 +73,8 @@
 
     Each home that is asked gets a different ``reservation_id``, so that
     settling an unused reservation cannot settle the one in use. ``server_id``
-    is the backend server that the turn's ``branch`` ran on last.
+    is the backend server that the turn's ``branch`` ran on last. Unless the tokens
+    are ``is_granted``, the turn must hand none out before ``BudgetKeeper.begin``.
     """
 
     program_id: str
@@ -72,6 +82,7 @@
     home: str
     branch: str = ''
     server_id: str = ''
+    is_granted: bool = True
 
 
 class BudgetKeeper:
@@ -103,10 +114,17 @@
             for number in range(store.partitions)
         ]
         fleet.subscribe(ReserveTokens, self._handle_reserve)
-        fleet.subscribe(SettleTokens, self._handle_settle)
+        self._settlements = Settlements(
+            fleet=fleet, calls=calls, find_home=self._find_home
+        )
         fleet.subscribe(ReplicateAllowance, self._handle_allowance_message)
         fleet.subscribe(FindAllowances, self._handle_allowance_message)
-        fleet.subscribe(HandOver, self._handle_hand_over)
+        fleet.subscribe(
+            HandOver,
+            lambda sender, message: self._homes[
+                message.partition
+            ].accept_hand_over(sender, message),
+        )
 
     def start(self) -> None:
         """Start writing accounts and removing unused ones, periodically."""
@@ -130,39 +148,39 @@
     ) -> Reservation:
         """Reserve the maximum number of tokens that a turn can generate.
 
-        ``needs_store`` is true if the answer cannot end without the store.
+        ``needs_store`` is true if the answer cannot end without the store. The
+        tokens may then be granted only when the turn begins to hand them out, so
+        that a turn which is lost before costs its program nothing.
 
         Raises:
             RefusedError: if the budget is spent or reserved, or if no home can
                 decide.
         """
-        ranked = self._find_home(call.program_id).rank()
-        homes = self._reports.sort_by_store_access(ranked)[:MAX_HOMES_ASKED]
-        # Only the first VM may grant without the store; otherwise each VM would
-        # grant a part of its own. There is none while all VMs stop.
-        first = ranked[:1]
-        for number, name in enumerate((*homes, *first)):
-            reservation = Reservation(
-                program_id=call.program_id,
-                reservation_id=f'{call.request_id}/{number}',
-                home=name,
-                branch=call.branch_ids[0] if call.branch_ids else '',
-            )
-            answer = self._ask_home(
-                reservation,
-                call,
-                may_be_provisional=(name,) == first,
-                needs_store=needs_store,
-            )
-            if answer.verdict == RESERVED:
-                return dataclasses.replace(
-                    reservation, server_id=answer.server_id
-                )
-            if answer.verdict == SPENT:
-                raise refuse_spent(name)
-            if answer.verdict == HELD:
-                raise refuse_held(name)
-        raise refuse_unsure(has_store=self._reports.has_store)
+        terms = Terms(needs_store=needs_store, begins=not needs_store)
+        return self._reserve(call, terms)
+
+    def begin(self, reservation: Reservation, call: CallRequest) -> Reservation:
+        """Have the tokens granted of a turn whose first event has come.
+
+        Raises:
+            RefusedError: if they are not granted. The turn may have run, and must
+                hand nothing out.
+        """
+        if reservation.is_granted:
+            return reservation
+        terms = Terms(needs_store=True, begins=True)
+        answer = self._ask_home(reservation, call, terms)
+        ends_at = read_clock() + BEGIN_SECONDS
+        while answer.verdict == UNSURE and read_clock() < ends_at:
+            if self._find_home(call.program_id).rank()[:1] != (
+                reservation.home,
+            ):
+                # Another home knows nothing of the turn yet.
+                self.settle(reservation, 0, '')
+                return self._reserve(call, terms)
+            gevent.sleep(BEGIN_PAUSE_SECONDS)
+            answer = self._ask_home(reservation, call, terms)
+        return accept_answer(reservation, answer)
 
     def settle(
         self, reservation: Reservation, tokens: int, server_id: str
@@ -175,22 +193,35 @@
             line=reservation.branch,
             server_id=server_id,
         )
-        if reservation.home == self._fleet.own_name:
-            self._handle_settle(reservation.home, message)
-        else:
-            self._fleet.send(reservation.home, message)
+        self._settlements.send(reservation.home, message)
+
+    def _reserve(self, call: CallRequest, terms: 'Terms') -> Reservation:
+        ranked = self._find_home(call.program_id).rank()
+        homes = self._reports.sort_by_store_access(ranked)[:MAX_HOMES_ASKED]
+        # Only the first VM may grant without the store; otherwise each VM would
+        # grant a part of its own. There is none while all VMs stop.
+        first = ranked[:1]
+        step = 'begin' if terms.needs_store and terms.begins else ''
+        for number, name in enumerate((*homes, *first)):
+            reservation = Reservation(
+                program_id=call.program_id,
+                reservation_id=f'{call.request_id}/{step}{number}',
+                home=name,
+                branch=call.branch_ids[0] if call.branch_ids else '',
+            )
+            answer = self._ask_home(reservation, call, terms)
+            if answer.verdict != UNSURE:
+                return accept_answer(reservation, answer)
+        raise refuse_unsure(has_store=self._reports.has_store)
 
     def _find_home(self, program_id: str) -> Home:
         return self._homes[partition_of_key(program_id, len(self._homes))]
 
     def _ask_home(
-        self,
-        reservation: Reservation,
-        call: CallRequest,
-        *,
-        may_be_provisional: bool,
-        needs_store: bool,
+        self, reservation: Reservation, call: CallRequest, terms: 'Terms'
     ) -> TokensReserved:
+        ranked = self._find_home(call.program_id).rank()
+        seconds = call.deadline_seconds or ACCOUNT_RETENTION_SECONDS
         make_request = functools.partial(
             ReserveTokens,
             program_id=call.program_id,
@@ -199,9 +230,12 @@
             budget=call.budget_tokens or 0,
             tokens=call.max_output_tokens,
             lines=call.branch_ids,
-            may_be_provisional=may_be_provisional,
+            may_be_provisional=ranked[:1] == (reservation.home,),
             is_first=call.is_first_turn,
-            needs_store=needs_store,
+            needs_store=terms.needs_store,
+            begins=terms.begins,
+            owner=self._fleet.own_boot,
+            expires_seconds=seconds + EXPIRY_MARGIN_SECONDS,
         )
         if reservation.home == self._fleet.own_name:
             return self._decide(make_request(call_id=0))
@@ -249,19 +283,6 @@
             )
         )
 
-    def _handle_settle(self, sender: str, message: SettleTokens) -> None:
-        home = self._find_home(message.program_id)
-        if home.settle(message):
-            return
-        # The accounts were handed over, so the message is forwarded to the
-        # home, unless it came from there.
-        homes = home.rank()[:1]
-        if homes and homes[0] not in {
-            sender,
-            self._fleet.own_name,
-        }:
-            self._fleet.send(homes[0], message)
-
     def _handle_allowance_message(
         self, sender: str, message: ReplicateAllowance | FindAllowances
     ) -> None:
@@ -273,13 +294,9 @@
             answer = home.hold_copy(message)
         self._fleet.send(sender, answer)
 
-    def _handle_hand_over(self, sender: str, message: HandOver) -> None:
-        self._homes[message.partition].accept_hand_over(sender, message)
-
     def _maintain_accounts(self) -> None:
         for home in self._homes:
-            home.hand_over(is_leaving=self._is_leaving)
-            home.writer.flush(has_store=self._reports.has_store)
+            home.maintain(is_leaving=self._is_leaving)
 
     def _drop_untouched(self) -> None:
         # Only a VM that was the home for the whole retention time knows that a
@@ -294,6 +311,35 @@
                 home.writer.drop_untouched(retained_since)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Terms:
+    """Whether a turn ``needs_store`` to end, and ``begins`` to hand tokens out."""
+
+    needs_store: bool
+    begins: bool
+
+
+def accept_answer(
+    reservation: Reservation, answer: TokensReserved
+) -> Reservation:
+    """Return the reservation as a home has answered to it.
+
+    Raises:
+        RefusedError: if the home refuses the turn.
+    """
+    if answer.verdict == SPENT:
+        raise refuse_spent(reservation.home)
+    if answer.verdict == HELD:
+        raise refuse_held(reservation.home)
+    if answer.verdict == UNSURE:
+        raise refuse_unsure(has_store=True)
+    return dataclasses.replace(
+        reservation,
+        server_id=answer.server_id,
+        is_granted=answer.verdict != ADMITTED,
+    )
+
+
 def refuse_spent(home: str) -> RefusedError:
     """Return the refusal of a turn that exceeds the budget for good."""
     return RefusedError(
--- a/src/bronzepost/_internal/gateway/programs/grants.py
+++ b/src/bronzepost/_internal/gateway/programs/grants.py
@@ -7,6 +7,10 @@
 from gevent.pool import Pool
 
 from bronzepost._internal.core.gateway import budgets as rules
+from bronzepost._internal.core.gateway.lost_tokens import (
+    LOST_GRANTS_HOLDER,
+    count_uncertain,
+)
 from bronzepost._internal.core.gateway.pool_need import (
     PoolNeed,
     find_pool_need,
@@ -143,11 +147,14 @@
             budget=request.budget,
             granted=account.granted,
             provisional=account.provisional,
-            forgotten=account.find_allowance(rules.LOST_GRANTS_HOLDER),
+            forgotten=account.find_allowance(LOST_GRANTS_HOLDER),
             spent=account.count_spent(self._accounts.holder),
             reserved=sum(account.reserved_by_id.values()),
             available=account.count_available(self._accounts.holder),
-            held_by_others=account.count_held_by_others(self._accounts.holder),
+            held_by_others=account.count_held(
+                account.list_others(self._accounts.holder)
+            ),
+            uncertain=count_uncertain(account, self._accounts.holder),
             pool=account.pool_left,
             is_synced=self._accounts.is_synced,
             store_seconds=round(self._reports.store_available_seconds, 3),
@@ -172,7 +179,11 @@
             request.program_id, request.budget
         )
         available = account.count_available(self._accounts.holder)
-        return find_pool_need(account, missing=request.tokens - available)
+        return find_pool_need(
+            account,
+            missing=request.tokens - available,
+            holder=self._accounts.holder,
+        )
 
     def _claim(self, request: ReserveTokens) -> bool:
         outcome = self._claims.claim(request)
@@ -235,4 +246,5 @@
         holder=holder,
         reservation_id=request.reservation_id,
         tokens=request.tokens,
+        owner=request.owner,
     )
--- a/src/bronzepost/_internal/gateway/programs/home.py
+++ b/src/bronzepost/_internal/gateway/programs/home.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bronzepost._internal.core.gateway import budgets as rules
+from bronzepost._internal.core.gateway.lost_tokens import find_lost
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 from bronzepost._internal.gateway.peers.fleet import Fleet
 from bronzepost._internal.gateway.peers.messages import (
@@ -22,7 +23,10 @@
 from bronzepost._internal.gateway.programs.accounts import (
     Accounts,
     BranchIndex,
-    RecentIds,
+    EarlySettlements,
+)
+from bronzepost._internal.gateway.programs.admitted_turns import (
+    AdmittedTurns,
 )
 from bronzepost._internal.gateway.programs.allowance_writer import (
     AllowanceWriter,
@@ -31,17 +35,23 @@
     Grants,
     confirm_spent,
     decide_reservation,
+    find_grant_timeout,
 )
 from bronzepost._internal.gateway.programs.keyed_store import KeyedStore
-from bronzepost._internal.gateway.programs.voter_memory import VoterMemory
+from bronzepost._internal.gateway.programs.voter_memory import (
+    STORE_RECOVERY_SECONDS,
+    VoterMemory,
+)
 from bronzepost._internal.node.clock import read_clock
 from bronzepost._internal.telemetry.events import LogEvent
 from bronzepost._internal.telemetry.logs import emit
 
-# Verdicts on a reservation. ``SPENT`` means that no later turn of this size
+# Verdicts on a reservation. ``ADMITTED`` means that the turn may run, but has to
+# be granted its tokens before its first event. ``SPENT`` means that no later turn of this size
 # fits into the budget, ``HELD`` that the rest of the budget is reserved or was
 # when a VM was lost, and ``UNSURE`` that this VM cannot decide now.
 RESERVED: Final = 'reserved'
+ADMITTED: Final = 'admitted'
 SPENT: Final = 'spent'
 HELD: Final = 'held'
 UNSURE: Final = 'unsure'
@@ -84,9 +94,10 @@
             accounts=self.accounts,
             is_running=fleet.boots.is_running,
         )
+        self._admitted = AdmittedTurns()
         self.memory = VoterMemory(reports=reports, writer=self.writer)
         # Reservations whose settlement arrived before they were decided.
-        self._settled_early = RecentIds(max_ids=MAX_BRANCHES)
+        self._settled_early = EarlySettlements(max_count=MAX_BRANCHES)
         self._number = number
         self._key = f'budgets-{number}'
         self._fleet = fleet
@@ -118,26 +129,21 @@
         once ``seconds`` have passed.
         """
         ends_at = read_clock() + seconds
+        if not request.begins and not self.accounts.is_synced:
+            # What the store has granted is known before a turn is admitted.
+            self.writer.write(find_grant_timeout(ends_at))
         for _ in range(_MAX_ROUNDS):
-            account = self.accounts.get_or_create(
-                request.program_id, request.budget
-            )
-            account = rules.keep_pool(
-                assess_loss(account, request, self._fleet.age_seconds),
-                turn_tokens=request.tokens,
-                needs_store=request.needs_store,
-            )
+            account = self._prepare_account(request)
             decision = decide_reservation(
                 account, self.accounts.holder, request
             )
-            if isinstance(decision, rules.Reserved):
-                if self._settled_early.remove(request.reservation_id):
-                    return UNSURE
-                self.accounts.put_used(decision.account)
-                return RESERVED
             self.accounts.put(account)
+            if isinstance(decision, rules.Reserved):
+                return self._reserve(decision.account, request)
             if isinstance(decision, rules.BudgetSpent):
                 return self._refuse_spent(request, is_final=decision.is_final)
+            if self._may_admit(request):
+                return self._admit(request)
             if read_clock() >= ends_at:
                 return UNSURE
             if not self.grants.obtain(request, ends_at):
@@ -147,13 +153,15 @@
     def settle(self, message: SettleTokens) -> bool:
         """Settle a turn's reservation; return whether this VM has it."""
         self.branches.set_server(message.line, message.server_id)
+        if self._admitted.remove(message.program_id, message.reservation_id):
+            return True
         account = self.accounts.by_program.get(message.program_id)
         if account is None or message.reservation_id not in (
             account.reserved_by_id
         ):
             # The decision may still wait for the store, or the accounts may have
             # been handed over.
-            self._settled_early.add(message.reservation_id)
+            self._settled_early.add(message.reservation_id, message.tokens)
             return False
         settled = rules.settle_tokens(
             account,
@@ -217,6 +225,9 @@
         if accounts is None:
             return
         self.accounts.adopt(accounts, former_holder=message.former)
+        for received in accounts:
+            adopted = self.accounts.by_program[received.program_id]
+            self.accounts.put_used(self._settled_early.settle(adopted))
         if message.is_synced:
             self.accounts.is_synced = True
         emit(
@@ -227,6 +238,16 @@
             is_synced=message.is_synced,
         )
 
+    def maintain(self, *, is_leaving: bool) -> None:
+        """Free the tokens of lost VMs, hand accounts over, and write the rest."""
+        dropped = self._admitted.drop_gone(
+            self._fleet.boots.is_running, at=read_clock()
+        )
+        if dropped:
+            emit(LogEvent.TURNS_LOST, partition=self._number, turns=dropped)
+        self.hand_over(is_leaving=is_leaving)
+        self.writer.flush(has_store=self._reports.has_store)
+
     def hand_over(self, *, is_leaving: bool) -> None:
         """Hand the accounts over if another VM is their home now.
 
@@ -270,6 +291,61 @@
     def _count_voters(self) -> int:
         return len(self._reports.voters.list_names(self._key))
 
+    def _prepare_account(self, request: ReserveTokens) -> ProgramAccount:
+        account = self.accounts.get_or_create(
+            request.program_id, request.budget
+        )
+        account = assess_loss(account, request, self._fleet.age_seconds)
+        account = rules.keep_pool(
+            account,
+            turn_tokens=request.tokens,
+            needs_store=request.needs_store,
+        )
+        return find_lost(account, is_running=self._fleet.boots.is_running)
+
+    def _reserve(self, account: ProgramAccount, request: ReserveTokens) -> str:
+        self._admitted.remove(request.program_id, request.reservation_id)
+        if self._settled_early.remove(request.reservation_id):
+            return UNSURE
+        self.accounts.put_used(account)
+        return RESERVED
+
+    def _may_admit(self, request: ReserveTokens) -> bool:
+        """Return whether a turn needs no tokens before it begins.
+
+        This VM has to know what the store has granted. Without the store, tokens
+        are claimed from the pool before a turn runs, if they can be.
+        """
+        return (
+            not request.begins
+            and request.needs_store
+            and self.accounts.is_synced
+            and self._reports.has_store
+        )
+
+    def _admit(self, request: ReserveTokens) -> str:
+        """Admit a turn that is granted its tokens before its first event.
+
+        Nothing is lost with this VM, or with the one that serves it, before that.
+        """
+        if self._reports.store_available_seconds < STORE_RECOVERY_SECONDS:
+            self.grants.fetch(request)
+        account = self._prepare_account(request)
+        others = self._admitted.count_others(request)
+        for tokens in (request.tokens, request.tokens + others):
+            decision = decide_reservation(
+                account,
+                self.accounts.holder,
+                msgspec.structs.replace(request, tokens=tokens),
+            )
+            if isinstance(decision, rules.BudgetSpent):
+                is_final = decision.is_final and tokens == request.tokens
+                return self._refuse_spent(request, is_final=is_final)
+        if self._settled_early.remove(request.reservation_id):
+            return UNSURE
+        self._admitted.add(request, at=read_clock())
+        return ADMITTED
+
     def _refuse_spent(self, request: ReserveTokens, *, is_final: bool) -> str:
         if not is_final and self._reports.has_store:
             is_final = confirm_spent(self.accounts, self.writer, request)
--- a/src/bronzepost/_internal/gateway/programs/orphaned_claims.py
+++ b/src/bronzepost/_internal/gateway/programs/orphaned_claims.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-from bronzepost._internal.core.gateway.budgets import LOST_GRANTS_HOLDER
+from bronzepost._internal.core.gateway.lost_tokens import LOST_GRANTS_HOLDER
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 
 
--- a/src/bronzepost/_internal/gateway/programs/program_state.py
+++ b/src/bronzepost/_internal/gateway/programs/program_state.py
@@ -11,7 +11,7 @@
     build_prompt,
     join_answer,
 )
-from bronzepost._internal.exceptions import RefusedError
+from bronzepost._internal.exceptions import RefusedError, RunState
 from bronzepost._internal.gateway.callers.event_stream import EventSplitter
 from bronzepost._internal.gateway.programs.budget_keeper import (
     BudgetKeeper,
@@ -71,6 +71,19 @@
             deadline_at=deadline_at,
         )
 
+    def begin_turn(self, turn: OpenTurn) -> OpenTurn:
+        """Have the tokens of a turn granted before its first event is sent.
+
+        Raises:
+            RefusedError: if they are not granted. The turn has run, and its caller
+                must get none of its events.
+        """
+        try:
+            reservation = self._budgets.begin(turn.reservation, turn.call)
+        except RefusedError as error:
+            raise refuse_begun(error) from error
+        return dataclasses.replace(turn, reservation=reservation)
+
     def save_turn(
         self, turn: OpenTurn, route: Route, body: bytes, events: EventSplitter
     ) -> None:
@@ -100,6 +113,21 @@
         self._budgets.settle(turn.reservation, tokens, server_id)
 
 
+def refuse_begun(error: RefusedError) -> RefusedError:
+    """Return the refusal of a turn that has run and may hand nothing out.
+
+    It is no 402 or 503, which say that the turn has not run.
+    """
+    return RefusedError(
+        f'the tokens of the turn were not granted: {error.message}',
+        code=error.code,
+        status=HTTPStatus.BAD_GATEWAY,
+        run=RunState.UNKNOWN,
+        step='begin turn',
+        peer=error.peer,
+    )
+
+
 def refuse_resume() -> RefusedError:
     """Return the refusal to resume a stream on a route that keeps history.
 
--- a/src/bronzepost/_internal/gateway/requests/forwarding.py
+++ b/src/bronzepost/_internal/gateway/requests/forwarding.py
@@ -251,6 +251,8 @@
         pending.stream_version = stream.version
 
     def _begin_stream(self, pending: PendingCall) -> None:
+        if pending.turn is not None:
+            pending.turn = self._programs.begin_turn(pending.turn)
         if pending.route.is_resumable:
             pending.stream_version = pending.server_version
             self._streams.begin(
--- a/src/bronzepost/_internal/telemetry/events.py
+++ b/src/bronzepost/_internal/telemetry/events.py
@@ -238,6 +238,16 @@
         WARNING,
         'Stored turns could not be read.',
     )
+    TURNS_LOST = (
+        8084,
+        INFO,
+        'Admitted turns ended with the VMs that served them; nothing is spent.',
+    )
+    TURN_NOT_SETTLED = (
+        8085,
+        WARNING,
+        'No home has confirmed what a turn has generated.',
+    )
     MEMBER_LIST_FAILED = (
         8083,
         INFO,
--- a/tests/builders_homes.py
+++ b/tests/builders_homes.py
@@ -38,7 +38,7 @@
 
     ``lost`` are VMs that were lost lately, or are beyond a cut. A VM in
     ``met_by_name`` has found those members only. The store has answered for
-    ``store_available_seconds``.
+    ``store_available_seconds``. VMs that are ``paused`` count as dead.
     """
 
     store: MemoryStore
@@ -48,6 +48,7 @@
     met_by_name: dict[str, tuple[str, ...]] = dataclasses.field(
         default_factory=dict
     )
+    paused: set[str] = dataclasses.field(default_factory=set)
     age_seconds: float = 60
     store_available_seconds: float = 0
 
@@ -155,8 +156,12 @@
 
     def is_running(self, boot: str) -> bool:
         """Return whether a process of a boot name is the latest of its VM."""
-        homes = self.network.homes_by_name.values()
-        return boot in {home.accounts.holder for home in homes}
+        running = {
+            home.accounts.holder.partition('.')[0]
+            for name, home in self.network.homes_by_name.items()
+            if name not in self.network.paused
+        }
+        return boot.partition('.')[0] in running
 
     def send(self, name: str, message: Any) -> bool:
         """Deliver a hand-over to another VM."""
--- a/tests/builders_late_members.py
+++ b/tests/builders_late_members.py
@@ -257,9 +257,10 @@
         budgets = self.vms_by_name[name].budgets
         try:
             reservation = budgets.reserve(call, needs_store=True)
+            gevent.sleep(_RUN_SECONDS)
+            reservation = budgets.begin(reservation, call)
         except RefusedError as error:
             return error.code
-        gevent.sleep(_RUN_SECONDS)
         self.used_tokens += call.max_output_tokens
         budgets.settle(reservation, call.max_output_tokens, '')
         return ''
--- a/tests/builders_losses.py
+++ b/tests/builders_losses.py
@@ -325,6 +325,7 @@
             with gevent.Timeout(TURN_TIMEOUT_SECONDS):
                 turn = programs.open_turn(call, route, prompt_of(call))
                 prompts.append(turn.prompt)
+                turn = programs.begin_turn(turn)
                 return self._save(programs, turn, route)
         except gevent.Timeout:
             return Ending(outcome=BROKEN_OFF, prompt=b''.join(prompts))
--- a/tests/unit/test_gateway_budgets.py
+++ b/tests/unit/test_gateway_budgets.py
@@ -12,6 +12,7 @@
 from testtools.matchers import IsInstance
 
 from bronzepost._internal.core.gateway import budgets
+from bronzepost._internal.core.gateway.lost_tokens import LOST_GRANTS_HOLDER
 from bronzepost._internal.core.gateway.program_account import ProgramAccount
 from bronzepost._internal.gateway.programs.accounts import Accounts
 from bronzepost._internal.gateway.programs.allowance_writer import (
@@ -188,7 +189,7 @@
     def test_hand_over_of_a_program_without_a_loss_keeps_its_pool(self) -> None:
         """The new home only assumed a loss; the former one knew better."""
         received = make_account(
-            claimed_by_holder={budgets.LOST_GRANTS_HOLDER: 0},
+            claimed_by_holder={LOST_GRANTS_HOLDER: 0},
             pool_tokens=TOKENS,
         )
         adopted = budgets.adopt_account(
--- a/tests/unit/test_gateway_homes.py
+++ b/tests/unit/test_gateway_homes.py
@@ -38,6 +38,7 @@
     UNSURE,
     Home,
 )
+from bronzepost._internal.gateway.programs.settlements import SETTLED
 from tests.builders_gateway import (
     MemoryStore,
     make_turn_call,
@@ -890,6 +891,7 @@
         reserving = gevent.spawn(keeper.reserve, call)
         gevent.sleep(0)
         reserving.kill()
+        gevent.sleep(0)
         settled = [message.reservation_id for message in vm.sent]
         self.assertEqual([f'{call.request_id}/0'], settled)
 
@@ -898,5 +900,9 @@
     """A VM whose requests are never answered."""
 
     def ask(self, name: str, make_message: Any, _seconds: float = 0) -> Any:
-        """Wait for longer than the test."""
+        """Wait for longer than the test, but confirm settlements."""
+        message = make_message(1)
+        if isinstance(message, SettleTokens):
+            self.sent.append(message)
+            return TokensReserved(call_id=1, verdict=SETTLED)
         gevent.sleep(60)
