Refuse answers whose status is none, and parts of reset ones

The exchange now ends with an error, so callers get 502, or the answer of another server where the request may run again. 000 and 099 got 502 before, after the connection had ended; now they get it at once.

A short request whose sender got the error of a reset, because the server had answered before it was sent, left a part of an answer without a length that ended in an orderly way. It counted as whole; for long requests that was excluded.

--- a/src/bronzepost/_internal/gateway/callers/answer_reader.py
+++ b/src/bronzepost/_internal/gateway/callers/answer_reader.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from bronzepost._internal.core.http_statuses import is_status
 from bronzepost._internal.exceptions import ProtocolError
 from bronzepost._internal.gateway.callers.header_names import (
     Headers,
@@ -51,6 +52,7 @@
         self._blocks: list[bytes] = []
         # Whether headers of the answer were left out.
         self._is_cut = False
+        self._invalid_status: int | None = None
         self._reset()
 
     def feed(self, received: bytes) -> None:
@@ -72,19 +74,8 @@
             if not self.is_complete:
                 raise ProtocolError(str(error), step='read answer') from error
             self.has_surplus = True
-        is_too_much = self._overhead_bytes > MAX_OVERHEAD_BYTES
-        if is_too_much and not self.is_complete:
-            raise ProtocolError(
-                f'{self._overhead_bytes} bytes without a part of the answer',
-                step='read answer',
-            )
-        # Late answers that are skipped are bounded by their bytes.
-        has_too_many = self._header_count > MAX_HEADERS and not self.is_complete
-        if has_too_many or self._is_cut:
-            raise ProtocolError(
-                f'an answer with more than {MAX_HEADERS} headers',
-                step='read answer',
-            )
+        if self._is_cut or not self.is_complete:
+            self._check_answer()
 
     def feed_eof(self) -> bool:
         """Handle a closed connection; return whether the answer is complete.
@@ -140,6 +131,10 @@
     def on_headers_complete(self) -> None:
         """Set the head if this is the expected answer."""
         status = self._parser.get_status_code()
+        if not is_status(status):
+            self._invalid_status = status
+            self._is_skipping = True
+            return
         headers = tuple(self._headers)
         self._is_skipping = status < _MIN_FINAL_STATUS or not self._is_expected(
             headers
@@ -173,6 +168,25 @@
         if not self._is_skipping:
             self.is_complete = True
 
+    def _check_answer(self) -> None:
+        """Check what has arrived of an answer that may go on.
+
+        Raises:
+            ProtocolError: if it is no answer, or larger than any answer.
+        """
+        problem = ''
+        if self._invalid_status is not None:
+            problem = f'{self._invalid_status:03d} is no status'
+        elif self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            problem = (
+                f'{self._overhead_bytes} bytes without a part of the answer'
+            )
+        # Late answers that are skipped are bounded by their bytes.
+        elif self._is_cut or self._header_count > MAX_HEADERS:
+            problem = f'an answer with more than {MAX_HEADERS} headers'
+        if problem:
+            raise ProtocolError(problem, step='read answer')
+
     def _is_expected(self, headers: Headers) -> bool:
         id_header, request_id = self._expected_id
         repeated_id = find_header(headers, id_header)
--- a/src/bronzepost/_internal/gateway/links/backend_exchange.py
+++ b/src/bronzepost/_internal/gateway/links/backend_exchange.py
@@ -56,6 +56,8 @@
         self._connection = connection
         self.step = step
         self._sender: Any = None
+        # Whether the request could not be sent to its end.
+        self._is_send_broken = False
         self._held = pool.memory.open(HeldKind.ANSWERS)
         self._body_bytes = 0
 
@@ -87,6 +89,7 @@
         try:
             self._connection.send(head + body)
         except OSError as error:
+            self._is_send_broken = True
             # The server may have answered and closed the connection before it
             # read the whole request.
             if not self._try_read_head():
@@ -152,10 +155,9 @@
         except OSError as error:
             raise self._build_error(error) from error
         if not received:
-            # The sender of a long body may have got the error of a reset, and the
-            # end of the connection then looks orderly.
-            is_broken = self._sender is not None and self._sender.value is False
-            if not is_broken and self.answer.feed_eof():
+            # The error of a reset comes once. If the sender of the request got it,
+            # the end of the connection looks orderly.
+            if not self._is_send_broken and self.answer.feed_eof():
                 self.answer.has_surplus = True
                 return
             raise self._build_error(ConnectionError('closed before the end'))
@@ -173,6 +175,7 @@
             if rest:
                 self._connection.send_at_pace(rest)
             return True
+        self._is_send_broken = True
         return False
 
     def _try_read_head(self) -> bool:
--- a/src/bronzepost/_internal/node/callers/http_exchange.py
+++ b/src/bronzepost/_internal/node/callers/http_exchange.py
@@ -10,6 +10,7 @@
 import msgspec
 from geventhttpclient.response import HTTPSocketPoolResponse
 
+from bronzepost._internal.core.http_statuses import is_status
 from bronzepost._internal.exceptions import (
     AnswerTooLargeError,
     ExchangeError,
@@ -263,9 +264,18 @@
         except gevent.GreenletExit:
             client.close()
             raise
-        return HttpStream(
+        stream = HttpStream(
             client=client, response=response, peer=self.address, step=step
         )
+        if not is_status(stream.status):
+            stream.close()
+            raise ExchangeError(
+                f'no answer: {stream.status:03d} is no status',
+                step=step,
+                peer=self.address,
+                was_sent=True,
+            )
+        return stream
 
     def _build_error(self, error: Exception, step: str) -> ExchangeError:
         code = getattr(error, 'errno', None)
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -70,6 +70,7 @@
 # Modules of the product that a gateway uses; only nodes use the others.
 USED_MODULES = MappingProxyType({
     'core.gateway': 'decisions',
+    'core.http_statuses': 'answers of servers',
     'core.membership': 'the other VMs',
     'core.rendezvous': 'order of the VMs for a program',
     'core.retry_budget': 'repeated sends',
