Model turns that are lost with the VMs that serve them

The specification has turns that are admitted, begin, hand out and end, losses before and after the first event, and VMs that were only paused. z3 proves that at most one turn beyond the budget is handed out, that a turn without an event costs nothing, and that a turn that fits may begin, over any number of losses.

--- a/tests/unit/test_model.py
+++ b/tests/unit/test_model.py
@@ -25,6 +25,7 @@
     budgets,
     configuration,
     leases,
+    lost_turns,
     quota_shares,
     specification,
     systems,
@@ -326,6 +327,22 @@
             self.assertNotEqual([], trace, guard)
 
 
+class LostTurnModelTest(TestCase):
+    """Guard the tokens of turns that are lost with their VMs."""
+
+    def test_lost_turns_neither_exceed_nor_end_a_budget(self) -> None:
+        """Guard against turns that are counted twice, and not at all."""
+        system = lost_turns.build_lost_turns()
+        self.assertEqual([], systems.find_unproved(system))
+
+    def test_lost_turns_need_every_guard(self) -> None:
+        """Guard against a specification that holds without its guards."""
+        for guard in lost_turns.GUARDS:
+            system = lost_turns.build_lost_turns(without=guard)
+            trace = systems.find_counterexample(system, DEPTH)
+            self.assertNotEqual([], trace, guard)
+
+
 class QuotaShareModelTest(TestCase):
     """Guard the shares of quotas, their loans and their takeover."""
 
