--- a/tests/unit/test_lost_turns.py
+++ b/tests/unit/test_lost_turns.py
@@ -172,6 +172,16 @@
         self.assertThat(self.handed_out, GreaterThan(BUDGET - TOKENS))
         self.assertThat(self.handed_out, LessThan(BUDGET + TOKENS + 1))
 
+    def test_half_turns_at_two_losses_of_all_vms(self) -> None:
+        """Guard against two lost turns that nothing is forgiven of."""
+        for _ in range(2):
+            self.begin('c')
+            self.handed_out += TOKENS // 2
+            self.network.age_seconds = 1
+            self.kill(*NAMES)
+        self.run_turns(TURNS)
+        self.assertThat(self.handed_out, GreaterThan(BUDGET - TOKENS))
+
     def test_many_lost_turns_stay_within_the_budget(self) -> None:
         """Guard against a turn that is forgiven more than once."""
         for _ in range(TURNS // 2):
