Give each attempt to begin a turn an id of its own

An attempt to begin a turn whose home answers too late is settled, and that message is repeated until it is confirmed. The next attempt used the same id, so a repeated message that came late freed the tokens of a turn that handed them out. Found by reading the change; not seen in a play.

test_settlement_of_an_earlier_attempt_comes_late fails without the change (the reservation in use is gone) and passes.

--- a/src/bronzepost/_internal/gateway/programs/budget_keeper.py
+++ b/src/bronzepost/_internal/gateway/programs/budget_keeper.py
@@ -169,18 +169,22 @@
         if reservation.is_granted:
             return reservation
         terms = Terms(needs_store=True, begins=True)
-        answer = self._ask_home(reservation, call, terms)
         ends_at = read_clock() + BEGIN_SECONDS
+        attempt = reservation
+        answer = self._ask_home(attempt, call, terms)
         while answer.verdict == UNSURE and read_clock() < ends_at:
-            if self._find_home(call.program_id).rank()[:1] != (
-                reservation.home,
-            ):
+            self.settle(attempt, 0, '')
+            homes = self._find_home(call.program_id).rank()
+            if homes[:1] != (reservation.home,):
                 # Another home knows nothing of the turn yet.
-                self.settle(reservation, 0, '')
                 return self._reserve(call, terms)
             gevent.sleep(BEGIN_PAUSE_SECONDS)
-            answer = self._ask_home(reservation, call, terms)
-        return accept_answer(reservation, answer)
+            # The settlement above may arrive late, so its id is not used again.
+            attempt = dataclasses.replace(
+                reservation, reservation_id=f'{attempt.reservation_id}+'
+            )
+            answer = self._ask_home(attempt, call, terms)
+        return accept_answer(attempt, answer)
 
     def settle(
         self, reservation: Reservation, tokens: int, server_id: str
--- a/tests/unit/test_lost_turns.py
+++ b/tests/unit/test_lost_turns.py
@@ -19,6 +19,7 @@
     TokensReserved,
 )
 from bronzepost._internal.gateway.peers.peer_calls import PeerCalls
+from bronzepost._internal.gateway.peers.peer_reports import PeerReports
 from bronzepost._internal.gateway.programs.budget_keeper import (
     BudgetKeeper,
     refuse_held,
@@ -31,6 +32,7 @@
     RESERVED,
     SPENT,
     UNSURE,
+    Home,
 )
 from bronzepost._internal.gateway.programs.program_state import (
     OpenTurn,
@@ -42,7 +44,7 @@
 )
 from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
 from bronzepost._internal.node.clock import read_clock
-from tests.builders_gateway import MemoryStore
+from tests.builders_gateway import MemoryStore, make_turn_call
 from tests.builders_homes import (
     PROGRAM,
     REQUEST_NUMBERS,
@@ -278,6 +280,57 @@
             self.assertEqual(HTTPStatus.BAD_GATEWAY, refusal.status)
 
 
+class LateHome:
+    """A home that answers the first requests too late, and settlements later."""
+
+    def __init__(self, home: Home, *, silent: int) -> None:
+        """Leave ``silent`` requests to begin without an answer."""
+        self.late: list[SettleTokens] = []
+        self._home = home
+        self._silent = silent
+
+    def ask(self, _name: str, make_message: Any, _seconds: float = 0) -> Any:
+        """Pass a request to the home; keep settlements back."""
+        message = make_message(1)
+        if isinstance(message, SettleTokens):
+            self.late.append(message)
+            return TokensReserved(call_id=1, verdict=SETTLED)
+        verdict = self._home.reserve(message)
+        self._silent -= message.begins
+        if message.begins and self._silent >= 0:
+            return None
+        return TokensReserved(call_id=1, verdict=verdict)
+
+
+class TestLateSettlements(LostTurnCase):
+    """Guards against a turn in use that a late message settles."""
+
+    def test_settlement_of_an_earlier_attempt_comes_late(self) -> None:
+        """An attempt that had failed was settled when a later one was in use."""
+        home = self.network.homes_by_name['a']
+        calls = LateHome(home, silent=1)
+        vm = mock.Mock(own_name='c', own_boot=home.accounts.holder)
+        vm.rank_homes.return_value = ('a',)
+        vm.sort_by_store_access.side_effect = list
+        keeper = BudgetKeeper(
+            fleet=cast(Fleet, vm),
+            reports=cast(PeerReports, vm),
+            calls=cast(PeerCalls, calls),
+            store=self.network.store,
+        )
+        call = make_turn_call(
+            program_id=PROGRAM, budget_tokens=BUDGET, max_output_tokens=TOKENS
+        )
+        reservation = keeper.reserve(call, needs_store=True)
+        self.assertIs(False, reservation.is_granted)
+        reservation = keeper.begin(reservation, call)
+        gevent.sleep(0)
+        for message in calls.late:
+            home.settle(message)
+        account = home.accounts.by_program[PROGRAM]
+        self.assertIn(reservation.reservation_id, account.reserved_by_id)
+
+
 class SilentCalls:
     """Calls to peers of which the first ones get no answer."""
 
