--- a/tests/builders_losses.py
+++ b/tests/builders_losses.py
@@ -31,6 +31,9 @@
 )
 from bronzepost._internal.gateway.programs.store_pace import StorePace
 from bronzepost._internal.gateway.programs.turn_keeper import TurnKeeper
+from bronzepost._internal.gateway.programs.voter_memory import (
+    restore_memories,
+)
 from tests.builders_gateway import MemoryStore, make_route, make_turn_call
 
 NAMES: Final = ('a', 'b', 'c')
@@ -318,6 +321,8 @@
         self, name: str, call: CallRequest, **route_changes: Any
     ) -> Ending:
         """Run a turn on a VM as the forwarder does, within its deadline."""
+        for vm in self.vms_by_name.values():
+            restore_memories([home.memory for home in vm.budgets._homes])
         programs = self.vms_by_name[name].programs
         route = make_route(**{'keeps_history': True, **route_changes})
         prompts: list[bytes] = []
