--- a/src/bronzepost/_internal/gateway/peers/member_list.py
+++ b/src/bronzepost/_internal/gateway/peers/member_list.py
@@ -27,7 +27,7 @@
 # An entry that its VM has not written again for so long is that of a VM that is
 # gone, as in LostMembers. It covers two writes that failed.
 EXPIRY_SECONDS: Final = 30.0
-# At 410 VMs a list of about 25 KB each time stays below 1 KB/s for each VM.
+# A list of 410 VMs has 39 KB, which is 1.3 KB/s of the 3 KB/s that a VM may use.
 READ_SECONDS: Final = 30.0
 # A VM without peers, or one that has started lately, may be alone by mistake.
 LONE_READ_SECONDS: Final = 1.0
