Review: number the cases, add case 13 on runners that left before an outage

Case 13: after an outage of the store, gateways keep runners without an entry for two seconds from their first read, which may hang for 1.8 s. Added: a script.

The former cases 11 (bytes without an id) and 12 (a version without a service) are dropped: review/more shows both. Cases 14 and 13 are now 11 and 12.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,7 +1,9 @@
-"""Late bytes on a kept connection to a runner become the answer of a client."""
+"""A kept turn reaches no runner any more after one gateway was killed."""
 
 import asyncio
+import json
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -9,86 +11,156 @@
 
 import standins  # noqa: E402
 
-REQUESTS = 300
-# One answer in fifty is followed by bytes that belong to no request.
-ANSWERS_PER_FAULT = 50
-EXTRA = {
-    0: b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok',
-    1: b'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n',
-}
+BUDGET = 800
+EVENTS = 4
+TOKENS_PER_EVENT = 25
+TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
+EVENT_SECONDS = 0.15
+SUB_AGENTS = 4
+# A turn that failed is sent again twice, and each has one retry.
+TRIES = 6
+LOST_TRIES = 5
+CONTACT_SECONDS = 3.0
+# The tools of the program take longer than that, by so much.
+TOOL_SECONDS = 1.5
+CONTROLS = 20
+FINISH_SECONDS = 20
 
 
-class FaultyRuns:
-    """Run requests; a part of the answers is followed by more bytes, late."""
+async def run_turn(runner, request, writer):
+    """Run a turn: a stream of events, in chunks."""
+    headers = [*runner.own_headers(request), 'Transfer-Encoding: chunked']
+    writer.write('\r\n'.join(['HTTP/1.1 200 OK', *headers, '', '']).encode())
+    for number in range(1, EVENTS + 1):
+        await asyncio.sleep(EVENT_SECONDS)
+        event = b'id: %d\ndata: %s\n\n' % (number, b't' * TOKENS_PER_EVENT)
+        writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+        await writer.drain()
+    writer.write(b'0\r\n\r\n')
+    return True
 
-    def __init__(self, world):
+
+def make_configuration():
+    """Return a configuration with one route for turns that are kept."""
+    engine = {
+        'slotCount': 32, 'kvCapacityTokens': 1000000, 'pinMs': 4000.0,
+        'tokensPerEvent': TOKENS_PER_EVENT,
+    }
+    return standins.make_configuration(
+        [standins.make_route(
+            'chat', 'streaming', 'engines', gapAimMs=300, stickySessions=True,
+            resumable=False, retainHistory=True, retentionS=60, attempts=2,
+        )],
+        [{'name': 'engines', 'maxConnections': 250, 'inferenceEngine': engine}],
+    )
+
+
+class Program:
+    """A program; its turns keep their history."""
+
+    def __init__(self, world, name):
+        self.tokens = 0
         self._world = world
-        self._answers = 0
-        self._faults = 0
-        # The connections on which more bytes are due.
-        self._due = {}
-
-    async def __call__(self, runner, request, writer):
-        """Answer a request."""
-        extra = self._due.pop(writer, None)
-        if extra is not None:
-            # At the point where the answer to this request is expected.
-            writer.write(extra)
-            self._world.record.write('extra', request=request.find('request-id'))
-            await asyncio.sleep(0.03)
-        body = b'done ' + request.body
-        writer.write(
-            standins.encode_answer('200 OK', runner.own_headers(request), body)
+        self._name = name
+        self._begun_at = time.monotonic()
+
+    async def send_turn(self, gateway, previous='', line='1'):
+        """Send a turn once; return its id, the answer and whether it has run."""
+        request_id = standins.make_id()
+        left = FINISH_SECONDS - (time.monotonic() - self._begun_at)
+        headers = [
+            f'Request-Id: {request_id}', f'Program-Id: {self._name}',
+            f'Session-Id: {self._name}-{line}', f'Finish-Ms: {left * 1000:.0f}',
+            f'Token-Budget: {BUDGET}', f'Token-Usage: 800,{TURN_TOKENS}', 'Model: m',
+            f'Prompt-Prefix: aa:600,{self._name}{line}:200', 'Deadline-Ms: 3000',
+        ]
+        if previous:
+            headers.append(f'Previous-Turn: {previous}')
+        self._world.record.write(
+            'sent', request=request_id, gateway=gateway.name, previous=previous
+        )
+        answer = await standins.call(
+            gateway.front, 'POST', '/chat/x', headers, b'input'
+        )
+        events = answer.body.count(b'\n\n') if answer.status == 200 else 0
+        self.tokens += events * TOKENS_PER_EVENT
+        has_run = any(
+            run.find('request-id') == request_id
+            for runner in self._world.runners for run in runner.runs
         )
-        self._answers += 1
-        if self._world.has_trouble and self._answers % ANSWERS_PER_FAULT == 0:
-            self._due[writer] = EXTRA[self._faults % len(EXTRA)]
-            self._faults += 1
-        return True
+        code = ''
+        if answer.status not in {0, 200}:
+            code = json.loads(answer.body or b'{}').get('error', {}).get('code', '')
+        self._world.record.write(
+            'answered', program=self._name, request=request_id, status=answer.status,
+            code=code, events=events, whole=answer.is_whole, ran=has_run,
+            tokens=self.tokens,
+        )
+        return request_id, answer, has_run
+
+    async def run_turn(self, gateways, previous='', line='1'):
+        """Send a turn until it is whole, a few times; return its id or nothing.
+
+        The second value tells how often it was sent without reaching a runner.
+        """
+        unreached = 0
+        for number in range(TRIES):
+            gateway = gateways[number % len(gateways)]
+            turn, answer, has_run = await self.send_turn(gateway, previous, line)
+            if answer.is_whole and answer.status == 200:
+                return turn, unreached
+            unreached = 0 if has_run else unreached + 1
+            if answer.status in {400, 401, 402, 403, 404, 413}:
+                return '', 0
+            await asyncio.sleep(0.35)
+        return '', unreached
 
 
 async def play(world):
-    """Send requests one after another; check each answer."""
-    run = FaultyRuns(world)
+    """Kill the gateway that serves the sub-agents, once, and go on."""
     runners = [
         standins.Runner(
-            f'{world.network}.{number}', service='desks', run=run, record=world.record
+            f'{world.network}.{number}', service='engines', run=run_turn,
+            record=world.record, slots=32,
         )
         for number in (101, 102)
     ]
-    configuration = standins.make_configuration(
-        [standins.make_route('book', 'non_idempotent', 'desks')],
-        [{'name': 'desks', 'maxConnections': 110}],
-    )
-    await world.start(1, runners, configuration)
-    front = world.gateways[0].front
-    broken = 0
-    for number in range(REQUESTS):
-        request_id = standins.make_id()
-        body = b'%d' % number
-        world.record.write('sent', request=request_id)
-        answer = await standins.call(
-            front, 'POST', '/book/x',
-            (f'Request-Id: {request_id}', 'Deadline-Ms: 3000'), body,
-        )
-        world.record.write(
-            'answered', request=request_id, status=answer.status,
-            stamp=answer.headers.find('server-stamp'), body=answer.body.decode(),
+    await world.start(3, runners, make_configuration())
+    await asyncio.sleep(6)
+    first, *others = world.gateways
+    program = Program(world, 'b1')
+    turn, _ = await program.run_turn(others)
+    agents = [
+        asyncio.create_task(
+            program.run_turn([first, *others], previous=turn, line=f'a{number}')
         )
-        stamp = answer.headers.find('server-stamp')
-        runs = [
-            one for runner in runners for one in runner.runs
-            if one.find('request-id') == request_id
-        ]
-        if answer.status == 200 and not (
-            stamp.endswith(request_id) and answer.body == b'done ' + body
-        ):
-            broken += 1
-            world.record.write('broken', rule='MIXED', request=request_id)
-        if answer.status == 503 and not stamp and runs:
-            # The same fault breaks this rule too; the verdict is on MIXED alone.
-            world.record.write('also broken', rule='REFUSED', request=request_id)
-    return standins.BROKEN if broken else standins.HELD
+        for number in range(SUB_AGENTS)
+    ]
+    if world.has_trouble:
+        await asyncio.sleep(1.5 * EVENT_SECONDS)
+        await first.kill()
+        world.record.write('one gateway is killed', gateway=first.name)
+        await first.start()
+    await asyncio.gather(*agents)
+    await first.wait_until_ready(3)
+    world.record.write('ready', gateway=first.name)
+    # Tools of the program; the disruption is further back than contactMs then.
+    await asyncio.sleep(CONTACT_SECONDS + TOOL_SECONDS)
+    lost = False
+    while turn and not lost:
+        following, unreached = await program.run_turn(others, previous=turn)
+        lost = unreached >= LOST_TRIES
+        turn = following
+    reached = 0
+    for number in range(CONTROLS):
+        _, _, has_run = await Program(world, f'c{number}').send_turn(others[0])
+        reached += has_run
+    world.record.write(
+        'end', lost=lost, tokens=program.tokens, budget=BUDGET,
+        first_turns=CONTROLS, reached=reached,
+    )
+    is_broken = lost and reached >= 0.9 * CONTROLS
+    return standins.BROKEN if is_broken else standins.HELD
 
 
 standins.run_case(play, FOLDER)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A program exceeds its budget when its route moves to another service."""
+"""A program exceeds its budget after a loss of all gateways in an outage."""
 
 import asyncio
 import sys
@@ -13,9 +13,11 @@
 EVENTS = 4
 TOKENS_PER_EVENT = 25
 TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
-EVENT_SECONDS = 0.15
-SUB_AGENTS = 4
-MAX_TURNS = 30
+EVENT_SECONDS = 0.02
+# The longest outage of the site.
+OUTAGE_SECONDS = 7.0
+KILL_AFTER_SECONDS = 3.5
+END_SECONDS = 30
 
 
 async def run_turn(runner, request, writer):
@@ -31,48 +33,55 @@
     return True
 
 
-def make_configuration(service):
-    """Return a configuration with one route for turns, to a service."""
+def make_configuration():
+    """Return a configuration with one route for turns."""
     engine = {
         'slotCount': 8, 'kvCapacityTokens': 500000, 'pinMs': 4000.0,
         'tokensPerEvent': TOKENS_PER_EVENT,
     }
     return standins.make_configuration(
         [standins.make_route(
-            'chat', 'streaming', service, gapAimMs=400, stickySessions=True,
+            'chat', 'streaming', 'engines', gapAimMs=400, stickySessions=True,
             resumable=False, retainHistory=False, retentionS=60,
         )],
-        [{'name': service, 'maxConnections': 200, 'inferenceEngine': engine}],
+        [{'name': 'engines', 'maxConnections': 200, 'inferenceEngine': engine}],
     )
 
 
 class Program:
-    """The turns of one program, and the tokens that its client got."""
+    """A program that loops: one line of turns, until it is told to stop."""
 
     def __init__(self, world):
         self.tokens = 0
+        self.is_spent = False
         self._world = world
         self._turns = 0
+        self._session_tokens = 200
 
-    async def send_turn(self):
-        """Send a turn; return the status."""
+    async def run(self, seconds):
+        """Send turns for a time, one after the other."""
+        end = asyncio.get_running_loop().time() + seconds
+        while not self.is_spent and asyncio.get_running_loop().time() < end:
+            status = await self._send_turn()
+            await asyncio.sleep(0.02 if status == 200 else 0.3)
+
+    async def _send_turn(self):
         self._turns += 1
         request_id = standins.make_id()
-        # The first turn, and then sub-agents whose prompts begin with its prompt.
-        prefix = 'aa:600,bb:200'
-        if self._turns > 1:
-            prefix = f'{prefix},{self._turns:x}:200'
         gateway = self._world.gateways[self._turns % len(self._world.gateways)]
         self._world.record.write('sent', request=request_id, gateway=gateway.name)
+        # The last part of a prompt belongs to its session, and grows with it.
         answer = await standins.call(gateway.front, 'POST', '/chat/x', (
-            f'Request-Id: {request_id}', 'Program-Id: p1',
-            f'Session-Id: s{self._turns}', 'Finish-Ms: 30000',
-            f'Token-Budget: {BUDGET}', f'Token-Usage: 1000,{TURN_TOKENS}', 'Model: m',
-            f'Prompt-Prefix: {prefix}', 'Deadline-Ms: 3000',
+            f'Request-Id: {request_id}', 'Program-Id: p1', 'Session-Id: s1',
+            'Finish-Ms: 30000', f'Token-Budget: {BUDGET}',
+            f'Token-Usage: {600 + self._session_tokens},{TURN_TOKENS}', 'Model: m',
+            f'Prompt-Prefix: aa:600,bb:{self._session_tokens}', 'Deadline-Ms: 3000',
         ), b'input')
         events = answer.body.count(b'\n\n')
         if answer.status == 200:
             self.tokens += events * TOKENS_PER_EVENT
+            self._session_tokens += TURN_TOKENS
+        self.is_spent = answer.status == 402
         self._world.record.write(
             'answered', request=request_id, status=answer.status, events=events,
             whole=answer.is_whole, tokens=self.tokens,
@@ -81,31 +90,28 @@
 
 
 async def play(world):
-    """Run sub-agents, move the route meanwhile, and go on until the budget ends."""
-    runners = [
-        standins.Runner(
-            f'{world.network}.{number}', service=service, run=run_turn,
-            record=world.record,
-        )
-        for number, service in ((101, 'engines-a'), (102, 'engines-b'))
-    ]
-    await world.start(3, runners, make_configuration('engines-a'))
+    """Stop the store, run the program, kill all gateways, and go on."""
+    runner = standins.Runner(
+        f'{world.network}.101', service='engines', run=run_turn, record=world.record
+    )
+    await world.start(3, [runner], make_configuration())
     # Until every gateway has read what the store has.
     await asyncio.sleep(6)
     program = Program(world)
-    await program.send_turn()
-    turns = [asyncio.create_task(program.send_turn()) for _ in range(SUB_AGENTS)]
-    await asyncio.sleep(EVENT_SECONDS)
     if world.has_trouble:
-        await world.publish(make_configuration('engines-b'))
-    await asyncio.gather(*turns)
-    # A gateway may use the former service until the deadline of a change.
-    await asyncio.sleep(2)
-    for _ in range(MAX_TURNS):
-        status = await program.send_turn()
-        if status == 402:
-            break
-        await asyncio.sleep(0.05 if status == 200 else 1)
+        world.store.refuses = lambda topic, part: True
+        world.record.write('the store is down')
+        await asyncio.sleep(0.5)
+    await program.run(KILL_AFTER_SECONDS - 0.5)
+    if world.has_trouble:
+        await asyncio.gather(*(gateway.kill() for gateway in world.gateways))
+        world.record.write('all gateways are killed', tokens=program.tokens)
+        for gateway in world.gateways:
+            await gateway.start()
+        await program.run(OUTAGE_SECONDS - KILL_AFTER_SECONDS)
+        world.store.refuses = lambda topic, part: False
+        world.record.write('the store is back', tokens=program.tokens)
+    await program.run(END_SECONDS)
     bound = BUDGET + TURN_TOKENS
     world.record.write('end', tokens=program.tokens, bound=bound)
     return standins.BROKEN if program.tokens > bound else standins.HELD
--- a/review/shared-3/standins.py
+++ b/review/shared-3/standins.py
@@ -151,12 +151,14 @@
 class Store(Service):
     """The platform's store: keyed topics.
 
-    Calls for which ``refuses`` is true get 503 and do nothing.
+    Calls for which ``refuses`` is true get 503 and do nothing. Calls that come while
+    it ``is_silent`` do nothing and are never answered.
     """
 
     def __init__(self, ip):
         super().__init__(ip)
         self.records = {}
+        self.is_silent = False
         self.refuses = lambda topic, part: False
         self._changed = asyncio.Condition()
 
@@ -171,6 +173,8 @@
         parts = urlsplit(target)
         query = {name: texts[0] for name, texts in parse_qs(parts.query).items()}
         place = (query.get('topicName', ''), int(query.get('part', 0)))
+        if self.is_silent:
+            await asyncio.Event().wait()
         status, body = '503 Down', b''
         if not self.refuses(*place):
             call = parts.path.rpartition('/')[2].replace('-', '_')
@@ -242,10 +246,17 @@
         self.born = int(time.time() * 1000)
         self.slots = slots
         self.runs = []
+        # Whether it is leaving and writes no entry any more.
+        self.has_left = False
         self._run = run
         self._record = record
         self._seq = 0
 
+    async def leave(self, store):
+        """Remove the entry; the runner serves on for a while."""
+        self.has_left = True
+        await store.put('keyed.servers', self.id, None)
+
     def describe(self, state='ready'):
         """Return the entry in the store."""
         self._seq += 1
@@ -466,7 +477,8 @@
     async def _write_entries(self):
         while True:
             for runner in self.runners:
-                if not self.store.refuses('keyed.servers', 0):
+                is_up = not (self.store.is_silent or self.store.refuses('keyed.servers', 0))
+                if is_up and not runner.has_left:
                     await self.store.put('keyed.servers', runner.id, runner.describe())
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
