--- a/review/shared-3/standins.py
+++ b/review/shared-3/standins.py
@@ -246,6 +246,7 @@
         self.born = int(time.time() * 1000)
         self.slots = slots
         self.runs = []
+        self.run_ids = set()
         # Whether it is leaving and writes no entry any more.
         self.has_left = False
         self._run = run
@@ -277,6 +278,7 @@
             writer.write(encode_answer('421 Other', self.own_headers(request)))
             return True
         self.runs.append(request)
+        self.run_ids.add(request.find('request-id'))
         self._record.write(
             'run', runner=self.id, request=request.find('request-id'),
             target=request.first_line, bytes=len(request.body),
