--- a/review/11/case.py
+++ b/review/11/case.py
@@ -28,7 +28,7 @@
 # A turn that failed is sent again twice, and each has one retry.
 TRIES = 6
 LOST_TRIES = 5
-FINISH_SECONDS = 60
+FINISH_SECONDS = 30
 CONTROLS = 20
 
 
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,9 @@
-"""A program exceeds its budget after a loss of all gateways in an outage."""
+"""A kept turn reaches no runner any more after one gateway was killed."""
 
 import asyncio
+import json
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -13,11 +15,16 @@
 EVENTS = 4
 TOKENS_PER_EVENT = 25
 TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
-EVENT_SECONDS = 0.02
-# The longest outage of the site.
-OUTAGE_SECONDS = 7.0
-KILL_AFTER_SECONDS = 3.5
-END_SECONDS = 30
+EVENT_SECONDS = 0.15
+SUB_AGENTS = 4
+# A turn that failed is sent again twice, and each has one retry.
+TRIES = 6
+LOST_TRIES = 5
+CONTACT_SECONDS = 3.0
+# The tools of the program take longer than that, by so much.
+TOOL_SECONDS = 1.5
+CONTROLS = 20
+FINISH_SECONDS = 20
 
 
 async def run_turn(runner, request, writer):
@@ -34,87 +41,126 @@
 
 
 def make_configuration():
-    """Return a configuration with one route for turns."""
+    """Return a configuration with one route for turns that are kept."""
     engine = {
-        'slotCount': 8, 'kvCapacityTokens': 500000, 'pinMs': 4000.0,
+        'slotCount': 32, 'kvCapacityTokens': 1000000, 'pinMs': 4000.0,
         'tokensPerEvent': TOKENS_PER_EVENT,
     }
     return standins.make_configuration(
         [standins.make_route(
-            'chat', 'streaming', 'engines', gapAimMs=400, stickySessions=True,
-            resumable=False, retainHistory=False, retentionS=60,
+            'chat', 'streaming', 'engines', gapAimMs=300, stickySessions=True,
+            resumable=False, retainHistory=True, retentionS=60, attempts=2,
         )],
-        [{'name': 'engines', 'maxConnections': 200, 'inferenceEngine': engine}],
+        [{'name': 'engines', 'maxConnections': 250, 'inferenceEngine': engine}],
     )
 
 
 class Program:
-    """A program that loops: one line of turns, until it is told to stop."""
+    """A program; its turns keep their history."""
 
-    def __init__(self, world):
+    def __init__(self, world, name):
         self.tokens = 0
-        self.is_spent = False
         self._world = world
-        self._turns = 0
-        self._session_tokens = 200
-
-    async def run(self, seconds):
-        """Send turns for a time, one after the other."""
-        end = asyncio.get_running_loop().time() + seconds
-        while not self.is_spent and asyncio.get_running_loop().time() < end:
-            status = await self._send_turn()
-            await asyncio.sleep(0.02 if status == 200 else 0.3)
-
-    async def _send_turn(self):
-        self._turns += 1
+        self._name = name
+        self._begun_at = time.monotonic()
+
+    async def send_turn(self, gateway, previous='', line='1'):
+        """Send a turn once; return its id, the answer and whether it has run."""
         request_id = standins.make_id()
-        gateway = self._world.gateways[self._turns % len(self._world.gateways)]
-        self._world.record.write('sent', request=request_id, gateway=gateway.name)
-        # The last part of a prompt belongs to its session, and grows with it.
-        answer = await standins.call(gateway.front, 'POST', '/chat/x', (
-            f'Request-Id: {request_id}', 'Program-Id: p1', 'Session-Id: s1',
-            'Finish-Ms: 30000', f'Token-Budget: {BUDGET}',
-            f'Token-Usage: {600 + self._session_tokens},{TURN_TOKENS}', 'Model: m',
-            f'Prompt-Prefix: aa:600,bb:{self._session_tokens}', 'Deadline-Ms: 3000',
-        ), b'input')
-        events = answer.body.count(b'\n\n')
-        if answer.status == 200:
-            self.tokens += events * TOKENS_PER_EVENT
-            self._session_tokens += TURN_TOKENS
-        self.is_spent = answer.status == 402
+        left = FINISH_SECONDS - (time.monotonic() - self._begun_at)
+        headers = [
+            f'Request-Id: {request_id}', f'Program-Id: {self._name}',
+            f'Session-Id: {self._name}-{line}', f'Finish-Ms: {left * 1000:.0f}',
+            f'Token-Budget: {BUDGET}', f'Token-Usage: 800,{TURN_TOKENS}', 'Model: m',
+            f'Prompt-Prefix: aa:600,{self._name}{line}:200', 'Deadline-Ms: 3000',
+        ]
+        if previous:
+            headers.append(f'Previous-Turn: {previous}')
+        self._world.record.write(
+            'sent', request=request_id, gateway=gateway.name, previous=previous
+        )
+        answer = await standins.call(
+            gateway.front, 'POST', '/chat/x', headers, b'input'
+        )
+        events = answer.body.count(b'\n\n') if answer.status == 200 else 0
+        self.tokens += events * TOKENS_PER_EVENT
+        has_run = any(
+            run.find('request-id') == request_id
+            for runner in self._world.runners for run in runner.runs
+        )
+        code = ''
+        if answer.status not in {0, 200}:
+            code = json.loads(answer.body or b'{}').get('error', {}).get('code', '')
         self._world.record.write(
-            'answered', request=request_id, status=answer.status, events=events,
-            whole=answer.is_whole, tokens=self.tokens,
+            'answered', program=self._name, request=request_id, status=answer.status,
+            code=code, events=events, whole=answer.is_whole, ran=has_run,
+            tokens=self.tokens,
         )
-        return answer.status
+        return request_id, answer, has_run
+
+    async def run_turn(self, gateways, previous='', line='1'):
+        """Send a turn until it is whole, a few times; return its id or nothing.
+
+        The second value tells how often it was sent without reaching a runner.
+        """
+        unreached = 0
+        for number in range(TRIES):
+            gateway = gateways[number % len(gateways)]
+            turn, answer, has_run = await self.send_turn(gateway, previous, line)
+            if answer.is_whole and answer.status == 200:
+                return turn, unreached
+            unreached = 0 if has_run else unreached + 1
+            if answer.status in {400, 401, 402, 403, 404, 413}:
+                return '', 0
+            await asyncio.sleep(0.35)
+        return '', unreached
 
 
 async def play(world):
-    """Stop the store, run the program, kill all gateways, and go on."""
-    runner = standins.Runner(
-        f'{world.network}.101', service='engines', run=run_turn, record=world.record
-    )
-    await world.start(3, [runner], make_configuration())
-    # Until every gateway has read what the store has.
+    """Kill the gateway that serves the sub-agents, once, and go on."""
+    runners = [
+        standins.Runner(
+            f'{world.network}.{number}', service='engines', run=run_turn,
+            record=world.record, slots=32,
+        )
+        for number in (101, 102)
+    ]
+    await world.start(3, runners, make_configuration())
     await asyncio.sleep(6)
-    program = Program(world)
-    if world.has_trouble:
-        world.store.refuses = lambda topic, part: True
-        world.record.write('the store is down')
-        await asyncio.sleep(0.5)
-    await program.run(KILL_AFTER_SECONDS - 0.5)
+    first, *others = world.gateways
+    program = Program(world, 'b1')
+    turn, _ = await program.run_turn(others)
+    agents = [
+        asyncio.create_task(
+            program.run_turn([first, *others], previous=turn, line=f'a{number}')
+        )
+        for number in range(SUB_AGENTS)
+    ]
     if world.has_trouble:
-        await asyncio.gather(*(gateway.kill() for gateway in world.gateways))
-        world.record.write('all gateways are killed', tokens=program.tokens)
-        for gateway in world.gateways:
-            await gateway.start()
-        await program.run(OUTAGE_SECONDS - KILL_AFTER_SECONDS)
-        world.store.refuses = lambda topic, part: False
-        world.record.write('the store is back', tokens=program.tokens)
-    await program.run(END_SECONDS)
-    bound = BUDGET + TURN_TOKENS
-    world.record.write('end', tokens=program.tokens, bound=bound)
-    return standins.BROKEN if program.tokens > bound else standins.HELD
+        await asyncio.sleep(1.5 * EVENT_SECONDS)
+        await first.kill()
+        world.record.write('one gateway is killed', gateway=first.name)
+        await first.start()
+    await asyncio.gather(*agents)
+    await first.wait_until_ready(3)
+    world.record.write('ready', gateway=first.name)
+    # Tools of the program; the disruption is further back than contactMs then.
+    await asyncio.sleep(CONTACT_SECONDS + TOOL_SECONDS)
+    lost = False
+    while turn and not lost:
+        following, unreached = await program.run_turn(others, previous=turn)
+        lost = unreached >= LOST_TRIES
+        turn = following
+    reached = 0
+    for number in range(CONTROLS):
+        _, _, has_run = await Program(world, f'c{number}').send_turn(others[0])
+        reached += has_run
+    world.record.write(
+        'end', lost=lost, tokens=program.tokens, budget=BUDGET,
+        first_turns=CONTROLS, reached=reached,
+    )
+    is_broken = lost and reached >= 0.9 * CONTROLS
+    return standins.BROKEN if is_broken else standins.HELD
 
 
 standins.run_case(play, FOLDER)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,9 +1,7 @@
-"""Requests reach a runner that left before an outage of the store, after it."""
+"""A program exceeds its budget after a loss of all gateways in an outage."""
 
 import asyncio
-import random
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -11,79 +9,112 @@
 
 import standins  # noqa: E402
 
-GATEWAYS = 3
-OUTAGE_SECONDS = 4.2
-CONTACT_SECONDS = 3.0
-DRAIN_SECONDS = 2.0
-# The runner serves for so long after its entry was removed.
-SERVING_SECONDS = 10.0
-REQUEST_SECONDS = 0.01
-WORK_SECONDS = 0.01
+BUDGET = 800
+EVENTS = 4
+TOKENS_PER_EVENT = 25
+TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
+EVENT_SECONDS = 0.02
+# The longest outage of the site.
+OUTAGE_SECONDS = 7.0
+KILL_AFTER_SECONDS = 3.5
+END_SECONDS = 30
 
 
-async def run_plain(runner, request, writer):
-    """Run a request."""
-    await asyncio.sleep(WORK_SECONDS)
-    writer.write(standins.encode_answer('200 OK', runner.own_headers(request), b'done'))
+async def run_turn(runner, request, writer):
+    """Run a turn: a stream of events, in chunks."""
+    headers = [*runner.own_headers(request), 'Transfer-Encoding: chunked']
+    writer.write('\r\n'.join(['HTTP/1.1 200 OK', *headers, '', '']).encode())
+    for number in range(1, EVENTS + 1):
+        await asyncio.sleep(EVENT_SECONDS)
+        event = b'id: %d\ndata: %s\n\n' % (number, b't' * TOKENS_PER_EVENT)
+        writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+        await writer.drain()
+    writer.write(b'0\r\n\r\n')
     return True
 
 
-async def send(world, sent_at):
-    """Send a request to any gateway."""
-    request_id = standins.make_id()
-    gateway = random.choice(world.gateways)
-    sent_at[request_id] = time.monotonic()
-    world.record.write('sent', request=request_id, gateway=gateway.name)
-    answer = await standins.call(
-        gateway.front, 'GET', '/look/x',
-        (f'Request-Id: {request_id}', 'Deadline-Ms: 1200'),
+def make_configuration():
+    """Return a configuration with one route for turns."""
+    engine = {
+        'slotCount': 8, 'kvCapacityTokens': 500000, 'pinMs': 4000.0,
+        'tokensPerEvent': TOKENS_PER_EVENT,
+    }
+    return standins.make_configuration(
+        [standins.make_route(
+            'chat', 'streaming', 'engines', gapAimMs=400, stickySessions=True,
+            resumable=False, retainHistory=False, retentionS=60,
+        )],
+        [{'name': 'engines', 'maxConnections': 200, 'inferenceEngine': engine}],
     )
-    world.record.write('answered', request=request_id, status=answer.status)
 
 
-async def play(world):
-    """Let a runner leave, then the store be silent; look who gets requests."""
-    runners = [
-        standins.Runner(
-            f'{world.network}.{number}', service='desks', run=run_plain,
-            record=world.record, slots=6,
+class Program:
+    """A program that loops: one line of turns, until it is told to stop."""
+
+    def __init__(self, world):
+        self.tokens = 0
+        self.is_spent = False
+        self._world = world
+        self._turns = 0
+        self._session_tokens = 200
+
+    async def run(self, seconds):
+        """Send turns for a time, one after the other."""
+        end = asyncio.get_running_loop().time() + seconds
+        while not self.is_spent and asyncio.get_running_loop().time() < end:
+            status = await self._send_turn()
+            await asyncio.sleep(0.02 if status == 200 else 0.3)
+
+    async def _send_turn(self):
+        self._turns += 1
+        request_id = standins.make_id()
+        gateway = self._world.gateways[self._turns % len(self._world.gateways)]
+        self._world.record.write('sent', request=request_id, gateway=gateway.name)
+        # The last part of a prompt belongs to its session, and grows with it.
+        answer = await standins.call(gateway.front, 'POST', '/chat/x', (
+            f'Request-Id: {request_id}', 'Program-Id: p1', 'Session-Id: s1',
+            'Finish-Ms: 30000', f'Token-Budget: {BUDGET}',
+            f'Token-Usage: {600 + self._session_tokens},{TURN_TOKENS}', 'Model: m',
+            f'Prompt-Prefix: aa:600,bb:{self._session_tokens}', 'Deadline-Ms: 3000',
+        ), b'input')
+        events = answer.body.count(b'\n\n')
+        if answer.status == 200:
+            self.tokens += events * TOKENS_PER_EVENT
+            self._session_tokens += TURN_TOKENS
+        self.is_spent = answer.status == 402
+        self._world.record.write(
+            'answered', request=request_id, status=answer.status, events=events,
+            whole=answer.is_whole, tokens=self.tokens,
         )
-        for number in (101, 102, 103)
-    ]
-    configuration = standins.make_configuration(
-        [standins.make_route('look', 'idempotent', 'desks', timeoutMs=1200, attempts=2)],
-        [{'name': 'desks', 'maxConnections': 110}],
+        return answer.status
+
+
+async def play(world):
+    """Stop the store, run the program, kill all gateways, and go on."""
+    runner = standins.Runner(
+        f'{world.network}.101', service='engines', run=run_turn, record=world.record
     )
-    await world.start(GATEWAYS, runners, configuration)
-    await asyncio.sleep(CONTACT_SECONDS + 1 + random.random())
-    sent_at, tasks = {}, []
-    leaver = runners[0]
-    await leaver.leave(world.store)
-    left_at = time.monotonic()
-    world.record.write('a runner has left', runner=leaver.id)
-    back_at = left_at
+    await world.start(3, [runner], make_configuration())
+    # Until every gateway has read what the store has.
+    await asyncio.sleep(6)
+    program = Program(world)
+    if world.has_trouble:
+        world.store.refuses = lambda topic, part: True
+        world.record.write('the store is down')
+        await asyncio.sleep(0.5)
+    await program.run(KILL_AFTER_SECONDS - 0.5)
     if world.has_trouble:
-        # Before a gateway has read that the entry is gone, which takes up to 0.4 s.
-        world.store.is_silent = True
-        world.record.write('the store is silent')
-        back_at = time.monotonic() + OUTAGE_SECONDS
-    while time.monotonic() < left_at + SERVING_SECONDS:
-        if world.store.is_silent and time.monotonic() >= back_at:
-            world.store.is_silent = False
-            back_at = time.monotonic()
-            world.record.write('the store is back')
-        tasks.append(asyncio.create_task(send(world, sent_at)))
-        await asyncio.sleep(REQUEST_SECONDS)
-    await asyncio.gather(*tasks)
-    # From then on all gateways are in touch, and the runner is gone for long.
-    judged_from = max(back_at + CONTACT_SECONDS, left_at + DRAIN_SECONDS)
-    late = [
-        round(sent_at[run.find('request-id')] - back_at, 3)
-        for run in leaver.runs
-        if sent_at.get(run.find('request-id'), 0) > judged_from
-    ]
-    world.record.write('end', late_requests=len(late), seconds_after_return=late[-20:])
-    return standins.BROKEN if late else standins.HELD
+        await asyncio.gather(*(gateway.kill() for gateway in world.gateways))
+        world.record.write('all gateways are killed', tokens=program.tokens)
+        for gateway in world.gateways:
+            await gateway.start()
+        await program.run(OUTAGE_SECONDS - KILL_AFTER_SECONDS)
+        world.store.refuses = lambda topic, part: False
+        world.record.write('the store is back', tokens=program.tokens)
+    await program.run(END_SECONDS)
+    bound = BUDGET + TURN_TOKENS
+    world.record.write('end', tokens=program.tokens, bound=bound)
+    return standins.BROKEN if program.tokens > bound else standins.HELD
 
 
 standins.run_case(play, FOLDER)
