Review case 14: an outage within the limit of the site, record

Cause: CallRequest.is_first_turn takes each turn without Previous-Turn and with two prompt parts for the first of its program.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -14,9 +14,13 @@
 TOKENS_PER_EVENT = 25
 TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
 EVENT_SECONDS = 0.02
-# The longest outage of the site.
-OUTAGE_SECONDS = 7.0
-KILL_AFTER_SECONDS = 3.5
+# The longest outage of the site is 7.0 s.
+OUTAGE_SECONDS = 6.5
+KILL_AFTER_SECONDS = 3.0
+# A turn that failed is sent again twice, and each has one retry.
+TRIES = 6
+# The program that was stopped returns so long after the store.
+RETURN_SECONDS = 2.0
 END_SECONDS = 30
 
 
@@ -59,11 +63,17 @@
         self._session_tokens = 200
 
     async def run(self, seconds):
-        """Send turns for a time, one after the other."""
+        """Send turns for a time, one after the other, until one fails."""
         end = asyncio.get_running_loop().time() + seconds
-        while not self.is_spent and asyncio.get_running_loop().time() < end:
+        failed = 0
+        while (
+            not self.is_spent
+            and failed < TRIES
+            and asyncio.get_running_loop().time() < end
+        ):
             status = await self._send_turn()
-            await asyncio.sleep(0.02 if status == 200 else 0.3)
+            failed = 0 if status == 200 else failed + 1
+            await asyncio.sleep(0.02 if status == 200 else 0.35)
 
     async def _send_turn(self):
         self._turns += 1
@@ -99,18 +109,22 @@
     await asyncio.sleep(6)
     program = Program(world)
     if world.has_trouble:
+        clock = asyncio.get_running_loop().time
+        down_at = clock()
         world.store.refuses = lambda topic, part: True
         world.record.write('the store is down')
         await asyncio.sleep(0.5)
-    await program.run(KILL_AFTER_SECONDS - 0.5)
-    if world.has_trouble:
+        await program.run(KILL_AFTER_SECONDS - 0.5)
+        await asyncio.sleep(max(down_at + KILL_AFTER_SECONDS - clock(), 0))
         await asyncio.gather(*(gateway.kill() for gateway in world.gateways))
         world.record.write('all gateways are killed', tokens=program.tokens)
         for gateway in world.gateways:
             await gateway.start()
-        await program.run(OUTAGE_SECONDS - KILL_AFTER_SECONDS)
+        await asyncio.sleep(max(down_at + OUTAGE_SECONDS - clock(), 0))
         world.store.refuses = lambda topic, part: False
-        world.record.write('the store is back', tokens=program.tokens)
+        seconds = round(clock() - down_at, 3)
+        world.record.write('the store is back', tokens=program.tokens, after=seconds)
+        await asyncio.sleep(RETURN_SECONDS)
     await program.run(END_SECONDS)
     bound = BUDGET + TURN_TOKENS
     world.record.write('end', tokens=program.tokens, bound=bound)
