--- a/review/15/case.py
+++ b/review/15/case.py
@@ -17,7 +17,7 @@
 DRAIN_SECONDS = 2.0
 # The runner serves for so long after its entry was removed.
 SERVING_SECONDS = 10.0
-REQUEST_SECONDS = 0.01
+REQUEST_SECONDS = 0.006
 WORK_SECONDS = 0.01
 
 
@@ -48,7 +48,7 @@
             f'{world.network}.{number}', service='desks', run=run_plain,
             record=world.record, slots=6,
         )
-        for number in (101, 102, 103)
+        for number in range(101, 108)
     ]
     configuration = standins.make_configuration(
         [standins.make_route('look', 'idempotent', 'desks', timeoutMs=1200, attempts=2)],
@@ -65,13 +65,14 @@
     if world.has_trouble:
         # Before a gateway has read that the entry is gone, which takes up to 0.4 s.
         world.store.is_silent = True
+        silent_at = time.monotonic()
         world.record.write('the store is silent')
-        back_at = time.monotonic() + OUTAGE_SECONDS
+        back_at = silent_at + OUTAGE_SECONDS
     while time.monotonic() < left_at + SERVING_SECONDS:
         if world.store.is_silent and time.monotonic() >= back_at:
             world.store.is_silent = False
             back_at = time.monotonic()
-            world.record.write('the store is back')
+            world.record.write('the store is back', after=round(back_at - silent_at, 3))
         tasks.append(asyncio.create_task(send(world, sent_at)))
         await asyncio.sleep(REQUEST_SECONDS)
     await asyncio.gather(*tasks)
